--- /dev/null
+++ b/include/banyan/base/resources.h
@@ -0,0 +1,63 @@
+#ifndef BANYAN_BASE_RESOURCES_H_
+#define BANYAN_BASE_RESOURCES_H_
+
+#include <cstdint>
+
+namespace banyan {
+
+// An amount of what a worker offers and a task needs.
+struct Resources {
+  // Thousandths of a processor.
+  std::int64_t cpu_millis = 0;
+  // Mebibytes of memory.
+  std::int64_t memory_mib = 0;
+  // Whole accelerators.
+  std::int64_t accelerators = 0;
+
+  friend constexpr bool operator==(const Resources&,
+                                   const Resources&) noexcept = default;
+
+  constexpr Resources& operator+=(const Resources& other) noexcept {
+    cpu_millis += other.cpu_millis;
+    memory_mib += other.memory_mib;
+    accelerators += other.accelerators;
+    return *this;
+  }
+
+  constexpr Resources& operator-=(const Resources& other) noexcept {
+    cpu_millis -= other.cpu_millis;
+    memory_mib -= other.memory_mib;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+
+  friend constexpr Resources operator+(Resources a,
+                                       const Resources& b) noexcept {
+    return a += b;
+  }
+
+  friend constexpr Resources operator-(Resources a,
+                                       const Resources& b) noexcept {
+    return a -= b;
+  }
+};
+
+// Returns whether the need fits into the free amount in every dimension.
+[[nodiscard]] constexpr bool Fits(const Resources& need,
+                                  const Resources& free) noexcept {
+  return need.cpu_millis <= free.cpu_millis &&
+         need.memory_mib <= free.memory_mib &&
+         need.accelerators <= free.accelerators;
+}
+
+// Returns whether no dimension is below zero.
+[[nodiscard]] constexpr bool IsNonNegative(const Resources& r) noexcept {
+  return r.cpu_millis >= 0 && r.memory_mib >= 0 && r.accelerators >= 0;
+}
+
+static_assert(Fits({1, 1, 0}, {1, 2, 0}));
+static_assert(!Fits({1, 1, 1}, {1, 2, 0}));
+
+}  // namespace banyan
+
+#endif  // BANYAN_BASE_RESOURCES_H_
--- /dev/null
+++ b/include/banyan/consensus/raft_core.h
@@ -0,0 +1,165 @@
+#ifndef BANYAN_CONSENSUS_RAFT_CORE_H_
+#define BANYAN_CONSENSUS_RAFT_CORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "banyan/base/random.h"
+#include "banyan/consensus/raft_log.h"
+#include "banyan/consensus/raft_types.h"
+
+namespace banyan {
+
+// The consensus of the control cell as a deterministic state machine: leader
+// election with pre-vote and check-quorum, log replication, snapshots, leader
+// lease, learners and membership changes of one member at a time. It does no
+// I/O; call a step, then take the outputs.
+class RaftCore {
+ public:
+  RaftCore(RaftOptions options, RestoredLog restored, Time now);
+
+  // Lets deadlines pass. Call it at least every few milliseconds.
+  void Tick(Time now);
+
+  // Takes a message. Messages of other families are ignored.
+  void Receive(Time now, const Sender& from, const Message& message);
+
+  // Notes that every batch up to this one is on disk.
+  void OnPersisted(Time now, std::uint64_t seq);
+
+  // Appends a command; nothing when this replica doesn't lead.
+  std::optional<std::uint64_t> Propose(Time now, std::string data);
+
+  // Hands the applied state over, so that the log can be trimmed.
+  void Compact(std::uint64_t applied_index, std::string state);
+
+  // Gives the leadership to the most current voter, if there is one.
+  void TransferLeadership(Time now);
+
+  // Sends what the last steps left to replicate and returns all outputs.
+  [[nodiscard]] RaftOutputs TakeOutputs(Time now);
+
+  [[nodiscard]] RaftRole role() const noexcept { return role_; }
+  [[nodiscard]] std::uint64_t term() const noexcept { return hard_.term; }
+  [[nodiscard]] std::uint64_t commit_index() const noexcept { return commit_; }
+  [[nodiscard]] const RaftLog& log() const noexcept { return log_; }
+  // The leader's id as far as known; empty without one.
+  [[nodiscard]] const std::string& leader() const noexcept { return leader_; }
+  // Whether this leader committed an entry of its own term.
+  [[nodiscard]] bool IsSettledLeader() const noexcept;
+  // Whether no other leader can exist at this time.
+  [[nodiscard]] bool HoldsLease(Time now) const;
+  // Whether a follower heard its leader within the election span, or a leader
+  // holds its lease.
+  [[nodiscard]] bool IsFresh(Time now) const;
+  // Whether this replica belongs to a cell.
+  [[nodiscard]] bool HasMembership() const noexcept {
+    return !log_.membership().voters.empty();
+  }
+
+ private:
+  // What the leader knows of another member.
+  struct Progress {
+    std::uint64_t next = 1;
+    std::uint64_t match = 0;
+    // When the leader sent the latest round that the member confirmed.
+    Time confirmed;
+    // When the leader last got any answer from the member.
+    Time heard;
+  };
+
+  // A message that waits for a batch to be on disk.
+  struct Gated {
+    std::uint64_t seq = 0;
+    Outbound outbound;
+  };
+
+  // A batch that is not known to be on disk.
+  struct Unsynced {
+    std::uint64_t seq = 0;
+    // The last entry that is on disk once the batch is.
+    std::uint64_t last_index = 0;
+  };
+
+  // When a heartbeat round began.
+  struct Round {
+    std::uint64_t number = 0;
+    Time sent;
+  };
+
+  void On(Time now, const MemberId& from, const VoteRequest& request);
+  void On(Time now, const MemberId& from, const VoteReply& reply);
+  void On(Time now, const MemberId& from, const AppendRequest& request);
+  void On(Time now, const MemberId& from, const AppendReply& reply);
+  void On(Time now, const MemberId& from, const InstallSnapshot& request);
+  void On(Time now, const MemberId& from, const TimeoutNow& request);
+  void On(Time now, const MemberId& from, const JoinRequest& request);
+
+  void TickLeader(Time now);
+  void TickFollower(Time now);
+  void TickOutsider(Time now);
+  void FormCellIfAllEmpty(Time now);
+  void BecomeFollower(Time now, std::uint64_t term, const std::string& leader);
+  void StartElection(Time now, bool pre_vote, bool transfer);
+  void CountVotes(Time now);
+  void BecomeLeader(Time now);
+  void FollowLeader(Time now, const MemberId& from, std::uint64_t term);
+  void AppendNew(LogEntry entry);
+  void AcceptEntries(const std::vector<LogEntry>& entries);
+  void DropFrom(std::uint64_t index);
+  void ForgetPersistedFrom(std::uint64_t index);
+  void AdvanceCommit(std::uint64_t to);
+  void CommitByMajority();
+  void ProposeMembership(Membership membership);
+  void TendMembership(Time now);
+  void Replicate(Time now);
+  void SendAppend(const MemberId& to, Progress& progress);
+  void SendInstall(const MemberId& to, Progress& progress);
+  void Send(const MemberId& to, Message message);
+  void SendGated(const MemberId& to, Message message);
+  void ResetElectionDeadline(Time now);
+  void SetHardState(std::uint64_t term, const MemberId& voted_for);
+  [[nodiscard]] bool IsUpToDate(const VoteRequest& request) const noexcept;
+  [[nodiscard]] std::vector<MemberId> Others() const;
+  [[nodiscard]] bool IsSelfVoter() const noexcept;
+  [[nodiscard]] Time MajorityTime(Time now, Time Progress::*field) const;
+
+  RaftOptions options_;
+  RaftLog log_;
+  HardState hard_;
+  Random random_;
+  RaftRole role_ = RaftRole::kFollower;
+  std::string leader_;
+  std::uint64_t commit_ = 0;
+  std::uint64_t emitted_ = 0;
+  Time election_deadline_;
+  // Until then a vote could break the lease of a leader that was heard.
+  Time vote_allowed_at_;
+  Time next_heartbeat_;
+  Time next_join_;
+  std::map<MemberId, bool> votes_;
+  std::map<MemberId, Progress> progress_;
+  std::deque<Round> rounds_;
+  std::uint64_t round_ = 0;
+  std::uint64_t term_start_index_ = 0;
+  bool must_replicate_ = false;
+  Time transfer_deadline_;
+  bool transferring_ = false;
+  // Empty members that asked to join, with what they have seen.
+  std::map<std::string, std::pair<MemberId, JoinRequest>> joining_;
+  std::uint64_t last_seq_ = 0;
+  std::uint64_t persisted_seq_ = 0;
+  std::deque<Unsynced> unsynced_;
+  std::uint64_t persisted_index_ = 0;
+  std::deque<Gated> gated_;
+  PersistBatch pending_;
+  RaftOutputs out_;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_CONSENSUS_RAFT_CORE_H_
--- /dev/null
+++ b/include/banyan/consensus/raft_types.h
@@ -0,0 +1,96 @@
+#ifndef BANYAN_CONSENSUS_RAFT_TYPES_H_
+#define BANYAN_CONSENSUS_RAFT_TYPES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "banyan/events/event.h"
+#include "banyan/wire/message.h"
+
+namespace banyan {
+
+// What a replica must not forget about its votes.
+struct HardState {
+  std::uint64_t term = 0;
+  // The member voted for in this term; an empty id means none.
+  MemberId voted_for;
+
+  friend bool operator==(const HardState&, const HardState&) = default;
+};
+
+// The replicated state up to an index.
+struct Snapshot {
+  std::uint64_t last_index = 0;
+  std::uint64_t last_term = 0;
+  Membership membership;
+  std::string state;
+};
+
+// What a replica read back from its data folder.
+struct RestoredLog {
+  HardState hard_state;
+  Snapshot snapshot;
+  std::vector<LogEntry> entries;
+};
+
+// What must be on disk before the messages that depend on it are sent. The
+// parts are written in the order of the fields.
+struct PersistBatch {
+  std::uint64_t seq = 0;
+  std::optional<HardState> hard_state;
+  std::optional<Snapshot> snapshot;
+  // Entries from this index on are void; 0 means none.
+  std::uint64_t truncate_from = 0;
+  std::vector<LogEntry> entries;
+
+  // Returns whether there is nothing to write.
+  [[nodiscard]] bool empty() const noexcept {
+    return !hard_state && !snapshot && truncate_from == 0 && entries.empty();
+  }
+};
+
+// Spans of the election protocol. They are settings; the core turns them into
+// deadlines.
+struct RaftTimings {
+  Span heartbeat = Millis(100);
+  // The least span without a leader before an election; the greatest is twice
+  // as long.
+  Span election = Millis(800);
+  // What clocks may drift apart within one election span.
+  Span drift_margin = Millis(80);
+};
+
+// Who takes part and how.
+struct RaftOptions {
+  MemberId self;
+  // Ids of all configured members, this one included.
+  std::vector<std::string> configured;
+  RaftTimings timings;
+  std::uint64_t seed = 1;
+};
+
+// What one or more steps of the core want done.
+struct RaftOutputs {
+  std::vector<Outbound> messages;
+  std::vector<PersistBatch> persists;
+  // Entries that became committed, in order.
+  std::vector<LogEntry> committed;
+  // A snapshot that replaces the applied state; comes before `committed`.
+  std::optional<Snapshot> install;
+  Events events;
+};
+
+// What a replica does for the cell at present.
+enum class RaftRole : std::uint8_t {
+  kFollower,
+  kPreCandidate,
+  kCandidate,
+  kLeader,
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_CONSENSUS_RAFT_TYPES_H_
--- /dev/null
+++ b/include/banyan/control/scheduler.h
@@ -0,0 +1,113 @@
+#ifndef BANYAN_CONTROL_SCHEDULER_H_
+#define BANYAN_CONTROL_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "banyan/control/control_state.h"
+#include "banyan/control/load_table.h"
+#include "banyan/control/placement.h"
+
+namespace banyan {
+
+// An order that the scheduler gives for a running task.
+struct TaskOrder {
+  enum class Kind : std::uint8_t { kEvict, kThrottle, kRelease };
+  Kind kind = Kind::kEvict;
+  TaskId task;
+  std::string worker;
+  std::string cause;
+};
+
+// What one scheduling round decided.
+struct SchedulerOutputs {
+  std::vector<PlaceTask> place;
+  std::vector<TaskOrder> orders;
+  Events events;
+};
+
+// The leader's decisions on batch work: which job starts next and where, and
+// which task must leave. It is soft state; what it decides becomes true only
+// through the log.
+class Scheduler {
+ public:
+  // Forgets everything; a new leader starts with what the state tells.
+  void Reset(Time now, const ControlState& state, Span lease);
+
+  // Takes a report of an instance that holds its lease.
+  void OnHeartbeat(Time now,
+                   const ControlState& state,
+                   const std::string& instance,
+                   std::uint64_t incarnation,
+                   const Heartbeat& heartbeat,
+                   Time lease_deadline);
+
+  // Starts the lease of an instance that was just registered.
+  void OnRegistered(Time now, const Instance& instance, Time lease_deadline);
+
+  // Forgets an instance that was removed.
+  void OnRemoved(const std::string& instance);
+
+  // Takes the end of an attempt; `job` is its state before.
+  void OnTaskEnd(Time now, const Job& job, const EndTask& end, Events& events);
+
+  // Notes that a placement was applied or refused.
+  void OnPlaced(const PlaceTask& placed, bool accepted, const JobSpec& spec);
+
+  // Decides what starts and what must leave.
+  [[nodiscard]] SchedulerOutputs Decide(Time now, const ControlState& state);
+
+  // Instances whose lease ran out; each is named once.
+  [[nodiscard]] std::vector<RemoveInstance> TakeExpired(
+      Time now,
+      const ControlState& state);
+
+  // Notes that a job's eviction has to be tried again.
+  void ForgetEviction(const std::string& job) { evicting_.erase(job); }
+
+  [[nodiscard]] const std::map<std::string, InstanceLoad>& loads()
+      const noexcept {
+    return loads_;
+  }
+
+ private:
+  [[nodiscard]] std::vector<WorkerView> ViewWorkers(
+      Time now,
+      const ControlState& state) const;
+  [[nodiscard]] double InterferenceOn(const std::string& worker,
+                                      const std::string& kind) const;
+  void LearnInterference(const ControlState& state,
+                         const Instance& endpoint,
+                         const Heartbeat& heartbeat);
+  void PlaceQueued(Time now, const ControlState& state, SchedulerOutputs& out);
+  void DrainOut(Time now, const ControlState& state, SchedulerOutputs& out);
+  void RelievePressure(Time now,
+                       const ControlState& state,
+                       SchedulerOutputs& out);
+  void RefillBudgets(Time now, const Preset& preset);
+
+  std::map<std::string, InstanceLoad> loads_;
+  // Services of the endpoints that share each worker.
+  std::map<std::string, std::set<std::string>> services_on_;
+  InterferenceTable interference_;
+  ServiceBaseline baseline_;
+  FailureTable failures_;
+  // Jobs whose placement stands in the log but is not applied yet, and what
+  // they will commit on each worker and for each team.
+  std::set<std::string> placing_;
+  std::map<std::string, Resources> placing_on_;
+  std::map<std::string, Resources> placing_for_;
+  // Jobs that were told to leave, and when to tell them again.
+  std::map<std::string, Time> evicting_;
+  double start_budget_ = 0;
+  double drain_budget_ = 0;
+  Time last_refill_;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_CONTROL_SCHEDULER_H_
--- /dev/null
+++ b/include/banyan/events/event.h
@@ -0,0 +1,111 @@
+#ifndef BANYAN_EVENTS_EVENT_H_
+#define BANYAN_EVENTS_EVENT_H_
+
+#include <concepts>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyan {
+
+// The number of a log event. docs/EVENTS.md lists each with its meaning.
+enum class EventId : std::uint16_t {
+  kProcessStarted = 1001,
+  kProcessStopping = 1002,
+  kProcessStopped = 1003,
+  kPeerUp = 1010,
+  kPeerDown = 1011,
+  kPeerMessageRefused = 1012,
+  kRingFull = 1013,
+  kClockGap = 1014,
+  kRequestRouted = 1101,
+  kRequestAnswered = 1102,
+  kRequestRefused = 1103,
+  kRequestRetried = 1104,
+  kRequestHedged = 1105,
+  kEndpointEjected = 1106,
+  kEndpointProbed = 1107,
+  kEndpointTable = 1108,
+  kClaimOpened = 1110,
+  kClaimResolved = 1111,
+  kTombstoneAsked = 1112,
+  kDispatchStarted = 1201,
+  kDispatchEnded = 1202,
+  kDispatchRefused = 1203,
+  kTombstoneGranted = 1204,
+  kTaskStarted = 1210,
+  kTaskRefused = 1211,
+  kTaskEnded = 1212,
+  kTaskStopped = 1213,
+  kTaskAdopted = 1214,
+  kTaskThrottled = 1215,
+  kLeaseLost = 1216,
+  kLeaseRenewed = 1217,
+  kTaskPlaced = 1301,
+  kTaskRequeued = 1302,
+  kTaskEvicting = 1303,
+  kJobSubmitted = 1304,
+  kJobEnded = 1305,
+  kJobUnplaceable = 1306,
+  kWorkerSuspected = 1307,
+  kInstanceRegistered = 1310,
+  kInstanceRemoved = 1311,
+  kInstanceLeaving = 1312,
+  kConfigInForce = 1401,
+  kCommandAccepted = 1402,
+  kCommandRefused = 1403,
+  kElectionStarted = 1501,
+  kLeaderElected = 1502,
+  kLeaderStepped = 1503,
+  kSnapshotTaken = 1504,
+  kSnapshotInstalled = 1505,
+  kLogRecovered = 1506,
+  kMemberChanged = 1507,
+  kClusterFormed = 1508,
+};
+
+// One row of the event catalogue.
+struct EventRow {
+  EventId id;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+// Returns the catalogue in ascending order of number.
+[[nodiscard]] std::span<const EventRow> EventCatalogue() noexcept;
+
+// One structured log line: an event number and its fields in order.
+class Event {
+ public:
+  explicit Event(EventId id) : id_(id) {}
+
+  // Adds a text field. Spaces and quotes in the value are escaped.
+  Event&& With(std::string_view key, std::string_view value) &&;
+
+  // Adds a number field.
+  template <std::integral T>
+  Event&& With(std::string_view key, T value) && {
+    return std::move(*this).With(key, std::string_view(std::to_string(value)));
+  }
+
+  [[nodiscard]] EventId id() const noexcept { return id_; }
+
+  // Returns "E1203 key=value ...".
+  [[nodiscard]] std::string text() const;
+
+ private:
+  EventId id_;
+  std::string fields_;
+};
+
+// The events that one step of a core has to log, oldest first.
+using Events = std::vector<Event>;
+
+// Writes the events to the process log.
+void WriteEvents(std::span<const Event> events);
+
+}  // namespace banyan
+
+#endif  // BANYAN_EVENTS_EVENT_H_
--- /dev/null
+++ b/include/banyan/process/agent_process.h
@@ -0,0 +1,73 @@
+#ifndef BANYAN_PROCESS_AGENT_PROCESS_H_
+#define BANYAN_PROCESS_AGENT_PROCESS_H_
+
+#include <atomic>
+#include <set>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "banyan/agent/agent_core.h"
+#include "banyan/base/bounded_ring.h"
+#include "banyan/metrics/metrics.h"
+#include "banyan/net/http.h"
+#include "banyan/net/peer_network.h"
+#include "banyan/process/control_link.h"
+#include "banyan/process/program.h"
+#include "banyan/settings/settings.h"
+
+namespace banyan {
+
+// banyan-agent: the agent core with its sockets, threads and timers.
+class AgentProcess {
+ public:
+  explicit AgentProcess(AgentSettings settings);
+  ~AgentProcess();
+  AgentProcess(const AgentProcess&) = delete;
+  AgentProcess& operator=(const AgentProcess&) = delete;
+
+  [[nodiscard]] bool Start(Reason& reason);
+
+  // Announces that the instance leaves, finishes what runs, at most until the
+  // drain deadline, and says goodbye. Returns whether everything was finished.
+  bool Stop();
+
+ private:
+  struct LeaveInput {};
+  using Input =
+      std::variant<PeerEvent, EndpointAnswer, WorkerReply, LeaveInput>;
+
+  HttpReply Serve(const HttpCall& call);
+  void RunCore();
+  void RunEndpointCalls();
+  void RunWorkerCalls();
+  void Take(Time now, Input input);
+  void Take(Time now, const PeerEvent& event);
+  void Act(AgentOutputs outputs);
+  void Push(Input input);
+  void SayGoodbye();
+
+  AgentSettings settings_;
+  AgentCore core_;
+  ControlLink control_;
+  BoundedRing<Input> inputs_;
+  BoundedRing<EndpointCall> endpoint_calls_;
+  BoundedRing<WorkerCall> worker_calls_;
+  Metrics metrics_;
+  PeerNetwork network_;
+  HttpServer server_;
+  // Connections that stand, and those of them whose messages are ignored until
+  // they are made anew.
+  std::set<std::string> connected_;
+  std::set<std::string> muted_;
+  std::thread core_thread_;
+  std::vector<std::thread> call_threads_;
+  std::atomic<bool> is_leaving_{false};
+  std::atomic<bool> is_drained_{false};
+  std::atomic<bool> must_end_{false};
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_PROCESS_AGENT_PROCESS_H_
--- /dev/null
+++ b/include/banyan/process/control_link.h
@@ -0,0 +1,57 @@
+#ifndef BANYAN_PROCESS_CONTROL_LINK_H_
+#define BANYAN_PROCESS_CONTROL_LINK_H_
+
+#include <algorithm>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyan/net/peer_network.h"
+#include "banyan/settings/settings.h"
+
+namespace banyan {
+
+// Which control replica an entry or an agent is attached to: one of the own
+// data centre first, another one when that is not current.
+class ControlLink {
+ public:
+  ControlLink(std::vector<ControlMember> members,
+              const std::string& data_centre)
+      : members_(std::move(members)) {
+    std::stable_partition(members_.begin(), members_.end(),
+                          [&](const ControlMember& member) {
+                            return member.data_centre == data_centre;
+                          });
+  }
+
+  // The replica in use.
+  [[nodiscard]] const ControlMember& current() const {
+    return members_[current_];
+  }
+
+  // Returns whether the id is that of any control replica.
+  [[nodiscard]] bool IsControl(const std::string& id) const {
+    return std::any_of(
+        members_.begin(), members_.end(),
+        [&](const ControlMember& member) { return member.id == id; });
+  }
+
+  // Goes on to the next replica.
+  void Switch() { current_ = (current_ + 1) % members_.size(); }
+
+  // Sends messages to the replica in use.
+  void Send(PeerNetwork& network, std::span<const Message> messages) const {
+    for (const Message& message : messages) {
+      network.Send(current().id, message);
+    }
+  }
+
+ private:
+  std::vector<ControlMember> members_;
+  std::size_t current_ = 0;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_PROCESS_CONTROL_LINK_H_
--- /dev/null
+++ b/include/banyan/process/control_process.h
@@ -0,0 +1,86 @@
+#ifndef BANYAN_PROCESS_CONTROL_PROCESS_H_
+#define BANYAN_PROCESS_CONTROL_PROCESS_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <variant>
+
+#include "banyan/base/bounded_ring.h"
+#include "banyan/consensus/raft_storage.h"
+#include "banyan/control/control_core.h"
+#include "banyan/metrics/metrics.h"
+#include "banyan/net/http.h"
+#include "banyan/net/peer_network.h"
+#include "banyan/process/program.h"
+#include "banyan/settings/settings.h"
+
+namespace banyan {
+
+// The exit code of a control process whose disk failed.
+inline constexpr int kDiskExitCode = 74;
+
+// banyan-control: the control core with its disk, sockets, threads and timers.
+class ControlProcess {
+ public:
+  explicit ControlProcess(ControlSettings settings);
+  ~ControlProcess();
+  ControlProcess(const ControlProcess&) = delete;
+  ControlProcess& operator=(const ControlProcess&) = delete;
+
+  // Reads the data folder and starts serving.
+  [[nodiscard]] bool Start(Reason& reason);
+
+  // Hands the leadership over, then stops.
+  void Stop();
+
+ private:
+  struct Persisted {
+    std::uint64_t seq = 0;
+  };
+  struct ApiCommand {
+    std::uint64_t ticket = 0;
+    LoggedCommand command;
+  };
+  struct ApiQuery {
+    std::uint64_t ticket = 0;
+    std::string path;
+  };
+  struct LeaveInput {};
+  using Input =
+      std::variant<PeerEvent, Persisted, ApiCommand, ApiQuery, LeaveInput>;
+
+  HttpReply Serve(const HttpCall& call);
+  HttpReply Await(std::uint64_t ticket,
+                  std::future<HttpReply> reply,
+                  Input input);
+  void RunCore();
+  void RunDisk();
+  void Take(Time now, Input input);
+  void Answer(Time now, const ApiQuery& query);
+  void Act(ControlOutputs outputs);
+  void Push(Input input);
+
+  ControlSettings settings_;
+  RaftStorage storage_;
+  std::unique_ptr<ControlCore> core_;
+  BoundedRing<Input> inputs_;
+  BoundedRing<PersistBatch> disk_;
+  PendingReplies pending_;
+  Metrics metrics_;
+  std::unique_ptr<PeerNetwork> network_;
+  HttpServer server_;
+  std::set<std::string> dialled_;
+  std::thread core_thread_;
+  std::thread disk_thread_;
+  std::atomic<bool> is_leaving_{false};
+  std::atomic<bool> leads_{false};
+  std::atomic<bool> must_end_{false};
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_PROCESS_CONTROL_PROCESS_H_
--- /dev/null
+++ b/include/banyan/process/worker_client.h
@@ -0,0 +1,25 @@
+#ifndef BANYAN_PROCESS_WORKER_CLIENT_H_
+#define BANYAN_PROCESS_WORKER_CLIENT_H_
+
+#include <string>
+
+#include "banyan/agent/task_runner.h"
+#include "banyan/net/http.h"
+
+namespace banyan {
+
+// Speaks the worker's HTTP API, which docs/WORKER_API.md describes.
+class WorkerClient {
+ public:
+  explicit WorkerClient(const std::string& address) : client_(address) {}
+
+  // Makes one call and waits for its reply.
+  [[nodiscard]] WorkerReply Call(const WorkerCall& call);
+
+ private:
+  HttpClient client_;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_PROCESS_WORKER_CLIENT_H_
--- /dev/null
+++ b/include/banyan/routing/endpoint_pool.h
@@ -0,0 +1,158 @@
+#ifndef BANYAN_ROUTING_ENDPOINT_POOL_H_
+#define BANYAN_ROUTING_ENDPOINT_POOL_H_
+
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "banyan/base/random.h"
+#include "banyan/base/time.h"
+#include "banyan/events/event.h"
+#include "banyan/wire/message.h"
+
+namespace banyan {
+
+// What an entry knows of one endpoint.
+struct EndpointView {
+  InstanceInfo info;
+  bool is_connected = false;
+  // Dispatches of this entry that have no answer yet.
+  std::int64_t in_flight = 0;
+  // Load that the agent named with its last answer.
+  std::int64_t reported_in_flight = 0;
+  std::int64_t reported_queued = 0;
+  // Decayed mean latency, seen from this entry.
+  Span latency{0};
+  // Dispatches that this entry keeps under way at most; adapts.
+  double limit = 0;
+  std::int64_t failures = 0;
+  bool is_ejected = false;
+  // When an ejected endpoint may be probed.
+  Time probe_at;
+
+  // Requests per slot: what is under way, whoever sent it.
+  [[nodiscard]] double Utilisation() const noexcept {
+    const std::int64_t others = std::max<std::int64_t>(
+        0, reported_in_flight + reported_queued - in_flight);
+    const auto slots =
+        static_cast<double>(std::max<std::int64_t>(1, info.slots));
+    return static_cast<double>(in_flight + others) / slots;
+  }
+
+  // What one more request may expect to take.
+  [[nodiscard]] Span ExpectedLatency() const noexcept {
+    const double waits = std::max(1.0, Utilisation());
+    return Span(static_cast<std::int64_t>(static_cast<double>(latency.count()) *
+                                          waits));
+  }
+};
+
+// A policy chooses among the endpoints that may take a request; there is
+// always at least one.
+template <typename P>
+concept RoutingPolicy = requires(P policy,
+                                 std::span<const EndpointView* const> choices,
+                                 std::string_view data_centre,
+                                 Random& random) {
+  {
+    policy.Choose(choices, data_centre, random)
+    } -> std::same_as<const EndpointView*>;
+};
+
+// The better of two random endpoints, in the own data centre unless both are
+// busy there and a remote one promises to be quicker.
+class PowerOfTwoRouting {
+ public:
+  [[nodiscard]] const EndpointView* Choose(
+      std::span<const EndpointView* const> choices,
+      std::string_view data_centre,
+      Random& random);
+
+ private:
+  std::vector<const EndpointView*> local_;
+  std::vector<const EndpointView*> remote_;
+};
+
+// Baseline: any endpoint.
+class RandomRouting {
+ public:
+  [[nodiscard]] const EndpointView* Choose(
+      std::span<const EndpointView* const> choices,
+      std::string_view /*data_centre*/,
+      Random& random) {
+    return choices[random.Below(choices.size())];
+  }
+};
+
+// Baseline: one after the other.
+class RoundRobinRouting {
+ public:
+  [[nodiscard]] const EndpointView* Choose(
+      std::span<const EndpointView* const> choices,
+      std::string_view /*data_centre*/,
+      Random& /*random*/) {
+    return choices[next_++ % choices.size()];
+  }
+
+ private:
+  std::size_t next_ = 0;
+};
+
+static_assert(RoutingPolicy<PowerOfTwoRouting>);
+static_assert(RoutingPolicy<RandomRouting>);
+static_assert(RoutingPolicy<RoundRobinRouting>);
+
+// The endpoints an entry knows, with their health and limits.
+class EndpointPool {
+ public:
+  // Takes a table or a delta; false when the delta doesn't fit this version.
+  [[nodiscard]] bool Update(const EndpointTable& table);
+
+  // Notes whether a connection to the agent stands.
+  void SetConnected(const std::string& id, bool is_connected);
+
+  // Returns endpoints that may take a request of the service now. Data centres
+  // that are out and the excluded endpoints are left out. An ejected endpoint
+  // whose rest is over comes alone, as a probe.
+  [[nodiscard]] std::vector<const EndpointView*> Candidates(
+      Time now,
+      const std::string& service,
+      std::span<const std::string> out,
+      std::span<const std::string> excluded) const;
+
+  // Notes a dispatch, its answer, and what the answer says of the endpoint.
+  void OnDispatch(Time now, const std::string& id, const Preset& preset);
+  void OnSuccess(const std::string& id, Span latency);
+  void OnRefusal(const std::string& id, ErrorKind error);
+  void OnFailure(Time now,
+                 const std::string& id,
+                 const Preset& preset,
+                 Events& events);
+  void OnLoad(const std::string& id,
+              std::int64_t in_flight,
+              std::int64_t queued);
+
+  [[nodiscard]] const std::map<std::string, EndpointView>& endpoints()
+      const noexcept {
+    return endpoints_;
+  }
+  [[nodiscard]] const EndpointView* Find(const std::string& id) const;
+  [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+
+ private:
+  void Set(const InstanceInfo& info);
+  void Settle(EndpointView& endpoint);
+
+  std::map<std::string, EndpointView> endpoints_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_ROUTING_ENDPOINT_POOL_H_
--- /dev/null
+++ b/include/banyan/settings/settings.h
@@ -0,0 +1,87 @@
+#ifndef BANYAN_SETTINGS_SETTINGS_H_
+#define BANYAN_SETTINGS_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "banyan/base/error_kind.h"
+#include "banyan/base/time.h"
+#include "banyan/wire/instance.h"
+
+namespace banyan {
+
+// A control replica as the other processes know it.
+struct ControlMember {
+  std::string id;
+  std::string data_centre;
+  // Where the system's own processes connect.
+  std::string address;
+  // Where operators connect.
+  std::string api;
+};
+
+// Settings of banyan-control. Spans are configured in milliseconds and become
+// deadlines on the process's own clock.
+struct ControlSettings {
+  std::string id;
+  std::string data_centre;
+  std::string data_folder;
+  std::string listen;
+  std::string api;
+  std::vector<ControlMember> members;
+  Span election;
+  Span lease;
+  std::uint64_t snapshot_every = 0;
+  Span drain;
+  std::string log_folder;
+};
+
+// A service as an entry knows it.
+struct ServiceSettings {
+  std::string name;
+  // Paths that begin with one of these are idempotent whatever the method.
+  std::vector<std::string> idempotent;
+};
+
+// Settings of banyan-entry.
+struct EntrySettings {
+  std::string id;
+  std::string data_centre;
+  std::string http;
+  std::vector<ControlMember> control;
+  std::vector<ServiceSettings> services;
+  std::int64_t max_body_bytes = 0;
+  std::int64_t threads = 0;
+  Span drain;
+  std::string log_folder;
+};
+
+// Settings of banyan-agent.
+struct AgentSettings {
+  InstanceInfo info;
+  std::string listen;
+  std::string admin;
+  // Address of the endpoint or of the worker's API.
+  std::string target;
+  std::vector<ControlMember> control;
+  Span drain;
+  std::string log_folder;
+};
+
+// Each reads and checks a settings file; without a value the reason names the
+// first thing that is wrong, with its place.
+[[nodiscard]] std::optional<ControlSettings> LoadControlSettings(
+    const std::string& path,
+    Reason& reason);
+[[nodiscard]] std::optional<EntrySettings> LoadEntrySettings(
+    const std::string& path,
+    Reason& reason);
+[[nodiscard]] std::optional<AgentSettings> LoadAgentSettings(
+    const std::string& path,
+    Reason& reason);
+
+}  // namespace banyan
+
+#endif  // BANYAN_SETTINGS_SETTINGS_H_
--- /dev/null
+++ b/src/audit/audit.cc
@@ -0,0 +1,227 @@
+#include "banyan/audit/audit.h"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+
+#include "banyan/events/event.h"
+
+namespace banyan {
+namespace {
+
+// One event as it was read from a log.
+struct LoggedEvent {
+  // glog's "MMDD HH:MM:SS.micros", which sorts as text within a year.
+  std::string time;
+  std::string file;
+  EventId id{};
+  std::map<std::string, std::string> fields;
+
+  [[nodiscard]] std::string Field(const std::string& key) const {
+    const auto found = fields.find(key);
+    return found == fields.end() ? "" : found->second;
+  }
+};
+
+// Reads one value, quoted or not, from the front of the text.
+std::string TakeValue(std::string_view& text) {
+  std::string value;
+  if (text.empty() || text.front() != '"') {
+    const std::size_t end = std::min(text.find(' '), text.size());
+    value = text.substr(0, end);
+    text.remove_prefix(end);
+    return value;
+  }
+  text.remove_prefix(1);
+  while (!text.empty() && text.front() != '"') {
+    if (text.front() == '\\' && text.size() > 1) {
+      text.remove_prefix(1);
+    }
+    value += text.front();
+    text.remove_prefix(1);
+  }
+  if (!text.empty()) {
+    text.remove_prefix(1);
+  }
+  return value;
+}
+
+// Reads "I20261204 00:38:15.123456 4711 event.cc:12] E1203 key=value ...".
+std::optional<LoggedEvent> ParseLine(const std::string& line,
+                                     const std::string& file) {
+  constexpr std::size_t kTimeBegin = 1;
+  const std::size_t bracket = line.find("] E");
+  const std::size_t first_space = line.find(' ');
+  if (bracket == std::string::npos || first_space == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::size_t time_end = line.find(' ', first_space + 1);
+  LoggedEvent event;
+  event.time = line.substr(kTimeBegin, time_end - kTimeBegin);
+  event.file = file;
+  std::string_view rest = std::string_view(line).substr(bracket + 3);
+  int number = 0;
+  while (!rest.empty() && rest.front() >= '0' && rest.front() <= '9') {
+    number = number * 10 + (rest.front() - '0');
+    rest.remove_prefix(1);
+  }
+  event.id = static_cast<EventId>(number);
+  while (!rest.empty()) {
+    rest.remove_prefix(1);
+    const std::size_t equals = rest.find('=');
+    if (equals == std::string_view::npos) {
+      break;
+    }
+    const std::string key(rest.substr(0, equals));
+    rest.remove_prefix(equals + 1);
+    event.fields[key] = TakeValue(rest);
+  }
+  return event;
+}
+
+// Checks the events in the order of their time.
+class Checker {
+ public:
+  explicit Checker(AuditReport& report) : report_(report) {}
+
+  void Take(const LoggedEvent& event) {
+    switch (event.id) {
+      case EventId::kTaskStarted:
+        TakeStart(event);
+        break;
+      case EventId::kTaskEnded:
+        running_.erase({event.Field("job"), event.Field("attempt")});
+        break;
+      case EventId::kJobEnded:
+        TakeJobEnd(event);
+        break;
+      case EventId::kDispatchStarted:
+        TakeDispatch(event);
+        break;
+      case EventId::kRequestRefused:
+        if (!event.Field("claim").empty()) {
+          refused_[event.Field("claim")] = event.time;
+        }
+        break;
+      case EventId::kRequestAnswered:
+        refused_.erase(event.Field("claim"));
+        break;
+      default:
+        break;
+    }
+  }
+
+  // Checks what only the whole log can tell.
+  void Finish() {
+    for (const auto& [claim, time] : refused_) {
+      const auto ran = last_dispatch_.find(claim);
+      if (ran != last_dispatch_.end() && !ended_not_run_.contains(claim)) {
+        Complain(time, "claim " + claim +
+                           " was told not-run but was handed to "
+                           "an endpoint at " +
+                           ran->second);
+      }
+    }
+  }
+
+  void TakeDispatchEnd(const LoggedEvent& event) {
+    if (event.Field("outcome") == "not-run") {
+      ended_not_run_.insert(event.Field("claim"));
+    } else {
+      ended_not_run_.erase(event.Field("claim"));
+    }
+  }
+
+ private:
+  using Task = std::pair<std::string, std::string>;
+
+  void Complain(const std::string& time, const std::string& what) {
+    report_.violations.push_back(time + " " + what);
+  }
+
+  void TakeStart(const LoggedEvent& event) {
+    ++report_.task_starts;
+    const Task task{event.Field("job"), event.Field("attempt")};
+    if (!started_.insert(task).second) {
+      Complain(event.time, "attempt " + task.second + " of job " + task.first +
+                               " started twice");
+    }
+    running_[task] = event.file;
+  }
+
+  void TakeJobEnd(const LoggedEvent& event) {
+    const std::string job = event.Field("job");
+    if (!ended_jobs_.insert({job, event.file}).second) {
+      Complain(event.time, "job " + job + " ended twice");
+    }
+  }
+
+  void TakeDispatch(const LoggedEvent& event) {
+    ++report_.dispatches;
+    const std::string claim = event.Field("claim");
+    if (claim.empty()) {
+      return;
+    }
+    last_dispatch_[claim] = event.time;
+    if (!dispatched_.insert({claim, event.Field("attempt")}).second) {
+      Complain(event.time, "attempt " + event.Field("attempt") + " of claim " +
+                               claim + " was handed over twice");
+    }
+  }
+
+  AuditReport& report_;
+  std::set<Task> started_;
+  std::map<Task, std::string> running_;
+  std::set<std::pair<std::string, std::string>> ended_jobs_;
+  std::set<Task> dispatched_;
+  std::map<std::string, std::string> last_dispatch_;
+  std::map<std::string, std::string> refused_;
+  std::set<std::string> ended_not_run_;
+};
+
+}  // namespace
+
+AuditReport AuditLogs(std::span<const std::string> files) {
+  AuditReport report;
+  std::vector<LoggedEvent> events;
+  for (const std::string& name : files) {
+    std::ifstream file(name);
+    std::string line;
+    while (std::getline(file, line)) {
+      ++report.lines;
+      if (auto event = ParseLine(line, name)) {
+        events.push_back(*std::move(event));
+      }
+    }
+  }
+  report.events = events.size();
+  std::stable_sort(events.begin(), events.end(),
+                   [](const LoggedEvent& a, const LoggedEvent& b) {
+                     return a.time < b.time;
+                   });
+  Checker checker(report);
+  for (const LoggedEvent& event : events) {
+    if (event.id == EventId::kDispatchEnded) {
+      checker.TakeDispatchEnd(event);
+    }
+    checker.Take(event);
+  }
+  checker.Finish();
+  return report;
+}
+
+std::string ToString(const AuditReport& report) {
+  std::ostringstream out;
+  out << report.lines << " lines, " << report.events << " events, "
+      << report.task_starts << " task starts, " << report.dispatches
+      << " dispatches, " << report.violations.size() << " violations\n";
+  for (const std::string& violation : report.violations) {
+    out << "violation: " << violation << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/consensus/raft_core.cc
@@ -0,0 +1,758 @@
+#include "banyan/consensus/raft_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyan/wire/codec.h"
+
+namespace banyan {
+namespace {
+
+// The most entries and bytes of one AppendRequest.
+constexpr std::size_t kMaxAppendEntries = 512;
+constexpr std::size_t kMaxAppendBytes = 1U << 20U;
+// Entries that may be under way to one member without an answer.
+constexpr std::uint64_t kMaxInFlightEntries = 4096;
+// Entries kept behind a snapshot for members that lag a little.
+constexpr std::uint64_t kKeptEntries = 1000;
+// How often a replica outside a cell asks to join.
+constexpr Span kJoinInterval = Millis(300);
+// A learner this close to the end of the log may become a voter.
+constexpr std::uint64_t kCaughtUpDistance = 8;
+// Heartbeat rounds whose sending time is remembered.
+constexpr std::size_t kMaxRounds = 128;
+
+}  // namespace
+
+RaftCore::RaftCore(RaftOptions options, RestoredLog restored, Time now)
+    : options_(std::move(options)),
+      log_(restored),
+      hard_(restored.hard_state),
+      random_(options_.seed ^ options_.self.incarnation),
+      next_join_(now) {
+  commit_ = log_.snapshot().last_index;
+  emitted_ = commit_;
+  persisted_index_ = log_.last_index();
+  // A restarted replica forgot whether it just heard a leader; it waits.
+  vote_allowed_at_ = now + options_.timings.election;
+  ResetElectionDeadline(now);
+  if (log_.snapshot().last_index > 0) {
+    out_.install = log_.snapshot();
+  }
+}
+
+bool RaftCore::IsSelfVoter() const noexcept {
+  return IsVoter(log_.membership(), options_.self);
+}
+
+bool RaftCore::IsSettledLeader() const noexcept {
+  return role_ == RaftRole::kLeader && commit_ >= term_start_index_;
+}
+
+std::vector<MemberId> RaftCore::Others() const {
+  std::vector<MemberId> others;
+  const Membership& membership = log_.membership();
+  for (const auto* group : {&membership.voters, &membership.learners}) {
+    for (const MemberId& member : *group) {
+      if (member != options_.self) {
+        others.push_back(member);
+      }
+    }
+  }
+  return others;
+}
+
+Time RaftCore::MajorityTime(Time now, Time Progress::*field) const {
+  std::vector<Time> times;
+  for (const MemberId& voter : log_.membership().voters) {
+    if (voter == options_.self) {
+      times.push_back(now);
+      continue;
+    }
+    const auto found = progress_.find(voter);
+    times.push_back(found == progress_.end() ? Time{} : found->second.*field);
+  }
+  if (times.empty()) {
+    return Time{};
+  }
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[times.size() / 2];
+}
+
+bool RaftCore::HoldsLease(Time now) const {
+  if (!IsSettledLeader() || transferring_) {
+    return false;
+  }
+  const Span lease = options_.timings.election - options_.timings.drift_margin;
+  return MajorityTime(now, &Progress::confirmed) + lease > now;
+}
+
+bool RaftCore::IsFresh(Time now) const {
+  if (role_ == RaftRole::kLeader) {
+    return HoldsLease(now);
+  }
+  return !leader_.empty() && vote_allowed_at_ > now;
+}
+
+void RaftCore::ResetElectionDeadline(Time now) {
+  const auto spread =
+      static_cast<std::uint64_t>(options_.timings.election.count());
+  election_deadline_ =
+      now + options_.timings.election + Span(random_.Below(spread));
+}
+
+void RaftCore::SetHardState(std::uint64_t term, const MemberId& voted_for) {
+  const HardState next{term, voted_for};
+  if (next == hard_) {
+    return;
+  }
+  hard_ = next;
+  pending_.hard_state = hard_;
+}
+
+void RaftCore::Send(const MemberId& to, Message message) {
+  out_.messages.push_back({to.id, std::move(message)});
+}
+
+void RaftCore::SendGated(const MemberId& to, Message message) {
+  // Whatever this step still adds to the pending batch gets the next number.
+  const std::uint64_t seq = pending_.empty() ? last_seq_ : last_seq_ + 1;
+  if (seq <= persisted_seq_) {
+    Send(to, std::move(message));
+    return;
+  }
+  gated_.push_back({seq, {to.id, std::move(message)}});
+}
+
+void RaftCore::OnPersisted(Time /*now*/, std::uint64_t seq) {
+  persisted_seq_ = std::max(persisted_seq_, seq);
+  while (!unsynced_.empty() && unsynced_.front().seq <= persisted_seq_) {
+    persisted_index_ = unsynced_.front().last_index;
+    unsynced_.pop_front();
+  }
+  while (!gated_.empty() && gated_.front().seq <= persisted_seq_) {
+    out_.messages.push_back(std::move(gated_.front().outbound));
+    gated_.pop_front();
+  }
+  if (role_ == RaftRole::kLeader) {
+    CommitByMajority();
+  }
+}
+
+void RaftCore::BecomeFollower(Time now,
+                              std::uint64_t term,
+                              const std::string& leader) {
+  if (role_ == RaftRole::kLeader) {
+    out_.events.push_back(Event(EventId::kLeaderStepped)
+                              .With("term", hard_.term)
+                              .With("newer_term", term));
+  }
+  if (term > hard_.term) {
+    SetHardState(term, MemberId{});
+  }
+  role_ = RaftRole::kFollower;
+  leader_ = leader;
+  transferring_ = false;
+  votes_.clear();
+  progress_.clear();
+  ResetElectionDeadline(now);
+}
+
+void RaftCore::Tick(Time now) {
+  if (!HasMembership()) {
+    TickOutsider(now);
+    return;
+  }
+  if (role_ == RaftRole::kLeader) {
+    TickLeader(now);
+    return;
+  }
+  if (!IsSelfVoter()) {
+    // A removed or re-created replica asks to be admitted again.
+    if (leader_.empty() || now >= election_deadline_) {
+      TickOutsider(now);
+    }
+    return;
+  }
+  TickFollower(now);
+}
+
+void RaftCore::TickFollower(Time now) {
+  if (now < election_deadline_) {
+    return;
+  }
+  leader_.clear();
+  StartElection(now, true, false);
+}
+
+void RaftCore::TickOutsider(Time now) {
+  if (now < next_join_) {
+    return;
+  }
+  next_join_ = now + kJoinInterval;
+  JoinRequest request;
+  request.empty = !HasMembership();
+  for (const auto& [id, peer] : joining_) {
+    request.seen.push_back(peer.first);
+  }
+  for (const std::string& id : options_.configured) {
+    if (id != options_.self.id) {
+      out_.messages.push_back({id, request});
+    }
+  }
+  FormCellIfAllEmpty(now);
+}
+
+void RaftCore::FormCellIfAllEmpty(Time now) {
+  if (HasMembership() || log_.last_index() > 0) {
+    return;
+  }
+  Membership membership;
+  for (const std::string& id : options_.configured) {
+    if (id == options_.self.id) {
+      membership.voters.push_back(options_.self);
+      continue;
+    }
+    const auto found = joining_.find(id);
+    if (found == joining_.end() || !found->second.second.empty) {
+      return;
+    }
+    const std::vector<MemberId>& seen = found->second.second.seen;
+    if (std::find(seen.begin(), seen.end(), options_.self) == seen.end()) {
+      return;
+    }
+    membership.voters.push_back(found->second.first);
+  }
+  std::sort(membership.voters.begin(), membership.voters.end());
+  // Every member writes this very entry, so their logs agree from the start.
+  SetHardState(1, MemberId{});
+  AppendNew({1, 1, EntryKind::kMembership, Encode(membership)});
+  ResetElectionDeadline(now);
+  out_.events.push_back(
+      Event(EventId::kClusterFormed).With("voters", membership.voters.size()));
+}
+
+void RaftCore::On(Time now, const MemberId& from, const JoinRequest& request) {
+  if (request.empty) {
+    joining_[from.id] = {from, request};
+  } else if (!HasMembership()) {
+    joining_.erase(from.id);
+  }
+  if (!HasMembership()) {
+    FormCellIfAllEmpty(now);
+    return;
+  }
+  if (role_ == RaftRole::kLeader) {
+    TendMembership(now);
+    return;
+  }
+  if (!request.empty) {
+    return;
+  }
+  // A member of the cell that was just formed may not know so yet; this
+  // replica was as empty as it when it formed the cell.
+  const bool is_just_formed =
+      log_.last_index() == 1 && IsVoter(log_.membership(), from);
+  JoinRequest reply;
+  reply.empty = is_just_formed;
+  if (is_just_formed) {
+    reply.seen = log_.membership().voters;
+  }
+  Send(from, std::move(reply));
+}
+
+void RaftCore::StartElection(Time now, bool pre_vote, bool transfer) {
+  ResetElectionDeadline(now);
+  votes_.clear();
+  votes_[options_.self] = true;
+  role_ = pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
+  if (!pre_vote) {
+    SetHardState(hard_.term + 1, options_.self);
+    out_.events.push_back(
+        Event(EventId::kElectionStarted).With("term", hard_.term));
+  }
+  VoteRequest request;
+  request.term = pre_vote ? hard_.term + 1 : hard_.term;
+  request.pre_vote = pre_vote;
+  request.transfer = transfer;
+  request.last_index = log_.last_index();
+  request.last_term = log_.last_term();
+  for (const MemberId& voter : log_.membership().voters) {
+    if (voter == options_.self) {
+      continue;
+    }
+    if (pre_vote) {
+      Send(voter, request);
+    } else {
+      SendGated(voter, request);
+    }
+  }
+  CountVotes(now);
+}
+
+bool RaftCore::IsUpToDate(const VoteRequest& request) const noexcept {
+  if (request.last_term != log_.last_term()) {
+    return request.last_term > log_.last_term();
+  }
+  return request.last_index >= log_.last_index();
+}
+
+void RaftCore::On(Time now, const MemberId& from, const VoteRequest& request) {
+  if (!IsSelfVoter() || !IsVoter(log_.membership(), from)) {
+    return;
+  }
+  const bool heard_leader =
+      now < vote_allowed_at_ || role_ == RaftRole::kLeader;
+  if (heard_leader && !request.transfer) {
+    return;
+  }
+  if (request.pre_vote) {
+    const bool granted = request.term > hard_.term && IsUpToDate(request);
+    Send(from, VoteReply{granted ? request.term : hard_.term, true, granted});
+    return;
+  }
+  if (request.term > hard_.term) {
+    BecomeFollower(now, request.term, "");
+  }
+  const bool is_free = hard_.voted_for.id.empty() || hard_.voted_for == from;
+  const bool granted = request.term == hard_.term && is_free &&
+                       role_ == RaftRole::kFollower && IsUpToDate(request);
+  if (granted) {
+    SetHardState(hard_.term, from);
+    ResetElectionDeadline(now);
+  }
+  SendGated(from, VoteReply{hard_.term, false, granted});
+}
+
+void RaftCore::On(Time now, const MemberId& from, const VoteReply& reply) {
+  if (reply.term > hard_.term && !(reply.pre_vote && reply.granted)) {
+    BecomeFollower(now, reply.term, "");
+    return;
+  }
+  const bool is_pre = role_ == RaftRole::kPreCandidate && reply.pre_vote &&
+                      reply.term == hard_.term + 1;
+  const bool is_real = role_ == RaftRole::kCandidate && !reply.pre_vote &&
+                       reply.term == hard_.term;
+  if (!is_pre && !is_real) {
+    return;
+  }
+  votes_[from] = reply.granted;
+  CountVotes(now);
+}
+
+void RaftCore::CountVotes(Time now) {
+  std::size_t granted = 0;
+  for (const MemberId& voter : log_.membership().voters) {
+    const auto found = votes_.find(voter);
+    if (found != votes_.end() && found->second) {
+      ++granted;
+    }
+  }
+  if (granted * 2 <= log_.membership().voters.size()) {
+    return;
+  }
+  if (role_ == RaftRole::kPreCandidate) {
+    StartElection(now, false, false);
+  } else if (role_ == RaftRole::kCandidate) {
+    BecomeLeader(now);
+  }
+}
+
+void RaftCore::BecomeLeader(Time now) {
+  role_ = RaftRole::kLeader;
+  leader_ = options_.self.id;
+  transferring_ = false;
+  progress_.clear();
+  rounds_.clear();
+  joining_.clear();
+  for (const MemberId& other : Others()) {
+    Progress& progress = progress_[other];
+    progress.next = log_.last_index() + 1;
+    progress.heard = now;
+  }
+  term_start_index_ = log_.last_index() + 1;
+  AppendNew({hard_.term, term_start_index_, EntryKind::kCommand,
+             Encode(LoggedCommand{})});
+  next_heartbeat_ = now;
+  out_.events.push_back(
+      Event(EventId::kLeaderElected).With("term", hard_.term));
+  TickLeader(now);
+}
+
+void RaftCore::TickLeader(Time now) {
+  const Span patience = options_.timings.election * 2;
+  if (MajorityTime(now, &Progress::heard) + patience < now) {
+    BecomeFollower(now, hard_.term, "");
+    return;
+  }
+  if (transferring_ && now >= transfer_deadline_) {
+    // The successor may still stand for election late, so this term's lease
+    // must not come back.
+    BecomeFollower(now, hard_.term, "");
+    return;
+  }
+  if (now < next_heartbeat_) {
+    return;
+  }
+  next_heartbeat_ = now + options_.timings.heartbeat;
+  ++round_;
+  rounds_.push_back({round_, now});
+  if (rounds_.size() > kMaxRounds) {
+    rounds_.pop_front();
+  }
+  for (const MemberId& other : Others()) {
+    SendAppend(other, progress_[other]);
+  }
+  TendMembership(now);
+}
+
+void RaftCore::AppendNew(LogEntry entry) {
+  pending_.entries.push_back(entry);
+  log_.Append(std::move(entry));
+  must_replicate_ = true;
+}
+
+std::optional<std::uint64_t> RaftCore::Propose(Time /*now*/, std::string data) {
+  if (role_ != RaftRole::kLeader || transferring_) {
+    return std::nullopt;
+  }
+  const std::uint64_t index = log_.last_index() + 1;
+  AppendNew({hard_.term, index, EntryKind::kCommand, std::move(data)});
+  return index;
+}
+
+void RaftCore::ProposeMembership(Membership membership) {
+  std::sort(membership.voters.begin(), membership.voters.end());
+  out_.events.push_back(Event(EventId::kMemberChanged)
+                            .With("voters", membership.voters.size())
+                            .With("learners", membership.learners.size()));
+  AppendNew({hard_.term, log_.last_index() + 1, EntryKind::kMembership,
+             Encode(membership)});
+}
+
+void RaftCore::TendMembership(Time now) {
+  const bool is_settled =
+      IsSettledLeader() && log_.membership_index() <= commit_;
+  if (!is_settled) {
+    return;
+  }
+  Membership next = log_.membership();
+  for (const auto& [id, peer] : joining_) {
+    const MemberId& member = peer.first;
+    if (IsVoter(next, member) || IsLearner(next, member)) {
+      continue;
+    }
+    // An older identity of the same replica is a learner no more.
+    std::erase_if(next.learners,
+                  [&](const MemberId& old) { return old.id == member.id; });
+    next.learners.push_back(member);
+    Progress& progress = progress_[member];
+    progress = Progress{};
+    progress.next = log_.last_index() + 1;
+    progress.heard = now;
+    ProposeMembership(std::move(next));
+    return;
+  }
+  for (const MemberId& learner : next.learners) {
+    const Progress& progress = progress_[learner];
+    if (progress.match + kCaughtUpDistance < log_.last_index()) {
+      continue;
+    }
+    next.voters.push_back(learner);
+    std::erase(next.learners, MemberId(learner));
+    ProposeMembership(std::move(next));
+    return;
+  }
+  // The re-admitted identity stands beside the lost one; the lost one goes.
+  for (const MemberId& voter : next.voters) {
+    const auto newer = std::find_if(
+        next.voters.begin(), next.voters.end(), [&](const MemberId& other) {
+          return other.id == voter.id && other != voter &&
+                 progress_[other].heard > progress_[voter].heard;
+        });
+    if (newer != next.voters.end()) {
+      std::erase(next.voters, MemberId(voter));
+      ProposeMembership(std::move(next));
+      return;
+    }
+  }
+}
+
+void RaftCore::Replicate(Time /*now*/) {
+  if (!must_replicate_ || role_ != RaftRole::kLeader) {
+    must_replicate_ = false;
+    return;
+  }
+  must_replicate_ = false;
+  for (const MemberId& other : Others()) {
+    Progress& progress = progress_[other];
+    if (progress.next <= log_.last_index()) {
+      SendAppend(other, progress);
+    }
+  }
+  CommitByMajority();
+}
+
+void RaftCore::SendAppend(const MemberId& to, Progress& progress) {
+  const auto prev_term = log_.TermAt(progress.next - 1);
+  if (!prev_term) {
+    SendInstall(to, progress);
+    return;
+  }
+  AppendRequest request;
+  request.term = hard_.term;
+  request.prev_index = progress.next - 1;
+  request.prev_term = *prev_term;
+  request.commit = commit_;
+  request.round = round_;
+  if (progress.next <= progress.match + kMaxInFlightEntries) {
+    request.entries =
+        log_.Slice(progress.next, kMaxAppendEntries, kMaxAppendBytes);
+    progress.next += request.entries.size();
+  }
+  Send(to, std::move(request));
+}
+
+void RaftCore::SendInstall(const MemberId& to, Progress& progress) {
+  const Snapshot& snapshot = log_.snapshot();
+  InstallSnapshot request;
+  request.term = hard_.term;
+  request.last_index = snapshot.last_index;
+  request.last_term = snapshot.last_term;
+  request.round = round_;
+  request.membership = snapshot.membership;
+  request.state = snapshot.state;
+  progress.next = snapshot.last_index + 1;
+  Send(to, std::move(request));
+}
+
+void RaftCore::FollowLeader(Time now,
+                            const MemberId& from,
+                            std::uint64_t term) {
+  if (term > hard_.term || role_ != RaftRole::kFollower || leader_ != from.id) {
+    BecomeFollower(now, term, from.id);
+  }
+  ResetElectionDeadline(now);
+  vote_allowed_at_ = now + options_.timings.election;
+}
+
+void RaftCore::On(Time now,
+                  const MemberId& from,
+                  const AppendRequest& request) {
+  if (request.term < hard_.term) {
+    SendGated(from, AppendReply{hard_.term, false, log_.last_index(), 0});
+    return;
+  }
+  FollowLeader(now, from, request.term);
+  AppendReply reply;
+  reply.term = hard_.term;
+  reply.round = request.round;
+  const auto term = log_.TermAt(request.prev_index);
+  const bool is_compacted = request.prev_index < log_.base_index();
+  if (!is_compacted && (!term || *term != request.prev_term)) {
+    reply.match_index = std::min(log_.last_index(), request.prev_index - 1);
+    SendGated(from, reply);
+    return;
+  }
+  AcceptEntries(request.entries);
+  reply.success = true;
+  reply.match_index = request.prev_index + request.entries.size();
+  AdvanceCommit(std::min(request.commit, reply.match_index));
+  SendGated(from, reply);
+}
+
+void RaftCore::AcceptEntries(const std::vector<LogEntry>& entries) {
+  for (const LogEntry& entry : entries) {
+    if (entry.index <= log_.base_index()) {
+      continue;
+    }
+    const auto term = log_.TermAt(entry.index);
+    if (term && *term == entry.term) {
+      continue;
+    }
+    if (term) {
+      DropFrom(entry.index);
+    }
+    pending_.entries.push_back(entry);
+    log_.Append(entry);
+  }
+}
+
+void RaftCore::DropFrom(std::uint64_t index) {
+  log_.TruncateFrom(index);
+  std::erase_if(pending_.entries,
+                [&](const LogEntry& old) { return old.index >= index; });
+  pending_.truncate_from = pending_.truncate_from == 0
+                               ? index
+                               : std::min(pending_.truncate_from, index);
+  ForgetPersistedFrom(index);
+}
+
+void RaftCore::ForgetPersistedFrom(std::uint64_t index) {
+  persisted_index_ = std::min(persisted_index_, index - 1);
+  for (Unsynced& batch : unsynced_) {
+    batch.last_index = std::min(batch.last_index, index - 1);
+  }
+}
+
+void RaftCore::On(Time now, const MemberId& from, const AppendReply& reply) {
+  if (reply.term > hard_.term) {
+    BecomeFollower(now, reply.term, "");
+    return;
+  }
+  const auto found = progress_.find(from);
+  if (role_ != RaftRole::kLeader || reply.term != hard_.term ||
+      found == progress_.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  progress.heard = now;
+  for (const Round& round : rounds_) {
+    if (round.number == reply.round) {
+      progress.confirmed = std::max(progress.confirmed, round.sent);
+    }
+  }
+  if (!reply.success) {
+    progress.next = std::max(reply.match_index, progress.match) + 1;
+    SendAppend(from, progress);
+    return;
+  }
+  progress.match = std::max(progress.match, reply.match_index);
+  progress.next = std::max(progress.next, progress.match + 1);
+  CommitByMajority();
+  if (progress.next <= log_.last_index()) {
+    SendAppend(from, progress);
+  }
+}
+
+void RaftCore::CommitByMajority() {
+  std::vector<std::uint64_t> matches;
+  for (const MemberId& voter : log_.membership().voters) {
+    if (voter == options_.self) {
+      matches.push_back(persisted_index_);
+      continue;
+    }
+    const auto found = progress_.find(voter);
+    matches.push_back(found == progress_.end() ? 0 : found->second.match);
+  }
+  if (matches.empty()) {
+    return;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const std::uint64_t index = matches[matches.size() / 2];
+  if (index > commit_ && log_.TermAt(index) == hard_.term) {
+    AdvanceCommit(index);
+  }
+}
+
+void RaftCore::AdvanceCommit(std::uint64_t to) {
+  commit_ = std::max(commit_, std::min(to, log_.last_index()));
+}
+
+void RaftCore::On(Time now,
+                  const MemberId& from,
+                  const InstallSnapshot& request) {
+  if (request.term < hard_.term) {
+    SendGated(from, AppendReply{hard_.term, false, log_.last_index(), 0});
+    return;
+  }
+  FollowLeader(now, from, request.term);
+  if (request.last_index > commit_) {
+    Snapshot snapshot{request.last_index, request.last_term, request.membership,
+                      request.state};
+    pending_.entries.clear();
+    pending_.truncate_from = 1;
+    pending_.snapshot = snapshot;
+    log_.Reset(snapshot);
+    ForgetPersistedFrom(1);
+    commit_ = request.last_index;
+    emitted_ = request.last_index;
+    out_.committed.clear();
+    out_.install = std::move(snapshot);
+    out_.events.push_back(
+        Event(EventId::kSnapshotInstalled).With("index", commit_));
+  }
+  AppendReply reply;
+  reply.term = hard_.term;
+  reply.success = true;
+  reply.match_index = request.last_index;
+  reply.round = request.round;
+  SendGated(from, reply);
+}
+
+void RaftCore::On(Time now, const MemberId& from, const TimeoutNow& request) {
+  if (request.term == hard_.term && leader_ == from.id && IsSelfVoter()) {
+    StartElection(now, false, true);
+  }
+}
+
+void RaftCore::TransferLeadership(Time now) {
+  if (role_ != RaftRole::kLeader) {
+    return;
+  }
+  const MemberId* best = nullptr;
+  for (const auto& [member, progress] : progress_) {
+    const bool is_candidate = IsVoter(log_.membership(), member) &&
+                              progress.match == log_.last_index();
+    if (is_candidate &&
+        (best == nullptr || progress.heard > progress_[*best].heard)) {
+      best = &member;
+    }
+  }
+  if (best == nullptr) {
+    return;
+  }
+  transferring_ = true;
+  transfer_deadline_ = now + options_.timings.election;
+  Send(*best, TimeoutNow{hard_.term});
+}
+
+void RaftCore::Compact(std::uint64_t applied_index, std::string state) {
+  const auto term = log_.TermAt(applied_index);
+  if (!term || applied_index > commit_ ||
+      log_.membership_index() > applied_index) {
+    return;
+  }
+  Snapshot snapshot{applied_index, *term, log_.membership(), std::move(state)};
+  pending_.snapshot = snapshot;
+  const std::uint64_t keep_after =
+      applied_index > kKeptEntries ? applied_index - kKeptEntries : 0;
+  out_.events.push_back(
+      Event(EventId::kSnapshotTaken).With("index", applied_index));
+  log_.Compact(std::move(snapshot), std::max(keep_after, log_.base_index()));
+}
+
+void RaftCore::Receive(Time now, const Sender& from, const Message& message) {
+  const MemberId member{from.id, from.incarnation};
+  std::visit(
+      [&](const auto& body) {
+        using T = std::decay_t<decltype(body)>;
+        if constexpr (std::is_same_v<T, VoteRequest> ||
+                      std::is_same_v<T, VoteReply> ||
+                      std::is_same_v<T, AppendRequest> ||
+                      std::is_same_v<T, AppendReply> ||
+                      std::is_same_v<T, InstallSnapshot> ||
+                      std::is_same_v<T, TimeoutNow> ||
+                      std::is_same_v<T, JoinRequest>) {
+          On(now, member, body);
+        }
+      },
+      message);
+}
+
+RaftOutputs RaftCore::TakeOutputs(Time now) {
+  Replicate(now);
+  if (!pending_.empty()) {
+    pending_.seq = ++last_seq_;
+    unsynced_.push_back({last_seq_, log_.last_index()});
+    out_.persists.push_back(std::move(pending_));
+    pending_ = PersistBatch{};
+  }
+  while (emitted_ < commit_) {
+    ++emitted_;
+    out_.committed.push_back(log_.At(emitted_));
+  }
+  return std::exchange(out_, RaftOutputs{});
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/consensus/raft_log.cc
@@ -0,0 +1,124 @@
+#include "banyan/consensus/raft_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyan/wire/codec.h"
+
+namespace banyan {
+
+RaftLog::RaftLog(RestoredLog restored)
+    : snapshot_(std::move(restored.snapshot)),
+      base_index_(snapshot_.last_index),
+      base_term_(snapshot_.last_term),
+      entries_(restored.entries.begin(), restored.entries.end()) {
+  if (!entries_.empty() && entries_.front().index <= base_index_) {
+    // The log was kept a little longer than the snapshot needs.
+    while (!entries_.empty() && entries_.front().index <= base_index_) {
+      entries_.pop_front();
+    }
+  }
+  FindMembership();
+}
+
+std::uint64_t RaftLog::last_index() const noexcept {
+  return base_index_ + entries_.size();
+}
+
+std::uint64_t RaftLog::last_term() const noexcept {
+  return entries_.empty() ? base_term_ : entries_.back().term;
+}
+
+std::optional<std::uint64_t> RaftLog::TermAt(
+    std::uint64_t index) const noexcept {
+  if (index == base_index_) {
+    return base_term_;
+  }
+  if (index < base_index_ || index > last_index()) {
+    return std::nullopt;
+  }
+  return At(index).term;
+}
+
+const LogEntry& RaftLog::At(std::uint64_t index) const {
+  return entries_[index - base_index_ - 1];
+}
+
+std::vector<LogEntry> RaftLog::Slice(std::uint64_t from,
+                                     std::size_t max_entries,
+                                     std::size_t max_bytes) const {
+  std::vector<LogEntry> slice;
+  std::size_t bytes = 0;
+  for (std::uint64_t i = from; i <= last_index(); ++i) {
+    if (slice.size() >= max_entries || bytes >= max_bytes) {
+      break;
+    }
+    slice.push_back(At(i));
+    bytes += slice.back().data.size();
+  }
+  return slice;
+}
+
+void RaftLog::Append(LogEntry entry) {
+  const bool is_membership = entry.kind == EntryKind::kMembership;
+  entries_.push_back(std::move(entry));
+  if (is_membership) {
+    FindMembership();
+  }
+}
+
+void RaftLog::TruncateFrom(std::uint64_t index) {
+  while (last_index() >= index && !entries_.empty()) {
+    entries_.pop_back();
+  }
+  if (membership_index_ >= index) {
+    FindMembership();
+  }
+}
+
+void RaftLog::Compact(Snapshot snapshot, std::uint64_t keep_after) {
+  const std::uint64_t until = std::min(keep_after, snapshot.last_index);
+  snapshot_ = std::move(snapshot);
+  while (base_index_ < until) {
+    base_term_ = entries_.front().term;
+    ++base_index_;
+    entries_.pop_front();
+  }
+}
+
+void RaftLog::Reset(Snapshot snapshot) {
+  snapshot_ = std::move(snapshot);
+  base_index_ = snapshot_.last_index;
+  base_term_ = snapshot_.last_term;
+  entries_.clear();
+  FindMembership();
+}
+
+void RaftLog::FindMembership() {
+  membership_ = snapshot_.membership;
+  membership_index_ = snapshot_.last_index;
+  for (auto it = entries_.rbegin(); it != entries_.rend(); ++it) {
+    if (it->kind != EntryKind::kMembership ||
+        it->index <= snapshot_.last_index) {
+      continue;
+    }
+    Reason reason;
+    if (auto found = DecodeMembership(it->data, reason)) {
+      membership_ = *std::move(found);
+      membership_index_ = it->index;
+      return;
+    }
+  }
+}
+
+bool IsVoter(const Membership& membership, const MemberId& member) noexcept {
+  return std::find(membership.voters.begin(), membership.voters.end(),
+                   member) != membership.voters.end();
+}
+
+bool IsLearner(const Membership& membership, const MemberId& member) noexcept {
+  return std::find(membership.learners.begin(), membership.learners.end(),
+                   member) != membership.learners.end();
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/control/control_core.cc
@@ -0,0 +1,590 @@
+#include "banyan/control/control_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyan/wire/codec.h"
+
+namespace banyan {
+namespace {
+
+// How often the leader decides on batch work.
+constexpr Span kScheduleInterval = Millis(50);
+// A placed task that its agent does not report after this long is ordered
+// again.
+constexpr WallMillis kResendStartMs = 1000;
+// The processor share of a throttled task, in percent.
+constexpr std::int64_t kThrottlePercent = 50;
+constexpr std::int64_t kFullPercent = 100;
+
+}  // namespace
+
+ControlCore::ControlCore(ControlOptions options, RestoredLog restored, Time now)
+    : options_(std::move(options)),
+      raft_(options_.raft, std::move(restored), now),
+      next_schedule_(now) {}
+
+void ControlCore::Tick(Time now, WallMillis wall) {
+  raft_.Tick(now);
+  FollowRole(now);
+  if (is_leading_ && now >= next_schedule_) {
+    next_schedule_ = now + kScheduleInterval;
+    RunScheduler(now, wall);
+  }
+}
+
+void ControlCore::OnPersisted(Time now, std::uint64_t seq) {
+  raft_.OnPersisted(now, seq);
+}
+
+void ControlCore::Leave(Time now) {
+  raft_.TransferLeadership(now);
+}
+
+void ControlCore::FollowRole(Time now) {
+  const bool leads =
+      raft_.IsSettledLeader() && applied_index_ >= raft_.commit_index();
+  if (leads && !is_leading_) {
+    is_leading_ = true;
+    scheduler_.Reset(now, state_, options_.lease + options_.lease_margin);
+  } else if (is_leading_ && raft_.role() != RaftRole::kLeader) {
+    StopLeading();
+  }
+}
+
+void ControlCore::StopLeading() {
+  is_leading_ = false;
+  const auto waiting = std::exchange(waiting_, {});
+  for (const auto& [index, request] : waiting) {
+    ReplyError(request.origin, request.seq, ErrorKind::kNoQuorum,
+               "the leader changed; resend the command under the same id");
+  }
+  registering_.clear();
+  ending_.clear();
+  route_.clear();
+  entries_.clear();
+}
+
+void ControlCore::Receive(Time now,
+                          WallMillis wall,
+                          const Sender& from,
+                          const Message& message) {
+  if (const auto* up = std::get_if<RelayUp>(&message)) {
+    On(now, wall, from, *up);
+  } else if (const auto* down = std::get_if<RelayDown>(&message)) {
+    On(*down);
+  } else if (std::holds_alternative<AgentHello>(message) ||
+             std::holds_alternative<Heartbeat>(message) ||
+             std::holds_alternative<TaskReport>(message) ||
+             std::holds_alternative<EntryHeartbeat>(message) ||
+             std::holds_alternative<CommandRequest>(message)) {
+    ReceiveAttached(now, wall, from, message);
+  } else {
+    raft_.Receive(now, from, message);
+  }
+}
+
+void ControlCore::ReceiveAttached(Time now,
+                                  WallMillis wall,
+                                  const Sender& from,
+                                  const Message& message) {
+  Attached& attached = attached_[from.id];
+  if (attached.incarnation != from.incarnation) {
+    attached = Attached{};
+    attached.incarnation = from.incarnation;
+  }
+  if (const auto* entry = std::get_if<EntryHeartbeat>(&message)) {
+    attached.is_entry = true;
+    attached.table_version = entry->table_version;
+    BringUpToDate(from.id, entry->config_version, entry->table_version);
+    out_.messages.push_back(
+        {from.id, EntryHeartbeatAck{entry->seq, raft_.IsFresh(now)}});
+  } else if (const auto* agent = std::get_if<Heartbeat>(&message)) {
+    BringUpToDate(from.id, agent->config_version, state_.endpoints_version());
+  }
+  Forward(now, wall, {options_.raft.self.id, from.id, from.incarnation},
+          message);
+}
+
+void ControlCore::PeerDown(const std::string& peer) {
+  attached_.erase(peer);
+}
+
+void ControlCore::BringUpToDate(const std::string& peer,
+                                std::uint64_t config_version,
+                                std::uint64_t table_version) {
+  if (config_version < state_.config().version) {
+    out_.messages.push_back({peer, state_.config_update()});
+  }
+  if (table_version == state_.endpoints_version()) {
+    return;
+  }
+  EndpointTable table;
+  table.version = state_.endpoints_version();
+  for (const auto& [id, instance] : state_.instances()) {
+    if (instance.info.role == InstanceRole::kEndpoint) {
+      table.changed.push_back(instance.info);
+    }
+  }
+  attached_[peer].table_version = table.version;
+  out_.messages.push_back({peer, std::move(table)});
+}
+
+void ControlCore::Forward(Time now,
+                          WallMillis wall,
+                          const Origin& origin,
+                          const Message& message) {
+  if (raft_.role() == RaftRole::kLeader) {
+    route_[origin.peer] = origin;
+    std::visit(
+        [&](const auto& body) {
+          if constexpr (requires { LeadOn(now, wall, origin, body); }) {
+            LeadOn(now, wall, origin, body);
+          }
+        },
+        message);
+    return;
+  }
+  const auto* request = std::get_if<CommandRequest>(&message);
+  const bool is_relayed = origin.replica != options_.raft.self.id;
+  if (raft_.leader().empty() || is_relayed) {
+    if (request != nullptr) {
+      ReplyError(origin, request->seq, ErrorKind::kNoQuorum,
+                 "no leader is known at present");
+    }
+    return;
+  }
+  up_.items.push_back({origin.peer, origin.incarnation, Encode(message)});
+}
+
+void ControlCore::On(Time now,
+                     WallMillis wall,
+                     const Sender& from,
+                     const RelayUp& relay) {
+  for (const RelayItem& item : relay.items) {
+    Reason reason;
+    const auto message = DecodeMessage(item.frame, reason);
+    if (!message) {
+      out_.events.push_back(Event(EventId::kPeerMessageRefused)
+                                .With("peer", item.peer)
+                                .With("reason", reason.text));
+      continue;
+    }
+    Forward(now, wall, {from.id, item.peer, item.incarnation}, *message);
+  }
+}
+
+void ControlCore::On(const RelayDown& relay) {
+  for (const RelayItem& item : relay.items) {
+    Reason reason;
+    auto message = DecodeMessage(item.frame, reason);
+    if (!message) {
+      continue;
+    }
+    if (item.peer == options_.raft.self.id) {
+      if (auto* reply = std::get_if<CommandReply>(&*message)) {
+        out_.answers.push_back({reply->seq, std::move(reply->result)});
+      }
+      continue;
+    }
+    const auto found = attached_.find(item.peer);
+    if (found != attached_.end() &&
+        found->second.incarnation == item.incarnation) {
+      out_.messages.push_back({item.peer, *std::move(message)});
+    }
+  }
+}
+
+void ControlCore::Submit(Time now,
+                         WallMillis wall,
+                         std::uint64_t ticket,
+                         const LoggedCommand& command) {
+  const MemberId& self = options_.raft.self;
+  Forward(now, wall, {self.id, self.id, self.incarnation},
+          CommandRequest{ticket, command});
+}
+
+bool ControlCore::ProposeCommand(Time now, WallMillis wall, Command command) {
+  LoggedCommand logged;
+  logged.proposed_at = wall;
+  logged.command = std::move(command);
+  return raft_.Propose(now, Encode(logged)).has_value();
+}
+
+void ControlCore::LeadOn(Time now,
+                         WallMillis wall,
+                         const Origin& origin,
+                         const AgentHello& hello) {
+  const Instance* known = state_.FindInstance(hello.info.id);
+  if (known != nullptr && known->info == hello.info) {
+    return;
+  }
+  const std::uint64_t mark =
+      hello.info.incarnation * 2 + (hello.info.leaving ? 1 : 0);
+  if (hello.info.incarnation != origin.incarnation ||
+      registering_.contains({hello.info.id, mark})) {
+    return;
+  }
+  if (ProposeCommand(now, wall, RegisterInstance{hello.info, hello.running})) {
+    registering_.insert({hello.info.id, mark});
+  }
+}
+
+void ControlCore::LeadOn(Time now,
+                         WallMillis wall,
+                         const Origin& origin,
+                         const Heartbeat& heartbeat) {
+  if (!is_leading_ || !raft_.HoldsLease(now)) {
+    return;
+  }
+  HeartbeatAck ack;
+  ack.seq = heartbeat.seq;
+  ack.config_version = state_.config().version;
+  const Instance* instance = state_.FindInstance(origin.peer);
+  const bool is_known =
+      instance != nullptr && instance->info.incarnation == origin.incarnation;
+  const auto load = scheduler_.loads().find(origin.peer);
+  if (is_known && load != scheduler_.loads().end() &&
+      load->second.is_removing) {
+    // Its removal stands in the log; the lease must not be renewed.
+    return;
+  }
+  ack.registered = is_known;
+  if (is_known && heartbeat.leaving && !instance->info.leaving) {
+    AgentHello hello{instance->info, {}};
+    hello.info.leaving = true;
+    LeadOn(now, wall, origin, hello);
+  }
+  if (is_known) {
+    ack.data_centre_out = state_.IsOut(instance->info.data_centre);
+    ack.lease_ms = ToMillis(options_.lease);
+    scheduler_.OnHeartbeat(now, state_, origin.peer, origin.incarnation,
+                           heartbeat,
+                           now + options_.lease + options_.lease_margin);
+    Reconcile(wall, *instance, heartbeat);
+  }
+  SendToAttached(origin.peer, ack);
+}
+
+void ControlCore::Reconcile(WallMillis wall,
+                            const Instance& instance,
+                            const Heartbeat& heartbeat) {
+  std::set<TaskId> reported;
+  for (const TaskUsage& usage : heartbeat.usage) {
+    reported.insert(usage.task);
+    const Job* job = state_.FindJob(usage.task.job);
+    const bool is_current = job != nullptr && job->state == JobState::kPlaced &&
+                            job->attempt == usage.task.attempt &&
+                            job->worker == instance.info.id;
+    if (!is_current) {
+      SendToAttached(instance.info.id,
+                     StopTask{usage.task, false, "not placed here any more"});
+    } else if (job->cancelling) {
+      SendToAttached(instance.info.id,
+                     StopTask{usage.task, false, "cancelled"});
+    }
+  }
+  for (const std::string& key : instance.jobs) {
+    const Job& job = *state_.FindJob(key);
+    if (!reported.contains({key, job.attempt}) &&
+        wall - job.changed_at > kResendStartMs) {
+      SendStart(key, job);
+    }
+  }
+}
+
+void ControlCore::LeadOn(Time now,
+                         WallMillis wall,
+                         const Origin& origin,
+                         const TaskReport& report) {
+  if (!is_leading_) {
+    return;
+  }
+  const Job* job = state_.FindJob(report.task.job);
+  const bool is_current = job != nullptr && job->state == JobState::kPlaced &&
+                          job->attempt == report.task.attempt;
+  if (!is_current) {
+    SendToAttached(origin.peer, TaskReportAck{report.task});
+    return;
+  }
+  if (job->worker != origin.peer ||
+      job->worker_incarnation != origin.incarnation ||
+      ending_.contains(report.task)) {
+    return;
+  }
+  if (ProposeCommand(
+          now, wall,
+          EndTask{report.task, report.end, report.checkpoint, report.cause})) {
+    ending_.insert(report.task);
+  }
+}
+
+void ControlCore::LeadOn(Time now,
+                         WallMillis /*wall*/,
+                         const Origin& origin,
+                         const EntryHeartbeat& heartbeat) {
+  entries_[origin.peer] = {origin.incarnation, heartbeat.config_version,
+                           heartbeat.table_version, now};
+}
+
+void ControlCore::LeadOn(Time now,
+                         WallMillis wall,
+                         const Origin& origin,
+                         const CommandRequest& request) {
+  LoggedCommand logged = request.command;
+  logged.proposed_at = wall;
+  const auto index = raft_.Propose(now, Encode(logged));
+  if (!index) {
+    ReplyError(origin, request.seq, ErrorKind::kNotLeader,
+               "the leadership is being handed over");
+    return;
+  }
+  waiting_[*index] = {raft_.term(), request.seq, origin};
+}
+
+void ControlCore::Reply(const Origin& origin,
+                        std::uint64_t seq,
+                        CommandResult result) {
+  const std::string& self = options_.raft.self.id;
+  if (origin.replica == self && origin.peer == self) {
+    out_.answers.push_back({seq, std::move(result)});
+    return;
+  }
+  CommandReply reply{seq, std::move(result)};
+  if (origin.replica == self) {
+    out_.messages.push_back({origin.peer, std::move(reply)});
+    return;
+  }
+  down_[origin.replica].items.push_back(
+      {origin.peer, origin.incarnation, Encode(Message(std::move(reply)))});
+}
+
+void ControlCore::ReplyError(const Origin& origin,
+                             std::uint64_t seq,
+                             ErrorKind error,
+                             std::string text) {
+  CommandResult result;
+  result.error = error;
+  result.text = std::move(text);
+  Reply(origin, seq, std::move(result));
+}
+
+void ControlCore::SendToAttached(const std::string& peer, Message message) {
+  const auto route = route_.find(peer);
+  if (route == route_.end()) {
+    return;
+  }
+  const Origin& origin = route->second;
+  if (origin.replica == options_.raft.self.id) {
+    out_.messages.push_back({peer, std::move(message)});
+    return;
+  }
+  down_[origin.replica].items.push_back(
+      {peer, origin.incarnation, Encode(message)});
+}
+
+void ControlCore::SendStart(const std::string& key, const Job& job) {
+  StartTask start;
+  start.task = {key, job.attempt};
+  start.incarnation = job.worker_incarnation;
+  start.spec = job.spec;
+  start.checkpoint = job.checkpoint;
+  start.config_version = state_.config().version;
+  SendToAttached(job.worker, std::move(start));
+}
+
+void ControlCore::RunScheduler(Time now, WallMillis wall) {
+  if (!raft_.HoldsLease(now)) {
+    return;
+  }
+  for (RemoveInstance& removal : scheduler_.TakeExpired(now, state_)) {
+    ProposeCommand(now, wall, std::move(removal));
+  }
+  SchedulerOutputs decided = scheduler_.Decide(now, state_);
+  for (PlaceTask& place : decided.place) {
+    ProposeCommand(now, wall, std::move(place));
+  }
+  for (const TaskOrder& order : decided.orders) {
+    switch (order.kind) {
+      case TaskOrder::Kind::kEvict:
+        SendToAttached(order.worker, StopTask{order.task, true, order.cause});
+        break;
+      case TaskOrder::Kind::kThrottle:
+        SendToAttached(order.worker,
+                       ThrottleTask{order.task, kThrottlePercent});
+        break;
+      case TaskOrder::Kind::kRelease:
+        SendToAttached(order.worker, ThrottleTask{order.task, kFullPercent});
+        break;
+    }
+  }
+  std::move(decided.events.begin(), decided.events.end(),
+            std::back_inserter(out_.events));
+}
+
+void ControlCore::ApplyCommitted(Time now,
+                                 const std::vector<LogEntry>& committed) {
+  for (const LogEntry& entry : committed) {
+    ApplyEntry(now, entry);
+    applied_index_ = entry.index;
+  }
+  if (applied_index_ >= snapshot_index_ + options_.snapshot_every) {
+    snapshot_index_ = applied_index_;
+    raft_.Compact(applied_index_, state_.Encode());
+  }
+}
+
+void ControlCore::ApplyEntry(Time now, const LogEntry& entry) {
+  if (entry.kind != EntryKind::kCommand) {
+    return;
+  }
+  Reason reason;
+  const auto command = DecodeCommand(entry.data, reason);
+  if (!command) {
+    out_.events.push_back(Event(EventId::kPeerMessageRefused)
+                              .With("index", entry.index)
+                              .With("reason", reason.text));
+    return;
+  }
+  Job before;
+  const auto* end = std::get_if<EndTask>(&command->command);
+  if (end != nullptr) {
+    const Job* job = state_.FindJob(end->task.job);
+    before = job == nullptr ? Job{} : *job;
+  }
+  Applied applied = state_.Apply(*command);
+  if (is_leading_ && end != nullptr && before.attempt == end->task.attempt &&
+      before.state == JobState::kPlaced) {
+    scheduler_.OnTaskEnd(now, before, *end, applied.events);
+  }
+  if (end != nullptr) {
+    ending_.erase(end->task);
+    SendToAttached(before.worker, TaskReportAck{end->task});
+  }
+  ActOn(now, *command, applied);
+  const auto waiting = waiting_.find(entry.index);
+  if (waiting != waiting_.end()) {
+    if (waiting->second.term == entry.term) {
+      Reply(waiting->second.origin, waiting->second.seq, applied.result);
+    } else {
+      ReplyError(waiting->second.origin, waiting->second.seq,
+                 ErrorKind::kNoQuorum, "another leader took over");
+    }
+    waiting_.erase(waiting);
+  }
+  // Every replica applies the entry; the leader's log tells it once.
+  if (raft_.role() == RaftRole::kLeader) {
+    std::move(applied.events.begin(), applied.events.end(),
+              std::back_inserter(out_.events));
+    if (!applied.result.ok && !command->command_id.empty()) {
+      out_.events.push_back(Event(EventId::kCommandRefused)
+                                .With("command", command->command_id)
+                                .With("reason", applied.result.text));
+    }
+  }
+}
+
+void ControlCore::ActOn(Time now,
+                        const LoggedCommand& command,
+                        const Applied& applied) {
+  if (applied.config_changed) {
+    AnnounceConfig();
+  }
+  if (!applied.endpoint.empty()) {
+    AnnounceEndpoint(applied.endpoint);
+  }
+  if (const auto* registered =
+          std::get_if<RegisterInstance>(&command.command)) {
+    const InstanceInfo& info = registered->info;
+    registering_.erase(
+        {info.id, info.incarnation * 2 + (info.leaving ? 1 : 0)});
+    const Instance* instance = state_.FindInstance(info.id);
+    if (is_leading_ && instance != nullptr) {
+      scheduler_.OnRegistered(now, *instance,
+                              now + options_.lease + options_.lease_margin);
+    }
+  } else if (const auto* removed =
+                 std::get_if<RemoveInstance>(&command.command)) {
+    if (state_.FindInstance(removed->id) == nullptr) {
+      scheduler_.OnRemoved(removed->id);
+    }
+  } else if (const auto* placed = std::get_if<PlaceTask>(&command.command)) {
+    const Job* job = state_.FindJob(placed->task.job);
+    if (job != nullptr) {
+      scheduler_.OnPlaced(*placed, applied.placed.has_value(), job->spec);
+    }
+  }
+  if (!is_leading_) {
+    return;
+  }
+  if (applied.placed) {
+    SendStart(applied.placed->job, *state_.FindJob(applied.placed->job));
+  }
+  for (const TaskId& task : applied.stop) {
+    SendToAttached(state_.FindJob(task.job)->worker,
+                   StopTask{task, false, "cancelled"});
+  }
+}
+
+void ControlCore::AnnounceConfig() {
+  const ConfigUpdate update = state_.config_update();
+  out_.events.push_back(Event(EventId::kConfigInForce)
+                            .With("version", update.version)
+                            .With("preset", update.preset_name)
+                            .With("out", update.out.size()));
+  for (const auto& [peer, attached] : attached_) {
+    out_.messages.push_back({peer, update});
+  }
+}
+
+void ControlCore::AnnounceEndpoint(const std::string& id) {
+  EndpointTable delta;
+  delta.version = state_.endpoints_version();
+  delta.full = false;
+  const Instance* instance = state_.FindInstance(id);
+  if (instance == nullptr) {
+    delta.removed.push_back(id);
+  } else {
+    delta.changed.push_back(instance->info);
+  }
+  for (auto& [peer, attached] : attached_) {
+    if (attached.is_entry && attached.table_version + 1 == delta.version) {
+      attached.table_version = delta.version;
+      out_.messages.push_back({peer, delta});
+    }
+  }
+}
+
+ControlOutputs ControlCore::TakeOutputs(Time now, WallMillis /*wall*/) {
+  RaftOutputs raft = raft_.TakeOutputs(now);
+  if (raft.install) {
+    Reason reason;
+    if (auto state = ControlState::Decode(raft.install->state, reason)) {
+      state_ = *std::move(state);
+      applied_index_ = raft.install->last_index;
+      snapshot_index_ = applied_index_;
+      AnnounceConfig();
+    }
+  }
+  ApplyCommitted(now, raft.committed);
+  FollowRole(now);
+  std::move(raft.events.begin(), raft.events.end(),
+            std::back_inserter(out_.events));
+  std::move(raft.messages.begin(), raft.messages.end(),
+            std::back_inserter(out_.messages));
+  out_.persists = std::move(raft.persists);
+  // What waited for a leader that is gone is repeated by its sender.
+  RelayUp up = std::exchange(up_, {});
+  const bool has_other_leader =
+      !raft_.leader().empty() && raft_.role() != RaftRole::kLeader;
+  if (!up.items.empty() && has_other_leader) {
+    out_.messages.push_back({raft_.leader(), std::move(up)});
+  }
+  for (auto& [replica, relay] : down_) {
+    out_.messages.push_back({replica, std::move(relay)});
+  }
+  down_.clear();
+  return std::exchange(out_, ControlOutputs{});
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/control/scheduler.cc
@@ -0,0 +1,434 @@
+#include "banyan/control/scheduler.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace banyan {
+namespace {
+
+// Jobs of one team that are tried in a round before the next team's turn.
+constexpr int kBackfillDepth = 16;
+// A job this old, counted in queue positions tried, is not backfilled past:
+// the worker with the most room is kept for it.
+constexpr WallMillis kAgedAfterMs = 10LL * 60 * 1000;
+constexpr std::size_t kMaxReservations = 4;
+// Share of the start budget that drains may use.
+constexpr double kDrainShare = 0.5;
+// How long an eviction may take before it is ordered again.
+constexpr Span kEvictRetry = std::chrono::seconds(5);
+// Successive reports above the mark before a throttle, and before an eviction.
+constexpr int kThrottleAfterReports = 2;
+constexpr int kEvictAfterReports = 5;
+// Successive reports below the lower mark before a throttle is released.
+constexpr int kReleaseAfterReports = 3;
+constexpr std::int64_t kReleaseBelowPercent = 15;
+// Decay of the estimate for tasks that no report has shown yet.
+constexpr double kUnreportedDecay = 0.5;
+constexpr double kPercent = 100;
+
+// Returns the largest share of its quota that a team would use.
+double DominantShare(const Resources& used,
+                     const std::optional<Resources>& quota) {
+  // A team without a quota is compared by processors alone.
+  constexpr double kNominalQuotaMillis = 1e6;
+  if (!quota) {
+    return static_cast<double>(used.cpu_millis) / kNominalQuotaMillis;
+  }
+  const auto share = [](std::int64_t a, std::int64_t b) {
+    return b == 0 ? 0.0 : static_cast<double>(a) / static_cast<double>(b);
+  };
+  return std::max({share(used.cpu_millis, quota->cpu_millis),
+                   share(used.memory_mib, quota->memory_mib),
+                   share(used.accelerators, quota->accelerators)});
+}
+
+// One team's place in the order of a round.
+struct TeamTurn {
+  const std::string* name = nullptr;
+  const std::set<QueueKey>* queue = nullptr;
+  bool has_urgent = false;
+  double share = 0;
+};
+
+}  // namespace
+
+void Scheduler::Reset(Time now, const ControlState& state, Span lease) {
+  *this = Scheduler();
+  last_refill_ = now;
+  for (const auto& [id, instance] : state.instances()) {
+    OnRegistered(now, instance, now + lease);
+  }
+}
+
+void Scheduler::OnRegistered(Time now,
+                             const Instance& instance,
+                             Time lease_deadline) {
+  InstanceLoad& load = loads_[instance.info.id];
+  if (load.incarnation != instance.info.incarnation) {
+    load = InstanceLoad{};
+    load.incarnation = instance.info.incarnation;
+  }
+  load.lease_deadline = std::max(load.lease_deadline, lease_deadline);
+  load.last_report = now;
+  if (!instance.info.host.empty()) {
+    services_on_[instance.info.host].insert(instance.info.service);
+  }
+}
+
+void Scheduler::OnRemoved(const std::string& instance) {
+  loads_.erase(instance);
+}
+
+void Scheduler::OnHeartbeat(Time now,
+                            const ControlState& state,
+                            const std::string& instance,
+                            std::uint64_t incarnation,
+                            const Heartbeat& heartbeat,
+                            Time lease_deadline) {
+  InstanceLoad& load = loads_[instance];
+  load.incarnation = incarnation;
+  load.lease_deadline = std::max(load.lease_deadline, lease_deadline);
+  load.last_report = now;
+  load.config_version = heartbeat.config_version;
+  load.cpu_percent = heartbeat.cpu_percent;
+  load.latency_us = heartbeat.latency_us;
+  load.unreported_percent *= kUnreportedDecay;
+  load.reported.clear();
+  for (const TaskUsage& usage : heartbeat.usage) {
+    load.reported.insert(usage.task);
+  }
+  const std::int64_t mark = state.preset().pressure_percent;
+  if (load.cpu_percent > mark) {
+    ++load.reports_above;
+    load.reports_below = 0;
+  } else if (load.cpu_percent < mark - kReleaseBelowPercent) {
+    ++load.reports_below;
+    load.reports_above = 0;
+  }
+  const Instance* known = state.FindInstance(instance);
+  if (known != nullptr && heartbeat.latency_us > 0) {
+    LearnInterference(state, *known, heartbeat);
+  }
+}
+
+void Scheduler::LearnInterference(const ControlState& state,
+                                  const Instance& endpoint,
+                                  const Heartbeat& heartbeat) {
+  const std::string& service = endpoint.info.service;
+  const double slowdown = baseline_.Observe(service, heartbeat.latency_us);
+  const Instance* host = state.FindInstance(endpoint.info.host);
+  if (host == nullptr) {
+    return;
+  }
+  std::set<std::string> kinds;
+  for (const std::string& key : host->jobs) {
+    kinds.insert(state.FindJob(key)->spec.kind);
+  }
+  interference_.Learn(service, kinds, slowdown);
+}
+
+double Scheduler::InterferenceOn(const std::string& worker,
+                                 const std::string& kind) const {
+  const auto found = services_on_.find(worker);
+  if (found == services_on_.end()) {
+    return 1.0;
+  }
+  double worst = 1.0;
+  for (const std::string& service : found->second) {
+    worst = std::max(worst, interference_.Expected(service, kind));
+  }
+  return worst;
+}
+
+void Scheduler::OnTaskEnd(Time now,
+                          const Job& job,
+                          const EndTask& end,
+                          Events& events) {
+  evicting_.erase(end.task.job);
+  switch (end.end) {
+    case TaskEnd::kFinished:
+      failures_.NoteSuccess(job.worker);
+      failures_.Forget(end.task.job);
+      break;
+    case TaskEnd::kFailed:
+      if (failures_.NoteFailure(now, job.worker, end.task.job, job.failed_on)) {
+        events.push_back(Event(EventId::kWorkerSuspected)
+                             .With("worker", job.worker)
+                             .With("last_job", end.task.job));
+      }
+      break;
+    case TaskEnd::kRefused:
+      failures_.BackOff(now, end.task.job);
+      break;
+    case TaskEnd::kEvicted:
+    case TaskEnd::kLost:
+      break;
+  }
+}
+
+void Scheduler::OnPlaced(const PlaceTask& placed,
+                         bool accepted,
+                         const JobSpec& spec) {
+  if (placing_.erase(placed.task.job) == 0) {
+    return;
+  }
+  placing_on_[placed.worker] -= spec.needs;
+  placing_for_[spec.team] -= spec.needs;
+  const auto load = loads_.find(placed.worker);
+  if (accepted && load != loads_.end()) {
+    load->second.next_eviction =
+        std::max(load->second.next_eviction, load->second.last_report);
+  }
+}
+
+std::vector<WorkerView> Scheduler::ViewWorkers(
+    Time now,
+    const ControlState& state) const {
+  std::vector<WorkerView> views;
+  views.reserve(state.instances().size());
+  for (const auto& [id, instance] : state.instances()) {
+    const InstanceInfo& info = instance.info;
+    const auto load = loads_.find(id);
+    const bool is_usable = info.role == InstanceRole::kWorker &&
+                           !info.leaving && !state.IsOut(info.data_centre) &&
+                           load != loads_.end() && !load->second.is_removing &&
+                           load->second.lease_deadline > now &&
+                           !failures_.IsSuspected(now, id);
+    if (!is_usable) {
+      continue;
+    }
+    WorkerView view;
+    view.id = id;
+    view.incarnation = info.incarnation;
+    view.data_centre = info.data_centre;
+    view.rack = info.rack;
+    view.capacity = info.capacity;
+    view.free = info.capacity - instance.committed;
+    const auto placing = placing_on_.find(id);
+    if (placing != placing_on_.end()) {
+      view.free -= placing->second;
+    }
+    view.cpu_percent = static_cast<double>(load->second.cpu_percent) +
+                       load->second.unreported_percent;
+    view.tasks = instance.jobs.size();
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+void Scheduler::RefillBudgets(Time now, const Preset& preset) {
+  const double seconds =
+      std::chrono::duration<double>(now - last_refill_).count();
+  const auto rate = static_cast<double>(preset.starts_per_second);
+  last_refill_ = now;
+  start_budget_ = std::min(rate, start_budget_ + rate * seconds);
+  drain_budget_ = std::min(rate * kDrainShare,
+                           drain_budget_ + rate * kDrainShare * seconds);
+}
+
+void Scheduler::PlaceQueued(Time now,
+                            const ControlState& state,
+                            SchedulerOutputs& out) {
+  if (state.queues().empty() || start_budget_ < 1) {
+    return;
+  }
+  std::vector<WorkerView> workers = ViewWorkers(now, state);
+  const Preset& preset = state.preset();
+  ScoredPlacement policy(static_cast<double>(preset.batch_cpu_ceiling_percent));
+  std::vector<TeamTurn> turns;
+  for (const auto& [name, queue] : state.queues()) {
+    const auto team = state.teams().find(name);
+    Resources used;
+    std::optional<Resources> quota;
+    if (team != state.teams().end()) {
+      used = team->second.used;
+      quota = team->second.quota;
+    }
+    const auto placing = placing_for_.find(name);
+    if (placing != placing_for_.end()) {
+      used += placing->second;
+    }
+    turns.push_back(
+        {&name, &queue, !queue.begin()->is_normal, DominantShare(used, quota)});
+  }
+  std::sort(turns.begin(), turns.end(),
+            [](const TeamTurn& a, const TeamTurn& b) {
+              if (a.has_urgent != b.has_urgent) {
+                return a.has_urgent;
+              }
+              return a.share < b.share;
+            });
+  for (const TeamTurn& turn : turns) {
+    int tried = 0;
+    const auto team = state.teams().find(*turn.name);
+    for (const QueueKey& key : *turn.queue) {
+      if (start_budget_ < 1 || tried >= kBackfillDepth) {
+        break;
+      }
+      const Job& job = state.jobs().at(key.job);
+      if (placing_.contains(key.job) || failures_.IsBackingOff(now, key.job) ||
+          (!preset.batch_enabled && !job.spec.urgent)) {
+        continue;
+      }
+      ++tried;
+      if (team != state.teams().end() && team->second.quota &&
+          !Fits(team->second.used + placing_for_[*turn.name] + job.spec.needs,
+                *team->second.quota)) {
+        continue;
+      }
+      for (WorkerView& worker : workers) {
+        worker.interference = InterferenceOn(worker.id, job.spec.kind);
+      }
+      const auto choice =
+          ChooseWorker(policy, job.spec, std::span<const WorkerView>(workers));
+      if (!choice) {
+        continue;
+      }
+      WorkerView& worker = workers[choice->worker];
+      out.place.push_back(
+          {{key.job, job.attempt + 1}, worker.id, worker.incarnation});
+      out.events.push_back(
+          Event(EventId::kTaskPlaced)
+              .With("job", key.job)
+              .With("attempt", job.attempt + 1)
+              .With("worker", worker.id)
+              .With("data_centre", worker.data_centre)
+              .With("cost", static_cast<std::int64_t>(choice->cost))
+              .With("reason",
+                    job.spec.urgent ? "urgent, least cost" : "least cost"));
+      const double share = ScoredPlacement::CpuShare(job.spec, worker);
+      worker.free -= job.spec.needs;
+      worker.cpu_percent += share;
+      loads_[worker.id].unreported_percent += share;
+      placing_.insert(key.job);
+      placing_on_[worker.id] += job.spec.needs;
+      placing_for_[*turn.name] += job.spec.needs;
+      start_budget_ -= 1;
+    }
+  }
+}
+
+void Scheduler::DrainOut(Time now,
+                         const ControlState& state,
+                         SchedulerOutputs& out) {
+  for (const auto& [id, instance] : state.instances()) {
+    const bool must_leave =
+        state.IsOut(instance.info.data_centre) || instance.info.leaving;
+    if (instance.info.role != InstanceRole::kWorker || !must_leave) {
+      continue;
+    }
+    for (const std::string& key : instance.jobs) {
+      if (drain_budget_ < 1) {
+        return;
+      }
+      Time& retry = evicting_[key];
+      if (retry > now) {
+        continue;
+      }
+      retry = now + kEvictRetry;
+      drain_budget_ -= 1;
+      const Job& job = state.jobs().at(key);
+      out.orders.push_back(
+          {TaskOrder::Kind::kEvict,
+           {key, job.attempt},
+           id,
+           instance.info.leaving ? "worker leaving" : "data centre out"});
+    }
+  }
+}
+
+void Scheduler::RelievePressure(Time now,
+                                const ControlState& state,
+                                SchedulerOutputs& out) {
+  for (auto& [id, load] : loads_) {
+    const Instance* instance = state.FindInstance(id);
+    if (instance == nullptr || instance->jobs.empty()) {
+      load.throttled.clear();
+      continue;
+    }
+    if (load.reports_below >= kReleaseAfterReports && !load.throttled.empty()) {
+      out.orders.push_back({TaskOrder::Kind::kRelease, *load.throttled.begin(),
+                            id, "pressure gone"});
+      load.throttled.erase(load.throttled.begin());
+      load.reports_below = 0;
+      continue;
+    }
+    if (load.reports_above < kThrottleAfterReports) {
+      continue;
+    }
+    // The worst pair goes first; among equals the one that needs the most.
+    const Job* worst = nullptr;
+    std::string worst_key;
+    double worst_cost = -1;
+    for (const std::string& key : instance->jobs) {
+      const Job& job = state.jobs().at(key);
+      const bool is_handled = evicting_.contains(key) || job.spec.urgent;
+      if (is_handled) {
+        continue;
+      }
+      const double cost =
+          (InterferenceOn(id, job.spec.kind) - 1) * kPercent +
+          static_cast<double>(job.spec.needs.cpu_millis) /
+              static_cast<double>(instance->info.capacity.cpu_millis);
+      if (cost > worst_cost) {
+        worst = &job;
+        worst_key = key;
+        worst_cost = cost;
+      }
+    }
+    if (worst == nullptr) {
+      continue;
+    }
+    const TaskId task{worst_key, worst->attempt};
+    if (!load.throttled.contains(task)) {
+      load.throttled.insert(task);
+      load.reports_above = 0;
+      out.orders.push_back({TaskOrder::Kind::kThrottle, task, id, "pressure"});
+      continue;
+    }
+    if (load.reports_above < kEvictAfterReports || now < load.next_eviction) {
+      continue;
+    }
+    load.next_eviction = now + Millis(state.preset().evict_cooldown_ms);
+    load.reports_above = 0;
+    load.throttled.erase(task);
+    evicting_[worst_key] = now + kEvictRetry;
+    out.orders.push_back(
+        {TaskOrder::Kind::kEvict, task, id, "lasting pressure"});
+  }
+}
+
+SchedulerOutputs Scheduler::Decide(Time now, const ControlState& state) {
+  SchedulerOutputs out;
+  RefillBudgets(now, state.preset());
+  DrainOut(now, state, out);
+  RelievePressure(now, state, out);
+  PlaceQueued(now, state, out);
+  for (const TaskOrder& order : out.orders) {
+    out.events.push_back(Event(order.kind == TaskOrder::Kind::kEvict
+                                   ? EventId::kTaskEvicting
+                                   : EventId::kTaskThrottled)
+                             .With("job", order.task.job)
+                             .With("attempt", order.task.attempt)
+                             .With("worker", order.worker)
+                             .With("reason", order.cause));
+  }
+  return out;
+}
+
+std::vector<RemoveInstance> Scheduler::TakeExpired(Time now,
+                                                   const ControlState& state) {
+  std::vector<RemoveInstance> expired;
+  for (auto& [id, load] : loads_) {
+    if (load.is_removing || load.lease_deadline > now ||
+        state.FindInstance(id) == nullptr) {
+      continue;
+    }
+    load.is_removing = true;
+    expired.push_back({id, load.incarnation, "lease expired"});
+  }
+  return expired;
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/events/event.cc
@@ -0,0 +1,162 @@
+#include "banyan/events/event.h"
+
+#include <array>
+
+namespace banyan {
+namespace {
+
+constexpr auto kCatalogue = std::to_array<EventRow>({
+    {EventId::kProcessStarted, "process-started",
+     "A process took up its duty; it names its version and incarnation."},
+    {EventId::kProcessStopping, "process-stopping",
+     "A planned stop began; work in flight is being finished."},
+    {EventId::kProcessStopped, "process-stopped",
+     "The process ends; `clean` tells whether everything was finished."},
+    {EventId::kPeerUp, "peer-up", "A connection to another process is ready."},
+    {EventId::kPeerDown, "peer-down",
+     "A connection to another process was lost."},
+    {EventId::kPeerMessageRefused, "peer-message-refused",
+     "A frame could not be decoded; the connection was closed."},
+    {EventId::kRingFull, "ring-full",
+     "A bounded ring refused an item; the sender was told so."},
+    {EventId::kClockGap, "clock-gap",
+     "The process was stopped for a while; it dropped its connections."},
+    {EventId::kRequestRouted, "request-routed",
+     "Routing decision: the endpoint chosen for an attempt, with the reason."},
+    {EventId::kRequestAnswered, "request-answered",
+     "A caller got its final answer."},
+    {EventId::kRequestRefused, "request-refused",
+     "A caller was told that its request did not run, with the reason."},
+    {EventId::kRequestRetried, "request-retried",
+     "Routing decision: another attempt, with what the last one met."},
+    {EventId::kRequestHedged, "request-hedged",
+     "Routing decision: a second attempt beside a slow one."},
+    {EventId::kEndpointEjected, "endpoint-ejected",
+     "Routing decision: an endpoint that keeps failing gets no requests."},
+    {EventId::kEndpointProbed, "endpoint-probed",
+     "Routing decision: one request tests an ejected endpoint."},
+    {EventId::kEndpointTable, "endpoint-table",
+     "The entry took a newer endpoint table."},
+    {EventId::kClaimOpened, "claim-opened",
+     "A non-idempotent request was claimed before its dispatch."},
+    {EventId::kClaimResolved, "claim-resolved",
+     "A claim was found or brought to a final state."},
+    {EventId::kTombstoneAsked, "tombstone-asked",
+     "The entry asked an agent never to run an earlier attempt."},
+    {EventId::kDispatchStarted, "dispatch-started",
+     "The agent handed a request to its endpoint."},
+    {EventId::kDispatchEnded, "dispatch-ended",
+     "The endpoint's answer, or its lack, was reported to the entry."},
+    {EventId::kDispatchRefused, "dispatch-refused",
+     "The agent refused a request; it did not run here and never will."},
+    {EventId::kTombstoneGranted, "tombstone-granted",
+     "The agent promised never to run an attempt."},
+    {EventId::kTaskStarted, "task-started",
+     "The agent started a task on its worker."},
+    {EventId::kTaskRefused, "task-refused",
+     "The agent refused to start a task, with the reason."},
+    {EventId::kTaskEnded, "task-ended", "A task of the worker ended."},
+    {EventId::kTaskStopped, "task-stopped",
+     "The agent stopped a task on order or because its lease ran out."},
+    {EventId::kTaskAdopted, "task-adopted",
+     "A restarted agent found a task running on its worker and kept it."},
+    {EventId::kTaskThrottled, "task-throttled",
+     "The agent throttled a batch task under pressure, or released it."},
+    {EventId::kLeaseLost, "lease-lost",
+     "The instance's lease ran out; nothing may run under it any more."},
+    {EventId::kLeaseRenewed, "lease-renewed",
+     "The instance holds a lease again after it had none."},
+    {EventId::kTaskPlaced, "task-placed",
+     "Placement decision: the worker chosen for an attempt, with the reason."},
+    {EventId::kTaskRequeued, "task-requeued",
+     "An attempt ended without a result; the job waits for its next one."},
+    {EventId::kTaskEvicting, "task-evicting",
+     "Placement decision: a task is to leave its worker, with the reason."},
+    {EventId::kJobSubmitted, "job-submitted", "A job was accepted."},
+    {EventId::kJobEnded, "job-ended", "A job reached its final state."},
+    {EventId::kJobUnplaceable, "job-unplaceable",
+     "Placement decision: no worker holds the job at present."},
+    {EventId::kWorkerSuspected, "worker-suspected",
+     "Placement decision: a worker that fails different jobs gets no more for "
+     "a while."},
+    {EventId::kInstanceRegistered, "instance-registered",
+     "An instance announced itself and is known to the control cell."},
+    {EventId::kInstanceRemoved, "instance-removed",
+     "An instance's lease ran out or it left; its tasks were released."},
+    {EventId::kInstanceLeaving, "instance-leaving",
+     "An instance announced that it takes no new work."},
+    {EventId::kConfigInForce, "config-in-force",
+     "This process works by a newer configuration version."},
+    {EventId::kCommandAccepted, "command-accepted",
+     "An operator's command was committed."},
+    {EventId::kCommandRefused, "command-refused",
+     "An operator's command was refused, with the reason."},
+    {EventId::kElectionStarted, "election-started",
+     "A replica asked its peers for their votes."},
+    {EventId::kLeaderElected, "leader-elected",
+     "This replica leads the control cell from now on."},
+    {EventId::kLeaderStepped, "leader-stepped",
+     "This replica leads no longer, with the reason."},
+    {EventId::kSnapshotTaken, "snapshot-taken",
+     "The replica wrote a snapshot and trimmed its log."},
+    {EventId::kSnapshotInstalled, "snapshot-installed",
+     "The replica took over a snapshot from the leader."},
+    {EventId::kLogRecovered, "log-recovered",
+     "The replica read its log back from disk at start."},
+    {EventId::kMemberChanged, "member-changed",
+     "The membership of the control cell changed."},
+    {EventId::kClusterFormed, "cluster-formed",
+     "All configured members were empty and formed a new cell."},
+});
+
+// Returns whether the numbers of the catalogue rise from row to row.
+consteval bool IsCatalogueAscending() {
+  for (std::size_t i = 1; i < kCatalogue.size(); ++i) {
+    if (kCatalogue[i - 1].id >= kCatalogue[i].id) {
+      return false;
+    }
+  }
+  return true;
+}
+static_assert(IsCatalogueAscending());
+
+// Returns whether a value must be quoted to stay one field.
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() || value.find_first_of(" \"=\n\t") != value.npos;
+}
+
+// Appends the value in quotes, with quotes and line ends escaped.
+void AppendQuoted(std::string& out, std::string_view value) {
+  out += '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+    }
+    out += (c == '\n' || c == '\t') ? ' ' : c;
+  }
+  out += '"';
+}
+
+}  // namespace
+
+std::span<const EventRow> EventCatalogue() noexcept {
+  return kCatalogue;
+}
+
+Event&& Event::With(std::string_view key, std::string_view value) && {
+  fields_ += ' ';
+  fields_ += key;
+  fields_ += '=';
+  if (NeedsQuotes(value)) {
+    AppendQuoted(fields_, value);
+  } else {
+    fields_ += value;
+  }
+  return std::move(*this);
+}
+
+std::string Event::text() const {
+  return "E" + std::to_string(static_cast<int>(id_)) + fields_;
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/process/control_process.cc
@@ -0,0 +1,257 @@
+#include "banyan/process/control_process.h"
+
+#include <glog/logging.h>
+
+#include <cstdlib>
+#include <utility>
+#include <vector>
+
+#include "banyan/base/random.h"
+#include "banyan/process/operator_api.h"
+
+namespace banyan {
+namespace {
+
+constexpr std::size_t kRingCapacity = 65536;
+constexpr std::size_t kDiskRingCapacity = 65536;
+// How long the core sleeps without input.
+constexpr Span kTick = Millis(5);
+constexpr Span kMaintenanceInterval = Millis(100);
+// How long an operator's command may take.
+constexpr Span kCommandWait = std::chrono::seconds(5);
+constexpr int kApiThreads = 16;
+constexpr std::int64_t kMaxApiBodyBytes = 1 << 20;
+constexpr int kTemporaryRedirect = 307;
+
+ControlOptions OptionsFor(const ControlSettings& settings,
+                          std::uint64_t incarnation) {
+  ControlOptions options;
+  options.raft.self = {settings.id, incarnation};
+  for (const ControlMember& member : settings.members) {
+    options.raft.configured.push_back(member.id);
+  }
+  constexpr int kHeartbeatsPerElection = 8;
+  constexpr int kMarginsPerElection = 10;
+  options.raft.timings.election = settings.election;
+  options.raft.timings.heartbeat = settings.election / kHeartbeatsPerElection;
+  options.raft.timings.drift_margin = settings.election / kMarginsPerElection;
+  options.raft.seed = NewIncarnation();
+  options.lease = settings.lease;
+  options.lease_margin = settings.lease / kMarginsPerElection;
+  options.snapshot_every = settings.snapshot_every;
+  return options;
+}
+
+}  // namespace
+
+ControlProcess::ControlProcess(ControlSettings settings)
+    : settings_(std::move(settings)),
+      inputs_(kRingCapacity),
+      disk_(kDiskRingCapacity) {}
+
+ControlProcess::~ControlProcess() {
+  Stop();
+}
+
+void ControlProcess::Push(Input input) {
+  if (!inputs_.TryPush(std::move(input))) {
+    const Event full = Event(EventId::kRingFull).With("ring", "control-core");
+    WriteEvents({&full, 1});
+  }
+}
+
+bool ControlProcess::Start(Reason& reason) {
+  auto restored = storage_.Open(settings_.data_folder, reason);
+  if (!restored) {
+    return false;
+  }
+  const Event recovered = Event(EventId::kLogRecovered)
+                              .With("snapshot", restored->snapshot.last_index)
+                              .With("entries", restored->entries.size())
+                              .With("term", restored->hard_state.term)
+                              .With("cut_bytes", storage_.cut_bytes());
+  WriteEvents({&recovered, 1});
+  const std::uint64_t incarnation = storage_.incarnation();
+  core_ = std::make_unique<ControlCore>(OptionsFor(settings_, incarnation),
+                                        *std::move(restored),
+                                        MonotonicClock::now());
+  network_ = std::make_unique<PeerNetwork>(
+      settings_.id, incarnation,
+      [this](PeerEvent&& event) { Push(std::move(event)); });
+  if (!network_->Listen(settings_.listen)) {
+    reason = {ErrorKind::kInternal, "can't listen on " + settings_.listen, {}};
+    return false;
+  }
+  // Of each pair of replicas the one with the smaller id makes the connection.
+  for (const ControlMember& member : settings_.members) {
+    if (settings_.id < member.id) {
+      dialled_.insert(member.address);
+    }
+  }
+  network_->Start();
+  disk_thread_ = std::thread([this] { RunDisk(); });
+  core_thread_ = std::thread([this] { RunCore(); });
+  return server_.Start(
+      settings_.api, {kApiThreads, kMaxApiBodyBytes},
+      [this](const HttpCall& call) { return Serve(call); }, reason);
+}
+
+void ControlProcess::Stop() {
+  if (!core_thread_.joinable()) {
+    return;
+  }
+  is_leaving_ = true;
+  Push(LeaveInput{});
+  const Time deadline = MonotonicClock::now() + settings_.drain;
+  while ((leads_ || server_.active() > 0) && MonotonicClock::now() < deadline) {
+    std::this_thread::sleep_for(kTick);
+  }
+  server_.Stop();
+  must_end_ = true;
+  core_thread_.join();
+  disk_.Close();
+  disk_thread_.join();
+  network_->Stop();
+}
+
+HttpReply ControlProcess::Serve(const HttpCall& call) {
+  if (call.path == "/healthz") {
+    if (is_leaving_) {
+      return ErrorReply(ErrorKind::kLeaving, "this replica is stopping");
+    }
+    return {200, "application/json", "{\"status\":\"ok\"}\n", {}};
+  }
+  if (call.path == "/metrics") {
+    return {200, "text/plain; version=0.0.4", metrics_.Render(), {}};
+  }
+  if (call.method == "GET") {
+    auto [ticket, reply] = pending_.Open();
+    return Await(ticket, std::move(reply), ApiQuery{ticket, call.path});
+  }
+  if (call.method != "POST") {
+    return ErrorReply(ErrorKind::kBadRequest, "only GET and POST are served");
+  }
+  Reason reason;
+  auto command = ParseCommand(call.path, call.body, reason);
+  if (!command) {
+    return ErrorReply(reason.kind, reason.text);
+  }
+  auto [ticket, reply] = pending_.Open();
+  return Await(ticket, std::move(reply), ApiCommand{ticket, *command});
+}
+
+HttpReply ControlProcess::Await(std::uint64_t ticket,
+                                std::future<HttpReply> reply,
+                                Input input) {
+  if (!inputs_.TryPush(std::move(input))) {
+    pending_.GiveUp(ticket);
+    return ErrorReply(ErrorKind::kOverloaded, "too many commands wait");
+  }
+  if (reply.wait_for(kCommandWait) != std::future_status::ready) {
+    pending_.GiveUp(ticket);
+    return ErrorReply(
+        ErrorKind::kUnknownOutcome,
+        "no answer in time; resend the command under the same id");
+  }
+  return reply.get();
+}
+
+void ControlProcess::RunDisk() {
+  while (!disk_.drained()) {
+    const std::vector<PersistBatch> batches =
+        disk_.TakeAll(MonotonicClock::now() + kMaintenanceInterval);
+    if (batches.empty()) {
+      continue;
+    }
+    Reason reason;
+    const Time start = MonotonicClock::now();
+    if (!storage_.Write(batches, reason)) {
+      // What the disk holds is not known, so nothing may build on it.
+      LOG(ERROR) << "disk: " << ToString(reason);
+      std::_Exit(kDiskExitCode);
+    }
+    metrics_.Observe("disk_write_seconds", MonotonicClock::now() - start);
+    Push(Persisted{batches.back().seq});
+  }
+}
+
+void ControlProcess::RunCore() {
+  Time next_maintenance = MonotonicClock::now();
+  while (!must_end_) {
+    std::vector<Input> batch = inputs_.TakeAll(MonotonicClock::now() + kTick);
+    for (Input& input : batch) {
+      Take(MonotonicClock::now(), std::move(input));
+    }
+    const Time now = MonotonicClock::now();
+    core_->Tick(now, WallNow());
+    Act(core_->TakeOutputs(now, WallNow()));
+    leads_ = core_->raft().role() == RaftRole::kLeader &&
+             core_->raft().log().membership().voters.size() > 1;
+    if (now >= next_maintenance) {
+      next_maintenance = now + kMaintenanceInterval;
+      network_->Maintain(now, dialled_);
+    }
+  }
+}
+
+void ControlProcess::Take(Time now, Input input) {
+  if (auto* event = std::get_if<PeerEvent>(&input)) {
+    if (event->kind == PeerEvent::Kind::kMessage) {
+      core_->Receive(now, WallNow(), event->sender, event->message);
+    } else if (event->kind == PeerEvent::Kind::kDown) {
+      core_->PeerDown(event->sender.id);
+    }
+  } else if (const auto* persisted = std::get_if<Persisted>(&input)) {
+    core_->OnPersisted(now, persisted->seq);
+  } else if (const auto* command = std::get_if<ApiCommand>(&input)) {
+    core_->Submit(now, WallNow(), command->ticket, command->command);
+  } else if (const auto* query = std::get_if<ApiQuery>(&input)) {
+    Answer(now, *query);
+  } else {
+    core_->Leave(now);
+  }
+}
+
+void ControlProcess::Answer(Time now, const ApiQuery& query) {
+  const std::string& leader = core_->raft().leader();
+  for (const ControlMember& member : settings_.members) {
+    if (member.id == leader && leader != settings_.id) {
+      HttpReply redirect;
+      redirect.status = kTemporaryRedirect;
+      redirect.fields.push_back(
+          {"Location", "http://" + member.api + query.path});
+      pending_.Deliver(query.ticket, std::move(redirect));
+      return;
+    }
+  }
+  HttpReply reply = AnswerQuery(*core_, query.path, now);
+  reply.fields.push_back(
+      {"Banyan-Fresh", core_->raft().IsFresh(now) ? "true" : "false"});
+  pending_.Deliver(query.ticket, std::move(reply));
+}
+
+void ControlProcess::Act(ControlOutputs outputs) {
+  WriteEvents(outputs.events);
+  for (PersistBatch& batch : outputs.persists) {
+    if (!disk_.TryPush(std::move(batch))) {
+      LOG(ERROR) << "disk: the ring of batches is full";
+      std::_Exit(kDiskExitCode);
+    }
+  }
+  for (const Outbound& outbound : outputs.messages) {
+    network_->Send(outbound.to, outbound.message);
+  }
+  for (const LocalAnswer& answer : outputs.answers) {
+    pending_.Deliver(answer.ticket, CommandReplyFor(answer.result));
+  }
+  const ControlState& state = core_->state();
+  metrics_.Set("config_version", static_cast<double>(state.config().version));
+  metrics_.Set("commit_index",
+               static_cast<double>(core_->raft().commit_index()));
+  metrics_.Set("term", static_cast<double>(core_->raft().term()));
+  metrics_.Set("instances", static_cast<double>(state.instances().size()));
+  metrics_.Set("jobs", static_cast<double>(state.jobs().size()));
+  metrics_.Set("sent_bytes", static_cast<double>(network_->sent_bytes()));
+}
+
+}  // namespace banyan
