Keep the leader's lease independent of slow disk writes

A stack trace showed the disk thread in fsync of the data folder (rename over a file; 50 ms each alone, measured, over 1 s with three replicas at once), while every AppendReply, heartbeats included, waited behind that batch. The leader heard no majority for two election spans and stepped down. Ruled out: lost frames (connections stood), a full ring (no E1013), a wrong trim (nothing was trimmed yet).

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -121,6 +121,7 @@
   void SendInstall(const MemberId& to, Progress& progress);
   void Send(const MemberId& to, Message message);
   void SendGated(const MemberId& to, Message message);
+  [[nodiscard]] bool IsTermOnDisk() const noexcept;
   void ResetElectionDeadline(Time now);
   void SetHardState(std::uint64_t term, const MemberId& voted_for);
   [[nodiscard]] bool IsUpToDate(const VoteRequest& request) const noexcept;
@@ -153,6 +154,8 @@
   std::map<std::string, std::pair<MemberId, JoinRequest>> joining_;
   std::uint64_t last_seq_ = 0;
   std::uint64_t persisted_seq_ = 0;
+  // The last batch that held a term or a vote.
+  std::uint64_t hard_state_seq_ = 0;
   std::deque<Unsynced> unsynced_;
   std::uint64_t persisted_index_ = 0;
   std::deque<Gated> gated_;
--- a/include/banyan/consensus/raft_types.h
+++ b/include/banyan/consensus/raft_types.h
@@ -41,6 +41,7 @@
 struct PersistBatch {
   std::uint64_t seq = 0;
   std::optional<HardState> hard_state;
+  // A leader's snapshot that replaces everything before.
   std::optional<Snapshot> snapshot;
   // Entries from this index on are void; 0 means none.
   std::uint64_t truncate_from = 0;
@@ -76,6 +77,9 @@
 struct RaftOutputs {
   std::vector<Outbound> messages;
   std::vector<PersistBatch> persists;
+  // A snapshot of the own state, to be written beside the log; nothing waits
+  // for it.
+  std::optional<Snapshot> compacted;
   // Entries that became committed, in order.
   std::vector<LogEntry> committed;
   // A snapshot that replaces the applied state; comes before `committed`.
--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,6 +38,8 @@
 struct ControlOutputs {
   std::vector<Outbound> messages;
   std::vector<PersistBatch> persists;
+  // A snapshot of the own state, to be written beside the log.
+  std::optional<Snapshot> compacted;
   std::vector<LocalAnswer> answers;
   Events events;
 };
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -59,6 +59,7 @@
                   Input input);
   void RunCore();
   void RunDisk();
+  void RunSnapshots();
   void Take(Time now, Input input);
   void Answer(Time now, const ApiQuery& query);
   void Act(ControlOutputs outputs);
@@ -69,6 +70,7 @@
   std::unique_ptr<ControlCore> core_;
   BoundedRing<Input> inputs_;
   BoundedRing<PersistBatch> disk_;
+  BoundedRing<Snapshot> snapshots_;
   PendingReplies pending_;
   Metrics metrics_;
   std::unique_ptr<PeerNetwork> network_;
@@ -76,6 +78,7 @@
   std::set<std::string> dialled_;
   std::thread core_thread_;
   std::thread disk_thread_;
+  std::thread snapshot_thread_;
   std::atomic<bool> is_leaving_{false};
   std::atomic<bool> leads_{false};
   std::atomic<bool> must_end_{false};
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -110,6 +110,10 @@
   pending_.hard_state = hard_;
 }
 
+bool RaftCore::IsTermOnDisk() const noexcept {
+  return !pending_.hard_state && hard_state_seq_ <= persisted_seq_;
+}
+
 void RaftCore::Send(const MemberId& to, Message message) {
   out_.messages.push_back({to.id, std::move(message)});
 }
@@ -558,7 +562,16 @@
   reply.success = true;
   reply.match_index = request.prev_index + request.entries.size();
   AdvanceCommit(std::min(request.commit, reply.match_index));
-  SendGated(from, reply);
+  // The leader's lease must not depend on how long a disk write takes, so what
+  // is on disk already is confirmed at once.
+  if (IsTermOnDisk()) {
+    AppendReply confirmation = reply;
+    confirmation.match_index = std::min(reply.match_index, persisted_index_);
+    Send(from, confirmation);
+  }
+  if (!IsTermOnDisk() || reply.match_index > persisted_index_) {
+    SendGated(from, reply);
+  }
 }
 
 void RaftCore::AcceptEntries(const std::vector<LogEntry>& entries) {
@@ -714,7 +727,7 @@
     return;
   }
   Snapshot snapshot{applied_index, *term, log_.membership(), std::move(state)};
-  pending_.snapshot = snapshot;
+  out_.compacted = snapshot;
   const std::uint64_t keep_after =
       applied_index > kKeptEntries ? applied_index - kKeptEntries : 0;
   out_.events.push_back(
@@ -744,6 +757,9 @@
   Replicate(now);
   if (!pending_.empty()) {
     pending_.seq = ++last_seq_;
+    if (pending_.hard_state) {
+      hard_state_seq_ = last_seq_;
+    }
     unsynced_.push_back({last_seq_, log_.last_index()});
     out_.persists.push_back(std::move(pending_));
     pending_ = PersistBatch{};
--- a/src/consensus/raft_storage.cc
+++ b/src/consensus/raft_storage.cc
@@ -28,7 +28,7 @@
 // Names of the files in the folder.
 constexpr std::string_view kIncarnationFile = "incarnation";
 constexpr std::string_view kSnapshotFile = "snapshot";
-constexpr std::string_view kLogFile = "log";
+constexpr std::string_view kSegmentPrefix = "log-";
 
 std::uint32_t Crc32(std::string_view bytes) {
   boost::crc_32_type crc;
@@ -156,6 +156,11 @@
   return batch;
 }
 
+// Returns the greatest index that a batch names.
+std::uint64_t LastIndexOf(const PersistBatch& batch) {
+  return batch.entries.empty() ? 0 : batch.entries.back().index;
+}
+
 // Applies a batch to what the folder holds, leaving its snapshot alone.
 void ApplyBatch(const PersistBatch& batch, RestoredLog& log) {
   if (batch.hard_state) {
@@ -192,12 +197,22 @@
   if (log_fd_ >= 0) {
     ::close(log_fd_);
   }
+  if (prepared_) {
+    ::close(prepared_->fd);
+  }
 }
 
 std::string RaftStorage::PathOf(std::string_view name) const {
   return folder_ + "/" + std::string(name);
 }
 
+std::string RaftStorage::SegmentPath(std::uint64_t number) const {
+  constexpr std::size_t kDigits = 8;
+  std::string digits = std::to_string(number);
+  digits.insert(0, kDigits - std::min(kDigits, digits.size()), '0');
+  return PathOf(std::string(kSegmentPrefix) + digits);
+}
+
 std::optional<RestoredLog> RaftStorage::Open(const std::string& folder,
                                              Reason& reason) {
   folder_ = folder;
@@ -207,12 +222,12 @@
   }
   RestoredLog log;
   if (!LoadIncarnation(reason) || !LoadSnapshot(log, reason) ||
-      !LoadRecords(log, reason)) {
+      !LoadSegments(log, reason)) {
     return std::nullopt;
   }
-  held_ = log;
-  // The storage needs the tail only; the core keeps the state.
-  held_.snapshot.state.clear();
+  DropCoveredEntries(log);
+  hard_state_ = log.hard_state;
+  snapshot_index_ = log.snapshot.last_index;
   return log;
 }
 
@@ -226,8 +241,8 @@
     }
     return true;
   }
-  if (std::filesystem::exists(PathOf(kLogFile)) ||
-      std::filesystem::exists(PathOf(kSnapshotFile))) {
+  if (!std::filesystem::is_empty(folder_) &&
+      !std::filesystem::exists(path + ".new")) {
     reason = {ErrorKind::kCorruptLog, path + " is missing", {}};
     return false;
   }
@@ -253,8 +268,6 @@
     value.at("last_term").get_to(log.snapshot.last_term);
     value.at("membership").get_to(log.snapshot.membership);
     value.at("state").get_to(log.snapshot.state);
-    value.at("hard").at(0).get_to(log.hard_state.term);
-    value.at("hard").at(1).get_to(log.hard_state.voted_for);
   } catch (const json::exception& error) {
     reason = {ErrorKind::kCorruptLog, path + ": " + error.what(), {}};
     return false;
@@ -262,20 +275,57 @@
   return true;
 }
 
-bool RaftStorage::LoadRecords(RestoredLog& log, Reason& reason) {
-  const std::string path = PathOf(kLogFile);
-  log_fd_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
+bool RaftStorage::LoadSegments(RestoredLog& log, Reason& reason) {
+  for (const auto& item : std::filesystem::directory_iterator(folder_)) {
+    const std::string name = item.path().filename().string();
+    if (name.starts_with(kSegmentPrefix)) {
+      segments_.push_back(
+          {std::strtoull(&name[kSegmentPrefix.size()], nullptr, 10), 0});
+    }
+  }
+  std::sort(
+      segments_.begin(), segments_.end(),
+      [](const Segment& a, const Segment& b) { return a.number < b.number; });
+  // A segment that was prepared but not written to is empty, so the record
+  // before it may be the last one.
+  std::size_t last = segments_.size();
+  while (last > 0 && std::filesystem::file_size(
+                         SegmentPath(segments_[last - 1].number)) == 0) {
+    --last;
+  }
+  for (std::size_t i = 0; i < segments_.size(); ++i) {
+    if (!LoadSegment(segments_[i], i + 1 >= last, log, reason)) {
+      return false;
+    }
+  }
+  if (segments_.empty()) {
+    segments_.push_back({1, 0});
+    log_fd_ = CreateSegment(1, reason);
+  } else {
+    log_fd_ = ::open(SegmentPath(segments_.back().number).c_str(),
+                     O_RDWR | O_APPEND | O_CLOEXEC);
+  }
+  next_segment_ = segments_.back().number + 1;
   if (log_fd_ < 0) {
-    reason = DiskError("can't open " + path);
+    reason = DiskError("can't open the log in " + folder_);
     return false;
   }
+  return true;
+}
+
+bool RaftStorage::LoadSegment(Segment& segment,
+                              bool is_last,
+                              RestoredLog& log,
+                              Reason& reason) {
+  const std::string path = SegmentPath(segment.number);
   const std::string bytes = ReadFile(path);
   std::string_view rest = bytes;
   while (!rest.empty()) {
     std::string_view payload;
     const RecordState state = Inspect(rest, payload);
     const std::size_t offset = bytes.size() - rest.size();
-    if (state == RecordState::kCorrupt) {
+    if (state == RecordState::kCorrupt ||
+        (state == RecordState::kTorn && !is_last)) {
       reason = {ErrorKind::kCorruptLog,
                 "bad record at byte " + std::to_string(offset) + " of " + path,
                 {}};
@@ -283,16 +333,23 @@
     }
     if (state == RecordState::kTorn) {
       cut_bytes_ = rest.size();
-      if (::ftruncate(log_fd_, static_cast<off_t>(offset)) != 0 ||
-          ::fsync(log_fd_) != 0) {
+      const int fd = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
+      const bool is_cut = fd >= 0 &&
+                          ::ftruncate(fd, static_cast<off_t>(offset)) == 0 &&
+                          ::fsync(fd) == 0;
+      if (fd >= 0) {
+        ::close(fd);
+      }
+      if (!is_cut) {
         reason = DiskError("can't cut the torn end of " + path);
-        return false;
       }
-      break;
+      return is_cut;
     }
     try {
-      for (const json& batch : json::from_cbor(payload)) {
-        ApplyBatch(BatchFromJson(batch), log);
+      for (const json& item : json::from_cbor(payload)) {
+        const PersistBatch batch = BatchFromJson(item);
+        segment.last_index = std::max(segment.last_index, LastIndexOf(batch));
+        ApplyBatch(batch, log);
       }
     } catch (const json::exception& error) {
       reason = {ErrorKind::kCorruptLog, path + ": " + error.what(), {}};
@@ -300,25 +357,6 @@
     }
     rest.remove_prefix(kHeaderBytes + payload.size());
   }
-  DropCoveredEntries(log);
-  if (::lseek(log_fd_, 0, SEEK_END) < 0 || !SyncFolder(folder_)) {
-    reason = DiskError("can't seek in " + path);
-    return false;
-  }
-  return true;
-}
-
-bool RaftStorage::AppendRecord(std::span<const PersistBatch> batches,
-                               Reason& reason) {
-  json record = json::array();
-  for (const PersistBatch& batch : batches) {
-    record.push_back(BatchToJson(batch));
-    ApplyBatch(batch, held_);
-  }
-  if (!WriteAndSync(log_fd_, Frame(ToCbor(record)))) {
-    reason = DiskError("can't write " + PathOf(kLogFile));
-    return false;
-  }
   return true;
 }
 
@@ -343,58 +381,104 @@
   return true;
 }
 
-bool RaftStorage::StartNewLog(Reason& reason) {
-  PersistBatch tail;
-  tail.hard_state = held_.hard_state;
-  tail.entries = held_.entries;
-  const std::string record = Frame(ToCbor(json::array({BatchToJson(tail)})));
-  if (!WriteFile(std::string(kLogFile), record, reason)) {
+int RaftStorage::CreateSegment(std::uint64_t number, Reason& reason) {
+  const std::string path = SegmentPath(number);
+  const int fd =
+      ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+  if (fd < 0 || ::fsync(fd) != 0 || !SyncFolder(folder_)) {
+    reason = DiskError("can't create " + path);
+    if (fd >= 0) {
+      ::close(fd);
+    }
+    return -1;
+  }
+  return fd;
+}
+
+bool RaftStorage::WriteSnapshot(const Snapshot& snapshot, Reason& reason) {
+  const json value = {{"last_index", snapshot.last_index},
+                      {"last_term", snapshot.last_term},
+                      {"membership", snapshot.membership},
+                      {"state", snapshot.state}};
+  return WriteFile(std::string(kSnapshotFile), Frame(ToCbor(value)), reason);
+}
+
+bool RaftStorage::Compact(const Snapshot& snapshot, Reason& reason) {
+  const std::lock_guard lock(mutex_);
+  if (snapshot.last_index <= snapshot_index_) {
+    return true;
+  }
+  if (!WriteSnapshot(snapshot, reason)) {
     return false;
   }
-  ::close(log_fd_);
-  log_fd_ = ::open(PathOf(kLogFile).c_str(), O_RDWR | O_APPEND | O_CLOEXEC);
-  if (log_fd_ < 0) {
-    reason = DiskError("can't open " + PathOf(kLogFile));
+  snapshot_index_ = snapshot.last_index;
+  if (prepared_) {
+    // The disk thread has written nothing since the last snapshot.
+    prepared_->covered_index = snapshot.last_index;
+    return true;
+  }
+  const std::uint64_t number = next_segment_++;
+  const int fd = CreateSegment(number, reason);
+  if (fd < 0) {
     return false;
   }
+  prepared_ = Prepared{fd, number, snapshot.last_index};
   return true;
 }
 
-bool RaftStorage::Write(std::span<const PersistBatch> batches, Reason& reason) {
-  while (!batches.empty()) {
-    const auto snapshot = std::find_if(
-        batches.begin(), batches.end(),
-        [](const PersistBatch& batch) { return batch.snapshot.has_value(); });
-    const auto plain = static_cast<std::size_t>(snapshot - batches.begin());
-    if (plain > 0 && !AppendRecord(batches.first(plain), reason)) {
-      return false;
+void RaftStorage::AdoptPreparedSegment() {
+  std::optional<Prepared> prepared;
+  {
+    const std::unique_lock lock(mutex_, std::try_to_lock);
+    if (!lock.owns_lock() || !prepared_) {
+      return;
     }
-    batches = batches.subspan(plain);
-    if (!batches.empty()) {
-      if (!WriteSnapshot(batches.front(), reason)) {
+    prepared.swap(prepared_);
+  }
+  ::close(log_fd_);
+  log_fd_ = prepared->fd;
+  segments_.push_back({prepared->number, 0});
+  must_repeat_hard_state_ = true;
+  DropCoveredSegments(prepared->covered_index);
+}
+
+void RaftStorage::DropCoveredSegments(std::uint64_t covered_index) {
+  // The newest full segment stays until the new one holds the hard state.
+  while (segments_.size() > 2 &&
+         segments_.front().last_index <= covered_index) {
+    ::unlink(SegmentPath(segments_.front().number).c_str());
+    segments_.pop_front();
+  }
+}
+
+bool RaftStorage::Write(std::span<const PersistBatch> batches, Reason& reason) {
+  AdoptPreparedSegment();
+  json record = json::array();
+  if (must_repeat_hard_state_) {
+    PersistBatch repeated;
+    repeated.hard_state = hard_state_;
+    record.push_back(BatchToJson(repeated));
+    must_repeat_hard_state_ = false;
+  }
+  for (const PersistBatch& batch : batches) {
+    if (batch.snapshot) {
+      // The snapshot is on disk before the record that voids the old entries.
+      const std::lock_guard lock(mutex_);
+      if (!WriteSnapshot(*batch.snapshot, reason)) {
         return false;
       }
-      batches = batches.subspan(1);
+      snapshot_index_ = batch.snapshot->last_index;
     }
+    hard_state_ = batch.hard_state.value_or(hard_state_);
+    Segment& segment = segments_.back();
+    segment.last_index = std::max(segment.last_index, LastIndexOf(batch));
+    record.push_back(BatchToJson(batch));
+  }
+  if (!WriteAndSync(log_fd_, Frame(ToCbor(record)))) {
+    reason = DiskError("can't write the log in " + folder_);
+    return false;
   }
   return true;
 }
 
-bool RaftStorage::WriteSnapshot(const PersistBatch& batch, Reason& reason) {
-  const Snapshot& snapshot = *batch.snapshot;
-  ApplyBatch(batch, held_);
-  held_.snapshot.last_index = snapshot.last_index;
-  std::erase_if(held_.entries, [&](const LogEntry& entry) {
-    return entry.index <= snapshot.last_index;
-  });
-  const json value = {
-      {"last_index", snapshot.last_index},
-      {"last_term", snapshot.last_term},
-      {"membership", snapshot.membership},
-      {"state", snapshot.state},
-      {"hard", {held_.hard_state.term, held_.hard_state.voted_for}}};
-  return WriteFile(std::string(kSnapshotFile), Frame(ToCbor(value)), reason) &&
-         StartNewLog(reason);
-}
-
 }  // namespace banyan
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -573,6 +573,7 @@
   std::move(raft.messages.begin(), raft.messages.end(),
             std::back_inserter(out_.messages));
   out_.persists = std::move(raft.persists);
+  out_.compacted = std::move(raft.compacted);
   // What waited for a leader that is gone is repeated by its sender.
   RelayUp up = std::exchange(up_, {});
   const bool has_other_leader =
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kRingCapacity = 65536;
 constexpr std::size_t kDiskRingCapacity = 65536;
+constexpr std::size_t kSnapshotRingCapacity = 1;
 // How long the core sleeps without input.
 constexpr Span kTick = Millis(5);
 constexpr Span kMaintenanceInterval = Millis(100);
@@ -47,7 +48,8 @@
 ControlProcess::ControlProcess(ControlSettings settings)
     : settings_(std::move(settings)),
       inputs_(kRingCapacity),
-      disk_(kDiskRingCapacity) {}
+      disk_(kDiskRingCapacity),
+      snapshots_(kSnapshotRingCapacity) {}
 
 ControlProcess::~ControlProcess() {
   Stop();
@@ -90,6 +92,7 @@
   }
   network_->Start();
   disk_thread_ = std::thread([this] { RunDisk(); });
+  snapshot_thread_ = std::thread([this] { RunSnapshots(); });
   core_thread_ = std::thread([this] { RunCore(); });
   return server_.Start(
       settings_.api, {kApiThreads, kMaxApiBodyBytes},
@@ -111,6 +114,8 @@
   core_thread_.join();
   disk_.Close();
   disk_thread_.join();
+  snapshots_.Close();
+  snapshot_thread_.join();
   network_->Stop();
 }
 
@@ -175,6 +180,21 @@
   }
 }
 
+void ControlProcess::RunSnapshots() {
+  Snapshot snapshot;
+  while (!snapshots_.drained()) {
+    if (!snapshots_.TakeOne(snapshot,
+                            MonotonicClock::now() + kMaintenanceInterval)) {
+      continue;
+    }
+    Reason reason;
+    if (!storage_.Compact(snapshot, reason)) {
+      LOG(ERROR) << "snapshot: " << ToString(reason);
+      std::_Exit(kDiskExitCode);
+    }
+  }
+}
+
 void ControlProcess::RunCore() {
   Time next_maintenance = MonotonicClock::now();
   while (!must_end_) {
@@ -238,6 +258,10 @@
       std::_Exit(kDiskExitCode);
     }
   }
+  if (outputs.compacted && !snapshots_.TryPush(*std::move(outputs.compacted))) {
+    // The one before is still being written; the next one will do.
+    metrics_.Count("snapshots_skipped");
+  }
   for (const Outbound& outbound : outputs.messages) {
     network_->Send(outbound.to, outbound.message);
   }
