--- a/include/banyan/control/scheduler.h
+++ b/include/banyan/control/scheduler.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,6 +12,8 @@
 #include "banyan/control/control_state.h"
 #include "banyan/control/load_table.h"
 #include "banyan/control/placement.h"
+#include "banyan/control/pressure.h"
+#include "banyan/wire/preset.h"
 
 namespace banyan {
 
@@ -30,10 +33,37 @@
   Events events;
 };
 
+// What a scheduler decides by.
+template <typename P>
+concept SchedulerPolicies = PlacementPolicy<typename P::Placement> &&
+    PressurePolicy<typename P::Pressure> && requires(const Preset& preset) {
+  { P::MakePlacement(preset) } -> std::same_as<typename P::Placement>;
+};
+
+// The product's policies.
+struct ProductPolicies {
+  using Placement = ScoredPlacement;
+  using Pressure = HysteresisPressure;
+  [[nodiscard]] static Placement MakePlacement(const Preset& preset) {
+    return ScoredPlacement(
+        static_cast<double>(preset.batch_cpu_ceiling_percent));
+  }
+};
+
+// Baseline: first fit, and eviction at the first sign of pressure.
+struct BaselinePolicies {
+  using Placement = FirstFitPlacement;
+  using Pressure = EvictAtOnce;
+  [[nodiscard]] static Placement MakePlacement(const Preset& /*preset*/) {
+    return {};
+  }
+};
+
 // The leader's decisions on batch work: which job starts next and where, and
 // which task must leave. It is soft state; what it decides becomes true only
 // through the log.
-class Scheduler {
+template <SchedulerPolicies Policies>
+class BasicScheduler {
  public:
   // Forgets everything; a new leader starts with what the state tells.
   void Reset(Time now, const ControlState& state, Span lease);
@@ -87,6 +117,8 @@
                          const Heartbeat& heartbeat);
   void PlaceQueued(Time now, const ControlState& state, SchedulerOutputs& out);
   void DrainOut(Time now, const ControlState& state, SchedulerOutputs& out);
+  [[nodiscard]] std::optional<TaskId> WorstTask(const ControlState& state,
+                                                const Instance& instance) const;
   void RelievePressure(Time now,
                        const ControlState& state,
                        SchedulerOutputs& out);
@@ -110,6 +142,12 @@
   Time last_refill_;
 };
 
+// The scheduler that the product runs.
+using Scheduler = BasicScheduler<ProductPolicies>;
+
+extern template class BasicScheduler<ProductPolicies>;
+extern template class BasicScheduler<BaselinePolicies>;
+
 }  // namespace banyan
 
 #endif  // BANYAN_CONTROL_SCHEDULER_H_
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -16,11 +16,7 @@
 constexpr double kDrainShare = 0.5;
 // How long an eviction may take before it is ordered again.
 constexpr Span kEvictRetry = std::chrono::seconds(5);
-// Successive reports above the mark before a throttle, and before an eviction.
-constexpr int kThrottleAfterReports = 2;
-constexpr int kEvictAfterReports = 5;
-// Successive reports below the lower mark before a throttle is released.
-constexpr int kReleaseAfterReports = 3;
+// A report this far below the mark counts as well below it.
 constexpr std::int64_t kReleaseBelowPercent = 15;
 // Decay of the estimate for tasks that no report has shown yet.
 constexpr double kUnreportedDecay = 0.5;
@@ -44,17 +40,21 @@
 
 }  // namespace
 
-void Scheduler::Reset(Time now, const ControlState& state, Span lease) {
-  *this = Scheduler();
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::Reset(Time now,
+                                     const ControlState& state,
+                                     Span lease) {
+  *this = BasicScheduler();
   last_refill_ = now;
   for (const auto& [id, instance] : state.instances()) {
     OnRegistered(now, instance, now + lease);
   }
 }
 
-void Scheduler::OnRegistered(Time now,
-                             const Instance& instance,
-                             Time lease_deadline) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::OnRegistered(Time now,
+                                            const Instance& instance,
+                                            Time lease_deadline) {
   InstanceLoad& load = loads_[instance.info.id];
   if (load.incarnation != instance.info.incarnation) {
     load = InstanceLoad{};
@@ -67,16 +67,18 @@
   }
 }
 
-void Scheduler::OnRemoved(const std::string& instance) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::OnRemoved(const std::string& instance) {
   loads_.erase(instance);
 }
 
-void Scheduler::OnHeartbeat(Time now,
-                            const ControlState& state,
-                            const std::string& instance,
-                            std::uint64_t incarnation,
-                            const Heartbeat& heartbeat,
-                            Time lease_deadline) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::OnHeartbeat(Time now,
+                                           const ControlState& state,
+                                           const std::string& instance,
+                                           std::uint64_t incarnation,
+                                           const Heartbeat& heartbeat,
+                                           Time lease_deadline) {
   InstanceLoad& load = loads_[instance];
   load.incarnation = incarnation;
   load.lease_deadline = std::max(load.lease_deadline, lease_deadline);
@@ -103,9 +105,10 @@
   }
 }
 
-void Scheduler::LearnInterference(const ControlState& state,
-                                  const Instance& endpoint,
-                                  const Heartbeat& heartbeat) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::LearnInterference(const ControlState& state,
+                                                 const Instance& endpoint,
+                                                 const Heartbeat& heartbeat) {
   const std::string& service = endpoint.info.service;
   const double slowdown = baseline_.Observe(service, heartbeat.latency_us);
   const Instance* host = state.FindInstance(endpoint.info.host);
@@ -119,8 +122,9 @@
   interference_.Learn(service, kinds, slowdown);
 }
 
-double Scheduler::InterferenceOn(const std::string& worker,
-                                 const std::string& kind) const {
+template <SchedulerPolicies Policies>
+double BasicScheduler<Policies>::InterferenceOn(const std::string& worker,
+                                                const std::string& kind) const {
   const auto found = services_on_.find(worker);
   if (found == services_on_.end()) {
     return 1.0;
@@ -132,10 +136,11 @@
   return worst;
 }
 
-void Scheduler::OnTaskEnd(Time now,
-                          const Job& job,
-                          const EndTask& end,
-                          Events& events) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::OnTaskEnd(Time now,
+                                         const Job& job,
+                                         const EndTask& end,
+                                         Events& events) {
   evicting_.erase(end.task.job);
   switch (end.end) {
     case TaskEnd::kFinished:
@@ -158,9 +163,10 @@
   }
 }
 
-void Scheduler::OnPlaced(const PlaceTask& placed,
-                         bool accepted,
-                         const JobSpec& spec) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::OnPlaced(const PlaceTask& placed,
+                                        bool accepted,
+                                        const JobSpec& spec) {
   if (placing_.erase(placed.task.job) == 0) {
     return;
   }
@@ -173,7 +179,8 @@
   }
 }
 
-std::vector<WorkerView> Scheduler::ViewWorkers(
+template <SchedulerPolicies Policies>
+std::vector<WorkerView> BasicScheduler<Policies>::ViewWorkers(
     Time now,
     const ControlState& state) const {
   std::vector<WorkerView> views;
@@ -208,7 +215,8 @@
   return views;
 }
 
-void Scheduler::RefillBudgets(Time now, const Preset& preset) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::RefillBudgets(Time now, const Preset& preset) {
   const double seconds =
       std::chrono::duration<double>(now - last_refill_).count();
   const auto rate = static_cast<double>(preset.starts_per_second);
@@ -220,9 +228,10 @@
 
 // One round of placement: the workers as they are at present, and the teams
 // whose turn it is in order of what they use.
-class Scheduler::PlacementRound {
+template <SchedulerPolicies Policies>
+class BasicScheduler<Policies>::PlacementRound {
  public:
-  PlacementRound(Scheduler& scheduler,
+  PlacementRound(BasicScheduler& scheduler,
                  Time now,
                  const ControlState& state,
                  SchedulerOutputs& out)
@@ -231,8 +240,7 @@
         state_(state),
         out_(out),
         workers_(scheduler.ViewWorkers(now, state)),
-        policy_(static_cast<double>(state.preset().batch_cpu_ceiling_percent)) {
-  }
+        policy_(Policies::MakePlacement(state.preset())) {}
 
   void Run() {
     for (const auto& [name, queue] : state_.queues()) {
@@ -383,27 +391,29 @@
     workers_.erase(best);
   }
 
-  Scheduler& scheduler_;
+  BasicScheduler& scheduler_;
   Time now_;
   const ControlState& state_;
   SchedulerOutputs& out_;
   std::vector<WorkerView> workers_;
-  ScoredPlacement policy_;
+  typename Policies::Placement policy_;
   std::priority_queue<TeamTurn> turns_;
   std::size_t kept_ = 0;
 };
 
-void Scheduler::PlaceQueued(Time now,
-                            const ControlState& state,
-                            SchedulerOutputs& out) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::PlaceQueued(Time now,
+                                           const ControlState& state,
+                                           SchedulerOutputs& out) {
   if (!state.queues().empty() && start_budget_ >= 1) {
     PlacementRound(*this, now, state, out).Run();
   }
 }
 
-void Scheduler::DrainOut(Time now,
-                         const ControlState& state,
-                         SchedulerOutputs& out) {
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::DrainOut(Time now,
+                                        const ControlState& state,
+                                        SchedulerOutputs& out) {
   for (const auto& [id, instance] : state.instances()) {
     const bool must_leave =
         state.IsOut(instance.info.data_centre) || instance.info.leaving;
@@ -430,68 +440,82 @@
   }
 }
 
-void Scheduler::RelievePressure(Time now,
-                                const ControlState& state,
-                                SchedulerOutputs& out) {
+template <SchedulerPolicies Policies>
+std::optional<TaskId> BasicScheduler<Policies>::WorstTask(
+    const ControlState& state,
+    const Instance& instance) const {
+  // The worst pair goes first; among equals the one that needs the most.
+  std::optional<TaskId> worst;
+  double worst_cost = -1;
+  for (const std::string& key : instance.jobs) {
+    const Job& job = state.jobs().at(key);
+    if (evicting_.contains(key) || job.spec.urgent) {
+      continue;
+    }
+    const double cost =
+        (InterferenceOn(instance.info.id, job.spec.kind) - 1) * kPercent +
+        static_cast<double>(job.spec.needs.cpu_millis) /
+            static_cast<double>(instance.info.capacity.cpu_millis);
+    if (cost > worst_cost) {
+      worst = TaskId{key, job.attempt};
+      worst_cost = cost;
+    }
+  }
+  return worst;
+}
+
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::RelievePressure(Time now,
+                                               const ControlState& state,
+                                               SchedulerOutputs& out) {
+  const typename Policies::Pressure policy;
   for (auto& [id, load] : loads_) {
     const Instance* instance = state.FindInstance(id);
     if (instance == nullptr || instance->jobs.empty()) {
       load.throttled.clear();
       continue;
     }
-    if (load.reports_below >= kReleaseAfterReports && !load.throttled.empty()) {
-      out.orders.push_back({TaskOrder::Kind::kRelease, *load.throttled.begin(),
-                            id, "pressure gone"});
-      load.throttled.erase(load.throttled.begin());
-      load.reports_below = 0;
+    const bool is_quiet = load.reports_above == 0 && load.throttled.empty();
+    if (is_quiet) {
       continue;
     }
-    if (load.reports_above < kThrottleAfterReports) {
-      continue;
+    const std::optional<TaskId> victim = WorstTask(state, *instance);
+    PressureView view;
+    view.reports_above = victim ? load.reports_above : 0;
+    view.reports_below = load.reports_below;
+    view.has_throttled = !load.throttled.empty();
+    view.is_victim_throttled = victim && load.throttled.contains(*victim);
+    view.is_cooled_down = now >= load.next_eviction;
+    switch (policy.Step(view)) {
+      case PressureStep::kNothing:
+        break;
+      case PressureStep::kRelease:
+        out.orders.push_back({TaskOrder::Kind::kRelease,
+                              *load.throttled.begin(), id, "pressure gone"});
+        load.throttled.erase(load.throttled.begin());
+        load.reports_below = 0;
+        break;
+      case PressureStep::kThrottle:
+        out.orders.push_back(
+            {TaskOrder::Kind::kThrottle, *victim, id, "pressure"});
+        load.throttled.insert(*victim);
+        load.reports_above = 0;
+        break;
+      case PressureStep::kEvict:
+        out.orders.push_back(
+            {TaskOrder::Kind::kEvict, *victim, id, "lasting pressure"});
+        load.next_eviction = now + Millis(state.preset().evict_cooldown_ms);
+        load.reports_above = 0;
+        load.throttled.erase(*victim);
+        evicting_[victim->job] = now + kEvictRetry;
+        break;
     }
-    // The worst pair goes first; among equals the one that needs the most.
-    const Job* worst = nullptr;
-    std::string worst_key;
-    double worst_cost = -1;
-    for (const std::string& key : instance->jobs) {
-      const Job& job = state.jobs().at(key);
-      const bool is_handled = evicting_.contains(key) || job.spec.urgent;
-      if (is_handled) {
-        continue;
-      }
-      const double cost =
-          (InterferenceOn(id, job.spec.kind) - 1) * kPercent +
-          static_cast<double>(job.spec.needs.cpu_millis) /
-              static_cast<double>(instance->info.capacity.cpu_millis);
-      if (cost > worst_cost) {
-        worst = &job;
-        worst_key = key;
-        worst_cost = cost;
-      }
-    }
-    if (worst == nullptr) {
-      continue;
-    }
-    const TaskId task{worst_key, worst->attempt};
-    if (!load.throttled.contains(task)) {
-      load.throttled.insert(task);
-      load.reports_above = 0;
-      out.orders.push_back({TaskOrder::Kind::kThrottle, task, id, "pressure"});
-      continue;
-    }
-    if (load.reports_above < kEvictAfterReports || now < load.next_eviction) {
-      continue;
-    }
-    load.next_eviction = now + Millis(state.preset().evict_cooldown_ms);
-    load.reports_above = 0;
-    load.throttled.erase(task);
-    evicting_[worst_key] = now + kEvictRetry;
-    out.orders.push_back(
-        {TaskOrder::Kind::kEvict, task, id, "lasting pressure"});
   }
 }
 
-SchedulerOutputs Scheduler::Decide(Time now, const ControlState& state) {
+template <SchedulerPolicies Policies>
+SchedulerOutputs BasicScheduler<Policies>::Decide(Time now,
+                                                  const ControlState& state) {
   SchedulerOutputs out;
   RefillBudgets(now, state.preset());
   DrainOut(now, state, out);
@@ -509,8 +533,10 @@
   return out;
 }
 
-std::vector<RemoveInstance> Scheduler::TakeExpired(Time now,
-                                                   const ControlState& state) {
+template <SchedulerPolicies Policies>
+std::vector<RemoveInstance> BasicScheduler<Policies>::TakeExpired(
+    Time now,
+    const ControlState& state) {
   std::vector<RemoveInstance> expired;
   for (auto& [id, load] : loads_) {
     if (load.is_removing || load.lease_deadline > now ||
@@ -523,4 +549,7 @@
   return expired;
 }
 
+template class BasicScheduler<ProductPolicies>;
+template class BasicScheduler<BaselinePolicies>;
+
 }  // namespace banyan
