Routing weighs latency together with load

Cause: two random endpoints were compared by requests per slot alone; a noisy executor that is five times slower looks as free as another until its slots fill up. Change: the cost is latency times one plus the requests per slot.

--- a/src/routing/endpoint_pool.cc
+++ b/src/routing/endpoint_pool.cc
@@ -10,17 +10,23 @@
 constexpr double kFirstLimitPerSlot = 2;
 constexpr double kLeastLimit = 1;
 constexpr double kLimitFallFactor = 0.8;
+// An endpoint without answers yet counts as this quick.
+constexpr Span kLeastLatency = Millis(1);
 // What a remote data centre costs more than the own one.
 constexpr Span kRemotePenalty = Millis(1);
 
+// What one more request costs at an endpoint: its latency, and as much again
+// for each request per slot that is under way.
+double CostOf(const EndpointView& endpoint) {
+  const Span latency = std::max(endpoint.latency, kLeastLatency);
+  return static_cast<double>(latency.count()) * (1 + endpoint.Utilisation());
+}
+
 const EndpointView* BetterOfTwo(std::span<const EndpointView* const> choices,
                                 Random& random) {
   const EndpointView* first = choices[random.Below(choices.size())];
   const EndpointView* second = choices[random.Below(choices.size())];
-  if (first->Utilisation() != second->Utilisation()) {
-    return first->Utilisation() < second->Utilisation() ? first : second;
-  }
-  return first->latency <= second->latency ? first : second;
+  return CostOf(*first) <= CostOf(*second) ? first : second;
 }
 
 bool Contains(std::span<const std::string> items, const std::string& item) {
