Batch work under pressure: one share for a worker, and headroom for services

Cause: a worker under pressure had its tasks throttled one at a time, each two reports apart, so a wave of 4 s was over before the throttle told; placement went by the last report and filled a worker as soon as a throttle or a lull made it look idle. Tried first: halving all batch tasks of a worker at once, alone. Change: with it, expected use is what the services use, a share of the way to their recent peak (a knob of the preset), and all that is committed at the ratio at which tasks really use what they declare. The knob lets each user choose.

--- a/include/banyan/control/load_table.h
+++ b/include/banyan/control/load_table.h
@@ -23,16 +23,21 @@
   std::int64_t cpu_percent = 0;
   std::int64_t latency_us = 0;
   bool is_removing = false;
-  // Processor share of tasks placed since the last reports, in percent.
-  double unreported_percent = 0;
+  // Processor use of the services alone, now and at its recent peak.
+  double service_percent = 0;
+  double service_peak_percent = 0;
+  // What batch tasks really use of what they declared.
+  double batch_ratio = 1;
   // Tasks that the last report named.
   std::set<TaskId> reported;
   // Successive reports above the pressure mark, and below its lower end.
   int reports_above = 0;
   int reports_below = 0;
   Time next_eviction;
-  // Tasks under a throttle.
-  std::set<TaskId> throttled;
+  // Successive reports of a service on this worker that it is slow.
+  int slow_reports = 0;
+  // The share of a processor that each batch task here may use, in percent.
+  std::int64_t batch_share = 100;
 };
 
 // Learned slow-down of services by the kind of batch work beside them.
--- a/include/banyan/control/placement.h
+++ b/include/banyan/control/placement.h
@@ -25,6 +25,8 @@
   // Expected processor use in percent: the lagging report plus an estimate for
   // tasks placed since.
   double cpu_percent = 0;
+  // Whether its batch tasks have less than their full share at present.
+  bool is_throttled = false;
   // Tasks that it runs.
   std::size_t tasks = 0;
   // Learned slow-down that the job's kind causes to services here; 1 is none.
@@ -50,7 +52,9 @@
   [[nodiscard]] std::optional<double> Cost(const JobSpec& job,
                                            const WorkerView& worker) const {
     const double cpu_after = worker.cpu_percent + CpuShare(job, worker);
-    if (!job.urgent && cpu_after > cpu_ceiling_percent_) {
+    const bool is_full =
+        worker.is_throttled || cpu_after > cpu_ceiling_percent_;
+    if (!job.urgent && is_full) {
       return std::nullopt;
     }
     // Slow-down weighs like load: twice as slow costs as much as a full worker.
--- a/include/banyan/control/scheduler.h
+++ b/include/banyan/control/scheduler.h
@@ -19,11 +19,13 @@
 
 // An order that the scheduler gives for a running task.
 struct TaskOrder {
-  enum class Kind : std::uint8_t { kEvict, kThrottle, kRelease };
+  enum class Kind : std::uint8_t { kEvict, kThrottle };
   Kind kind = Kind::kEvict;
   TaskId task;
   std::string worker;
   std::string cause;
+  // The share of a processor that is left to the task, in percent.
+  std::int64_t share = 100;
 };
 
 // What one scheduling round decided.
@@ -112,6 +114,16 @@
       const ControlState& state) const;
   [[nodiscard]] double InterferenceOn(const std::string& worker,
                                       const std::string& kind) const;
+  void LearnUse(const ControlState& state,
+                const Instance& worker,
+                const Heartbeat& heartbeat,
+                InstanceLoad& load) const;
+  // The processor use that a worker will come to, in percent, when all that is
+  // committed on it runs and its services take their headroom.
+  [[nodiscard]] static double ExpectedPercent(const Preset& preset,
+                                              const Instance& worker,
+                                              const InstanceLoad& load,
+                                              std::int64_t placing);
   void LearnInterference(const ControlState& state,
                          const Instance& endpoint,
                          const Heartbeat& heartbeat);
@@ -119,6 +131,11 @@
   void DrainOut(Time now, const ControlState& state, SchedulerOutputs& out);
   [[nodiscard]] std::optional<TaskId> WorstTask(const ControlState& state,
                                                 const Instance& instance) const;
+  void SetBatchShare(const ControlState& state,
+                     const Instance& instance,
+                     InstanceLoad& load,
+                     std::int64_t share,
+                     SchedulerOutputs& out);
   void RelievePressure(Time now,
                        const ControlState& state,
                        SchedulerOutputs& out);
--- a/include/banyan/wire/preset.h
+++ b/include/banyan/wire/preset.h
@@ -24,6 +24,9 @@
   std::int64_t eject_rest_ms = 3000;
   // Batch placement stops on a worker above this processor use, in percent.
   std::int64_t batch_cpu_ceiling_percent = 85;
+  // How much of the way from a service's present use to its recent peak is
+  // kept free for it, in percent.
+  std::int64_t service_headroom_percent = 50;
   // Above this use a batch task is throttled and in the end evicted.
   std::int64_t pressure_percent = 95;
   // The least span between two evictions on one worker.
@@ -54,6 +57,7 @@
     {"eject_max_percent", &Preset::eject_max_percent, 0, 90},
     {"eject_rest_ms", &Preset::eject_rest_ms, 100, 600000},
     {"batch_cpu_ceiling_percent", &Preset::batch_cpu_ceiling_percent, 1, 100},
+    {"service_headroom_percent", &Preset::service_headroom_percent, 0, 100},
     {"pressure_percent", &Preset::pressure_percent, 1, 100},
     {"evict_cooldown_ms", &Preset::evict_cooldown_ms, 0, 600000},
     {"starts_per_second", &Preset::starts_per_second, 1, 10000},
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -13,9 +13,6 @@
 // A placed task that its agent does not report after this long is ordered
 // again.
 constexpr WallMillis kResendStartMs = 1000;
-// The processor share of a throttled task, in percent.
-constexpr std::int64_t kThrottlePercent = 50;
-constexpr std::int64_t kFullPercent = 100;
 
 }  // namespace
 
@@ -414,11 +411,7 @@
         SendToAttached(order.worker, StopTask{order.task, true, order.cause});
         break;
       case TaskOrder::Kind::kThrottle:
-        SendToAttached(order.worker,
-                       ThrottleTask{order.task, kThrottlePercent});
-        break;
-      case TaskOrder::Kind::kRelease:
-        SendToAttached(order.worker, ThrottleTask{order.task, kFullPercent});
+        SendToAttached(order.worker, ThrottleTask{order.task, order.share});
         break;
     }
   }
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -16,10 +16,16 @@
 constexpr double kDrainShare = 0.5;
 // How long an eviction may take before it is ordered again.
 constexpr Span kEvictRetry = std::chrono::seconds(5);
+// A service this many times slower than usual counts as slow.
+constexpr double kSlowServiceRatio = 1.3;
 // A report this far below the mark counts as well below it.
 constexpr std::int64_t kReleaseBelowPercent = 15;
-// Decay of the estimate for tasks that no report has shown yet.
-constexpr double kUnreportedDecay = 0.5;
+// Share of a new report in the ratio of used to declared.
+constexpr double kRatioDecay = 0.1;
+constexpr double kLeastRatio = 0.2;
+constexpr double kGreatestRatio = 2;
+// What a peak of services keeps from report to report.
+constexpr double kPeakDecay = 0.99;
 constexpr double kPercent = 100;
 
 // Returns the largest share of its quota that a team would use.
@@ -86,11 +92,14 @@
   load.config_version = heartbeat.config_version;
   load.cpu_percent = heartbeat.cpu_percent;
   load.latency_us = heartbeat.latency_us;
-  load.unreported_percent *= kUnreportedDecay;
   load.reported.clear();
   for (const TaskUsage& usage : heartbeat.usage) {
     load.reported.insert(usage.task);
   }
+  const Instance* known = state.FindInstance(instance);
+  if (known != nullptr && known->info.role == InstanceRole::kWorker) {
+    LearnUse(state, *known, heartbeat, load);
+  }
   const std::int64_t mark = state.preset().pressure_percent;
   if (load.cpu_percent > mark) {
     ++load.reports_above;
@@ -99,18 +108,66 @@
     ++load.reports_below;
     load.reports_above = 0;
   }
-  const Instance* known = state.FindInstance(instance);
   if (known != nullptr && heartbeat.latency_us > 0) {
     LearnInterference(state, *known, heartbeat);
   }
 }
 
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::LearnUse(const ControlState& state,
+                                        const Instance& worker,
+                                        const Heartbeat& heartbeat,
+                                        InstanceLoad& load) const {
+  std::int64_t used = 0;
+  std::int64_t declared = 0;
+  for (const TaskUsage& usage : heartbeat.usage) {
+    const Job* job = state.FindJob(usage.task.job);
+    used += usage.cpu_millis;
+    // A task that just started has used nothing yet and tells nothing.
+    declared += job == nullptr || usage.cpu_millis == 0
+                    ? 0
+                    : job->spec.needs.cpu_millis;
+  }
+  const auto capacity = static_cast<double>(worker.info.capacity.cpu_millis);
+  const double batch_percent = kPercent * static_cast<double>(used) / capacity;
+  load.service_percent =
+      std::max(0.0, static_cast<double>(heartbeat.cpu_percent) - batch_percent);
+  load.service_peak_percent =
+      std::max(load.service_percent, load.service_peak_percent * kPeakDecay);
+  // Under a throttle the use tells of the throttle rather than of the tasks.
+  if (declared > 0 && load.batch_share == kFullBatchShare) {
+    const double ratio =
+        std::clamp(static_cast<double>(used) / static_cast<double>(declared),
+                   kLeastRatio, kGreatestRatio);
+    load.batch_ratio += kRatioDecay * (ratio - load.batch_ratio);
+  }
+}
+
+template <SchedulerPolicies Policies>
+double BasicScheduler<Policies>::ExpectedPercent(const Preset& preset,
+                                                 const Instance& worker,
+                                                 const InstanceLoad& load,
+                                                 std::int64_t placing) {
+  const double headroom = static_cast<double>(preset.service_headroom_percent) /
+                          kPercent *
+                          (load.service_peak_percent - load.service_percent);
+  const double batch =
+      kPercent * static_cast<double>(worker.committed.cpu_millis + placing) /
+      static_cast<double>(worker.info.capacity.cpu_millis);
+  return load.service_percent + headroom + batch * load.batch_ratio;
+}
+
 template <SchedulerPolicies Policies>
 void BasicScheduler<Policies>::LearnInterference(const ControlState& state,
                                                  const Instance& endpoint,
                                                  const Heartbeat& heartbeat) {
   const std::string& service = endpoint.info.service;
   const double slowdown = baseline_.Observe(service, heartbeat.latency_us);
+  const auto host_load = loads_.find(endpoint.info.host);
+  if (host_load != loads_.end()) {
+    int& slow_reports = host_load->second.slow_reports;
+    slow_reports = slowdown > kSlowServiceRatio ? slow_reports + 1 : 0;
+  }
   const Instance* host = state.FindInstance(endpoint.info.host);
   if (host == nullptr) {
     return;
@@ -204,11 +261,12 @@
     view.capacity = info.capacity;
     view.free = info.capacity - instance.committed;
     const auto placing = placing_on_.find(id);
-    if (placing != placing_on_.end()) {
-      view.free -= placing->second;
-    }
-    view.cpu_percent = static_cast<double>(load->second.cpu_percent) +
-                       load->second.unreported_percent;
+    const Resources under_way =
+        placing == placing_on_.end() ? Resources{} : placing->second;
+    view.free -= under_way;
+    view.cpu_percent = ExpectedPercent(state.preset(), instance, load->second,
+                                       under_way.cpu_millis);
+    view.is_throttled = load->second.batch_share < kFullBatchShare;
     view.tasks = instance.jobs.size();
     views.push_back(std::move(view));
   }
@@ -357,7 +415,6 @@
     const double share = ScoredPlacement::CpuShare(job.spec, worker);
     worker.free -= job.spec.needs;
     worker.cpu_percent += share;
-    scheduler_.loads_[worker.id].unreported_percent += share;
     scheduler_.placing_.insert(key);
     scheduler_.placing_on_[worker.id] += job.spec.needs;
     scheduler_.placing_for_[team] += job.spec.needs;
@@ -472,47 +529,64 @@
   for (auto& [id, load] : loads_) {
     const Instance* instance = state.FindInstance(id);
     if (instance == nullptr || instance->jobs.empty()) {
-      load.throttled.clear();
-      continue;
-    }
-    const bool is_quiet = load.reports_above == 0 && load.throttled.empty();
-    if (is_quiet) {
+      load.batch_share = kFullBatchShare;
       continue;
     }
-    const std::optional<TaskId> victim = WorstTask(state, *instance);
     PressureView view;
-    view.reports_above = victim ? load.reports_above : 0;
+    view.reports_above = load.reports_above;
     view.reports_below = load.reports_below;
-    view.has_throttled = !load.throttled.empty();
-    view.is_victim_throttled = victim && load.throttled.contains(*victim);
+    view.slow_reports = load.slow_reports;
+    view.batch_share = load.batch_share;
     view.is_cooled_down = now >= load.next_eviction;
     switch (policy.Step(view)) {
       case PressureStep::kNothing:
         break;
       case PressureStep::kRelease:
-        out.orders.push_back({TaskOrder::Kind::kRelease,
-                              *load.throttled.begin(), id, "pressure gone"});
-        load.throttled.erase(load.throttled.begin());
-        load.reports_below = 0;
+        SetBatchShare(state, *instance, load,
+                      std::min(kFullBatchShare, load.batch_share * 2), out);
         break;
       case PressureStep::kThrottle:
-        out.orders.push_back(
-            {TaskOrder::Kind::kThrottle, *victim, id, "pressure"});
-        load.throttled.insert(*victim);
-        load.reports_above = 0;
+        SetBatchShare(state, *instance, load,
+                      std::max(kLeastBatchShare, load.batch_share / 2), out);
         break;
       case PressureStep::kEvict:
-        out.orders.push_back(
-            {TaskOrder::Kind::kEvict, *victim, id, "lasting pressure"});
-        load.next_eviction = now + Millis(state.preset().evict_cooldown_ms);
-        load.reports_above = 0;
-        load.throttled.erase(*victim);
-        evicting_[victim->job] = now + kEvictRetry;
+        if (const auto victim = WorstTask(state, *instance)) {
+          out.orders.push_back(
+              {TaskOrder::Kind::kEvict, *victim, id, "lasting pressure"});
+          load.next_eviction = now + Millis(state.preset().evict_cooldown_ms);
+          load.reports_above = 0;
+          evicting_[victim->job] = now + kEvictRetry;
+        }
         break;
     }
   }
 }
 
+template <SchedulerPolicies Policies>
+void BasicScheduler<Policies>::SetBatchShare(const ControlState& state,
+                                             const Instance& instance,
+                                             InstanceLoad& load,
+                                             std::int64_t share,
+                                             SchedulerOutputs& out) {
+  const char* cause = share < load.batch_share ? "pressure" : "pressure gone";
+  load.batch_share = share;
+  // The next step waits for reports of what this one did.
+  load.reports_above = 0;
+  load.reports_below = 0;
+  load.slow_reports = 0;
+  for (const std::string& key : instance.jobs) {
+    const Job& job = state.jobs().at(key);
+    if (job.spec.urgent) {
+      continue;
+    }
+    out.orders.push_back({TaskOrder::Kind::kThrottle,
+                          {key, job.attempt},
+                          instance.info.id,
+                          cause,
+                          share});
+  }
+}
+
 template <SchedulerPolicies Policies>
 SchedulerOutputs BasicScheduler<Policies>::Decide(Time now,
                                                   const ControlState& state) {
--- a/tests/bench/batch_streams.cc
+++ b/tests/bench/batch_streams.cc
@@ -39,6 +39,7 @@
   bool has_outage = false;
   int failing_workers = 0;
   bool has_batch = true;
+  std::int64_t headroom_percent = 50;
 };
 
 struct BatchOutcome {
@@ -71,6 +72,9 @@
       info.host = "w" + std::to_string(i);
       Do(RegisterInstance{info, {}});
     }
+    Preset preset;
+    preset.service_headroom_percent = shape_.headroom_percent;
+    Do(CreatePreset{"ordinary", preset, state_.config().version});
     scheduler_.Reset(now_, state_, std::chrono::hours(10));
   }
 
@@ -217,6 +221,11 @@
         Heartbeat heartbeat;
         if (instance.info.role == InstanceRole::kWorker) {
           heartbeat.cpu_percent = static_cast<std::int64_t>(used_percent_[id]);
+          for (const std::string& key : instance.jobs) {
+            const Running& running = running_.at(key);
+            const auto cpu = static_cast<std::int64_t>(kJobCpu * running.share);
+            heartbeat.usage.push_back({{key, running.attempt}, cpu, 2000});
+          }
         } else {
           heartbeat.latency_us = static_cast<std::int64_t>(
               8000 * std::max(1.0, slowdown_[instance.info.host]));
@@ -254,8 +263,7 @@
         running->second.left_seconds += kRestartSeconds;
         End(order.task.job, TaskEnd::kEvicted);
       } else {
-        running->second.share =
-            order.kind == TaskOrder::Kind::kThrottle ? 0.5 : 1;
+        running->second.share = static_cast<double>(order.share) / 100;
       }
     }
   }
@@ -320,6 +328,8 @@
       {.name = "no batch", .has_batch = false},
       {.name = "batch below capacity", .jobs_per_second = 4},
       {.name = "batch backlog"},
+      {.name = "backlog, no headroom", .headroom_percent = 0},
+      {.name = "backlog, full headroom", .headroom_percent = 100},
       {.name = "batch, dc-b out", .has_outage = true},
       {.name = "batch, bad worker", .jobs_per_second = 4, .failing_workers = 1},
   };
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -242,6 +242,23 @@
   CPPUNIT_ASSERT(refusal.error == ErrorKind::kOverloaded);
 }
 
+void RepeatOfARefusedRequestDoesNotRun() {
+  Agent agent(InstanceRole::kEndpoint);
+  for (std::uint64_t seq = 1; seq <= 3; ++seq) {
+    agent.Tell(RequestOf(seq));
+  }
+  // The third was refused; room comes free before its repeat arrives.
+  for (int i = 0; i < 2; ++i) {
+    EndpointAnswer answer;
+    answer.id = agent.calls.at(i).id;
+    answer.outcome = RequestOutcome::kRan;
+    agent.core.OnEndpointAnswer(agent.now, answer);
+    agent.Take();
+  }
+  agent.Tell(RequestOf(3));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, agent.calls.size());
+}
+
 void QueuedRequestIsWithdrawn() {
   Agent agent(InstanceRole::kEndpoint);
   agent.Tell(RequestOf(1));
