--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -161,6 +161,106 @@
                          trio.sent() - before < kBound);
 }
 
+// A follower of a three-replica cell whose log ends at index 3 of term 2.
+RaftCore SeasonedFollower() {
+  RaftOptions options;
+  options.self = {"c1", 2};
+  options.configured = {"c0", "c1", "c2"};
+  RestoredLog restored;
+  restored.hard_state = {2, {}};
+  restored.snapshot.membership.voters = {{"c0", 1}, {"c1", 2}, {"c2", 3}};
+  restored.snapshot.last_index = 1;
+  restored.snapshot.last_term = 1;
+  restored.entries = {{2, 2, EntryKind::kCommand, "a"},
+                      {2, 3, EntryKind::kCommand, "b"}};
+  return {options, restored, kStart};
+}
+
+// Asks the follower for its vote, long after it heard a leader, and returns
+// what it says before its disk did anything, and after.
+struct VoteAnswers {
+  std::vector<Outbound> before;
+  std::vector<Outbound> after;
+};
+
+VoteAnswers AskForVote(std::uint64_t last_index, std::uint64_t last_term) {
+  RaftCore follower = SeasonedFollower();
+  const Time later = kStart + seconds(2);
+  VoteRequest request;
+  request.target = 2;
+  request.term = 7;
+  request.last_index = last_index;
+  request.last_term = last_term;
+  follower.Receive(later, {"c2", 3}, request);
+  const RaftOutputs out = follower.TakeOutputs(later);
+  for (const PersistBatch& batch : out.persists) {
+    follower.OnPersisted(later, batch.seq);
+  }
+  return {out.messages, follower.TakeOutputs(later).messages};
+}
+
+void VoteWaitsForTheDisk() {
+  const VoteAnswers answers = AskForVote(3, 2);
+  CPPUNIT_ASSERT(answers.before.empty());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answers.after.size());
+  CPPUNIT_ASSERT(std::get<VoteReply>(answers.after[0].message).granted);
+}
+
+void ShorterLogGetsNoVote() {
+  const VoteAnswers shorter = AskForVote(2, 2);
+  CPPUNIT_ASSERT(!std::get<VoteReply>(shorter.after[0].message).granted);
+  const VoteAnswers older = AskForVote(9, 1);
+  CPPUNIT_ASSERT(!std::get<VoteReply>(older.after[0].message).granted);
+}
+
+void RestartedReplicaWaitsBeforeItVotes() {
+  RaftCore follower = SeasonedFollower();
+  VoteRequest request;
+  request.target = 2;
+  request.term = 7;
+  request.last_index = 9;
+  request.last_term = 2;
+  // Just restarted, it can't know whether a leader holds a lease.
+  follower.Receive(kStart + Millis(100), {"c2", 3}, request);
+  CPPUNIT_ASSERT(follower.TakeOutputs(kStart + Millis(100)).persists.empty());
+}
+
+void OtherIdentityIsIgnored() {
+  RaftCore follower = SeasonedFollower();
+  VoteRequest request;
+  request.target = 99;
+  request.term = 7;
+  request.last_index = 9;
+  request.last_term = 2;
+  follower.Receive(kStart + seconds(2), {"c2", 3}, request);
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, follower.term());
+}
+
+// A leader of term 3 must not count replicas for an entry of term 2.
+void EarlierTermIsNotCommittedByCounting() {
+  RaftCore leader = SeasonedFollower();
+  Time now = kStart + seconds(4);
+  const auto settle = [&] {
+    for (int i = 0; i < 4; ++i) {
+      for (const PersistBatch& batch : leader.TakeOutputs(now).persists) {
+        leader.OnPersisted(now, batch.seq);
+      }
+    }
+  };
+  leader.Tick(now);
+  settle();
+  leader.Receive(now, {"c0", 1}, VoteReply{3, true, true});
+  settle();
+  leader.Receive(now, {"c0", 1}, VoteReply{3, false, true});
+  settle();
+  CPPUNIT_ASSERT(leader.role() == RaftRole::kLeader);
+  // A follower holds everything of term 2, but not the new term's entry.
+  leader.Receive(now, {"c0", 1}, AppendReply{3, true, 3, 3, 0});
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, leader.commit_index());
+  leader.Receive(now, {"c0", 1}, AppendReply{3, true, 4, 3, 0});
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, leader.commit_index());
+}
+
 void LeaseOutlivesASlowDisk() {
   RaftOptions options;
   options.self = {"c1", 2};
@@ -207,6 +307,15 @@
                       LaggingReplicaCatchesUpCheaply)
                 .Then("hands the leadership over on request",
                       TransferMovesLeadership))
+      .With(Section("a vote")
+                .Then("is given only once it is on disk", VoteWaitsForTheDisk)
+                .Then("is not given to a shorter or older log",
+                      ShorterLogGetsNoVote)
+                .Then("waits for an election span after a restart",
+                      RestartedReplicaWaitsBeforeItVotes)
+                .Then("for another identity is ignored", OtherIdentityIsIgnored)
+                .Then("makes a leader that commits by its own term only",
+                      EarlierTermIsNotCommittedByCounting))
       .With(Section("under failure")
                 .Then("a leader that is cut off loses its lease in time",
                       CutLeaderLosesItsLease)
--- a/tests/unit/control_state_test.cc
+++ b/tests/unit/control_state_test.cc
@@ -85,6 +85,13 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{4}, worker->jobs.size());
 }
 
+void PlacesNothingWhereItIsOut() {
+  ControlState state = Started();
+  Do(state, SetDataCentre{"dc-a", true, state.config().version});
+  const Applied applied = Do(state, PlaceTask{{"j", 1}, "w1", 1});
+  CPPUNIT_ASSERT(applied.result.error == ErrorKind::kDataCentreOut);
+}
+
 void PlacesEachAttemptOnce() {
   ControlState state = Started();
   CPPUNIT_ASSERT(Do(state, PlaceTask{{"j", 1}, "w1", 1}).result.ok);
@@ -250,6 +257,8 @@
       .With(Section("jobs")
                 .Then("never commit a worker beyond its capacity",
                       NeverCommitsBeyondCapacity)
+                .Then("are not placed where a data centre is out",
+                      PlacesNothingWhereItIsOut)
                 .Then("are placed once an attempt", PlacesEachAttemptOnce)
                 .Then("resume once from a doubled eviction",
                       DoubledEvictionResumesOnce)
