The cost of a request does not grow with its service

Change: endpoints are indexed by service, and a choice looks at up to 32 that are eligible, from a random place on.

--- a/include/banyan/routing/endpoint_pool.h
+++ b/include/banyan/routing/endpoint_pool.h
@@ -118,14 +118,16 @@
   // Notes whether a connection to the agent stands.
   void SetConnected(const std::string& id, bool is_connected);
 
-  // Returns endpoints that may take a request of the service now. Data centres
-  // that are out and the excluded endpoints are left out. An ejected endpoint
-  // whose rest is over comes alone, as a probe.
+  // Returns endpoints that may take a request of the service now, a bounded
+  // number from a random place on, so that the cost of a request does not grow
+  // with the service. Data centres that are out and the excluded endpoints are
+  // left out. An ejected endpoint whose rest is over comes alone, as a probe.
   [[nodiscard]] std::vector<const EndpointView*> Candidates(
       Time now,
       const std::string& service,
       std::span<const std::string> out,
-      std::span<const std::string> excluded) const;
+      std::span<const std::string> excluded,
+      Random& random) const;
 
   // Notes a dispatch, its answer, and what the answer says of the endpoint.
   void OnDispatch(Time now, const std::string& id, const Preset& preset);
@@ -149,8 +151,14 @@
  private:
   void Set(const InstanceInfo& info);
   void Settle(EndpointView& endpoint);
+  void IndexServices();
+  [[nodiscard]] static bool IsEligible(const EndpointView& endpoint,
+                                       std::span<const std::string> out,
+                                       std::span<const std::string> excluded);
 
   std::map<std::string, EndpointView> endpoints_;
+  // The endpoints of each service, for quick choice.
+  std::map<std::string, std::vector<const EndpointView*>> by_service_;
   // Agents that a connection stands to, whether or not the table names them.
   std::set<std::string> connected_;
   std::uint64_t version_ = 0;
--- a/src/routing/endpoint_pool.cc
+++ b/src/routing/endpoint_pool.cc
@@ -5,6 +5,8 @@
 
 // A new latency counts for one part in this many.
 constexpr int kLatencyDecay = 8;
+// Endpoints that one choice looks at.
+constexpr std::size_t kMaxCandidates = 32;
 // The adaptive limit starts at this many requests per slot, and never falls
 // below one request.
 constexpr double kFirstLimitPerSlot = 2;
@@ -82,6 +84,7 @@
   for (const std::string& id : table.removed) {
     endpoints_.erase(id);
   }
+  IndexServices();
   version_ = table.version;
   return true;
 }
@@ -114,18 +117,30 @@
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+bool EndpointPool::IsEligible(const EndpointView& endpoint,
+                              std::span<const std::string> out,
+                              std::span<const std::string> excluded) {
+  return endpoint.is_connected && !endpoint.info.leaving &&
+         !Contains(out, endpoint.info.data_centre) &&
+         !Contains(excluded, endpoint.info.id);
+}
+
 std::vector<const EndpointView*> EndpointPool::Candidates(
     Time now,
     const std::string& service,
     std::span<const std::string> out,
-    std::span<const std::string> excluded) const {
+    std::span<const std::string> excluded,
+    Random& random) const {
   std::vector<const EndpointView*> candidates;
-  for (const auto& [id, endpoint] : endpoints_) {
-    const bool is_eligible =
-        endpoint.is_connected && endpoint.info.service == service &&
-        !endpoint.info.leaving && !Contains(out, endpoint.info.data_centre) &&
-        !Contains(excluded, id);
-    if (!is_eligible) {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) {
+    return candidates;
+  }
+  const std::vector<const EndpointView*>& all = found->second;
+  const std::size_t start = random.Below(all.size());
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const EndpointView& endpoint = *all[(start + i) % all.size()];
+    if (!IsEligible(endpoint, out, excluded)) {
       continue;
     }
     if (endpoint.is_ejected) {
@@ -140,10 +155,20 @@
         std::max(kLeastLimit, limit)) {
       candidates.push_back(&endpoint);
     }
+    if (candidates.size() == kMaxCandidates) {
+      break;
+    }
   }
   return candidates;
 }
 
+void EndpointPool::IndexServices() {
+  by_service_.clear();
+  for (const auto& [id, endpoint] : endpoints_) {
+    by_service_[endpoint.info.service].push_back(&endpoint);
+  }
+}
+
 void EndpointPool::OnDispatch(Time now,
                               const std::string& id,
                               const Preset& preset) {
--- a/src/routing/router_core.cc
+++ b/src/routing/router_core.cc
@@ -82,8 +82,8 @@
 template <RoutingPolicy Policy>
 const EndpointView* BasicRouterCore<Policy>::Choose(Time now,
                                                     const Flight& flight) {
-  const std::vector<const EndpointView*> candidates =
-      pool_.Candidates(now, flight.request.service, config_.out, flight.tried);
+  const std::vector<const EndpointView*> candidates = pool_.Candidates(
+      now, flight.request.service, config_.out, flight.tried, random_);
   if (candidates.empty()) {
     return nullptr;
   }
