--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(BUILD)/tests/banyan-demo $(BUILD) $(BUILD)/demo-run
 
 test: build
-	RC_PARAMS="seed=1" $(BUILD)/tests/banyan-tests $(BUILD) docs/EVENTS.md
+	RC_PARAMS="seed=1" $(BUILD)/tests/banyan-tests $(BUILD) .
 
 matrix: build
 	$(BUILD)/tests/banyan-matrix --full
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -38,7 +38,7 @@
     cells=$(grep -c '^FAILED' <<<"$out" || true)
     first=$(grep -m1 -A1 '^FAILED' <<<"$out" | tail -1 | sed 's/^ *[0-9]* ms: //' | cut -c1-60 || true)
     unit=$(timeout 120 "$scratch/build/tests/banyan-tests" "$scratch/build" \
-      "$scratch/tree/docs/EVENTS.md" --quick 2>/dev/null | grep -c '  FAILED ' || true)
+      "$scratch/tree" --quick 2>/dev/null | grep -c '  FAILED ' || true)
     if [[ $cells -gt 0 || $unit -gt 0 ]]; then
       verdict="caught by $cells cells ($first) and $unit unit cases"
     fi
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -87,9 +87,14 @@
   for (int i = 0; i < shape_.controls; ++i) {
     addresses.push_back(NewAddress());
     apis_.push_back(NewAddress());
+    std::string reached_at = addresses.back();
+    if (shape_.has_relays) {
+      reached_at = NewAddress();
+      relays_.push_back(std::make_unique<Relay>(reached_at, addresses.back()));
+    }
     members_yaml_ += "  - {id: control-" + std::to_string(i) +
                      ", data_centre: " + DataCentreOf(i) + ", address: \"" +
-                     addresses.back() + "\", api: \"" + apis_.back() + "\"}\n";
+                     reached_at + "\", api: \"" + apis_.back() + "\"}\n";
   }
   for (int i = 0; i < shape_.controls; ++i) {
     const std::string name = "control-" + std::to_string(i);
@@ -260,6 +265,10 @@
   std::filesystem::remove_all(folder_ + "/data-" + name);
 }
 
+void Cluster::SetRelay(int index, Relay::Mode mode) {
+  relays_.at(index)->set_mode(mode);
+}
+
 std::string Cluster::EntryAddress(int index) const {
   return entries_.at(index);
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "banyan/base/time.h"
 #include "banyan/net/http.h"
+#include "tests/fakes/relay.h"
 
 namespace banyan {
 
@@ -25,6 +27,8 @@
   std::int64_t endpoint_delay_ms = 5;
   std::int64_t lease_ms = 4000;
   std::int64_t snapshot_every = 200;
+  // Whether a relay stands before each control replica's address.
+  bool has_relays = false;
   // First port on 127.0.0.1 that the cluster uses.
   int first_port = 21000;
 };
@@ -57,6 +61,9 @@
   // Removes a control replica's data folder.
   void LoseDisk(const std::string& name);
 
+  // Sets what the relay before a control replica does.
+  void SetRelay(int index, Relay::Mode mode);
+
   [[nodiscard]] std::string EntryAddress(int index) const;
   [[nodiscard]] std::string ApiAddress(int index) const;
   [[nodiscard]] std::vector<std::string> endpoint_addresses() const;
@@ -112,6 +119,7 @@
   std::vector<std::string> endpoints_;
   std::vector<std::string> workers_;
   std::string members_yaml_;
+  std::vector<std::unique_ptr<Relay>> relays_;
 };
 
 }  // namespace banyan
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -57,7 +57,8 @@
       .With(SchedulerStory())
       .With(RoutingStory())
       .With(AgentStory())
-      .With(AuditStory());
+      .With(AuditStory())
+      .With(ReplayStory());
   if (!is_quick) {
     all.With(MatrixStory()).With(ProcessStory());
   }
@@ -82,17 +83,19 @@
 
 }  // namespace banyan
 
-// banyan-tests BINARIES EVENTS.md [--quick]; quick leaves out the matrix and
+// banyan-tests BINARIES SOURCES [--quick]; quick leaves out the matrix and
 // the real processes.
 int main(int argc, char** argv) {
   constexpr int kWords = 3;
   const bool is_quick = argc == kWords + 1 && std::string(argv[3]) == "--quick";
   if (argc != kWords && !is_quick) {
-    std::cerr << "usage: banyan-tests BINARIES EVENTS.md [--quick]\n";
+    std::cerr << "usage: banyan-tests BINARIES SOURCES [--quick]\n";
     return 64;
   }
   banyan::MutablePaths().binaries = argv[1];
-  banyan::MutablePaths().event_catalogue = argv[2];
+  const std::string sources = argv[2];
+  banyan::MutablePaths().event_catalogue = sources + "/docs/EVENTS.md";
+  banyan::MutablePaths().traces = sources + "/tests/traces";
   banyan::MutablePaths().scratch = std::string(argv[1]) + "/test-scratch";
   std::filesystem::remove_all(banyan::Paths().scratch);
   std::filesystem::create_directories(banyan::Paths().scratch);
--- a/tests/unit/process_test.cc
+++ b/tests/unit/process_test.cc
@@ -151,6 +151,33 @@
   CheckVerdict(cluster, load);
 }
 
+void LosesAReplicaSilently() {
+  ClusterShape shape;
+  shape.first_port = 22400;
+  shape.has_relays = true;
+  Cluster cluster(Paths().binaries, Paths().scratch + "/cut", shape);
+  CPPUNIT_ASSERT(cluster.Start(kStartBound));
+  Load load(cluster);
+  load.Start(2, 2);
+  // Every connection of the last replica is made by the others, so its relay
+  // cuts it off in both directions, without a word.
+  cluster.SetRelay(2, Relay::Mode::kSwallow);
+  CPPUNIT_ASSERT_EQUAL(200, cluster.Change("/v1/data-centres/dc-b/out").status);
+  CPPUNIT_ASSERT(BooksWithin(cluster, "cut-off", kRecoverBound));
+  const HttpReply stale =
+      Cluster::Call(cluster.ApiAddress(2), "GET", "/v1/config", "");
+  CPPUNIT_ASSERT_MESSAGE("a replica that is cut off does not call itself fresh",
+                         stale.Field("Banyan-Fresh") != "true" ||
+                             stale.body.find("dc-b") != std::string::npos);
+  cluster.SetRelay(2, Relay::Mode::kRefuse);
+  cluster.SetRelay(2, Relay::Mode::kPass);
+  CPPUNIT_ASSERT_MESSAGE("in force everywhere after the cut",
+                         Cluster::WaitUntil(kRecoverBound, [&] {
+                           return IsInForceEverywhere(cluster);
+                         }));
+  CheckVerdict(cluster, load);
+}
+
 // Sends raw bytes and returns what comes back first.
 std::string SendRaw(const std::string& address, const std::string& bytes) {
   Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(address)};
@@ -203,6 +230,9 @@
                 .Then("survive freezes", FreezesUnderLoad)
                 .Then("survive a lost disk and then another replica's death",
                       LosesADiskThenAnotherReplica))
+      .With(Section("behind relays")
+                .Then("survive a replica that is cut off silently",
+                      LosesAReplicaSilently))
       .With(Section("given nonsense")
                 .Then("answer with a typed error and go on",
                       SurvivesMalformedInput));
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -54,6 +54,7 @@
 struct TestPaths {
   std::string binaries;
   std::string event_catalogue;
+  std::string traces;
   std::string scratch;
 };
 
@@ -71,6 +72,7 @@
 Section RoutingStory();
 Section AgentStory();
 Section AuditStory();
+Section ReplayStory();
 Section MatrixStory();
 Section ProcessStory();
 
