One entry point for the daemons, one fake worker, capacity in the audit

The fake worker is an HTTP face of the worker that runs under virtual time. The audit of logs finds commitments beyond capacity.

--- a/include/banyan/control/control_state.h
+++ b/include/banyan/control/control_state.h
@@ -18,6 +18,9 @@
 
 namespace banyan {
 
+// How long a job is shown after it reached its final state, in milliseconds.
+inline constexpr WallMillis kJobRetentionMs = 24LL * 3600 * 1000;
+
 // A job and the attempt that it is at.
 struct Job {
   JobSpec spec;
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -16,6 +16,7 @@
   kProcessStarted = 1001,
   kProcessStopping = 1002,
   kProcessStopped = 1003,
+  kProcessCutShort = 1004,
   kPeerUp = 1010,
   kPeerDown = 1011,
   kPeerMessageRefused = 1012,
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -34,8 +34,9 @@
   // Reads the data folder and starts serving.
   [[nodiscard]] bool Start(Reason& reason);
 
-  // Hands the leadership over, then stops.
-  void Stop();
+  // Hands the leadership over, then stops. Returns whether that was done and
+  // every call answered before the drain deadline.
+  bool Stop();
 
  private:
   struct Persisted {
--- a/include/banyan/process/program.h
+++ b/include/banyan/process/program.h
@@ -2,14 +2,17 @@
 #define BANYAN_PROCESS_PROGRAM_H_
 
 #include <csignal>
-#include <functional>
 #include <future>
+#include <iostream>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "banyan/base/error_kind.h"
+#include "banyan/events/event.h"
+#include "banyan/metrics/metrics.h"
 #include "banyan/net/http.h"
 
 namespace banyan {
@@ -49,6 +52,60 @@
   sigset_t signals_{};
 };
 
+// What a daemon's entry point needs to know of its process.
+struct ProgramInfo {
+  const char* name;
+  const char* description;
+};
+
+// Writes one line for a stage in the life of a process.
+void LogStage(EventId stage, const ProgramInfo& info);
+
+// The whole life of a daemon: reads its command line and settings, starts it,
+// waits for a signal and stops it gracefully. Returns the exit code. The
+// process has Start and Stop; Stop tells whether everything was finished.
+template <typename Process, typename Settings>
+int RunProgram(int argc,
+               char** argv,
+               const ProgramInfo& info,
+               std::optional<Settings> (*load)(const std::string&, Reason&)) {
+  int exit_code = 0;
+  const auto args = ParseProgramArgs(argc, argv, info.description, exit_code);
+  if (!args) {
+    return exit_code;
+  }
+  Reason reason;
+  auto settings = load(args->settings, reason);
+  if (!settings) {
+    return ReportBadSettings(reason);
+  }
+  if (args->check_only) {
+    std::cout << "settings are right\n";
+    return 0;
+  }
+  StopSignal stop;
+  StartLog(info.name, settings->log_folder);
+  Process process(*std::move(settings));
+  if (!process.Start(reason)) {
+    std::cerr << info.name << ": " << ToString(reason) << "\n";
+    return 1;
+  }
+  LogStage(EventId::kProcessStarted, info);
+  stop.Wait();
+  LogStage(EventId::kProcessStopping, info);
+  const bool was_clean = process.Stop();
+  LogStage(was_clean ? EventId::kProcessStopped : EventId::kProcessCutShort,
+           info);
+  return 0;
+}
+
+// Answers the health check and the metrics that every daemon serves; nothing
+// for any other path.
+[[nodiscard]] std::optional<HttpReply> ServeHealthAndMetrics(
+    const HttpCall& call,
+    bool is_leaving,
+    const Metrics& metrics);
+
 // Answers that HTTP threads wait for, by ticket.
 class PendingReplies {
  public:
--- a/src/agent/task_runner.cc
+++ b/src/agent/task_runner.cc
@@ -92,6 +92,8 @@
                             .With("attempt", start.task.attempt)
                             .With("worker", worker_)
                             .With("data_centre", data_centre_)
+                            .With("cpu_millis", start.spec.needs.cpu_millis)
+                            .With("memory_mib", start.spec.needs.memory_mib)
                             .With("checkpoint", start.checkpoint)
                             .With("config", start.config_version));
 }
--- a/src/audit/audit.cc
+++ b/src/audit/audit.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <sstream>
 
+#include "banyan/base/resources.h"
 #include "banyan/events/event.h"
 
 namespace banyan {
@@ -83,7 +84,10 @@
         break;
       case EventId::kTaskRequeued:
         // Whatever ran under the attempt has ended or lost its lease.
-        running_.erase(event.Field("job"));
+        Forget(event.Field("job"));
+        break;
+      case EventId::kInstanceRegistered:
+        capacity_[event.Field("instance")] = NeedsOf(event);
         break;
       case EventId::kInstanceRemoved:
         // Its lease ran out, so nothing runs on it.
@@ -154,8 +158,11 @@
                                " while it ran on " + running->second +
                                ", in two places at once");
     }
+    Forget(task.first);
     running_[task.first] = worker;
     lost_workers_.erase(worker);
+    needs_[task.first] = NeedsOf(event);
+    CheckCapacity(event, worker);
     const auto out = out_since_.find(event.Field("data_centre"));
     if (out != out_since_.end() &&
         SecondsBetween(out->second, event.time) > kOutBoundSeconds) {
@@ -167,7 +174,36 @@
   void TakeEnd(const LoggedEvent& event) {
     const auto running = running_.find(event.Field("job"));
     if (running != running_.end() && running->second == event.Field("worker")) {
-      running_.erase(running);
+      Forget(event.Field("job"));
+    }
+  }
+
+  void Forget(const std::string& job) {
+    running_.erase(job);
+    needs_.erase(job);
+  }
+
+  // Processors and memory that an event names.
+  static Resources NeedsOf(const LoggedEvent& event) {
+    Resources needs;
+    std::istringstream(event.Field("cpu_millis")) >> needs.cpu_millis;
+    std::istringstream(event.Field("memory_mib")) >> needs.memory_mib;
+    return needs;
+  }
+
+  void CheckCapacity(const LoggedEvent& event, const std::string& worker) {
+    const auto capacity = capacity_.find(worker);
+    if (capacity == capacity_.end()) {
+      return;
+    }
+    Resources used;
+    for (const auto& [job, where] : running_) {
+      if (where == worker) {
+        used += needs_[job];
+      }
+    }
+    if (!Fits(used, capacity->second)) {
+      Complain(event.time, worker + " is committed beyond its capacity");
     }
   }
 
@@ -213,6 +249,8 @@
   std::set<Task> started_;
   // The worker that each running job runs on.
   std::map<std::string, std::string> running_;
+  std::map<std::string, Resources> needs_;
+  std::map<std::string, Resources> capacity_;
   std::set<std::string> lost_workers_;
   std::map<std::string, std::string> out_since_;
   std::set<std::pair<std::string, std::string>> ended_jobs_;
--- a/src/bin/banyan_control.cc
+++ b/src/bin/banyan_control.cc
@@ -1,48 +1,11 @@
-#include <iostream>
-
-#include "banyan/events/event.h"
 #include "banyan/process/control_process.h"
 
 // Entry point of banyan-control.
 int main(int argc, char** argv) {
-  int exit_code = 0;
-  const auto args =
-      banyan::ParseProgramArgs(argc, argv,
-                               "One replica of the control cell: replicated "
-                               "state, scheduler, operator API.",
-                               exit_code);
-  if (!args) {
-    return exit_code;
-  }
-  banyan::Reason reason;
-  auto settings = banyan::LoadControlSettings(args->settings, reason);
-  if (!settings) {
-    return banyan::ReportBadSettings(reason);
-  }
-  if (args->check_only) {
-    std::cout << "settings are right\n";
-    return 0;
-  }
-  banyan::StopSignal stop;
-  banyan::StartLog("banyan-control", settings->log_folder);
-  const std::string id = settings->id;
-  banyan::ControlProcess process(*std::move(settings));
-  if (!process.Start(reason)) {
-    std::cerr << "banyan-control: " << banyan::ToString(reason) << "\n";
-    return 1;
-  }
-  const banyan::Event started = banyan::Event(banyan::EventId::kProcessStarted)
-                                    .With("program", "banyan-control")
-                                    .With("id", id)
-                                    .With("version", banyan::kVersion);
-  banyan::WriteEvents({&started, 1});
-  stop.Wait();
-  const banyan::Event stopping =
-      banyan::Event(banyan::EventId::kProcessStopping).With("id", id);
-  banyan::WriteEvents({&stopping, 1});
-  process.Stop();
-  const banyan::Event stopped =
-      banyan::Event(banyan::EventId::kProcessStopped).With("id", id);
-  banyan::WriteEvents({&stopped, 1});
-  return 0;
+  return banyan::RunProgram<banyan::ControlProcess, banyan::ControlSettings>(
+      argc, argv,
+      {"banyan-control",
+       "One replica of the control cell: replicated state, scheduler, operator "
+       "API."},
+      banyan::LoadControlSettings);
 }
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -10,8 +10,6 @@
 
 // How long the answer to an operator's command is found again.
 constexpr WallMillis kCommandRetentionMs = 24LL * 3600 * 1000;
-// How long a job is shown after it reached its final state.
-constexpr WallMillis kJobRetentionMs = 24LL * 3600 * 1000;
 // Expired items that one command removes at most.
 constexpr int kMaxForgottenPerCommand = 32;
 // A job ends as failed after failing on this many different workers ...
@@ -357,6 +355,8 @@
                                .With("instance", info.id)
                                .With("incarnation", info.incarnation)
                                .With("data_centre", info.data_centre)
+                               .With("cpu_millis", info.capacity.cpu_millis)
+                               .With("memory_mib", info.capacity.memory_mib)
                                .With("adopted", instance.jobs.size()));
 }
 
--- a/src/control/control_state_codec.cc
+++ b/src/control/control_state_codec.cc
@@ -94,7 +94,6 @@
 }
 
 void ControlState::RebuildIndexes() {
-  constexpr WallMillis kDayMs = 24LL * 3600 * 1000;
   for (auto& [key, job] : jobs_) {
     if (job.state == JobState::kQueued) {
       Enqueue(key, job);
@@ -106,7 +105,7 @@
       }
       teams_[job.spec.team].used += job.spec.needs;
     } else {
-      job_expiry_.emplace(job.changed_at + kDayMs, key);
+      job_expiry_.emplace(job.changed_at + kJobRetentionMs, key);
     }
   }
   for (const auto& [key, claim] : claims_) {
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -8,11 +8,13 @@
 
 constexpr auto kCatalogue = std::to_array<EventRow>({
     {EventId::kProcessStarted, "process-started",
-     "A process took up its duty; it names its version and incarnation."},
+     "A process took up its duty; it names its version."},
     {EventId::kProcessStopping, "process-stopping",
      "A planned stop began; work in flight is being finished."},
     {EventId::kProcessStopped, "process-stopped",
-     "The process ends; `clean` tells whether everything was finished."},
+     "The process ends; everything in flight was finished."},
+    {EventId::kProcessCutShort, "process-cut-short",
+     "The process ends at its drain deadline with work still in flight."},
     {EventId::kPeerUp, "peer-up", "A connection to another process is ready."},
     {EventId::kPeerDown, "peer-down",
      "A connection to another process was lost."},
--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -70,14 +70,8 @@
 }
 
 HttpReply AgentProcess::Serve(const HttpCall& call) {
-  if (call.path == "/healthz") {
-    if (is_leaving_) {
-      return ErrorReply(ErrorKind::kLeaving, "this instance is leaving");
-    }
-    return {200, "application/json", "{\"status\":\"ok\"}\n", {}};
-  }
-  if (call.path == "/metrics") {
-    return {200, "text/plain; version=0.0.4", metrics_.Render(), {}};
+  if (auto common = ServeHealthAndMetrics(call, is_leaving_, metrics_)) {
+    return *std::move(common);
   }
   return ErrorReply(ErrorKind::kNotFound, "no such thing: " + call.path);
 }
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -98,9 +98,9 @@
       [this](const HttpCall& call) { return Serve(call); }, reason);
 }
 
-void ControlProcess::Stop() {
+bool ControlProcess::Stop() {
   if (!core_thread_.joinable()) {
-    return;
+    return true;
   }
   is_leaving_ = true;
   Push(LeaveInput{});
@@ -108,6 +108,7 @@
   while ((leads_ || server_.active() > 0) && MonotonicClock::now() < deadline) {
     std::this_thread::sleep_for(kTick);
   }
+  const bool was_clean = !leads_ && server_.active() == 0;
   server_.Stop();
   must_end_ = true;
   core_thread_.join();
@@ -116,17 +117,12 @@
   snapshots_.Close();
   snapshot_thread_.join();
   network_->Stop();
+  return was_clean;
 }
 
 HttpReply ControlProcess::Serve(const HttpCall& call) {
-  if (call.path == "/healthz") {
-    if (is_leaving_) {
-      return ErrorReply(ErrorKind::kLeaving, "this replica is stopping");
-    }
-    return {200, "application/json", "{\"status\":\"ok\"}\n", {}};
-  }
-  if (call.path == "/metrics") {
-    return {200, "text/plain; version=0.0.4", metrics_.Render(), {}};
+  if (auto common = ServeHealthAndMetrics(call, is_leaving_, metrics_)) {
+    return *std::move(common);
   }
   if (call.method == "GET") {
     auto [ticket, reply] = pending_.Open();
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -102,14 +102,8 @@
 }
 
 HttpReply EntryProcess::Serve(const HttpCall& call) {
-  if (call.path == "/healthz") {
-    if (is_leaving_) {
-      return ErrorReply(ErrorKind::kLeaving, "this entry is stopping");
-    }
-    return {200, "application/json", "{\"status\":\"ok\"}\n", {}};
-  }
-  if (call.path == "/metrics") {
-    return {200, "text/plain; version=0.0.4", metrics_.Render(), {}};
+  if (auto common = ServeHealthAndMetrics(call, is_leaving_, metrics_)) {
+    return *std::move(common);
   }
   if (call.path == "/v1/jobs") {
     return ServeSubmit(call);
--- a/src/process/program.cc
+++ b/src/process/program.cc
@@ -54,6 +54,27 @@
   return kSettingsExitCode;
 }
 
+void LogStage(EventId stage, const ProgramInfo& info) {
+  const Event event =
+      Event(stage).With("program", info.name).With("version", kVersion);
+  WriteEvents({&event, 1});
+}
+
+std::optional<HttpReply> ServeHealthAndMetrics(const HttpCall& call,
+                                               bool is_leaving,
+                                               const Metrics& metrics) {
+  if (call.path == "/healthz" && is_leaving) {
+    return ErrorReply(ErrorKind::kLeaving, "this process is stopping");
+  }
+  if (call.path == "/healthz") {
+    return HttpReply{200, "application/json", "{\"status\":\"ok\"}\n", {}};
+  }
+  if (call.path == "/metrics") {
+    return HttpReply{200, "text/plain; version=0.0.4", metrics.Render(), {}};
+  }
+  return std::nullopt;
+}
+
 StopSignal::StopSignal() {
   sigemptyset(&signals_);
   sigaddset(&signals_, SIGTERM);
--- a/tests/bench/path.cc
+++ b/tests/bench/path.cc
@@ -27,6 +27,30 @@
   return exchange.outcome == RequestOutcome::kRan ? ms : -1;
 }
 
+// What each kind of process uses while nothing but its own upkeep goes on.
+void MeasureUpkeep(Figures& figures, Cluster& cluster) {
+  const std::string leader = cluster.LeaderName();
+  const std::string follower =
+      leader == "control-0" ? "control-1" : "control-0";
+  const std::vector<std::string> names = {"worker-0", "booking-0", "entry-0",
+                                          leader, follower};
+  const char* const roles[] = {"worker agent", "endpoint agent", "entry",
+                               "leader", "follower"};
+  std::vector<double> before;
+  for (const std::string& name : names) {
+    before.push_back(cluster.CpuSeconds(name));
+  }
+  constexpr int kSeconds = 10;
+  std::this_thread::sleep_for(seconds(kSeconds));
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const double used = cluster.CpuSeconds(names[i]) - before[i];
+    figures.Add(
+        {"upkeep", roles[i], 0, "share of a core", 100 * used / kSeconds, "%"});
+    figures.Add({"upkeep", roles[i], 0, "memory", cluster.ResidentMib(names[i]),
+                 "MiB"});
+  }
+}
+
 HttpCall CallTo(const char* path) {
   HttpCall call;
   call.method = "POST";
@@ -47,6 +71,7 @@
     std::cerr << "the system did not come up; the path was not measured\n";
     return;
   }
+  MeasureUpkeep(figures, cluster);
   HttpClient direct(cluster.endpoint_addresses().back());
   HttpClient through(cluster.EntryAddress(0));
   HttpClient booking(cluster.EntryAddress(0));
--- a/tests/fakes/fake_worker.cc
+++ b/tests/fakes/fake_worker.cc
@@ -1,6 +1,8 @@
 #include "tests/fakes/fake_worker.h"
 
+#include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "src/wire/json_types.h"
 
@@ -11,8 +13,6 @@
 
 constexpr int kConflict = 409;
 constexpr int kNotFound = 404;
-constexpr int kCreated = 201;
-constexpr std::int64_t kFullPercent = 100;
 
 HttpReply Reply(int status, const json& body) {
   HttpReply reply;
@@ -21,114 +21,77 @@
   return reply;
 }
 
-HttpReply Refusal(const std::string& reason) {
-  return Reply(kConflict, {{"reason", reason}});
-}
-
-TaskId TaskFrom(const json& body) {
-  return {body.at("job").get<std::string>(),
-          body.at("attempt").get<std::uint64_t>()};
+const char* NameOf(WorkerTaskState state) {
+  switch (state) {
+    case WorkerTaskState::kRunning:
+      return "running";
+    case WorkerTaskState::kFinished:
+      return "finished";
+    case WorkerTaskState::kFailed:
+      return "failed";
+  }
+  return "running";
 }
 
-}  // namespace
-
-void FakeWorker::End(Task& task, State state, Time now) {
-  task.state = state;
-  WorkerRun& run = history_[task.run];
-  run.ended = now;
-  run.to_ms = task.done_ms;
-  run.is_finished = state == State::kFinished;
+std::optional<WorkerOp> OpFor(const HttpCall& call) {
+  static const std::map<std::string, WorkerOp> ops = {
+      {"/tasks", WorkerOp::kStart},
+      {"/lease", WorkerOp::kRenewLease},
+      {"/tasks/checkpoint", WorkerOp::kCheckpoint},
+      {"/tasks/stop", WorkerOp::kStop},
+      {"/tasks/throttle", WorkerOp::kThrottle},
+      {"/tasks/forget", WorkerOp::kForget}};
+  if (call.method == "GET" && call.path == "/tasks") {
+    return WorkerOp::kList;
+  }
+  const auto found = ops.find(call.path);
+  return found == ops.end() ? std::nullopt : std::optional(found->second);
 }
 
-void FakeWorker::Advance(Time now) {
-  for (auto& [id, task] : tasks_) {
-    if (task.state != State::kRunning) {
-      continue;
-    }
-    const Time until = std::min(now, lease_until_);
-    if (until > task.advanced) {
-      task.done_ms +=
-          ToMillis(until - task.advanced) * task.percent / kFullPercent;
-      task.advanced = until;
-    }
-    if (task.done_ms >= task.run_ms) {
-      task.done_ms = task.run_ms;
-      End(task, State::kFinished, until);
-    } else if (lease_until_ <= now) {
-      End(task, State::kStopped, lease_until_);
-    }
-  }
+WorkerCall ReadCall(WorkerOp op, const std::string& text) {
+  const json body = json::parse(text.empty() ? "{}" : text);
+  WorkerCall call;
+  call.op = op;
+  call.task = {body.value("job", ""), body.value("attempt", std::uint64_t{0})};
+  call.spec.needs = body.value("needs", Resources{});
+  call.spec.declared_run_ms = body.value("run_ms", std::int64_t{0});
+  call.spec.payload = body.value("payload", "");
+  call.checkpoint = body.value("checkpoint", "");
+  call.percent = body.value("percent", std::int64_t{0});
+  const char* deadline =
+      op == WorkerOp::kRenewLease ? "until_us" : "start_by_us";
+  call.deadline = Time(Span(body.value(deadline, std::int64_t{0})));
+  return call;
 }
 
-HttpReply FakeWorker::List() const {
+json ListToJson(const WorkerReply& reply) {
   json tasks = json::array();
-  std::int64_t cpu = 0;
-  for (const auto& [id, task] : tasks_) {
-    if (task.state == State::kStopped) {
-      continue;
-    }
-    Resources usage;
-    if (task.state == State::kRunning) {
-      usage = task.needs;
-      usage.cpu_millis = usage.cpu_millis * task.percent / kFullPercent;
-      cpu += usage.cpu_millis;
-    }
-    const char* state = task.state == State::kRunning    ? "running"
-                        : task.state == State::kFinished ? "finished"
-                                                         : "failed";
-    tasks.push_back(
-        {{"job", id.job},
-         {"attempt", id.attempt},
-         {"state", state},
-         {"needs", task.needs},
-         {"usage", usage},
-         {"checkpoint",
-          task.checkpoint_ms > 0 ? std::to_string(task.checkpoint_ms) : ""},
-         {"cause", task.state == State::kFailed ? "payload" : ""}});
+  for (const WorkerTask& task : reply.tasks) {
+    tasks.push_back({{"job", task.task.job},
+                     {"attempt", task.task.attempt},
+                     {"state", NameOf(task.state)},
+                     {"needs", task.needs},
+                     {"usage", task.usage},
+                     {"checkpoint", task.checkpoint},
+                     {"cause", task.cause}});
   }
-  return Reply(200, {{"cpu_percent", cpu * kFullPercent / capacity_.cpu_millis},
-                     {"tasks", tasks}});
+  return {{"cpu_percent", reply.cpu_percent}, {"tasks", tasks}};
 }
 
-HttpReply FakeWorker::Start(Time now, const std::string& text) {
-  const json body = json::parse(text);
-  const TaskId id = TaskFrom(body);
-  if (tasks_.contains(id)) {
-    return Refusal("the attempt is known");
-  }
-  if (lease_until_ <= now) {
-    return Refusal("the instance holds no lease");
-  }
-  if (now > Time(Span(body.at("start_by_us").get<std::int64_t>()))) {
-    return Refusal("the order is too old");
-  }
-  Task task;
-  body.at("needs").get_to(task.needs);
-  task.run_ms = body.at("run_ms").get<std::int64_t>();
-  const std::string checkpoint = body.at("checkpoint");
-  task.done_ms = checkpoint.empty() ? 0 : std::stoll(checkpoint);
-  task.checkpoint_ms = task.done_ms;
-  task.advanced = now;
-  task.run = history_.size();
-  history_.push_back({id, now, Time{}, false, task.done_ms, 0});
-  const bool must_fail = is_failing_ || body.value("payload", "") == "fail";
-  if (must_fail) {
-    End(task, State::kFailed, now);
-  }
-  tasks_[id] = task;
-  return Reply(kCreated, json::object());
-}
+}  // namespace
 
 HttpReply FakeWorker::History() const {
   json runs = json::array();
-  for (const WorkerRun& run : history_) {
-    runs.push_back({{"job", run.task.job},
-                    {"attempt", run.task.attempt},
-                    {"started_us", run.started.time_since_epoch().count()},
-                    {"ended_us", run.ended.time_since_epoch().count()},
-                    {"finished", run.is_finished},
-                    {"from_ms", run.from_ms},
-                    {"to_ms", run.to_ms}});
+  for (const VirtualRun& run : worker_.runs()) {
+    const bool is_running = run.ended == Time::max();
+    runs.push_back(
+        {{"job", run.task.job},
+         {"attempt", run.task.attempt},
+         {"started_us", run.started.time_since_epoch().count()},
+         {"ended_us", is_running ? 0 : run.ended.time_since_epoch().count()},
+         {"finished", run.is_finished},
+         {"from_ms", run.from_ms},
+         {"to_ms", run.to_ms}});
   }
   return Reply(200, {{"runs", runs}});
 }
@@ -136,48 +99,27 @@
 HttpReply FakeWorker::Serve(const HttpCall& call) {
   const Time now = MonotonicClock::now();
   const std::lock_guard lock(mutex_);
-  Advance(now);
+  worker_.Advance(now);
   if (call.path == "/history") {
     return History();
   }
   if (call.path == "/control") {
-    is_failing_ = call.body == "failing";
+    worker_.set_failing(call.body == "failing");
     return Reply(200, json::object());
   }
-  if (call.path == "/tasks") {
-    return call.method == "GET" ? List() : Start(now, call.body);
-  }
-  const json body = json::parse(call.body);
-  if (call.path == "/lease") {
-    lease_until_ = Time(Span(body.at("until_us").get<std::int64_t>()));
-    return Reply(200, json::object());
-  }
-  const auto found = tasks_.find(TaskFrom(body));
-  if (call.path == "/tasks/stop") {
-    if (found == tasks_.end()) {
-      return Reply(200, {{"state", "stopped"}});
-    }
-    Task& task = found->second;
-    if (task.state == State::kRunning) {
-      End(task, State::kStopped, now);
-    }
-    return Reply(200, {{"state", task.state == State::kFinished ? "finished"
-                                                                : "stopped"}});
-  }
-  if (found == tasks_.end()) {
-    return Reply(kNotFound, {{"reason", "no such task"}});
+  const auto op = OpFor(call);
+  if (!op) {
+    return Reply(kNotFound, {{"reason", "no such call"}});
   }
-  Task& task = found->second;
-  if (call.path == "/tasks/checkpoint") {
-    task.checkpoint_ms = task.done_ms;
-    return Reply(200, {{"checkpoint", std::to_string(task.checkpoint_ms)}});
+  const WorkerReply reply = worker_.Call(now, ReadCall(*op, call.body));
+  if (!reply.ok) {
+    return Reply(kConflict, {{"reason", reply.text}});
   }
-  if (call.path == "/tasks/throttle") {
-    task.percent = body.at("percent").get<std::int64_t>();
-  } else if (call.path == "/tasks/forget") {
-    tasks_.erase(found);
+  if (*op == WorkerOp::kList) {
+    return Reply(200, ListToJson(reply));
   }
-  return Reply(200, json::object());
+  return Reply(
+      200, {{"checkpoint", reply.checkpoint}, {"state", NameOf(reply.state)}});
 }
 
 }  // namespace banyan
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -285,6 +285,34 @@
   return workers_;
 }
 
+double Cluster::CpuSeconds(const std::string& name) const {
+  // Fields 14 and 15 of the line are user and system time in clock ticks.
+  constexpr int kFieldsBeforeTimes = 11;
+  std::ifstream file("/proc/" + std::to_string(programs_.at(name).pid) +
+                     "/stat");
+  std::string line;
+  std::getline(file, line);
+  std::istringstream fields(line.substr(line.rfind(')') + 2));
+  std::string skipped;
+  for (int i = 0; i < kFieldsBeforeTimes; ++i) {
+    fields >> skipped;
+  }
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+double Cluster::ResidentMib(const std::string& name) const {
+  std::ifstream file("/proc/" + std::to_string(programs_.at(name).pid) +
+                     "/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  constexpr double kBytesPerMib = 1 << 20;
+  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / kBytesPerMib;
+}
+
 std::vector<std::string> Cluster::logs() const {
   std::vector<std::string> logs;
   for (const auto& item :
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -69,6 +69,9 @@
   [[nodiscard]] std::vector<std::string> endpoint_addresses() const;
   [[nodiscard]] std::vector<std::string> worker_addresses() const;
   [[nodiscard]] const std::vector<std::string>& names() const { return order_; }
+  // Processor seconds that a process has used, and the memory it holds in MiB.
+  [[nodiscard]] double CpuSeconds(const std::string& name) const;
+  [[nodiscard]] double ResidentMib(const std::string& name) const;
   // Log files of all processes of the product.
   [[nodiscard]] std::vector<std::string> logs() const;
 
--- a/tests/unit/audit_test.cc
+++ b/tests/unit/audit_test.cc
@@ -67,6 +67,20 @@
                   Start("01", "w1", "j", 1) + Start("02", "w2", "j", 2),
                   "two places at once");
             })
+      .Then("finds a worker committed beyond its capacity",
+            [] {
+              ExpectViolation(
+                  Line("01",
+                       "E1310 instance=w1 incarnation=1 data_centre=dc-a "
+                       "cpu_millis=1000 memory_mib=512 adopted=0") +
+                      Line("02",
+                           "E1210 job=j attempt=1 worker=w1 data_centre=dc-a "
+                           "cpu_millis=800 memory_mib=100") +
+                      Line("03",
+                           "E1210 job=k attempt=1 worker=w1 data_centre=dc-a "
+                           "cpu_millis=800 memory_mib=100"),
+                  "beyond its capacity");
+            })
       .Then("finds a start after a data centre went out",
             [] {
               ExpectViolation(
