--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -190,6 +190,8 @@
   Scheduler scheduler_;
   std::uint64_t applied_index_ = 0;
   std::uint64_t snapshot_index_ = 0;
+  // By how many entries this replica's snapshots come before others'.
+  std::uint64_t snapshot_offset_ = 0;
   bool is_compacting_ = false;
   bool is_leading_ = false;
   Time next_schedule_;
--- a/src/consensus/raft_storage.cc
+++ b/src/consensus/raft_storage.cc
@@ -301,6 +301,10 @@
   if (segments_.empty()) {
     segments_.push_back({1, 0});
     log_fd_ = CreateSegment(1, reason);
+    if (!SyncFolder(folder_)) {
+      reason = DiskError("can't sync " + folder_);
+      return false;
+    }
   } else {
     log_fd_ = ::open(SegmentPath(segments_.back().number).c_str(),
                      O_RDWR | O_APPEND | O_CLOEXEC);
@@ -385,12 +389,8 @@
   const std::string path = SegmentPath(number);
   const int fd =
       ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
-  if (fd < 0 || ::fsync(fd) != 0 || !SyncFolder(folder_)) {
+  if (fd < 0) {
     reason = DiskError("can't create " + path);
-    if (fd >= 0) {
-      ::close(fd);
-    }
-    return -1;
   }
   return fd;
 }
@@ -408,21 +408,21 @@
   if (snapshot.last_index <= snapshot_index_) {
     return true;
   }
+  // The sync of the folder that ends the snapshot covers the segment as well.
+  Prepared prepared = prepared_.value_or(Prepared{});
+  if (!prepared_) {
+    prepared.number = next_segment_++;
+    prepared.fd = CreateSegment(prepared.number, reason);
+    if (prepared.fd < 0) {
+      return false;
+    }
+  }
   if (!WriteSnapshot(snapshot, reason)) {
     return false;
   }
   snapshot_index_ = snapshot.last_index;
-  if (prepared_) {
-    // The disk thread has written nothing since the last snapshot.
-    prepared_->covered_index = snapshot.last_index;
-    return true;
-  }
-  const std::uint64_t number = next_segment_++;
-  const int fd = CreateSegment(number, reason);
-  if (fd < 0) {
-    return false;
-  }
-  prepared_ = Prepared{fd, number, snapshot.last_index};
+  prepared.covered_index = snapshot.last_index;
+  prepared_ = prepared;
   return true;
 }
 
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -21,7 +21,15 @@
                          Time now)
     : options_(std::move(options)),
       raft_(options_.raft, restored, now),
-      next_schedule_(now) {}
+      next_schedule_(now) {
+  // Replicas that wrote their snapshots at the same entry would all be slow to
+  // sync their logs at the same time, and with them the commit.
+  const std::vector<std::string>& all = options_.raft.configured;
+  const auto self = std::find(all.begin(), all.end(), options_.raft.self.id);
+  snapshot_offset_ = options_.snapshot_every *
+                     static_cast<std::uint64_t>(self - all.begin()) /
+                     (all.size() + 1);
+}
 
 void ControlCore::Tick(Time now, WallMillis wall) {
   raft_.Tick(now);
@@ -425,8 +433,9 @@
     ApplyEntry(now, entry);
     applied_index_ = entry.index;
   }
-  const bool is_due =
-      applied_index_ >= snapshot_index_ + options_.snapshot_every;
+  const std::uint64_t every = options_.snapshot_every;
+  const bool is_due = (applied_index_ + snapshot_offset_) / every >
+                      (snapshot_index_ + snapshot_offset_) / every;
   if (is_compacting_ || !is_due) {
     return;
   }
--- a/tests/bench/path.cc
+++ b/tests/bench/path.cc
@@ -16,6 +16,8 @@
 constexpr int kWarmUp = 200;
 constexpr int kSamples = 3000;
 constexpr std::int64_t kDelayMs = 2;
+// The product's default, in entries.
+constexpr std::uint64_t kSnapshotEvery = 5000;
 constexpr Span kBound = seconds(30);
 
 double OneCall(HttpClient& client, HttpCall& call) {
@@ -66,6 +68,7 @@
   ClusterShape shape;
   shape.first_port = 23000;
   shape.endpoint_delay_ms = kDelayMs;
+  shape.snapshot_every = kSnapshotEvery;
   Cluster cluster(binaries, binaries + "/bench-path", shape);
   if (!cluster.Start(kBound)) {
     std::cerr << "the system did not come up; the path was not measured\n";
