--- a/include/banyan/audit/audit.h
+++ b/include/banyan/audit/audit.h
@@ -19,8 +19,9 @@
 };
 
 // Reads log files and checks: no job runs in two places at once, no worker is
-// committed beyond its capacity, no task starts in a data centre that is out, no claimed attempt runs twice, no
-// request that was told "not run" ran, and no job ends twice.
+// committed beyond its capacity, no task starts in a data centre that is out,
+// no claimed attempt runs twice, no request that was told "not run" ran, and no
+// job ends twice.
 [[nodiscard]] AuditReport AuditLogs(std::span<const std::string> files);
 
 // Returns the report as text, a line each.
