--- a/tests/matrix/fault_matrix.cc
+++ b/tests/matrix/fault_matrix.cc
@@ -392,6 +392,7 @@
     }
   };
   std::vector<std::thread> pool;
+  pool.reserve(static_cast<std::size_t>(threads));
   for (int i = 0; i < threads; ++i) {
     pool.emplace_back(work);
   }
--- a/tests/support/core_world.cc
+++ b/tests/support/core_world.cc
@@ -714,7 +714,7 @@
 
 void CoreWorld::SubmitJobs(int count,
                            std::int64_t run_ms,
-                           std::string payload) {
+                           const std::string& payload) {
   for (int i = 0; i < count; ++i) {
     SubmitJob submit;
     submit.key = "job-" + std::to_string(next_job_++);
@@ -737,7 +737,9 @@
   }
 }
 
-void CoreWorld::Operate(Command command, int via, std::string command_id) {
+void CoreWorld::Operate(const Command& command,
+                        int via,
+                        const std::string& command_id) {
   const std::uint64_t ticket = next_ticket_++;
   const auto repeat = [this, command, via, command_id] {
     Operate(command, via + 1, command_id);
@@ -886,7 +888,7 @@
       {event.Field("job"), std::stoull(event.Field("attempt"))});
 }
 
-void CoreWorld::Complain(std::string what) {
+void CoreWorld::Complain(const std::string& what) {
   if (seen_violations_.insert(what).second) {
     violations_.push_back(std::to_string(ToMillis(now_.time_since_epoch())) +
                           " ms: " + what);
--- a/tests/support/core_world.h
+++ b/tests/support/core_world.h
@@ -66,10 +66,12 @@
   // --- Work ---
   void StartCallers(int bookings, int drafts);
   void StopCallers() { callers_active_ = false; }
-  void SubmitJobs(int count, std::int64_t run_ms, std::string payload = "");
+  void SubmitJobs(int count,
+                  std::int64_t run_ms,
+                  const std::string& payload = "");
   void CancelJobs(int every);
   // Sends an operator's command through one replica, repeated until answered.
-  void Operate(Command command, int via, std::string command_id);
+  void Operate(const Command& command, int via, const std::string& command_id);
   void TakeOut(const std::string& data_centre);
   void BringBack(const std::string& data_centre);
 
@@ -192,7 +194,7 @@
   void TakeAnswer(const CallerAnswer& answer);
   void LogEvents(const Node& node, const Events& events);
   void NoteLostLease(const Event& event);
-  void Complain(std::string what);
+  void Complain(const std::string& what);
   [[nodiscard]] bool HasLostMajorityOfDisks() const;
   void CheckLogs();
   void CheckConfig(Node& node);
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -23,7 +23,7 @@
 }
 
 std::string Write(const std::string& text) {
-  const std::string path = Paths().scratch + "/settings.yaml";
+  std::string path = Paths().scratch + "/settings.yaml";
   std::ofstream(path) << text;
   return path;
 }
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -11,7 +11,7 @@
   Dispatch dispatch;
   dispatch.seq = 7;
   dispatch.path = "/reservations";
-  dispatch.body = std::string("bytes \xff\x00 of any kind", 22);
+  dispatch.body = std::string("bytes \xff\x00 of any kind", 20);
   return {{"entry-0", 42}, dispatch};
 }
 
