Urgent jobs make room; umbrella headers; docs that were run

Cause: with every worker full of normal tasks an urgent job waited for one to end, against the 4.9 s of the target. Change: it evicts the fewest normal tasks that let it start, once, and their worker is kept free of other starts until then. A story fails without it. Also: one umbrella header a module, forward declarations in one place.

--- a/examples/place_job.cc
+++ b/examples/place_job.cc
@@ -3,7 +3,7 @@
 #include <iostream>
 #include <vector>
 
-#include "banyan/control/placement.h"
+#include "banyan/control.h"
 
 int main() {
   std::vector<banyan::WorkerView> workers(2);
--- a/examples/route_request.cc
+++ b/examples/route_request.cc
@@ -2,7 +2,7 @@
 
 #include <iostream>
 
-#include "banyan/routing/router_core.h"
+#include "banyan/routing.h"
 
 int main() {
   const banyan::Time now = banyan::MonotonicClock::now();
--- a/include/banyan/control/scheduler.h
+++ b/include/banyan/control/scheduler.h
@@ -154,6 +154,8 @@
   std::map<std::string, Resources> placing_for_;
   // Jobs that were told to leave, and when to tell them again.
   std::map<std::string, Time> evicting_;
+  // Urgent jobs that room is being made for, and when to try again.
+  std::map<std::string, Time> making_room_;
   double start_budget_ = 0;
   double drain_budget_ = 0;
   Time last_refill_;
--- /dev/null
+++ b/include/banyan/events.h
@@ -0,0 +1,8 @@
+#ifndef BANYAN_EVENTS_H_
+#define BANYAN_EVENTS_H_
+
+// Umbrella header: numbered log events.
+
+#include "banyan/events/event.h"
+
+#endif  // BANYAN_EVENTS_H_
--- /dev/null
+++ b/include/banyan/metrics.h
@@ -0,0 +1,8 @@
+#ifndef BANYAN_METRICS_H_
+#define BANYAN_METRICS_H_
+
+// Umbrella header: counts and latencies.
+
+#include "banyan/metrics/metrics.h"
+
+#endif  // BANYAN_METRICS_H_
--- /dev/null
+++ b/include/banyan/process.h
@@ -0,0 +1,14 @@
+#ifndef BANYAN_PROCESS_H_
+#define BANYAN_PROCESS_H_
+
+// Umbrella header: the processes round the cores.
+
+#include "banyan/process/agent_process.h"
+#include "banyan/process/control_link.h"
+#include "banyan/process/control_process.h"
+#include "banyan/process/entry_process.h"
+#include "banyan/process/operator_api.h"
+#include "banyan/process/program.h"
+#include "banyan/process/worker_client.h"
+
+#endif  // BANYAN_PROCESS_H_
--- a/include/banyan/process/operator_api.h
+++ b/include/banyan/process/operator_api.h
@@ -7,7 +7,7 @@
 
 #include "banyan/base/error_kind.h"
 #include "banyan/base/time.h"
-#include "banyan/control/control_core.h"
+#include "banyan/fwd.h"
 #include "banyan/net/http.h"
 #include "banyan/wire/command.h"
 
--- /dev/null
+++ b/include/banyan/routing.h
@@ -0,0 +1,10 @@
+#ifndef BANYAN_ROUTING_H_
+#define BANYAN_ROUTING_H_
+
+// Umbrella header: what an entry decides.
+
+#include "banyan/routing/budget.h"
+#include "banyan/routing/endpoint_pool.h"
+#include "banyan/routing/router_core.h"
+
+#endif  // BANYAN_ROUTING_H_
--- /dev/null
+++ b/include/banyan/settings.h
@@ -0,0 +1,9 @@
+#ifndef BANYAN_SETTINGS_H_
+#define BANYAN_SETTINGS_H_
+
+// Umbrella header: checked settings.
+
+#include "banyan/settings/settings.h"
+#include "banyan/settings/settings_reader.h"
+
+#endif  // BANYAN_SETTINGS_H_
--- /dev/null
+++ b/include/banyan/wire.h
@@ -0,0 +1,13 @@
+#ifndef BANYAN_WIRE_H_
+#define BANYAN_WIRE_H_
+
+// Umbrella header: the typed messages between processes and their codec.
+
+#include "banyan/wire/codec.h"
+#include "banyan/wire/command.h"
+#include "banyan/wire/instance.h"
+#include "banyan/wire/job.h"
+#include "banyan/wire/message.h"
+#include "banyan/wire/preset.h"
+
+#endif  // BANYAN_WIRE_H_
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -388,7 +388,11 @@
     const auto choice =
         ChooseWorker(policy_, job.spec, std::span<const WorkerView>(workers_));
     if (!choice) {
-      KeepWorkerIfAged(key, job);
+      if (job.spec.urgent) {
+        MakeRoom(key, job);
+      } else {
+        KeepWorkerIfAged(key, job);
+      }
       return false;
     }
     WorkerView& worker = workers_[choice->worker];
@@ -416,11 +420,63 @@
     worker.free -= job.spec.needs;
     worker.cpu_percent += share;
     scheduler_.placing_.insert(key);
+    scheduler_.making_room_.erase(key);
     scheduler_.placing_on_[worker.id] += job.spec.needs;
     scheduler_.placing_for_[team] += job.spec.needs;
     scheduler_.start_budget_ -= 1;
   }
 
+  // Normal tasks that must leave a worker so that the job fits; nothing when
+  // even all of them would not do.
+  [[nodiscard]] std::optional<std::vector<TaskId>> VictimsOn(
+      const WorkerView& worker,
+      const Job& job) const {
+    Resources free = worker.free;
+    std::vector<TaskId> victims;
+    const Instance& instance = *state_.FindInstance(worker.id);
+    for (const std::string& key : instance.jobs) {
+      if (Fits(job.spec.needs, free)) {
+        break;
+      }
+      const Job& other = state_.jobs().at(key);
+      if (!other.spec.urgent) {
+        victims.push_back({key, other.attempt});
+        free += other.spec.needs;
+      }
+    }
+    return Fits(job.spec.needs, free) ? std::optional(victims) : std::nullopt;
+  }
+
+  // Evicts the fewest normal tasks that let an urgent job start, and keeps
+  // their worker free of other starts until then.
+  void MakeRoom(const std::string& key, const Job& job) {
+    Time& retry = scheduler_.making_room_[key];
+    if (retry > now_) {
+      return;
+    }
+    auto best = workers_.end();
+    std::vector<TaskId> fewest;
+    for (auto worker = workers_.begin(); worker != workers_.end(); ++worker) {
+      auto victims = VictimsOn(*worker, job);
+      const bool is_better = victims && (best == workers_.end() ||
+                                         victims->size() < fewest.size());
+      if (is_better) {
+        best = worker;
+        fewest = *std::move(victims);
+      }
+    }
+    if (best == workers_.end()) {
+      return;
+    }
+    retry = now_ + kEvictRetry;
+    for (const TaskId& victim : fewest) {
+      scheduler_.evicting_[victim.job] = now_ + kEvictRetry;
+      out_.orders.push_back({TaskOrder::Kind::kEvict, victim, best->id,
+                             "room for urgent job " + key});
+    }
+    workers_.erase(best);
+  }
+
   // Keeps the worker that comes nearest to holding an aged job free of other
   // starts, so that small jobs don't starve a large one.
   void KeepWorkerIfAged(const std::string& key, const Job& job) {
--- a/src/process/operator_api.cc
+++ b/src/process/operator_api.cc
@@ -1,8 +1,10 @@
 #include "banyan/process/operator_api.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "banyan/control/control_core.h"
 #include "src/wire/json_types.h"
 
 namespace banyan {
--- a/tests/unit/scheduler_test.cc
+++ b/tests/unit/scheduler_test.cc
@@ -91,6 +91,26 @@
   CPPUNIT_ASSERT_EQUAL(std::string("urgent"), out.place.front().task.job);
 }
 
+void UrgentMakesRoom() {
+  Cell cell(1);
+  for (int i = 0; i < 3; ++i) {
+    cell.Submit("normal" + std::to_string(i));
+  }
+  cell.Decide();
+  cell.Submit("urgent", "other", true, 2000);
+  const SchedulerOutputs out = cell.Decide();
+  CPPUNIT_ASSERT_EQUAL_MESSAGE("no more leave than must", std::size_t{1},
+                               out.orders.size());
+  CPPUNIT_ASSERT(out.orders[0].kind == TaskOrder::Kind::kEvict);
+  CPPUNIT_ASSERT_MESSAGE("asked once", cell.Decide().orders.empty());
+  cell.Do(EndTask{out.orders[0].task, TaskEnd::kEvicted, "cp", ""});
+  cell.now += seconds(1);
+  cell.Decide();
+  CPPUNIT_ASSERT(cell.state.FindJob("urgent")->state == JobState::kPlaced);
+  CPPUNIT_ASSERT(cell.state.FindJob(out.orders[0].task.job)->state ==
+                 JobState::kQueued);
+}
+
 void TeamsShareFairly() {
   Cell cell(4);
   for (int i = 0; i < 40; ++i) {
@@ -238,6 +258,7 @@
   story
       .With(Section("the queue")
                 .Then("starts urgent jobs first", UrgentGoesFirst)
+                .Then("makes room for an urgent job", UrgentMakesRoom)
                 .Then("shares between teams", TeamsShareFairly)
                 .Then("fills gaps with small jobs", SmallJobsFillTheGaps)
                 .Then("starves no aged job", AgedJobIsNotStarved))
