--- a/tests/demo/demo.cc
+++ b/tests/demo/demo.cc
@@ -20,6 +20,10 @@
 constexpr Span kPhase = seconds(3);
 constexpr Span kJobBound = seconds(60);
 constexpr Span kStopBound = seconds(20);
+// The product's default, in entries.
+constexpr std::uint64_t kSnapshotEvery = 5000;
+// Long enough that builds are moved while the data centre is out.
+constexpr std::int64_t kRunMs = 6000;
 constexpr double kMsPerUs = 0.001;
 
 void PrintCounts(const char* name, const LoadCounts& counts) {
@@ -30,7 +34,9 @@
 }
 
 int Run(const std::string& binaries, const std::string& folder) {
-  Cluster cluster(binaries, folder, ClusterShape{});
+  ClusterShape shape;
+  shape.snapshot_every = kSnapshotEvery;
+  Cluster cluster(binaries, folder, shape);
   std::cout << "starting 3 control replicas, 2 entries, 6 endpoints and 3 "
                "workers on loopback\n";
   if (!cluster.Start(kStartBound)) {
@@ -40,7 +46,7 @@
   }
   Load load(cluster);
   load.Start(4, 4);
-  const int jobs = load.SubmitJobs("packet", 30, 2000);
+  const int jobs = load.SubmitJobs("packet", 30, kRunMs);
   std::this_thread::sleep_for(kPhase);
   std::cout << "taking data centre dc-b out\n";
   const int out_status = cluster.Change("/v1/data-centres/dc-b/out").status;
