An agent that leaves before it asked its worker gives nothing up

It said hello with an empty list, the cell released its tasks and placed one elsewhere while it still ran: two places at once for 100 ms. It also counted as drained. Change: no hello and no drained before the worker was asked.

--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -285,12 +285,15 @@
   options_.info.leaving = true;
   is_registered_ = false;
   next_hello_ = now;
-  SayHello();
+  // Before the worker was asked, a hello would give up what still runs there.
+  if (is_adopted_) {
+    SayHello();
+  }
 }
 
 bool AgentCore::drained() const noexcept {
-  return options_.info.leaving && tasks_.idle() && guard_.in_flight() == 0 &&
-         guard_.queued() == 0;
+  return options_.info.leaving && is_adopted_ && tasks_.idle() &&
+         guard_.in_flight() == 0 && guard_.queued() == 0;
 }
 
 AgentOutputs AgentCore::TakeOutputs() {
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -321,6 +321,27 @@
   CPPUNIT_ASSERT(agent.core.drained());
 }
 
+void LeavingBeforeAdoptionGivesNothingUp() {
+  AgentCore core(OptionsFor(InstanceRole::kWorker), kStart);
+  core.Tick(kStart);
+  static_cast<void>(core.TakeOutputs());
+  core.Leave(kStart);
+  CPPUNIT_ASSERT_MESSAGE("no hello before the worker was asked",
+                         core.TakeOutputs().to_control.empty());
+  CPPUNIT_ASSERT_MESSAGE("what runs there is not known yet", !core.drained());
+  WorkerReply list;
+  list.ok = true;
+  WorkerTask running;
+  running.task = {"j", 1};
+  list.tasks.push_back(running);
+  core.OnWorkerReply(kStart, list);
+  core.Tick(kStart);
+  const AgentOutputs out = core.TakeOutputs();
+  const auto& hello = std::get<AgentHello>(out.to_control.front());
+  CPPUNIT_ASSERT(hello.info.leaving);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hello.running.size());
+}
+
 void FreezeDropsWhatWaited() {
   Agent agent(InstanceRole::kEndpoint);
   agent.Advance(seconds(5));
@@ -351,7 +372,9 @@
               .Then("stops its tasks when the lease runs out",
                     StopsTasksWhenTheLeaseRunsOut)
               .Then("takes a checkpoint before an eviction",
-                    CheckpointsBeforeEviction))
+                    CheckpointsBeforeEviction)
+              .Then("that leaves before it asked its worker gives nothing up",
+                    LeavingBeforeAdoptionGivesNothingUp))
       .With(
           Section("beside an endpoint")
               .Then("keeps to slots and connections",
