--- a/include/banyan/control/load_table.h
+++ b/include/banyan/control/load_table.h
@@ -18,18 +18,14 @@
   std::uint64_t incarnation = 0;
   // When the leader may take the instance's lease as expired.
   Time lease_deadline;
-  Time last_report;
   std::uint64_t config_version = 0;
   std::int64_t cpu_percent = 0;
-  std::int64_t latency_us = 0;
   bool is_removing = false;
   // Processor use of the services alone, now and at its recent peak.
   double service_percent = 0;
   double service_peak_percent = 0;
   // What batch tasks really use of what they declared.
   double batch_ratio = 1;
-  // Tasks that the last report named.
-  std::set<TaskId> reported;
   // Successive reports above the pressure mark, and below its lower end.
   int reports_above = 0;
   int reports_below = 0;
--- a/include/banyan/control/placement.h
+++ b/include/banyan/control/placement.h
@@ -27,8 +27,6 @@
   double cpu_percent = 0;
   // Whether its batch tasks have less than their full share at present.
   bool is_throttled = false;
-  // Tasks that it runs.
-  std::size_t tasks = 0;
   // Learned slow-down that the job's kind causes to services here; 1 is none.
   double interference = 1;
 };
--- a/include/banyan/control/scheduler.h
+++ b/include/banyan/control/scheduler.h
@@ -71,15 +71,14 @@
   void Reset(Time now, const ControlState& state, Span lease);
 
   // Takes a report of an instance that holds its lease.
-  void OnHeartbeat(Time now,
-                   const ControlState& state,
+  void OnHeartbeat(const ControlState& state,
                    const std::string& instance,
                    std::uint64_t incarnation,
                    const Heartbeat& heartbeat,
                    Time lease_deadline);
 
   // Starts the lease of an instance that was just registered.
-  void OnRegistered(Time now, const Instance& instance, Time lease_deadline);
+  void OnRegistered(const Instance& instance, Time lease_deadline);
 
   // Forgets an instance that was removed.
   void OnRemoved(const std::string& instance);
@@ -87,8 +86,8 @@
   // Takes the end of an attempt; `job` is its state before.
   void OnTaskEnd(Time now, const Job& job, const EndTask& end, Events& events);
 
-  // Notes that a placement was applied or refused.
-  void OnPlaced(const PlaceTask& placed, bool accepted, const JobSpec& spec);
+  // Notes that a placement was applied, whether it took effect or not.
+  void OnPlaced(const PlaceTask& placed, const JobSpec& spec);
 
   // Decides what starts and what must leave.
   [[nodiscard]] SchedulerOutputs Decide(Time now, const ControlState& state);
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -74,6 +74,10 @@
 }
 
 void AgentCore::SayHello() {
+  // Before the worker was asked, a hello would give up what still runs there.
+  if (!is_adopted_) {
+    return;
+  }
   out_.to_control.emplace_back(AgentHello{options_.info, tasks_.tasks()});
 }
 
@@ -95,9 +99,7 @@
 void AgentCore::ControlUp(Time now) {
   next_hello_ = now;
   next_heartbeat_ = now;
-  if (is_adopted_) {
-    SayHello();
-  }
+  SayHello();
 }
 
 void AgentCore::Receive(Time now, const Sender& from, const Message& message) {
@@ -285,10 +287,7 @@
   options_.info.leaving = true;
   is_registered_ = false;
   next_hello_ = now;
-  // Before the worker was asked, a hello would give up what still runs there.
-  if (is_adopted_) {
-    SayHello();
-  }
+  SayHello();
 }
 
 bool AgentCore::drained() const noexcept {
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -265,8 +265,7 @@
   if (is_known) {
     ack.data_centre_out = state_.IsOut(instance->info.data_centre);
     ack.lease_ms = ToMillis(options_.lease);
-    scheduler_.OnHeartbeat(now, state_, origin.peer, origin.incarnation,
-                           heartbeat,
+    scheduler_.OnHeartbeat(state_, origin.peer, origin.incarnation, heartbeat,
                            now + options_.lease + options_.lease_margin);
     Reconcile(wall, *instance, heartbeat);
   }
@@ -519,7 +518,7 @@
         {info.id, info.incarnation * 2 + (info.leaving ? 1 : 0)});
     const Instance* instance = state_.FindInstance(info.id);
     if (is_leading_ && instance != nullptr) {
-      scheduler_.OnRegistered(now, *instance,
+      scheduler_.OnRegistered(*instance,
                               now + options_.lease + options_.lease_margin);
     }
   } else if (const auto* removed =
@@ -530,7 +529,7 @@
   } else if (const auto* placed = std::get_if<PlaceTask>(&command.command)) {
     const Job* job = state_.FindJob(placed->task.job);
     if (job != nullptr) {
-      scheduler_.OnPlaced(*placed, applied.placed.has_value(), job->spec);
+      scheduler_.OnPlaced(*placed, job->spec);
     }
   }
   if (!is_leading_) {
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -53,13 +53,12 @@
   *this = BasicScheduler();
   last_refill_ = now;
   for (const auto& [id, instance] : state.instances()) {
-    OnRegistered(now, instance, now + lease);
+    OnRegistered(instance, now + lease);
   }
 }
 
 template <SchedulerPolicies Policies>
-void BasicScheduler<Policies>::OnRegistered(Time now,
-                                            const Instance& instance,
+void BasicScheduler<Policies>::OnRegistered(const Instance& instance,
                                             Time lease_deadline) {
   InstanceLoad& load = loads_[instance.info.id];
   if (load.incarnation != instance.info.incarnation) {
@@ -67,7 +66,6 @@
     load.incarnation = instance.info.incarnation;
   }
   load.lease_deadline = std::max(load.lease_deadline, lease_deadline);
-  load.last_report = now;
   if (!instance.info.host.empty()) {
     services_on_[instance.info.host].insert(instance.info.service);
   }
@@ -79,8 +77,7 @@
 }
 
 template <SchedulerPolicies Policies>
-void BasicScheduler<Policies>::OnHeartbeat(Time now,
-                                           const ControlState& state,
+void BasicScheduler<Policies>::OnHeartbeat(const ControlState& state,
                                            const std::string& instance,
                                            std::uint64_t incarnation,
                                            const Heartbeat& heartbeat,
@@ -88,14 +85,8 @@
   InstanceLoad& load = loads_[instance];
   load.incarnation = incarnation;
   load.lease_deadline = std::max(load.lease_deadline, lease_deadline);
-  load.last_report = now;
   load.config_version = heartbeat.config_version;
   load.cpu_percent = heartbeat.cpu_percent;
-  load.latency_us = heartbeat.latency_us;
-  load.reported.clear();
-  for (const TaskUsage& usage : heartbeat.usage) {
-    load.reported.insert(usage.task);
-  }
   const Instance* known = state.FindInstance(instance);
   if (known != nullptr && known->info.role == InstanceRole::kWorker) {
     LearnUse(state, *known, heartbeat, load);
@@ -222,18 +213,12 @@
 
 template <SchedulerPolicies Policies>
 void BasicScheduler<Policies>::OnPlaced(const PlaceTask& placed,
-                                        bool accepted,
                                         const JobSpec& spec) {
   if (placing_.erase(placed.task.job) == 0) {
     return;
   }
   placing_on_[placed.worker] -= spec.needs;
   placing_for_[spec.team] -= spec.needs;
-  const auto load = loads_.find(placed.worker);
-  if (accepted && load != loads_.end()) {
-    load->second.next_eviction =
-        std::max(load->second.next_eviction, load->second.last_report);
-  }
 }
 
 template <SchedulerPolicies Policies>
@@ -267,7 +252,6 @@
     view.cpu_percent = ExpectedPercent(state.preset(), instance, load->second,
                                        under_way.cpu_millis);
     view.is_throttled = load->second.batch_share < kFullBatchShare;
-    view.tasks = instance.jobs.size();
     views.push_back(std::move(view));
   }
   return views;
@@ -307,9 +291,8 @@
     while (!turns_.empty() && scheduler_.start_budget_ >= 1) {
       TeamTurn turn = turns_.top();
       turns_.pop();
-      if (TryNext(turn)) {
-        Push(turn);
-      }
+      TryNext(turn);
+      Push(turn);
     }
   }
 
@@ -362,15 +345,15 @@
     return team == state_.teams().end() ? std::nullopt : team->second.quota;
   }
 
-  // Tries the team's next job; false when the team's turn is over.
-  bool TryNext(TeamTurn& turn) {
+  // Tries the team's next job.
+  void TryNext(TeamTurn& turn) {
     const QueueKey& key = *turn.next++;
     const Job& job = state_.jobs().at(key.job);
     const bool must_wait = scheduler_.placing_.contains(key.job) ||
                            scheduler_.failures_.IsBackingOff(now_, key.job) ||
                            (!state_.preset().batch_enabled && !job.spec.urgent);
     if (must_wait) {
-      return true;
+      return;
     }
     const std::optional<Resources> quota = QuotaOf(*turn.name);
     const bool is_within_quota =
@@ -378,7 +361,6 @@
     if (!is_within_quota || !Place(*turn.name, key.job, job)) {
       ++turn.failed;
     }
-    return true;
   }
 
   bool Place(const std::string& team, const std::string& key, const Job& job) {
--- a/tests/bench/batch_streams.cc
+++ b/tests/bench/batch_streams.cc
@@ -233,7 +233,7 @@
     }
     while (!delayed_.empty() && delayed_.front().at <= now_) {
       const Delayed& report = delayed_.front();
-      scheduler_.OnHeartbeat(now_, state_, report.instance, 1, report.heartbeat,
+      scheduler_.OnHeartbeat(state_, report.instance, 1, report.heartbeat,
                              now_ + std::chrono::hours(10));
       delayed_.pop_front();
     }
@@ -244,8 +244,7 @@
     for (const PlaceTask& place : out.place) {
       const Applied applied =
           state_.Apply({"", ToMillis(now_.time_since_epoch()), place});
-      scheduler_.OnPlaced(place, applied.placed.has_value(),
-                          state_.FindJob(place.task.job)->spec);
+      scheduler_.OnPlaced(place, state_.FindJob(place.task.job)->spec);
       if (applied.placed) {
         running_[place.task.job] = {place.worker, place.task.attempt,
                                     work_[place.task.job], 1};
--- a/tests/unit/scheduler_test.cc
+++ b/tests/unit/scheduler_test.cc
@@ -44,7 +44,7 @@
   void Report(const std::string& worker, std::int64_t cpu_percent) {
     Heartbeat heartbeat;
     heartbeat.cpu_percent = cpu_percent;
-    scheduler.OnHeartbeat(now, state, worker, 1, heartbeat, now + seconds(60));
+    scheduler.OnHeartbeat(state, worker, 1, heartbeat, now + seconds(60));
   }
 
   // Lets every worker report that it is idle, until estimates have faded.
@@ -61,9 +61,8 @@
   SchedulerOutputs Decide() {
     SchedulerOutputs out = scheduler.Decide(now, state);
     for (const PlaceTask& place : out.place) {
-      const Applied applied = state.Apply({"", 1000, place});
-      scheduler.OnPlaced(place, applied.placed.has_value(),
-                         state.FindJob(place.task.job)->spec);
+      state.Apply({"", 1000, place});
+      scheduler.OnPlaced(place, state.FindJob(place.task.job)->spec);
     }
     return out;
   }
