--- a/include/banyan/base/time.h
+++ b/include/banyan/base/time.h
@@ -1,6 +1,8 @@
 #ifndef BANYAN_BASE_TIME_H_
 #define BANYAN_BASE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 
@@ -19,10 +21,14 @@
   // The name is the standard library's.
   static constexpr bool is_steady = true;  // NOLINT
 
-  // Returns the present time; it goes on while the process is stopped.
+  // Returns the present time; it goes on while the process is stopped and
+  // while the machine is suspended, so that leases run out meanwhile.
   [[nodiscard]] static time_point now() noexcept {
-    return time_point(std::chrono::duration_cast<Span>(
-        std::chrono::steady_clock::now().time_since_epoch()));
+    timespec at{};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return time_point(
+        std::chrono::duration_cast<Span>(std::chrono::seconds(at.tv_sec) +
+                                         std::chrono::nanoseconds(at.tv_nsec)));
   }
 };
 
--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -124,6 +124,7 @@
   void CommitByMajority();
   void ProposeMembership(Membership membership);
   void TendMembership(Time now);
+  void RemoveSilentVoter(Time now, Membership next);
   void Replicate(Time now);
   void BackUp(const MemberId& from,
               Progress& progress,
--- a/include/banyan/consensus/raft_types.h
+++ b/include/banyan/consensus/raft_types.h
@@ -67,8 +67,12 @@
 // Who takes part and how.
 struct RaftOptions {
   MemberId self;
-  // Ids of all configured members, this one included.
+  // Ids of all configured members, or of those to ask for admission.
   std::vector<std::string> configured;
+  // Whether the configured members may form a new cell when all are empty.
+  bool may_form = true;
+  // How long a voter must be silent before an even cell goes on without it.
+  Span removal_silence = std::chrono::seconds(12);
   RaftTimings timings;
   std::uint64_t seed = 1;
 };
--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -14,6 +14,7 @@
 #include "banyan/control/control_state.h"
 #include "banyan/control/scheduler.h"
 #include "banyan/events/event.h"
+#include "banyan/graph/graph_leader.h"
 #include "banyan/wire/message.h"
 
 namespace banyan {
@@ -27,6 +28,7 @@
   Span lease_margin = std::chrono::seconds(1);
   // Entries after which a snapshot is taken.
   std::uint64_t snapshot_every = 5000;
+  GraphLeaderOptions graphs;
 };
 
 // The answer to a command of the local operator API.
@@ -90,6 +92,13 @@
               std::uint64_t ticket,
               const LoggedCommand& command);
 
+  // Reads confirmed state; the answer bears the ticket.
+  void Query(Time now,
+             WallMillis wall,
+             std::uint64_t ticket,
+             CellQueryKind kind,
+             const std::string& key);
+
   // Begins a planned stop: the leadership goes to another replica.
   void Leave(Time now);
 
@@ -112,6 +121,8 @@
   struct Attached {
     std::uint64_t incarnation = 0;
     bool is_entry = false;
+    // Whether it works by the operator's plan.
+    bool wants_plan = false;
     std::uint64_t table_version = 0;
   };
 
@@ -163,6 +174,20 @@
               WallMillis wall,
               const Origin& origin,
               const CommandRequest& request);
+  void LeadOn(Time now,
+              WallMillis wall,
+              const Origin& origin,
+              const WorkerSync& sync);
+  void LeadOn(Time now,
+              WallMillis wall,
+              const Origin& origin,
+              const CellQuery& query);
+  [[nodiscard]] CommandResult AnswerQuery(CellQueryKind kind,
+                                          const std::string& key) const;
+  void RunGraphs(Time now, WallMillis wall);
+  void TakeGraphOutputs(Time now, WallMillis wall);
+  void AnnouncePlan();
+  void AnnounceMembers(const std::string& peer);
   void Reconcile(WallMillis wall,
                  const Instance& instance,
                  const Heartbeat& heartbeat);
@@ -176,6 +201,7 @@
                   ErrorKind error,
                   std::string text);
 
+  void TakeRaftOutputs(Time now);
   void ApplyCommitted(Time now, const std::vector<LogEntry>& committed);
   void ApplyEntry(Time now, const LogEntry& entry);
   void ActOn(Time now, const LoggedCommand& command, const Applied& applied);
@@ -188,6 +214,11 @@
   RaftCore raft_;
   ControlState state_;
   Scheduler scheduler_;
+  GraphLeader graphs_;
+  Time next_graph_decision_;
+  bool has_proposed_ = false;
+  // The membership that attached processes were told last.
+  std::uint64_t announced_members_ = 0;
   std::uint64_t applied_index_ = 0;
   std::uint64_t snapshot_index_ = 0;
   // By how many entries this replica's snapshots come before others'.
--- a/include/banyan/control/control_state.h
+++ b/include/banyan/control/control_state.h
@@ -13,6 +13,7 @@
 #include "banyan/base/error_kind.h"
 #include "banyan/base/resources.h"
 #include "banyan/events/event.h"
+#include "banyan/graph/graph_table.h"
 #include "banyan/wire/command.h"
 #include "banyan/wire/message.h"
 
@@ -95,6 +96,8 @@
   std::optional<TaskId> placed;
   // Placed tasks that their worker must stop.
   std::vector<TaskId> stop;
+  // What a command on job graphs changed.
+  std::optional<GraphApplied> graph;
   Events events;
 };
 
@@ -113,6 +116,7 @@
 
   [[nodiscard]] const Configuration& config() const noexcept { return config_; }
   [[nodiscard]] const Preset& preset() const;
+  [[nodiscard]] const GraphTable& graphs() const noexcept { return graphs_; }
   [[nodiscard]] const std::map<std::string, Job>& jobs() const noexcept {
     return jobs_;
   }
@@ -155,6 +159,11 @@
     WallMillis expires_at = 0;
   };
 
+  template <typename T>
+  requires requires(GraphTable& table, const T& command) {
+    table.Apply(command, WallMillis{});
+  }
+  void On(const T& command, Applied& applied);
   void On(const NoOp& command, Applied& applied);
   void On(const CreatePreset& command, Applied& applied);
   void On(const ActivatePreset& command, Applied& applied);
@@ -193,6 +202,7 @@
   void RebuildIndexes();
 
   Configuration config_;
+  GraphTable graphs_;
   std::map<std::string, Job> jobs_;
   std::map<std::string, Instance> instances_;
   std::map<std::string, Team> teams_;
--- /dev/null
+++ b/include/banyan/graph/graph_placement.h
@@ -0,0 +1,70 @@
+#ifndef BANYAN_GRAPH_GRAPH_PLACEMENT_H_
+#define BANYAN_GRAPH_GRAPH_PLACEMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "banyan/graph/graph_table.h"
+#include "banyan/graph/worker_view.h"
+
+namespace banyan {
+
+// A worker as placement sees it: what is free after all that was decided.
+struct WorkerRoom {
+  const GraphWorker* worker = nullptr;
+  Resources free;
+  // Processor time that is neither committed nor wanted by tasks that fill.
+  std::int64_t idle_cpu_millis = 0;
+  // Tasks here with a latency target, and tasks that fill.
+  int serving = 0;
+  int filling = 0;
+  bool suspected = false;
+  // Runs here in all.
+  std::size_t runs = 0;
+};
+
+// Chooses which ready tasks start where. Deterministic; knows no clocks but
+// those it is given.
+class GraphPlacement {
+ public:
+  // Returns the placements to propose, most urgent first.
+  [[nodiscard]] std::vector<RunPlacement> Choose(
+      Time now,
+      WallMillis wall,
+      const GraphTable& table,
+      const std::map<std::string, GraphWorkerView>& views);
+
+  // Learns that a run of the task did not do well on the worker.
+  void Avoid(const TaskRef& task, const std::string& worker);
+
+  // Forgets what was learned of a task that is done.
+  void Forget(const TaskRef& task) { avoided_.erase(task); }
+
+ private:
+  void PlaceGraph(WallMillis wall,
+                  const GraphTable& table,
+                  const std::string& id,
+                  const Graph& graph,
+                  std::vector<RunPlacement>& chosen);
+  void PlaceGang(const Graph& graph,
+                 const TaskRef& first,
+                 const StepProgress& progress,
+                 std::vector<RunPlacement>& chosen);
+  [[nodiscard]] WorkerRoom* BestRoom(const Graph& graph,
+                                     const TaskRef& task,
+                                     const StepSpec& step,
+                                     const std::map<std::string, int>& here,
+                                     const std::string& rack);
+  void Take(WorkerRoom& room, const StepSpec& step);
+
+  std::map<std::string, WorkerRoom> rooms_;
+  std::map<TaskRef, std::set<std::string>> avoided_;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_GRAPH_GRAPH_PLACEMENT_H_
--- /dev/null
+++ b/include/banyan/graph/worker_agent.h
@@ -0,0 +1,133 @@
+#ifndef BANYAN_GRAPH_WORKER_AGENT_H_
+#define BANYAN_GRAPH_WORKER_AGENT_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "banyan/events/event.h"
+#include "banyan/graph/run_call.h"
+#include "banyan/wire/graph.h"
+#include "banyan/wire/message.h"
+
+namespace banyan {
+
+// What the agent of a worker wants done.
+struct WorkerAgentOutputs {
+  std::vector<RunCall> calls;
+  std::vector<Message> to_control;
+  Events events;
+};
+
+// The agent beside one worker, without its I/O. It carries out the leader's
+// orders, keeps the worker's lease as long as it holds one itself, and tells
+// the leader what the worker lists. It decides nothing about tasks.
+class WorkerAgent {
+ public:
+  // Takes what the worker says of itself. Reports of an earlier life, or that
+  // are overtaken, change nothing.
+  void OnReport(Time now, const WorkerReport& report);
+
+  // Takes a worker's word that its life is over.
+  void OnLeave(Time now, const std::string& worker);
+
+  // Takes the answer to a call.
+  void OnReply(Time now, const RunCallReply& reply);
+
+  // Takes the leader's orders. Returns whether they answer a sync.
+  bool OnOrders(Time now, const WorkerOrders& orders);
+
+  // Lets deadlines pass.
+  void Tick(Time now);
+
+  [[nodiscard]] WorkerAgentOutputs TakeOutputs() {
+    return std::exchange(out_, WorkerAgentOutputs{});
+  }
+
+  // The worker's present life; nothing before its first report.
+  [[nodiscard]] const std::optional<WorkerInfo>& worker() const noexcept {
+    return info_;
+  }
+  [[nodiscard]] bool HoldsLease(Time now) const noexcept {
+    return lease_deadline_ > now;
+  }
+
+ private:
+  // A start that the worker has not confirmed.
+  struct Starting {
+    RunStart start;
+    Time ordered_at;
+    Time retry_at;
+    bool is_in_flight = false;
+    // Calls without an answer, which may still be carried out.
+    int unanswered = 0;
+  };
+
+  // A run that the worker must not run any more.
+  struct Stopping {
+    Time retry_at;
+    bool is_in_flight = false;
+    // When the worker confirmed the stop.
+    std::optional<Time> confirmed_at;
+  };
+
+  // The worker's clock at a moment of the agent's clock. The worker read it
+  // before that moment, so what is derived never lies too late.
+  struct ClockSample {
+    std::int64_t worker_ms = 0;
+    Time at;
+  };
+
+  // What a later life of the worker starts from.
+  [[nodiscard]] WorkerAgent Successor() &&;
+  void OnHold(Time now, const RunCallReply& reply);
+  void OnStarted(Time now, const RunCallReply& reply);
+  void OnStopped(Time now, const RunCallReply& reply);
+  void Refuse(Time now, const RunRef& run, const char* why);
+  void Stop(Time now, const RunRef& run);
+  void SetReachable(Time now, bool reachable, const std::string& why);
+  void CallHold(Time now);
+  void CallStarts(Time now);
+  void CallStops(Time now);
+  void SendSync(Time now);
+  [[nodiscard]] RunCall CallFor(RunCallOp op, const RunRef& run) const;
+  [[nodiscard]] std::optional<std::int64_t> LeaseOnWorkerClock() const;
+  [[nodiscard]] bool IsListed(const RunRef& run) const;
+
+  std::optional<WorkerInfo> info_;
+  std::int64_t sequence_ = 0;
+  bool is_gone_ = false;
+  Time leaves_at_;
+  std::optional<ClockSample> clock_;
+  std::uint64_t fencing_token_ = 0;
+  Time lease_deadline_;
+  std::int64_t noted_ = 0;
+
+  bool is_reachable_ = false;
+  bool is_holding_ = false;
+  Time next_hold_;
+  // The last list of the worker.
+  std::map<RunRef, RunningRow> running_;
+  std::map<std::int64_t, EndedRow> ended_;
+  std::map<RunRef, Starting> starting_;
+  // Starts that were confirmed and that no list shows yet.
+  std::map<RunRef, Time> started_;
+  std::map<RunRef, Stopping> stopping_;
+  // Runs that will not begin here, and until when that is repeated.
+  std::map<RunRef, Time> refused_;
+
+  std::uint64_t next_seq_ = 1;
+  Time next_sync_;
+  // When the syncs without an answer were sent.
+  std::deque<std::pair<std::uint64_t, Time>> sent_;
+  WorkerAgentOutputs out_;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_GRAPH_WORKER_AGENT_H_
--- /dev/null
+++ b/include/banyan/graph/worker_view.h
@@ -0,0 +1,56 @@
+#ifndef BANYAN_GRAPH_WORKER_VIEW_H_
+#define BANYAN_GRAPH_WORKER_VIEW_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "banyan/base/time.h"
+#include "banyan/wire/graph.h"
+
+namespace banyan {
+
+// What the leader saw of one run.
+struct RunView {
+  RunningRow row;
+  // When the percentage last changed.
+  Time moved_at;
+  Time first_seen;
+  // When the run's figure went over its latency target without coming back.
+  std::optional<Time> over_target_since;
+  // The share of processor time that was ordered, in percent.
+  std::int64_t pace = 100;
+};
+
+// What the leader learned of one worker's life from its agent's reports.
+struct GraphWorkerView {
+  WorkerLife life;
+  std::string agent;
+  // When the leader may take the worker's lease as run out.
+  Time lease_deadline;
+  Time heard;
+  bool reachable = false;
+  // The least moment at which a draining worker ends.
+  std::optional<Time> leaves_at;
+  std::map<RunRef, RunView> runs;
+  // When an order was sent last, by run.
+  std::map<RunRef, Time> started;
+  std::map<RunRef, Time> stopped;
+  // The last end that was proposed to the log, and when.
+  std::int64_t proposed_end = 0;
+  Time proposed_at;
+  // When the worker's admission was proposed.
+  Time admitting_at;
+  bool dropping = false;
+  // Graphs whose runs failed here since one was done.
+  std::set<std::string> failed_graphs;
+  // Until then the worker gets one run at a time, as a probe.
+  Time resting_until;
+  bool suspected = false;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_GRAPH_WORKER_VIEW_H_
--- a/include/banyan/net/peer_network.h
+++ b/include/banyan/net/peer_network.h
@@ -41,6 +41,11 @@
   // Accepts connections on "IP:port"; false when the address is not free.
   [[nodiscard]] bool Listen(const std::string& address);
 
+  // Both sides of a pair may connect: an address that is also the id of a
+  // connected peer needs no connection of its own, and the side with the
+  // greater id waits a little for the other one.
+  void set_symmetric() { is_symmetric_ = true; }
+
   // Starts the network thread.
   void Start();
 
@@ -77,6 +82,7 @@
   void OnClose(ConnectionId connection, const std::string& address);
   void Register(ConnectionId connection, const Sender& sender);
   void SendOn(ConnectionId connection, const Message& message);
+  [[nodiscard]] Time FirstDial(Time now, const std::string& address) const;
 
   std::string id_;
   Handler handler_;
@@ -89,6 +95,7 @@
   // Addresses that are connected or being connected, and when to try again.
   std::map<std::string, Time> dialled_;
   std::set<std::string> open_addresses_;
+  bool is_symmetric_ = false;
   Transport transport_;
 };
 
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -3,7 +3,9 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -12,6 +14,7 @@
 #include "banyan/base/bounded_ring.h"
 #include "banyan/consensus/raft_storage.h"
 #include "banyan/control/control_core.h"
+#include "banyan/graph/cell_client.h"
 #include "banyan/metrics/metrics.h"
 #include "banyan/net/http.h"
 #include "banyan/net/peer_network.h"
@@ -23,10 +26,18 @@
 // The exit code of a control process whose disk failed.
 inline constexpr int kDiskExitCode = 74;
 
+// Hands a call to the control cell and waits for its answer until a deadline.
+using CellPort = std::function<CommandResult(CellCall, Time deadline)>;
+
+// Serves an API over the control cell; nothing for a path it does not know.
+using CellApi =
+    std::function<std::optional<HttpReply>(const HttpCall&, const CellPort&)>;
+
 // banyan-control: the control core with its disk, sockets, threads and timers.
 class ControlProcess {
  public:
-  explicit ControlProcess(ControlSettings settings);
+  // A given API goes before the operator API.
+  explicit ControlProcess(ControlSettings settings, CellApi api = nullptr);
   ~ControlProcess();
   ControlProcess(const ControlProcess&) = delete;
   ControlProcess& operator=(const ControlProcess&) = delete;
@@ -53,8 +64,13 @@
     std::uint64_t ticket = 0;
     std::string path;
   };
+  struct CellInput {
+    std::uint64_t ticket = 0;
+    CellCall call;
+  };
   struct LeaveInput {};
   using Input = std::variant<PeerEvent,
+                             CellInput,
                              Persisted,
                              Compacted,
                              ApiCommand,
@@ -65,21 +81,25 @@
   HttpReply Await(std::uint64_t ticket,
                   std::future<HttpReply> reply,
                   Input input);
+  CommandResult CallCell(CellCall call, Time deadline);
   void RunCore();
   void RunDisk();
   void RunSnapshots();
+  [[nodiscard]] std::set<std::string> DialledAddresses() const;
   void Take(Time now, Input input);
   void Answer(Time now, const ApiQuery& query);
   void Act(ControlOutputs outputs);
   void Push(Input input);
 
   ControlSettings settings_;
+  CellApi api_;
   RaftStorage storage_;
   std::unique_ptr<ControlCore> core_;
   BoundedRing<Input> inputs_;
   BoundedRing<PersistBatch> disk_;
   BoundedRing<CompactOrder> snapshots_;
   PendingReplies pending_;
+  Pending<CommandResult> pending_calls_;
   Metrics metrics_;
   std::unique_ptr<PeerNetwork> network_;
   HttpServer server_;
--- a/include/banyan/process/program.h
+++ b/include/banyan/process/program.h
@@ -2,10 +2,7 @@
 #define BANYAN_PROCESS_PROGRAM_H_
 
 #include <csignal>
-#include <future>
 #include <iostream>
-#include <map>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <utility>
@@ -14,12 +11,17 @@
 #include "banyan/events/event.h"
 #include "banyan/metrics/metrics.h"
 #include "banyan/net/http.h"
+#include "banyan/process/pending.h"
 
 namespace banyan {
 
 // The version that every binary names.
 inline constexpr const char* kVersion = "0.1.0";
 
+// The environment variable that names the settings file where the command
+// line does not.
+inline constexpr const char* kSettingsVariable = "BANYANCHUTE_CONFIG";
+
 // What a process was asked to do on its command line.
 struct ProgramArgs {
   std::string settings;
@@ -40,13 +42,13 @@
 // Prints what is wrong with the settings and returns the exit code for it.
 [[nodiscard]] int ReportBadSettings(const Reason& reason);
 
-// Keeps SIGTERM and SIGINT from ending the process. Create it before any
-// thread starts.
+// Keeps SIGTERM, SIGINT and SIGHUP from ending the process. Create it before
+// any thread starts.
 class StopSignal {
  public:
   StopSignal();
-  // Waits for one of the signals.
-  void Wait();
+  // Waits for one of the signals. Returns whether it asks for a reload.
+  [[nodiscard]] bool Wait();
 
  private:
   sigset_t signals_{};
@@ -61,6 +63,9 @@
 // Writes one line for a stage in the life of a process.
 void LogStage(EventId stage, const ProgramInfo& info);
 
+// Writes one line for a reload of the settings, which may have been wrong.
+void LogReload(const ProgramInfo& info, const Reason* fault);
+
 // The whole life of a daemon: reads its command line and settings, starts it,
 // waits for a signal and stops it gracefully. Returns the exit code. The
 // process has Start and Stop; Stop tells whether everything was finished.
@@ -85,13 +90,21 @@
   }
   StopSignal stop;
   StartLog(info.name, settings->log_folder);
-  Process process(*std::move(settings));
+  Process process(*settings);
   if (!process.Start(reason)) {
     std::cerr << info.name << ": " << ToString(reason) << "\n";
     return 1;
   }
   LogStage(EventId::kProcessStarted, info);
-  stop.Wait();
+  while (stop.Wait()) {
+    if constexpr (requires { process.Reload(*settings); }) {
+      auto changed = load(args->settings, reason);
+      if (changed) {
+        process.Reload(*changed);
+      }
+      LogReload(info, changed ? nullptr : &reason);
+    }
+  }
   LogStage(EventId::kProcessStopping, info);
   const bool was_clean = process.Stop();
   LogStage(was_clean ? EventId::kProcessStopped : EventId::kProcessCutShort,
@@ -106,26 +119,8 @@
     bool is_leaving,
     const Metrics& metrics);
 
-// Answers that HTTP threads wait for, by ticket.
-class PendingReplies {
- public:
-  // Opens a ticket; the future bears its reply.
-  [[nodiscard]] std::pair<std::uint64_t, std::future<HttpReply>> Open();
-
-  // Delivers a reply; a ticket that was given up is ignored.
-  void Deliver(std::uint64_t ticket, HttpReply reply);
-
-  // Gives a ticket up.
-  void GiveUp(std::uint64_t ticket);
-
-  // Tickets that are open.
-  [[nodiscard]] std::size_t open() const;
-
- private:
-  mutable std::mutex mutex_;
-  std::uint64_t next_ = 1;
-  std::map<std::uint64_t, std::promise<HttpReply>> waiting_;
-};
+// HTTP answers that threads wait for.
+using PendingReplies = Pending<HttpReply>;
 
 }  // namespace banyan
 
--- a/include/banyan/settings/settings.h
+++ b/include/banyan/settings/settings.h
@@ -31,6 +31,11 @@
   std::string listen;
   std::string api;
   std::vector<ControlMember> members;
+  // Replicas to ask for admission where there is no list of members; then ids
+  // are the addresses that replicas listen on.
+  std::vector<std::string> seeds;
+  // Whether the seeds may form a new cell when all of them are empty.
+  bool bootstrap = true;
   Span election;
   Span lease;
   std::uint64_t snapshot_every = 0;
@@ -38,6 +43,35 @@
   std::string log_folder;
 };
 
+// Settings of the processes that serve job graphs: the replicas, gateways and
+// agents of one cell.
+struct CellSettings {
+  std::string id;
+  std::string data_centre;
+  // Where this replica listens for the other processes; empty for none.
+  std::string listen;
+  // Replicas' addresses as of the writing of the settings.
+  std::vector<std::string> seeds;
+  bool bootstrap = false;
+  // Empty for a process without a disk.
+  std::string data_folder;
+  // Where callers, the readiness check, operators and the worker connect.
+  std::string front;
+  std::string ready;
+  std::string control;
+  // Where the worker beside an agent is called.
+  std::string worker;
+  std::string metrics;
+  Span election;
+  // The lease of a worker.
+  Span lease;
+  std::uint64_t snapshot_every = 0;
+  std::int64_t threads = 0;
+  // How long a planned stop may take.
+  Span drain;
+  std::string log_folder;
+};
+
 // A service as an entry knows it.
 struct ServiceSettings {
   std::string name;
@@ -75,6 +109,9 @@
 [[nodiscard]] std::optional<ControlSettings> LoadControlSettings(
     const std::string& path,
     Reason& reason);
+[[nodiscard]] std::optional<CellSettings> LoadCellSettings(
+    const std::string& path,
+    Reason& reason);
 [[nodiscard]] std::optional<EntrySettings> LoadEntrySettings(
     const std::string& path,
     Reason& reason);
--- a/include/banyan/wire/command.h
+++ b/include/banyan/wire/command.h
@@ -8,6 +8,7 @@
 
 #include "banyan/base/error_kind.h"
 #include "banyan/base/time.h"
+#include "banyan/wire/graph.h"
 #include "banyan/wire/instance.h"
 #include "banyan/wire/job.h"
 #include "banyan/wire/preset.h"
@@ -137,7 +138,15 @@
                              PlaceTask,
                              EndTask,
                              OpenClaim,
-                             EndClaim>;
+                             EndClaim,
+                             InstallPlan,
+                             SetEvacuated,
+                             SubmitGraph,
+                             CancelGraph,
+                             AdmitWorker,
+                             DropWorker,
+                             PlaceRuns,
+                             EndRuns>;
 
 // A command as it stands in the log.
 struct LoggedCommand {
@@ -178,6 +187,8 @@
   // The configuration version after the command.
   std::uint64_t version = 0;
   ClaimView claim;
+  // When a refused caller may come back, in milliseconds; 0 leaves it open.
+  std::int64_t retry_after_ms = 0;
 };
 
 }  // namespace banyan
--- a/include/banyan/wire/message.h
+++ b/include/banyan/wire/message.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "banyan/wire/command.h"
+#include "banyan/wire/graph.h"
 #include "banyan/wire/instance.h"
 #include "banyan/wire/job.h"
 #include "banyan/wire/preset.h"
@@ -374,7 +375,14 @@
                              DispatchReply,
                              CancelDispatch,
                              TombstoneRequest,
-                             TombstoneReply>;
+                             TombstoneReply,
+                             WorkerSync,
+                             WorkerOrders,
+                             CellQuery,
+                             EntryStatus,
+                             EntryStatusAck,
+                             PlanUpdate,
+                             CellMembers>;
 
 // Who sent a message.
 struct Sender {
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -208,7 +208,11 @@
 }
 
 void RaftCore::FormCellIfAllEmpty(Time now) {
-  if (HasMembership() || log_.last_index() > 0) {
+  const bool is_configured =
+      std::find(options_.configured.begin(), options_.configured.end(),
+                options_.self.id) != options_.configured.end();
+  if (HasMembership() || log_.last_index() > 0 || !options_.may_form ||
+      !is_configured) {
     return;
   }
   Membership membership;
@@ -237,7 +241,10 @@
 }
 
 void RaftCore::On(Time now, const MemberId& from, const JoinRequest& request) {
-  if (request.empty) {
+  const bool is_removed = !request.empty && HasMembership() &&
+                          !IsVoter(log_.membership(), from) &&
+                          !IsLearner(log_.membership(), from);
+  if (request.empty || is_removed) {
     joining_[from.id] = {from, request};
   } else if (!HasMembership()) {
     joining_.erase(from.id);
@@ -483,6 +490,24 @@
       return;
     }
   }
+  RemoveSilentVoter(now, std::move(next));
+}
+
+void RaftCore::RemoveSilentVoter(Time now, Membership next) {
+  // An even cell tolerates no more losses than the odd one below it, so a
+  // voter that may be gone for good can only be in the way of a majority.
+  constexpr std::size_t kLeastEvenCell = 4;
+  if (next.voters.size() < kLeastEvenCell || next.voters.size() % 2 != 0) {
+    return;
+  }
+  for (const MemberId& voter : next.voters) {
+    if (voter != options_.self &&
+        progress_[voter].heard + options_.removal_silence < now) {
+      std::erase(next.voters, MemberId(voter));
+      ProposeMembership(std::move(next));
+      return;
+    }
+  }
 }
 
 void RaftCore::Replicate(Time /*now*/) {
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -13,6 +13,9 @@
 // A placed task that its agent does not report after this long is ordered
 // again.
 constexpr WallMillis kResendStartMs = 1000;
+// How often the leader decides on job graphs while tasks are ready, and else.
+constexpr Span kGraphInterval = Millis(10);
+constexpr Span kIdleGraphInterval = Millis(100);
 
 }  // namespace
 
@@ -21,6 +24,7 @@
                          Time now)
     : options_(std::move(options)),
       raft_(options_.raft, restored, now),
+      graphs_(options_.graphs),
       next_schedule_(now) {
   // Replicas that wrote their snapshots at the same entry would all be slow to
   // sync their logs at the same time, and with them the commit.
@@ -38,6 +42,31 @@
     next_schedule_ = now + kScheduleInterval;
     RunScheduler(now, wall);
   }
+  RunGraphs(now, wall);
+}
+
+void ControlCore::RunGraphs(Time now, WallMillis wall) {
+  if (!is_leading_ || now < next_graph_decision_ || !raft_.HoldsLease(now)) {
+    return;
+  }
+  const bool has_ready = !state_.graphs().ready_graphs().empty();
+  next_graph_decision_ =
+      now + (has_ready ? kGraphInterval : kIdleGraphInterval);
+  graphs_.Decide(now, wall, state_.graphs());
+  TakeGraphOutputs(now, wall);
+}
+
+void ControlCore::TakeGraphOutputs(Time now, WallMillis wall) {
+  GraphLeaderOutputs outputs = graphs_.TakeOutputs();
+  for (Command& command : outputs.proposals) {
+    has_proposed_ =
+        ProposeCommand(now, wall, std::move(command)) || has_proposed_;
+  }
+  for (Outbound& order : outputs.orders) {
+    SendToAttached(order.to, std::move(order.message));
+  }
+  std::move(outputs.events.begin(), outputs.events.end(),
+            std::back_inserter(out_.events));
 }
 
 void ControlCore::OnPersisted(Time now, std::uint64_t seq) {
@@ -54,6 +83,7 @@
   if (leads && !is_leading_) {
     is_leading_ = true;
     scheduler_.Reset(now, state_, options_.lease + options_.lease_margin);
+    graphs_.Reset(now, state_.graphs(), raft_.term());
   } else if (is_leading_ && raft_.role() != RaftRole::kLeader) {
     StopLeading();
   }
@@ -84,7 +114,10 @@
              std::holds_alternative<Heartbeat>(message) ||
              std::holds_alternative<TaskReport>(message) ||
              std::holds_alternative<EntryHeartbeat>(message) ||
-             std::holds_alternative<CommandRequest>(message)) {
+             std::holds_alternative<CommandRequest>(message) ||
+             std::holds_alternative<WorkerSync>(message) ||
+             std::holds_alternative<CellQuery>(message) ||
+             std::holds_alternative<EntryStatus>(message)) {
     ReceiveAttached(now, wall, from, message);
   } else {
     raft_.Receive(now, from, message);
@@ -99,6 +132,16 @@
   if (attached.incarnation != from.incarnation) {
     attached = Attached{};
     attached.incarnation = from.incarnation;
+    AnnounceMembers(from.id);
+  }
+  if (const auto* status = std::get_if<EntryStatus>(&message)) {
+    attached.wants_plan = true;
+    if (status->plan_version < state_.graphs().plan().version) {
+      out_.messages.push_back({from.id, PlanUpdate{state_.graphs().plan()}});
+    }
+    out_.messages.push_back(
+        {from.id, EntryStatusAck{status->seq, raft_.IsFresh(now)}});
+    return;
   }
   if (const auto* entry = std::get_if<EntryHeartbeat>(&message)) {
     attached.is_entry = true;
@@ -154,9 +197,13 @@
   }
   const auto* request = std::get_if<CommandRequest>(&message);
   const bool is_relayed = origin.replica != options_.raft.self.id;
+  const auto* query = std::get_if<CellQuery>(&message);
   if (raft_.leader().empty() || is_relayed) {
     if (request != nullptr) {
-      ReplyError(origin, request->seq, ErrorKind::kNoQuorum,
+      ReplyError(origin, request->seq, ErrorKind::kNotLeader,
+                 "no leader is known at present");
+    } else if (query != nullptr) {
+      ReplyError(origin, query->seq, ErrorKind::kNotLeader,
                  "no leader is known at present");
     }
     return;
@@ -211,6 +258,68 @@
           CommandRequest{ticket, command});
 }
 
+void ControlCore::Query(Time now,
+                        WallMillis wall,
+                        std::uint64_t ticket,
+                        CellQueryKind kind,
+                        const std::string& key) {
+  const MemberId& self = options_.raft.self;
+  Forward(now, wall, {self.id, self.id, self.incarnation},
+          CellQuery{ticket, kind, key});
+}
+
+void ControlCore::LeadOn(Time now,
+                         WallMillis wall,
+                         const Origin& origin,
+                         const WorkerSync& sync) {
+  if (!is_leading_) {
+    return;
+  }
+  graphs_.OnSync(now, state_.graphs(), origin.peer, sync,
+                 raft_.HoldsLease(now));
+  TakeGraphOutputs(now, wall);
+}
+
+void ControlCore::LeadOn(Time now,
+                         WallMillis /*wall*/,
+                         const Origin& origin,
+                         const CellQuery& query) {
+  // Under the lease nothing newer can have been committed elsewhere.
+  if (!is_leading_ || !raft_.HoldsLease(now)) {
+    ReplyError(origin, query.seq, ErrorKind::kNotLeader,
+               "the leader is not confirmed at present");
+    return;
+  }
+  Reply(origin, query.seq, AnswerQuery(query.kind, query.key));
+}
+
+CommandResult ControlCore::AnswerQuery(CellQueryKind kind,
+                                       const std::string& key) const {
+  CommandResult result;
+  result.ok = true;
+  switch (kind) {
+    case CellQueryKind::kPlan:
+      result.version = state_.graphs().plan().version;
+      result.text = state_.graphs().plan().document;
+      break;
+    case CellQueryKind::kGraph: {
+      const Graph* graph = state_.graphs().FindGraph(key);
+      if (graph == nullptr) {
+        result.ok = false;
+        result.error = ErrorKind::kNotFound;
+        break;
+      }
+      result.text = ToString(graph->state);
+      break;
+    }
+    case CellQueryKind::kPending:
+      result.version =
+          static_cast<std::uint64_t>(state_.graphs().PendingOf(key));
+      break;
+  }
+  return result;
+}
+
 bool ControlCore::ProposeCommand(Time now, WallMillis wall, Command command) {
   LoggedCommand logged;
   logged.proposed_at = wall;
@@ -341,6 +450,18 @@
                          const CommandRequest& request) {
   LoggedCommand logged = request.command;
   logged.proposed_at = wall;
+  if (const auto* submit = std::get_if<SubmitGraph>(&logged.command)) {
+    if (!is_leading_) {
+      ReplyError(origin, request.seq, ErrorKind::kNotLeader,
+                 "the leader is not settled yet");
+      return;
+    }
+    if (auto refusal = graphs_.Admit(now, state_.graphs(), *submit)) {
+      TakeGraphOutputs(now, wall);
+      Reply(origin, request.seq, *std::move(refusal));
+      return;
+    }
+  }
   const auto index = raft_.Propose(now, Encode(logged));
   if (!index) {
     ReplyError(origin, request.seq, ErrorKind::kNotLeader,
@@ -532,6 +653,15 @@
       scheduler_.OnPlaced(*placed, job->spec);
     }
   }
+  if (applied.graph) {
+    if (applied.graph->plan_changed) {
+      AnnouncePlan();
+    }
+    if (is_leading_) {
+      graphs_.OnApplied(now, state_.graphs(), command.command, *applied.graph);
+      TakeGraphOutputs(now, command.proposed_at);
+    }
+  }
   if (!is_leading_) {
     return;
   }
@@ -555,6 +685,28 @@
   }
 }
 
+void ControlCore::AnnouncePlan() {
+  const ServicePlan& plan = state_.graphs().plan();
+  out_.events.push_back(Event(EventId::kPlanInForce)
+                            .With("version", plan.version)
+                            .With("queues", plan.queues.size()));
+  for (const auto& [peer, attached] : attached_) {
+    if (attached.wants_plan) {
+      out_.messages.push_back({peer, PlanUpdate{plan}});
+    }
+  }
+}
+
+void ControlCore::AnnounceMembers(const std::string& peer) {
+  CellMembers members;
+  for (const MemberId& voter : raft_.log().membership().voters) {
+    members.addresses.push_back(voter.id);
+  }
+  if (!members.addresses.empty()) {
+    out_.messages.push_back({peer, std::move(members)});
+  }
+}
+
 void ControlCore::AnnounceEndpoint(const std::string& id) {
   EndpointTable delta;
   delta.version = state_.endpoints_version();
@@ -573,7 +725,28 @@
   }
 }
 
-ControlOutputs ControlCore::TakeOutputs(Time now, WallMillis /*wall*/) {
+ControlOutputs ControlCore::TakeOutputs(Time now, WallMillis wall) {
+  TakeRaftOutputs(now);
+  // What was applied may lead to proposals, which are sent at once.
+  RunGraphs(now, wall);
+  if (std::exchange(has_proposed_, false)) {
+    TakeRaftOutputs(now);
+  }
+  // What waited for a leader that is gone is repeated by its sender.
+  RelayUp up = std::exchange(up_, {});
+  const bool has_other_leader =
+      !raft_.leader().empty() && raft_.role() != RaftRole::kLeader;
+  if (!up.items.empty() && has_other_leader) {
+    out_.messages.push_back({raft_.leader(), std::move(up)});
+  }
+  for (auto& [replica, relay] : down_) {
+    out_.messages.push_back({replica, std::move(relay)});
+  }
+  down_.clear();
+  return std::exchange(out_, ControlOutputs{});
+}
+
+void ControlCore::TakeRaftOutputs(Time now) {
   RaftOutputs raft = raft_.TakeOutputs(now);
   if (raft.install) {
     Reason reason;
@@ -582,6 +755,13 @@
       applied_index_ = raft.install->last_index;
       snapshot_index_ = applied_index_;
       AnnounceConfig();
+      AnnouncePlan();
+    }
+  }
+  if (raft_.log().membership_index() != announced_members_) {
+    announced_members_ = raft_.log().membership_index();
+    for (const auto& [peer, attached] : attached_) {
+      AnnounceMembers(peer);
     }
   }
   ApplyCommitted(now, raft.committed);
@@ -590,19 +770,8 @@
             std::back_inserter(out_.events));
   std::move(raft.messages.begin(), raft.messages.end(),
             std::back_inserter(out_.messages));
-  out_.persists = std::move(raft.persists);
-  // What waited for a leader that is gone is repeated by its sender.
-  RelayUp up = std::exchange(up_, {});
-  const bool has_other_leader =
-      !raft_.leader().empty() && raft_.role() != RaftRole::kLeader;
-  if (!up.items.empty() && has_other_leader) {
-    out_.messages.push_back({raft_.leader(), std::move(up)});
-  }
-  for (auto& [replica, relay] : down_) {
-    out_.messages.push_back({replica, std::move(relay)});
-  }
-  down_.clear();
-  return std::exchange(out_, ControlOutputs{});
+  std::move(raft.persists.begin(), raft.persists.end(),
+            std::back_inserter(out_.persists));
 }
 
 }  // namespace banyan
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -52,6 +52,16 @@
   return update;
 }
 
+template <typename T>
+requires requires(GraphTable& table, const T& command) {
+  table.Apply(command, WallMillis{});
+}
+void ControlState::On(const T& command, Applied& applied) {
+  applied.graph = graphs_.Apply(command, now_);
+  applied.result = applied.graph->result;
+  applied.events = std::move(applied.graph->events);
+}
+
 Applied ControlState::Apply(const LoggedCommand& command) {
   now_ = std::max(now_, command.proposed_at);
   command_id_ = command.command_id;
@@ -62,7 +72,9 @@
     return applied;
   }
   std::visit([&](const auto& body) { On(body, applied); }, command.command);
-  applied.result.version = config_.version;
+  if (!applied.graph) {
+    applied.result.version = config_.version;
+  }
   if (!command_id_.empty()) {
     const WallMillis expires_at = now_ + kCommandRetentionMs;
     remembered_[command_id_] = {applied.result, expires_at};
@@ -73,6 +85,7 @@
 }
 
 void ControlState::ForgetExpired() {
+  graphs_.ForgetExpired(now_);
   for (int i = 0; i < kMaxForgottenPerCommand; ++i) {
     if (!claim_expiry_.empty() && claim_expiry_.begin()->first < now_) {
       claims_.erase(claim_expiry_.begin()->second);
--- a/src/control/control_state_codec.cc
+++ b/src/control/control_state_codec.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "banyan/control/control_state.h"
+#include "src/graph/graph_table_codec.h"
 #include "src/wire/json_types.h"
 
 namespace banyan {
@@ -55,7 +56,8 @@
                       {"remembered", std::move(remembered)},
                       {"endpoints_version", endpoints_version_},
                       {"next_order", next_order_},
-                      {"now", now_}};
+                      {"now", now_},
+                      {"graphs", GraphTableCodec::ToJson(graphs_)}};
   std::string bytes;
   json::to_cbor(value, bytes);
   return bytes;
@@ -72,6 +74,10 @@
     value.at("endpoints_version").get_to(state.endpoints_version_);
     value.at("next_order").get_to(state.next_order_);
     value.at("now").get_to(state.now_);
+    // Snapshots from before there were job graphs lack them.
+    if (value.contains("graphs")) {
+      GraphTableCodec::FromJson(value.at("graphs"), state.graphs_);
+    }
     for (const json& info : value.at("instances")) {
       Instance instance;
       info.get_to(instance.info);
--- /dev/null
+++ b/src/graph/cell_client.cc
@@ -0,0 +1,158 @@
+#include "banyan/graph/cell_client.h"
+
+#include <utility>
+
+namespace banyan {
+namespace {
+
+// How often an entry tells its replica what it works by.
+constexpr Span kStatusInterval = Millis(500);
+// When a call that was refused for want of a leader is sent again.
+constexpr Span kNoLeaderRetry = Millis(100);
+// When a call without an answer is sent again.
+constexpr Span kNoAnswerRetry = Millis(900);
+// How long a replica's word that it hears the leader counts.
+constexpr Span kFreshFor = Millis(1500);
+
+}  // namespace
+
+void CellClient::Open(Time now,
+                      std::uint64_t ticket,
+                      CellCall call,
+                      Time deadline) {
+  Call& entry = calls_[ticket];
+  entry.body = std::move(call);
+  entry.deadline = deadline;
+  entry.retry_at = now;
+  if (link_.connected()) {
+    Send(now, ticket, entry);
+  }
+}
+
+void CellClient::Send(Time now, std::uint64_t ticket, Call& call) {
+  const std::uint64_t seq = next_seq_++;
+  sends_[seq] = ticket;
+  call.pending.insert(seq);
+  call.retry_at = now + kNoAnswerRetry;
+  if (const auto* command = std::get_if<Command>(&call.body)) {
+    CommandRequest request;
+    request.seq = seq;
+    request.command.command = *command;
+    out_.to_control.emplace_back(std::move(request));
+  } else {
+    CellQuery query = std::get<CellQuery>(call.body);
+    query.seq = seq;
+    out_.to_control.emplace_back(std::move(query));
+  }
+}
+
+void CellClient::OnUp(Time now, const std::string& id) {
+  link_.OnUp(now, id);
+  if (id != link_.current()) {
+    return;
+  }
+  next_status_ = now;
+  for (auto& [ticket, call] : calls_) {
+    Send(now, ticket, call);
+  }
+}
+
+void CellClient::OnDown(Time now, const std::string& id) {
+  link_.OnDown(now, id);
+}
+
+void CellClient::Receive(Time now, const Message& message) {
+  if (const auto* reply = std::get_if<CommandReply>(&message)) {
+    link_.OnAnswer(now);
+    On(now, *reply);
+  } else if (const auto* ack = std::get_if<EntryStatusAck>(&message)) {
+    link_.OnAnswer(now);
+    if (ack->fresh) {
+      fresh_until_ = now + kFreshFor;
+    }
+  } else if (const auto* update = std::get_if<PlanUpdate>(&message)) {
+    if (update->plan.version > plan_version_) {
+      plan_version_ = update->plan.version;
+      out_.plan = update->plan;
+    }
+  } else if (const auto* members = std::get_if<CellMembers>(&message)) {
+    link_.SetMembers(members->addresses);
+  }
+}
+
+void CellClient::On(Time now, const CommandReply& reply) {
+  const auto send = sends_.find(reply.seq);
+  if (send == sends_.end()) {
+    return;
+  }
+  const std::uint64_t ticket = send->second;
+  sends_.erase(send);
+  const auto found = calls_.find(ticket);
+  if (found == calls_.end()) {
+    return;
+  }
+  Call& call = found->second;
+  call.pending.erase(reply.seq);
+  const bool is_not_taken =
+      !reply.result.ok && reply.result.error == ErrorKind::kNotLeader;
+  const bool is_lost =
+      !reply.result.ok && reply.result.error == ErrorKind::kNoQuorum;
+  if (is_not_taken || is_lost) {
+    call.is_uncertain = call.is_uncertain || is_lost;
+    call.last_text = reply.result.text;
+    call.retry_at = now + kNoLeaderRetry;
+    return;
+  }
+  const bool is_refusal =
+      !reply.result.ok && reply.result.error == ErrorKind::kOverloaded;
+  if (is_refusal && (call.is_uncertain || !call.pending.empty())) {
+    // An earlier send may be accepted yet, so this is no refusal of the whole.
+    call.is_uncertain = true;
+    call.last_text = reply.result.text;
+    return;
+  }
+  for (const std::uint64_t seq : call.pending) {
+    sends_.erase(seq);
+  }
+  out_.answers.push_back({ticket, reply.result});
+  calls_.erase(found);
+}
+
+void CellClient::GiveUp(std::uint64_t ticket, const Call& call) {
+  const bool is_query = std::holds_alternative<CellQuery>(call.body);
+  CommandResult result;
+  result.error = is_query || (call.pending.empty() && !call.is_uncertain)
+                     ? ErrorKind::kNoQuorum
+                     : ErrorKind::kUnknownOutcome;
+  result.text = call.last_text.empty() ? "the control cell did not answer"
+                                       : call.last_text;
+  out_.answers.push_back({ticket, std::move(result)});
+  for (const std::uint64_t seq : call.pending) {
+    sends_.erase(seq);
+  }
+}
+
+void CellClient::Tick(Time now) {
+  for (auto it = calls_.begin(); it != calls_.end();) {
+    if (it->second.deadline <= now) {
+      GiveUp(it->first, it->second);
+      it = calls_.erase(it);
+      continue;
+    }
+    if (it->second.retry_at <= now && link_.connected()) {
+      Send(now, it->first, it->second);
+    }
+    ++it;
+  }
+  if (link_.connected() && next_status_ <= now) {
+    next_status_ = now + kStatusInterval;
+    out_.to_control.emplace_back(EntryStatus{next_seq_++, plan_version_});
+    link_.OnSent(now);
+  }
+  const std::string before = link_.current();
+  if (link_.Tick(now)) {
+    out_.drop = before;
+  }
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/graph/cell_link.cc
@@ -0,0 +1,95 @@
+#include "banyan/graph/cell_link.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyan {
+namespace {
+
+// How long a replica may take to answer or to be connected. Several times the
+// way through a disk write on a slow machine.
+constexpr Span kAnswerTimeout = Millis(800);
+
+}  // namespace
+
+CellLink::CellLink(std::vector<std::string> seeds, std::uint64_t seed)
+    : seeds_(std::move(seeds)), position_(seed) {
+  if (!seeds_.empty()) {
+    current_ = seeds_[position_ % seeds_.size()];
+  }
+}
+
+void CellLink::AddSeeds(const std::vector<std::string>& seeds) {
+  for (const std::string& seed : seeds) {
+    if (std::find(seeds_.begin(), seeds_.end(), seed) == seeds_.end()) {
+      seeds_.push_back(seed);
+    }
+  }
+}
+
+void CellLink::SetMembers(const std::vector<std::string>& members) {
+  members_ = members;
+}
+
+void CellLink::OnUp(Time now, const std::string& id) {
+  if (id == current_) {
+    is_connected_ = true;
+    is_awaiting_ = false;
+    answer_deadline_ = now + kAnswerTimeout;
+  }
+}
+
+void CellLink::OnDown(Time now, const std::string& id) {
+  if (id == current_ && is_connected_) {
+    Switch(now);
+  }
+}
+
+void CellLink::OnSent(Time now) {
+  if (!is_awaiting_) {
+    is_awaiting_ = true;
+    answer_deadline_ = now + kAnswerTimeout;
+  }
+}
+
+void CellLink::OnAnswer(Time /*now*/) {
+  is_awaiting_ = false;
+}
+
+bool CellLink::Tick(Time now) {
+  if (answer_deadline_ == Time{}) {
+    answer_deadline_ = now + kAnswerTimeout;
+  }
+  const bool is_late =
+      (!is_connected_ || is_awaiting_) && answer_deadline_ <= now;
+  if (is_late) {
+    Switch(now);
+  }
+  return is_late;
+}
+
+void CellLink::Switch(Time now) {
+  // Seeds that are no members any more are asked only in between, in case
+  // that the known members are all gone.
+  std::vector<std::string> candidates = members_;
+  for (const std::string& seed : seeds_) {
+    if (std::find(candidates.begin(), candidates.end(), seed) ==
+        candidates.end()) {
+      candidates.push_back(seed);
+    }
+  }
+  is_connected_ = false;
+  is_awaiting_ = false;
+  answer_deadline_ = now + kAnswerTimeout;
+  if (candidates.empty()) {
+    return;
+  }
+  const auto here = std::find(candidates.begin(), candidates.end(), current_);
+  if (here != candidates.end()) {
+    current_ = here + 1 == candidates.end() ? candidates.front() : *(here + 1);
+  } else {
+    current_ = candidates[position_ % candidates.size()];
+  }
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/graph/graph_leader.cc
@@ -0,0 +1,414 @@
+#include "banyan/graph/graph_leader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyan {
+namespace {
+
+// An order that the worker's agent does not confirm is sent again after this.
+constexpr Span kRepeatOrder = Millis(400);
+// A proposal that was not applied by then is taken as lost.
+constexpr Span kRepeatProposal = Millis(1500);
+// A run whose progress stands still for this long is started elsewhere. A
+// percent of the longest tasks takes a tenth of it.
+constexpr Span kStuckAfter = Millis(1600);
+// A task that lasts and is not at work this long after its start is moved.
+constexpr Span kAbsentAfter = Millis(4000);
+// Different graphs that must fail on a worker before it is suspected.
+constexpr std::size_t kFailedGraphsToSuspect = 2;
+// How long a suspected worker rests before a probe.
+constexpr Span kSuspectRest = Millis(2500);
+// Ends proposed in one log entry.
+constexpr std::size_t kMaxEndsPerEntry = 500;
+
+}  // namespace
+
+void GraphLeader::Reset(Time now,
+                        const GraphTable& table,
+                        std::uint64_t fencing_token) {
+  fencing_token_ = fencing_token;
+  views_.clear();
+  placement_ = GraphPlacement();
+  placing_since_.reset();
+  out_ = GraphLeaderOutputs{};
+  for (const auto& [id, worker] : table.workers()) {
+    GraphWorkerView& view = views_[id];
+    view.life = worker.info.life;
+    view.agent = worker.agent;
+    view.lease_deadline = now + options_.lease + options_.lease_margin;
+  }
+}
+
+DropWorker GraphLeader::DropOf(const WorkerLife& life,
+                               std::string cause) const {
+  DropWorker drop{life, std::move(cause), {}};
+  const auto view = views_.find(life.id);
+  if (view != views_.end() && view->second.life == life) {
+    for (const auto& [run, seen] : view->second.runs) {
+      if (!seen.row.checkpoint.empty()) {
+        drop.last_seen.push_back(seen.row);
+      }
+    }
+  }
+  return drop;
+}
+
+RunStart GraphLeader::StartOf(const GraphTable& table, const RunRef& run) {
+  const Graph& graph = *table.FindGraph(run.task.graph);
+  const TaskProgress& task = *table.FindTask(run.task);
+  return {run, graph.spec.payload, task.checkpoint};
+}
+
+WorkerOrders GraphLeader::OrdersFor(const GraphWorker& worker) const {
+  WorkerOrders orders;
+  orders.worker = worker.info.life;
+  orders.fencing_token = fencing_token_;
+  orders.noted = worker.noted;
+  return orders;
+}
+
+void GraphLeader::OnSync(Time now,
+                         const GraphTable& table,
+                         const std::string& agent,
+                         const WorkerSync& sync,
+                         bool may_grant) {
+  const WorkerLife& life = sync.info.life;
+  const GraphWorker* worker = table.FindWorker(life);
+  if (sync.gone) {
+    if (worker != nullptr && !views_[life.id].dropping) {
+      views_[life.id].dropping = true;
+      out_.proposals.push_back(DropOf(life, "the worker left"));
+    }
+    return;
+  }
+  Admission(now, table, agent, sync);
+  if (worker == nullptr) {
+    return;
+  }
+  GraphWorkerView& view = views_[life.id];
+  if (view.life != life) {
+    view = GraphWorkerView{};
+    view.life = life;
+  }
+  if (view.dropping) {
+    // Its removal stands in the log; the lease must not be renewed.
+    return;
+  }
+  view.agent = agent;
+  view.heard = now;
+  view.reachable = sync.reachable;
+  if (sync.info.draining && !view.leaves_at) {
+    view.leaves_at = now + Millis(sync.info.remaining_ms);
+  }
+  std::map<RunRef, RunView> runs;
+  for (const RunningRow& row : sync.running) {
+    const auto known = view.runs.find(row.run);
+    RunView seen = known == view.runs.end() ? RunView{} : known->second;
+    if (known == view.runs.end()) {
+      seen.first_seen = now;
+      seen.moved_at = now;
+    } else if (known->second.row.percent != row.percent) {
+      seen.moved_at = now;
+    }
+    seen.row = row;
+    runs.emplace(row.run, std::move(seen));
+  }
+  view.runs = std::move(runs);
+  NoteEnds(now, table, *worker, sync);
+  WorkerOrders orders = OrdersFor(*worker);
+  orders.seq = sync.seq;
+  if (may_grant && sync.reachable) {
+    orders.lease_ms = ToMillis(options_.lease);
+    view.lease_deadline = now + options_.lease + options_.lease_margin;
+  }
+  Reconcile(now, table, *worker, sync, orders);
+  out_.orders.push_back({agent, std::move(orders)});
+}
+
+void GraphLeader::Admission(Time now,
+                            const GraphTable& table,
+                            const std::string& agent,
+                            const WorkerSync& sync) {
+  WorkerInfo info = sync.info;
+  info.remaining_ms = 0;
+  const GraphWorker* known = table.FindWorker(info.life);
+  if (known != nullptr && known->info == info && known->agent == agent) {
+    return;
+  }
+  GraphWorkerView& view = views_[info.life.id];
+  const bool is_waiting = view.life == info.life &&
+                          view.admitting_at + kRepeatProposal > now &&
+                          view.admitting_at != Time{};
+  const bool is_older =
+      view.life.id == info.life.id && view.life.born > info.life.born;
+  if (is_older || (is_waiting && known == nullptr)) {
+    return;
+  }
+  if (known != nullptr && is_waiting && known->info.draining == info.draining) {
+    return;
+  }
+  if (known == nullptr) {
+    for (const auto& [id, other] : table.workers()) {
+      if (other.agent == agent && other.info.life.born < info.life.born) {
+        out_.proposals.push_back(DropOf(other.info.life, "a later life came"));
+      }
+    }
+    if (view.life != info.life) {
+      view = GraphWorkerView{};
+      view.life = info.life;
+    }
+    view.dropping = false;
+  }
+  view.admitting_at = now;
+  out_.proposals.push_back(AdmitWorker{info, agent});
+}
+
+void GraphLeader::NoteEnds(Time now,
+                           const GraphTable& /*table*/,
+                           const GraphWorker& worker,
+                           const WorkerSync& sync) {
+  GraphWorkerView& view = views_[worker.info.life.id];
+  EndRuns ends;
+  ends.worker = worker.info.life;
+  const bool is_due = view.proposed_at + kRepeatProposal <= now;
+  std::int64_t last = view.proposed_end;
+  for (const EndedRow& row : sync.ended) {
+    if (ends.rows.size() >= kMaxEndsPerEntry) {
+      break;
+    }
+    if (row.number == 0) {
+      // A refused start; it counts as long as the table holds the run.
+      if (worker.runs.contains(row.run)) {
+        ends.rows.push_back(row);
+      }
+      continue;
+    }
+    if (row.number > worker.noted &&
+        (is_due || row.number > view.proposed_end)) {
+      ends.rows.push_back(row);
+      last = std::max(last, row.number);
+    }
+  }
+  if (ends.rows.empty()) {
+    return;
+  }
+  view.proposed_end = last;
+  view.proposed_at = now;
+  out_.proposals.push_back(std::move(ends));
+}
+
+void GraphLeader::Reconcile(Time now,
+                            const GraphTable& table,
+                            const GraphWorker& worker,
+                            const WorkerSync& sync,
+                            WorkerOrders& orders) {
+  GraphWorkerView& view = views_[worker.info.life.id];
+  const auto is_due = [&](std::map<RunRef, Time>& sent, const RunRef& run) {
+    Time& last = sent[run];
+    if (last != Time{} && last + kRepeatOrder > now) {
+      return false;
+    }
+    last = now;
+    return true;
+  };
+  std::set<RunRef> known;
+  for (const EndedRow& row : sync.ended) {
+    known.insert(row.run);
+  }
+  const auto check = [&](const RunRef& run) {
+    known.insert(run);
+    if (!table.IsCurrent(run, worker.info.life) && is_due(view.stopped, run)) {
+      orders.stops.push_back(run);
+    }
+  };
+  for (const RunningRow& row : sync.running) {
+    check(row.run);
+  }
+  for (const RunRef& run : sync.starting) {
+    check(run);
+  }
+  for (const RunRef& run : worker.runs) {
+    if (known.contains(run)) {
+      continue;
+    }
+    if (!table.IsCurrent(run, worker.info.life)) {
+      if (is_due(view.stopped, run)) {
+        orders.stops.push_back(run);
+      }
+    } else if (is_due(view.started, run)) {
+      orders.starts.push_back(StartOf(table, run));
+    }
+  }
+  std::erase_if(view.started, [&](const auto& item) {
+    return !worker.runs.contains(item.first);
+  });
+  std::erase_if(view.stopped, [&](const auto& item) {
+    return !worker.runs.contains(item.first) && !known.contains(item.first);
+  });
+}
+
+void GraphLeader::OnApplied(Time now,
+                            const GraphTable& table,
+                            const Command& command,
+                            const GraphApplied& applied) {
+  if (std::holds_alternative<PlaceRuns>(command)) {
+    placing_since_.reset();
+  }
+  std::map<std::string, WorkerOrders> orders;
+  const auto orders_for = [&](const GraphWorker& worker) -> WorkerOrders& {
+    const auto [it, is_new] = orders.try_emplace(worker.info.life.id);
+    if (is_new) {
+      it->second = OrdersFor(worker);
+    }
+    return it->second;
+  };
+  for (const RunPlacement& placement : applied.placed) {
+    const GraphWorker* worker = table.FindWorker(placement.worker);
+    if (worker != nullptr) {
+      orders_for(*worker).starts.push_back(StartOf(table, placement.run));
+      views_[placement.worker.id].started[placement.run] = now;
+      out_.events.push_back(
+          Event(EventId::kRunPlaced)
+              .With("request", placement.run.task.graph)
+              .With("occurrence", placement.run.task.occurrence)
+              .With("step", placement.run.task.step)
+              .With("task", placement.run.task.index)
+              .With("run", placement.run.run)
+              .With("worker", placement.worker.id)
+              .With("token", fencing_token_));
+    }
+  }
+  for (const std::string& id : applied.touched_workers) {
+    const auto found = table.workers().find(id);
+    if (found == table.workers().end()) {
+      views_.erase(id);
+      continue;
+    }
+    const GraphWorker& worker = found->second;
+    GraphWorkerView& view = views_[id];
+    if (view.life != worker.info.life) {
+      view = GraphWorkerView{};
+      view.life = worker.info.life;
+    }
+    if (view.lease_deadline == Time{}) {
+      view.lease_deadline = now + options_.lease + options_.lease_margin;
+    }
+    WorkerOrders& worker_orders = orders_for(worker);
+    for (const RunRef& run : worker.runs) {
+      if (!table.IsCurrent(run, worker.info.life) &&
+          view.stopped.try_emplace(run, now).second) {
+        worker_orders.stops.push_back(run);
+      }
+    }
+  }
+  if (const auto* ends = std::get_if<EndRuns>(&command)) {
+    GraphWorkerView& view = views_[ends->worker.id];
+    for (const EndedRow& row : ends->rows) {
+      if (row.ending == RunEnding::kDone) {
+        view.failed_graphs.clear();
+        view.suspected = false;
+        placement_.Forget(row.run.task);
+      } else if (row.ending == RunEnding::kFailed) {
+        placement_.Avoid(row.run.task, ends->worker.id);
+        view.failed_graphs.insert(row.run.task.graph);
+        if (view.failed_graphs.size() >= kFailedGraphsToSuspect) {
+          view.suspected = true;
+          view.resting_until = now + kSuspectRest;
+          out_.events.push_back(
+              Event(EventId::kWorkerSuspected)
+                  .With("worker", ends->worker.id)
+                  .With("failed_jobs", view.failed_graphs.size()));
+        }
+      }
+    }
+  }
+  for (auto& [id, order] : orders) {
+    const auto found = table.workers().find(id);
+    if (found != table.workers().end()) {
+      out_.orders.push_back({found->second.agent, std::move(order)});
+    }
+  }
+}
+
+std::optional<CommandResult> GraphLeader::Admit(Time /*now*/,
+                                                const GraphTable& /*table*/,
+                                                const SubmitGraph& /*submit*/) {
+  return std::nullopt;
+}
+
+void GraphLeader::ExpireLeases(Time now, const GraphTable& table) {
+  for (const auto& [id, worker] : table.workers()) {
+    GraphWorkerView& view = views_[id];
+    if (view.lease_deadline == Time{}) {
+      view.life = worker.info.life;
+      view.lease_deadline = now + options_.lease + options_.lease_margin;
+    }
+    if (view.lease_deadline <= now && !view.dropping) {
+      view.dropping = true;
+      out_.proposals.push_back(DropOf(worker.info.life, "the lease ran out"));
+    }
+  }
+}
+
+void GraphLeader::StopStuckRuns(Time now, const GraphTable& table) {
+  for (auto& [id, view] : views_) {
+    const GraphWorker* worker = table.FindWorker(view.life);
+    if (worker == nullptr || !view.reachable) {
+      continue;
+    }
+    for (auto& [run, seen] : view.runs) {
+      const Graph* graph = table.FindGraph(run.task.graph);
+      if (graph == nullptr || !table.IsCurrent(run, view.life) ||
+          seen.pace < 100 || seen.row.percent >= 100) {
+        continue;
+      }
+      const StepSpec& step =
+          graph->spec.steps[static_cast<std::size_t>(run.task.step)];
+      const Span patience = step.long_running ? kAbsentAfter : kStuckAfter;
+      if (step.fills || step.gang || now - seen.moved_at < patience) {
+        continue;
+      }
+      Time& last = view.stopped[run];
+      if (last != Time{} && last + kRepeatOrder > now) {
+        continue;
+      }
+      last = now;
+      placement_.Avoid(run.task, id);
+      view.failed_graphs.insert(run.task.graph);
+      if (view.failed_graphs.size() >= kFailedGraphsToSuspect) {
+        view.suspected = true;
+        view.resting_until = now + kSuspectRest;
+      }
+      WorkerOrders orders = OrdersFor(*worker);
+      orders.stops.push_back(run);
+      out_.orders.push_back({worker->agent, std::move(orders)});
+      out_.events.push_back(
+          Event(EventId::kRunStuck)
+              .With("request", run.task.graph)
+              .With("step", run.task.step)
+              .With("task", run.task.index)
+              .With("run", run.run)
+              .With("worker", id)
+              .With("percent", seen.row.percent)
+              .With("still_ms", ToMillis(now - seen.moved_at)));
+    }
+  }
+}
+
+void GraphLeader::Decide(Time now, WallMillis wall, const GraphTable& table) {
+  ExpireLeases(now, table);
+  StopStuckRuns(now, table);
+  if (placing_since_ && *placing_since_ + kRepeatProposal > now) {
+    return;
+  }
+  placing_since_.reset();
+  std::vector<RunPlacement> chosen =
+      placement_.Choose(now, wall, table, views_);
+  if (!chosen.empty()) {
+    placing_since_ = now;
+    out_.proposals.push_back(PlaceRuns{std::move(chosen)});
+  }
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/graph/graph_placement.cc
@@ -0,0 +1,243 @@
+#include "banyan/graph/graph_placement.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace banyan {
+namespace {
+
+// Placements of one batch, so that its log entry stays small.
+constexpr std::size_t kMaxBatch = 256;
+// A lease with less than this left is not worth a start.
+constexpr Span kLeastLeaseLeft = Millis(1000);
+// Ready tasks without room for one of them are passed over after this many.
+constexpr int kMaxMissesPerStep = 2;
+
+// What placement prefers between workers that all have room; smaller is
+// better, the fields in the order of their weight.
+using Preference = std::tuple<bool, bool, bool, int, std::int64_t>;
+
+}  // namespace
+
+void GraphPlacement::Avoid(const TaskRef& task, const std::string& worker) {
+  avoided_[task].insert(worker);
+}
+
+std::vector<RunPlacement> GraphPlacement::Choose(
+    Time now,
+    WallMillis wall,
+    const GraphTable& table,
+    const std::map<std::string, GraphWorkerView>& views) {
+  std::vector<RunPlacement> chosen;
+  if (table.ready_graphs().empty()) {
+    return chosen;
+  }
+  rooms_.clear();
+  for (const auto& [id, worker] : table.workers()) {
+    const auto view = views.find(id);
+    const bool is_usable =
+        view != views.end() && view->second.life == worker.info.life &&
+        view->second.reachable && !view->second.dropping &&
+        view->second.lease_deadline > now + kLeastLeaseLeft &&
+        !worker.info.draining &&
+        !table.evacuated().contains(worker.info.data_centre);
+    if (!is_usable) {
+      continue;
+    }
+    WorkerRoom room;
+    room.worker = &worker;
+    room.free = worker.info.capacity - worker.committed;
+    room.idle_cpu_millis = room.free.cpu_millis - worker.fill_cpu_millis;
+    room.runs = worker.runs.size();
+    room.suspected = view->second.suspected;
+    if (room.suspected &&
+        (view->second.resting_until > now || !worker.runs.empty())) {
+      continue;
+    }
+    for (const RunRef& run : worker.runs) {
+      const Graph* graph = table.FindGraph(run.task.graph);
+      if (graph == nullptr) {
+        continue;
+      }
+      const StepSpec& step =
+          graph->spec.steps[static_cast<std::size_t>(run.task.step)];
+      room.serving += step.latency_target_ms > 0 ? 1 : 0;
+      room.filling += step.fills ? 1 : 0;
+    }
+    rooms_.emplace(id, room);
+  }
+  std::vector<std::pair<const std::string*, const Graph*>> order;
+  for (const std::string& id : table.ready_graphs()) {
+    const auto graph = table.graphs().find(id);
+    order.emplace_back(&graph->first, &graph->second);
+  }
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.second->queue.priority, a.second->order) <
+           std::pair(b.second->queue.priority, b.second->order);
+  });
+  for (const auto& [id, graph] : order) {
+    if (chosen.size() >= kMaxBatch) {
+      break;
+    }
+    PlaceGraph(wall, table, *id, *graph, chosen);
+  }
+  return chosen;
+}
+
+void GraphPlacement::PlaceGraph(WallMillis wall,
+                                const GraphTable& /*table*/,
+                                const std::string& id,
+                                const Graph& graph,
+                                std::vector<RunPlacement>& chosen) {
+  for (std::size_t k = 0; k < graph.occurrences.size(); ++k) {
+    const auto occurrence = static_cast<std::int64_t>(k);
+    const bool is_due =
+        graph.spec.occurrences == 0 ||
+        wall >= graph.spec.first_due_at + occurrence * graph.spec.interval_ms;
+    if (!is_due) {
+      break;
+    }
+    for (std::size_t s = 0; s < graph.occurrences[k].size(); ++s) {
+      const StepProgress& progress = graph.occurrences[k][s];
+      const StepSpec& step = graph.spec.steps[s];
+      TaskRef ref{id, occurrence, static_cast<std::int64_t>(s), 0};
+      if (step.gang) {
+        PlaceGang(graph, ref, progress, chosen);
+        continue;
+      }
+      std::map<std::string, int> here;
+      if (step.per_worker_limit > 0) {
+        for (const TaskProgress& task : progress.tasks) {
+          if (task.phase == TaskPhase::kRunning) {
+            ++here[task.worker.id];
+          }
+        }
+      }
+      std::string rack;
+      if (step.rack_local) {
+        for (const TaskProgress& task : progress.tasks) {
+          const auto room = rooms_.find(task.worker.id);
+          if (task.phase == TaskPhase::kRunning && room != rooms_.end()) {
+            rack = room->second.worker->info.rack;
+          }
+        }
+      }
+      int misses = 0;
+      for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+        const TaskProgress& task = progress.tasks[i];
+        if (task.phase != TaskPhase::kReady) {
+          continue;
+        }
+        ref.index = static_cast<std::int64_t>(i);
+        WorkerRoom* room = BestRoom(graph, ref, step, here, rack);
+        if (room == nullptr) {
+          if (++misses >= kMaxMissesPerStep) {
+            break;
+          }
+          continue;
+        }
+        Take(*room, step);
+        ++here[room->worker->info.life.id];
+        if (step.rack_local && rack.empty()) {
+          rack = room->worker->info.rack;
+        }
+        chosen.push_back({{ref, task.run + 1}, room->worker->info.life});
+        if (chosen.size() >= kMaxBatch) {
+          return;
+        }
+      }
+    }
+  }
+}
+
+void GraphPlacement::PlaceGang(const Graph& graph,
+                               const TaskRef& first,
+                               const StepProgress& progress,
+                               std::vector<RunPlacement>& chosen) {
+  std::int64_t run = 0;
+  for (const TaskProgress& task : progress.tasks) {
+    if (task.phase != TaskPhase::kReady) {
+      return;
+    }
+    run = std::max(run, task.run);
+  }
+  const StepSpec& step = graph.spec.steps[static_cast<std::size_t>(first.step)];
+  // All members at once or none.
+  const std::map<std::string, WorkerRoom> before = rooms_;
+  std::vector<RunPlacement> members;
+  std::map<std::string, int> here;
+  std::string rack;
+  TaskRef ref = first;
+  for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+    ref.index = static_cast<std::int64_t>(i);
+    WorkerRoom* room = BestRoom(graph, ref, step, here, rack);
+    if (room == nullptr) {
+      rooms_ = before;
+      return;
+    }
+    Take(*room, step);
+    ++here[room->worker->info.life.id];
+    if (step.rack_local && rack.empty()) {
+      rack = room->worker->info.rack;
+    }
+    members.push_back({{ref, run + 1}, room->worker->info.life});
+  }
+  chosen.insert(chosen.end(), members.begin(), members.end());
+}
+
+WorkerRoom* GraphPlacement::BestRoom(const Graph& graph,
+                                     const TaskRef& task,
+                                     const StepSpec& step,
+                                     const std::map<std::string, int>& here,
+                                     const std::string& rack) {
+  const auto avoided = avoided_.find(task);
+  WorkerRoom* best = nullptr;
+  Preference best_preference;
+  for (auto& [id, room] : rooms_) {
+    const WorkerInfo& info = room.worker->info;
+    if (info.service != graph.queue.service || !Fits(HeldBy(step), room.free) ||
+        (step.fills && room.idle_cpu_millis < step.needs.cpu_millis) ||
+        (room.suspected && room.runs > 0)) {
+      continue;
+    }
+    if (!step.required_label.empty() &&
+        std::find(info.labels.begin(), info.labels.end(),
+                  step.required_label) == info.labels.end()) {
+      continue;
+    }
+    const auto count = here.find(id);
+    if (step.per_worker_limit > 0 && count != here.end() &&
+        count->second >= step.per_worker_limit) {
+      continue;
+    }
+    const bool failed_here =
+        avoided != avoided_.end() && avoided->second.contains(id);
+    const bool is_far =
+        (!step.data_rack.empty() && info.rack != step.data_rack) ||
+        (!rack.empty() && info.rack != rack);
+    int company = 0;
+    if (step.fills) {
+      company = room.serving;
+    } else if (step.latency_target_ms > 0) {
+      company = room.filling + room.serving;
+    }
+    const Preference preference{failed_here, room.suspected, is_far, company,
+                                -room.idle_cpu_millis};
+    if (best == nullptr || preference < best_preference) {
+      best = &room;
+      best_preference = preference;
+    }
+  }
+  return best;
+}
+
+void GraphPlacement::Take(WorkerRoom& room, const StepSpec& step) {
+  room.free -= HeldBy(step);
+  room.idle_cpu_millis -= step.needs.cpu_millis;
+  room.serving += step.latency_target_ms > 0 ? 1 : 0;
+  room.filling += step.fills ? 1 : 0;
+  ++room.runs;
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/graph/graph_table.cc
@@ -0,0 +1,466 @@
+#include "banyan/graph/graph_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyan {
+namespace {
+
+// Graphs forgotten at one command, so that none takes long.
+constexpr int kMaxForgottenPerCommand = 64;
+
+void Refuse(GraphApplied& applied, ErrorKind kind, std::string text) {
+  applied.result.ok = false;
+  applied.result.error = kind;
+  applied.result.text = std::move(text);
+}
+
+}  // namespace
+
+const Graph* GraphTable::FindGraph(std::string_view id) const {
+  const auto found = graphs_.find(std::string(id));
+  return found == graphs_.end() ? nullptr : &found->second;
+}
+
+const GraphWorker* GraphTable::FindWorker(const WorkerLife& life) const {
+  const auto found = workers_.find(life.id);
+  return found == workers_.end() || found->second.info.life != life
+             ? nullptr
+             : &found->second;
+}
+
+TaskProgress* GraphTable::MutableTask(const TaskRef& task) {
+  return const_cast<TaskProgress*>(std::as_const(*this).FindTask(task));
+}
+
+const TaskProgress* GraphTable::FindTask(const TaskRef& task) const {
+  const Graph* graph = FindGraph(task.graph);
+  if (graph == nullptr || task.occurrence < 0 || task.step < 0 ||
+      task.index < 0) {
+    return nullptr;
+  }
+  const auto occurrence = static_cast<std::size_t>(task.occurrence);
+  const auto step = static_cast<std::size_t>(task.step);
+  const auto index = static_cast<std::size_t>(task.index);
+  if (occurrence >= graph->occurrences.size() ||
+      step >= graph->occurrences[occurrence].size() ||
+      index >= graph->occurrences[occurrence][step].tasks.size()) {
+    return nullptr;
+  }
+  return &graph->occurrences[occurrence][step].tasks[index];
+}
+
+bool GraphTable::IsCurrent(const RunRef& run, const WorkerLife& life) const {
+  const TaskProgress* task = FindTask(run.task);
+  return task != nullptr && task->phase == TaskPhase::kRunning &&
+         task->run == run.run && task->worker == life;
+}
+
+std::int64_t GraphTable::PendingOf(std::string_view queue) const {
+  const auto found = pending_.find(std::string(queue));
+  return found == pending_.end() ? 0 : found->second;
+}
+
+GraphApplied GraphTable::Apply(const InstallPlan& command, WallMillis /*now*/) {
+  GraphApplied applied;
+  applied.result.ok = true;
+  if (command.plan.version > plan_.version) {
+    plan_ = command.plan;
+    applied.plan_changed = true;
+  }
+  applied.result.version = plan_.version;
+  return applied;
+}
+
+GraphApplied GraphTable::Apply(const SetEvacuated& command,
+                               WallMillis /*now*/) {
+  GraphApplied applied;
+  applied.result.ok = true;
+  const bool changed = command.evacuated
+                           ? evacuated_.insert(command.data_centre).second
+                           : evacuated_.erase(command.data_centre) > 0;
+  if (changed) {
+    applied.events.push_back(Event(EventId::kEvacuationChanged)
+                                 .With("data_centre", command.data_centre)
+                                 .With("evacuated", command.evacuated ? 1 : 0));
+  }
+  return applied;
+}
+
+GraphApplied GraphTable::Apply(const SubmitGraph& command, WallMillis now) {
+  GraphApplied applied;
+  applied.result.ok = true;
+  if (graphs_.contains(command.id)) {
+    return applied;
+  }
+  const auto queue = std::find_if(
+      plan_.queues.begin(), plan_.queues.end(),
+      [&](const QueueSpec& q) { return q.name == command.spec.queue; });
+  if (queue == plan_.queues.end()) {
+    Refuse(applied, ErrorKind::kNotFound,
+           "no queue '" + command.spec.queue + "'");
+    return applied;
+  }
+  Graph& graph = graphs_[command.id];
+  graph.spec = command.spec;
+  graph.queue = *queue;
+  graph.order = next_order_++;
+  graph.submitted_at = now;
+  graph.changed_at = now;
+  OccurrenceProgress steps;
+  for (const StepSpec& step : graph.spec.steps) {
+    StepProgress progress;
+    progress.tasks.resize(static_cast<std::size_t>(step.count));
+    steps.push_back(std::move(progress));
+  }
+  const auto times = std::max<std::int64_t>(graph.spec.occurrences, 1);
+  graph.occurrences.assign(static_cast<std::size_t>(times), steps);
+  if (graph.spec.occurrences == 0) {
+    ++pending_[graph.queue.name];
+  }
+  for (std::size_t k = 0; k < graph.occurrences.size(); ++k) {
+    OpenSteps(graph, k);
+  }
+  if (graph.ready > 0) {
+    ready_graphs_.insert(command.id);
+  }
+  applied.events.push_back(Event(EventId::kGraphAccepted)
+                               .With("request", command.id)
+                               .With("queue", graph.queue.name)
+                               .With("steps", graph.spec.steps.size())
+                               .With("plan", plan_.version));
+  return applied;
+}
+
+void GraphTable::OpenSteps(Graph& graph, std::size_t occurrence) {
+  OccurrenceProgress& steps = graph.occurrences[occurrence];
+  for (std::size_t s = 0; s < steps.size(); ++s) {
+    if (steps[s].tasks.empty() ||
+        steps[s].tasks.front().phase != TaskPhase::kWaiting) {
+      continue;
+    }
+    const std::vector<std::int64_t>& after = graph.spec.steps[s].after;
+    const bool is_open =
+        std::all_of(after.begin(), after.end(), [&](std::int64_t before) {
+          const StepProgress& step = steps[static_cast<std::size_t>(before)];
+          return step.done == static_cast<std::int64_t>(step.tasks.size());
+        });
+    if (!is_open) {
+      continue;
+    }
+    for (TaskProgress& task : steps[s].tasks) {
+      task.phase = TaskPhase::kReady;
+      ++graph.ready;
+    }
+  }
+}
+
+void GraphTable::SetPhase(const std::string& id,
+                          Graph& graph,
+                          TaskProgress& task,
+                          TaskPhase phase) {
+  graph.ready -= task.phase == TaskPhase::kReady ? 1 : 0;
+  graph.ready += phase == TaskPhase::kReady ? 1 : 0;
+  task.phase = phase;
+  if (graph.ready > 0) {
+    ready_graphs_.insert(id);
+  } else {
+    ready_graphs_.erase(id);
+  }
+}
+
+void GraphTable::Begin(Graph& graph) {
+  if (graph.state != GraphState::kQueued) {
+    return;
+  }
+  graph.state = GraphState::kRunning;
+  if (graph.spec.occurrences == 0) {
+    --pending_[graph.queue.name];
+  }
+}
+
+GraphApplied GraphTable::Apply(const CancelGraph& command, WallMillis now) {
+  GraphApplied applied;
+  const auto found = graphs_.find(command.id);
+  if (found == graphs_.end()) {
+    Refuse(applied, ErrorKind::kNotFound, "no such graph");
+    return applied;
+  }
+  applied.result.ok = true;
+  if (!IsFinal(found->second.state)) {
+    Finish(command.id, found->second, GraphState::kCancelled, now, applied);
+  }
+  return applied;
+}
+
+GraphApplied GraphTable::Apply(const AdmitWorker& command, WallMillis now) {
+  GraphApplied applied;
+  applied.result.ok = true;
+  const WorkerLife& life = command.info.life;
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    GraphWorker& other = it->second;
+    const bool is_same_place =
+        other.agent == command.agent || it->first == life.id;
+    if (!is_same_place || other.info.life == life) {
+      ++it;
+      continue;
+    }
+    if (other.info.life.born > life.born) {
+      Refuse(applied, ErrorKind::kStale, "a later life is known");
+      return applied;
+    }
+    DropLife(other, "a later life came", now, applied);
+    it = workers_.erase(it);
+  }
+  const bool is_new = !workers_.contains(life.id);
+  GraphWorker& worker = workers_[life.id];
+  worker.info = command.info;
+  worker.agent = command.agent;
+  applied.touched_workers.insert(life.id);
+  applied.events.push_back(
+      Event(is_new ? EventId::kWorkerAdmitted : EventId::kWorkerChanged)
+          .With("worker", life.id)
+          .With("born", life.born)
+          .With("service", command.info.service)
+          .With("data_centre", command.info.data_centre)
+          .With("draining", command.info.draining ? 1 : 0));
+  return applied;
+}
+
+GraphApplied GraphTable::Apply(const DropWorker& command, WallMillis now) {
+  GraphApplied applied;
+  const auto found = workers_.find(command.life.id);
+  if (found == workers_.end() || found->second.info.life != command.life) {
+    Refuse(applied, ErrorKind::kStale, "another life is known");
+    return applied;
+  }
+  applied.result.ok = true;
+  for (const RunningRow& row : command.last_seen) {
+    if (!row.checkpoint.empty() && IsCurrent(row.run, command.life)) {
+      MutableTask(row.run.task)->checkpoint = row.checkpoint;
+    }
+  }
+  DropLife(found->second, command.cause, now, applied);
+  workers_.erase(found);
+  return applied;
+}
+
+void GraphTable::DropLife(GraphWorker& worker,
+                          const std::string& cause,
+                          WallMillis now,
+                          GraphApplied& applied) {
+  applied.events.push_back(Event(EventId::kWorkerDropped)
+                               .With("worker", worker.info.life.id)
+                               .With("born", worker.info.life.born)
+                               .With("runs", worker.runs.size())
+                               .With("cause", cause));
+  const std::set<RunRef> runs = worker.runs;
+  for (const RunRef& run : runs) {
+    EndRun(worker, {0, run, RunEnding::kLost, ""}, now, applied);
+  }
+  applied.touched_workers.insert(worker.info.life.id);
+}
+
+GraphApplied GraphTable::Apply(const PlaceRuns& command, WallMillis now) {
+  GraphApplied applied;
+  applied.result.ok = true;
+  for (const RunPlacement& placement : command.runs) {
+    TaskProgress* task = MutableTask(placement.run.task);
+    const auto worker = workers_.find(placement.worker.id);
+    const bool is_possible =
+        task != nullptr && task->phase == TaskPhase::kReady &&
+        placement.run.run > task->run && worker != workers_.end() &&
+        worker->second.info.life == placement.worker;
+    if (!is_possible) {
+      continue;
+    }
+    const std::string& id = placement.run.task.graph;
+    Graph& graph = graphs_.at(id);
+    const StepSpec& step =
+        graph.spec.steps[static_cast<std::size_t>(placement.run.task.step)];
+    task->run = placement.run.run;
+    task->worker = placement.worker;
+    SetPhase(id, graph, *task, TaskPhase::kRunning);
+    Begin(graph);
+    graph.changed_at = now;
+    worker->second.committed += HeldBy(step);
+    worker->second.fill_cpu_millis += step.fills ? step.needs.cpu_millis : 0;
+    worker->second.runs.insert(placement.run);
+    applied.placed.push_back(placement);
+  }
+  return applied;
+}
+
+GraphApplied GraphTable::Apply(const EndRuns& command, WallMillis now) {
+  GraphApplied applied;
+  const auto found = workers_.find(command.worker.id);
+  if (found == workers_.end() || found->second.info.life != command.worker) {
+    Refuse(applied, ErrorKind::kStale, "another life is known");
+    return applied;
+  }
+  applied.result.ok = true;
+  applied.touched_workers.insert(command.worker.id);
+  for (const EndedRow& row : command.rows) {
+    // A refusal is the agent's word and has no number in the worker's list.
+    if (row.number != 0 && row.number <= found->second.noted) {
+      continue;
+    }
+    found->second.noted = std::max(found->second.noted, row.number);
+    EndRun(found->second, row, now, applied);
+  }
+  return applied;
+}
+
+void GraphTable::EndRun(GraphWorker& worker,
+                        const EndedRow& row,
+                        WallMillis now,
+                        GraphApplied& applied) {
+  const auto graph = graphs_.find(row.run.task.graph);
+  if (worker.runs.erase(row.run) == 0 || graph == graphs_.end()) {
+    return;
+  }
+  const StepSpec& step =
+      graph->second.spec.steps[static_cast<std::size_t>(row.run.task.step)];
+  worker.committed -= HeldBy(step);
+  worker.fill_cpu_millis -= step.fills ? step.needs.cpu_millis : 0;
+  applied.events.push_back(Event(EventId::kRunEnded)
+                               .With("request", row.run.task.graph)
+                               .With("occurrence", row.run.task.occurrence)
+                               .With("step", row.run.task.step)
+                               .With("task", row.run.task.index)
+                               .With("run", row.run.run)
+                               .With("worker", worker.info.life.id)
+                               .With("number", row.number)
+                               .With("ending", ToString(row.ending)));
+  if (!IsCurrent(row.run, worker.info.life)) {
+    return;
+  }
+  TaskProgress& task = *MutableTask(row.run.task);
+  if (!row.checkpoint.empty()) {
+    task.checkpoint = row.checkpoint;
+  }
+  graph->second.changed_at = now;
+  if (row.ending == RunEnding::kDone && !step.long_running) {
+    FinishTask(graph->first, graph->second, row.run.task, now, applied);
+    return;
+  }
+  SetPhase(graph->first, graph->second, task, TaskPhase::kReady);
+  if (row.ending == RunEnding::kFailed && !step.long_running) {
+    CountFailure(graph->first, graph->second, row.run, task, now, applied);
+  }
+}
+
+void GraphTable::FinishTask(const std::string& id,
+                            Graph& graph,
+                            const TaskRef& ref,
+                            WallMillis now,
+                            GraphApplied& applied) {
+  const auto occurrence = static_cast<std::size_t>(ref.occurrence);
+  const auto index = static_cast<std::size_t>(ref.step);
+  StepProgress& step = graph.occurrences[occurrence][index];
+  // One member's success is that of the whole gang.
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const bool is_done = graph.spec.steps[index].gang ||
+                         static_cast<std::int64_t>(i) == ref.index;
+    if (is_done && step.tasks[i].phase != TaskPhase::kDone) {
+      SetPhase(id, graph, step.tasks[i], TaskPhase::kDone);
+      ++step.done;
+    }
+  }
+  if (step.done < static_cast<std::int64_t>(step.tasks.size())) {
+    return;
+  }
+  OpenSteps(graph, occurrence);
+  if (graph.ready > 0) {
+    ready_graphs_.insert(id);
+  }
+  for (const OccurrenceProgress& steps : graph.occurrences) {
+    for (const StepProgress& other : steps) {
+      if (other.done < static_cast<std::int64_t>(other.tasks.size())) {
+        return;
+      }
+    }
+  }
+  Finish(id, graph, GraphState::kCompleted, now, applied);
+}
+
+void GraphTable::CountFailure(const std::string& id,
+                              Graph& graph,
+                              const RunRef& run,
+                              TaskProgress& task,
+                              WallMillis now,
+                              GraphApplied& applied) {
+  const auto index = static_cast<std::size_t>(run.task.step);
+  std::int64_t failures = ++task.failures;
+  if (graph.spec.steps[index].gang) {
+    StepProgress& step =
+        graph.occurrences[static_cast<std::size_t>(run.task.occurrence)][index];
+    if (run.run > step.last_failed_run) {
+      step.last_failed_run = run.run;
+      ++step.gang_failures;
+    }
+    failures = step.gang_failures;
+  }
+  if (failures >= graph.queue.max_attempts) {
+    Finish(id, graph, GraphState::kFailed, now, applied);
+  }
+}
+
+void GraphTable::Finish(const std::string& id,
+                        Graph& graph,
+                        GraphState state,
+                        WallMillis now,
+                        GraphApplied& applied) {
+  // Whatever of it still runs must be stopped by its worker.
+  for (const OccurrenceProgress& steps : graph.occurrences) {
+    for (const StepProgress& step : steps) {
+      for (const TaskProgress& task : step.tasks) {
+        if (task.phase == TaskPhase::kRunning) {
+          applied.touched_workers.insert(task.worker.id);
+        }
+      }
+    }
+  }
+  Begin(graph);
+  graph.state = state;
+  graph.changed_at = now;
+  graph.ready = 0;
+  graph.occurrences.clear();
+  graph.spec.payload.clear();
+  ready_graphs_.erase(id);
+  expiry_.emplace(now + kGraphRetentionMs, id);
+  applied.events.push_back(Event(EventId::kGraphEnded)
+                               .With("request", id)
+                               .With("queue", graph.queue.name)
+                               .With("state", ToString(state))
+                               .With("took_ms", now - graph.submitted_at));
+}
+
+void GraphTable::ForgetExpired(WallMillis now) {
+  for (int i = 0; i < kMaxForgottenPerCommand && !expiry_.empty() &&
+                  expiry_.begin()->first < now;
+       ++i) {
+    graphs_.erase(expiry_.begin()->second);
+    expiry_.erase(expiry_.begin());
+  }
+}
+
+void GraphTable::RebuildIndexes() {
+  ready_graphs_.clear();
+  pending_.clear();
+  expiry_.clear();
+  for (auto& [id, graph] : graphs_) {
+    if (IsFinal(graph.state)) {
+      expiry_.emplace(graph.changed_at + kGraphRetentionMs, id);
+      continue;
+    }
+    if (graph.state == GraphState::kQueued && graph.spec.occurrences == 0) {
+      ++pending_[graph.queue.name];
+    }
+    if (graph.ready > 0) {
+      ready_graphs_.insert(id);
+    }
+  }
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/src/graph/queue_match.cc
@@ -0,0 +1,82 @@
+#include "banyan/graph/queue_match.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace banyan {
+namespace {
+
+// Bounds of one job graph, so that no single one fills the table.
+constexpr std::int64_t kMaxTasks = 20000;
+constexpr std::size_t kMaxSteps = 200;
+constexpr std::int64_t kMaxOccurrences = 1000;
+
+}  // namespace
+
+std::optional<QueueMatch> MatchQueue(const ServicePlan& plan,
+                                     std::string_view host,
+                                     std::string_view path) {
+  host = host.substr(0, host.find(':'));
+  std::optional<QueueMatch> best;
+  for (const QueueSpec& queue : plan.queues) {
+    if (queue.host != host || !path.starts_with(queue.path_prefix)) {
+      continue;
+    }
+    if (!best || queue.path_prefix.size() > best->queue->path_prefix.size()) {
+      best = {&queue, path.substr(queue.path_prefix.size())};
+    }
+  }
+  return best;
+}
+
+std::optional<std::string> FindPlanFault(const ServicePlan& plan) {
+  std::set<std::string> pools;
+  for (const PoolSpec& pool : plan.pools) {
+    pools.insert(pool.name);
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const QueueSpec& queue : plan.queues) {
+    if (!pools.contains(queue.service)) {
+      return "queue '" + queue.name + "' names an unknown service";
+    }
+    if (!places.emplace(queue.host, queue.path_prefix).second) {
+      return "queue '" + queue.name + "' shares its place with another one";
+    }
+    if (queue.timeout_ms <= 0) {
+      return "queue '" + queue.name + "' has no timeout";
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> FindGraphFault(const GraphSpec& spec) {
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
+    return "the number of steps is out of range";
+  }
+  if (spec.occurrences < 0 || spec.occurrences > kMaxOccurrences ||
+      (spec.occurrences > 0 && spec.interval_ms < 0)) {
+    return "the schedule is out of range";
+  }
+  std::int64_t tasks = 0;
+  for (std::size_t s = 0; s < spec.steps.size(); ++s) {
+    const StepSpec& step = spec.steps[s];
+    tasks += step.count;
+    if (step.count < 1 || tasks > kMaxTasks) {
+      return "the number of tasks is out of range";
+    }
+    if (!IsNonNegative(step.needs)) {
+      return "a step needs less than nothing";
+    }
+    const bool is_ordered =
+        std::all_of(step.after.begin(), step.after.end(), [&](auto before) {
+          return before >= 0 && before < static_cast<std::int64_t>(s);
+        });
+    if (!is_ordered) {
+      return "a step comes after one that is not before it";
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace banyan
--- a/src/net/peer_network.cc
+++ b/src/net/peer_network.cc
@@ -13,6 +13,8 @@
 
 // How long an address rests before it is dialled again.
 constexpr Span kRedialInterval = Millis(300);
+// How much longer the side with the greater id waits before it dials.
+constexpr Span kYieldInterval = Millis(700);
 // A dial that came to nothing by then is tried anew.
 constexpr Span kDialTimeout = std::chrono::seconds(3);
 
@@ -56,8 +58,12 @@
   {
     const std::lock_guard lock(mutex_);
     for (const std::string& address : addresses) {
-      const auto dialled = dialled_.find(address);
-      const bool is_due = dialled == dialled_.end() || dialled->second <= now;
+      if (is_symmetric_ && peers_.contains(address)) {
+        continue;
+      }
+      const auto dialled =
+          dialled_.try_emplace(address, FirstDial(now, address)).first;
+      const bool is_due = dialled->second <= now;
       if (!open_addresses_.contains(address) && is_due) {
         dialled_[address] = now + kDialTimeout;
         dial.push_back(address);
@@ -80,6 +86,10 @@
   }
 }
 
+Time PeerNetwork::FirstDial(Time now, const std::string& address) const {
+  return is_symmetric_ && address < id_ ? now + kYieldInterval : now;
+}
+
 void PeerNetwork::SendOn(ConnectionId connection, const Message& message) {
   std::string frame;
   {
@@ -210,7 +220,8 @@
     if (!address.empty()) {
       open_addresses_.erase(address);
       address_of_.erase(connection);
-      dialled_[address] = MonotonicClock::now() + kRedialInterval;
+      dialled_[address] =
+          FirstDial(MonotonicClock::now() + kRedialInterval, address);
     }
     const auto peer = peer_of_.find(connection);
     if (peer == peer_of_.end()) {
--- a/src/net/transport.cc
+++ b/src/net/transport.cc
@@ -3,6 +3,10 @@
 
 #include "banyan/net/transport.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio.hpp>
 #include <map>
 #include <thread>
@@ -22,6 +26,13 @@
 // How long a connection may take to open, in milliseconds.
 constexpr long kOpenTimeoutMs = 2000;
 constexpr int kListenBacklog = 512;
+// How long sent bytes may stay unconfirmed before the connection counts as
+// lost; connections can go silent without a reset.
+constexpr unsigned kUnconfirmedTimeoutMs = 2000;
+// Probes of an idle connection: after so many seconds, so far apart, so many.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 2;
 
 using Client = websocketpp::client<websocketpp::config::asio_client>;
 using Server = websocketpp::server<websocketpp::config::asio>;
@@ -123,6 +134,7 @@
         boost::system::error_code ignored;
         connection->get_raw_socket().set_option(
             boost::asio::ip::tcp::no_delay(true), ignored);
+        NoticeSilence(connection->get_raw_socket().native_handle());
       }
     });
     endpoint.set_open_handler([this, is_client](Handle handle) {
@@ -142,6 +154,18 @@
     endpoint.set_fail_handler([this](Handle handle) { Drop(handle); });
   }
 
+  static void NoticeSilence(int socket) {
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterSeconds,
+               sizeof(kProbeAfterSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeIntervalSeconds,
+               sizeof(kProbeIntervalSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnconfirmedTimeoutMs,
+               sizeof(kUnconfirmedTimeoutMs));
+  }
+
   ConnectionId Add(Handle handle, bool is_client, const std::string& address) {
     const ConnectionId id = next_id_++;
     links_[id] = Link{handle, is_client, address};
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -23,6 +23,8 @@
 constexpr int kApiThreads = 16;
 constexpr std::int64_t kMaxApiBodyBytes = 1 << 20;
 constexpr int kTemporaryRedirect = 307;
+// Marks the tickets of calls to the cell among those of the operator API.
+constexpr std::uint64_t kCellTicket = 1ULL << 62U;
 
 ControlOptions OptionsFor(const ControlSettings& settings,
                           std::uint64_t incarnation) {
@@ -31,6 +33,11 @@
   for (const ControlMember& member : settings.members) {
     options.raft.configured.push_back(member.id);
   }
+  for (const std::string& seed : settings.seeds) {
+    options.raft.configured.push_back(seed);
+  }
+  options.raft.may_form = settings.bootstrap;
+  options.graphs.lease = settings.lease;
   constexpr int kHeartbeatsPerElection = 8;
   constexpr int kMarginsPerElection = 10;
   options.raft.timings.election = settings.election;
@@ -45,8 +52,9 @@
 
 }  // namespace
 
-ControlProcess::ControlProcess(ControlSettings settings)
+ControlProcess::ControlProcess(ControlSettings settings, CellApi api)
     : settings_(std::move(settings)),
+      api_(std::move(api)),
       inputs_(kRingCapacity),
       disk_(kDiskRingCapacity),
       snapshots_(kSnapshotRingCapacity) {}
@@ -83,6 +91,9 @@
     reason = {ErrorKind::kInternal, "can't listen on " + settings_.listen, {}};
     return false;
   }
+  if (!settings_.seeds.empty()) {
+    network_->set_symmetric();
+  }
   // Of each pair of replicas the one with the smaller id makes the connection.
   for (const ControlMember& member : settings_.members) {
     if (settings_.id < member.id) {
@@ -124,6 +135,14 @@
   if (auto common = ServeHealthAndMetrics(call, is_leaving_, metrics_)) {
     return *std::move(common);
   }
+  if (api_) {
+    const CellPort port = [this](CellCall cell_call, Time deadline) {
+      return CallCell(std::move(cell_call), deadline);
+    };
+    if (auto reply = api_(call, port)) {
+      return *std::move(reply);
+    }
+  }
   if (call.method == "GET") {
     auto [ticket, reply] = pending_.Open();
     return Await(ticket, std::move(reply), ApiQuery{ticket, call.path});
@@ -140,6 +159,25 @@
   return Await(ticket, std::move(reply), ApiCommand{ticket, *command});
 }
 
+CommandResult ControlProcess::CallCell(CellCall call, Time deadline) {
+  auto [ticket, answer] = pending_calls_.Open();
+  CommandResult result;
+  result.error = ErrorKind::kOverloaded;
+  result.text = "too many commands wait";
+  if (!inputs_.TryPush(CellInput{ticket, std::move(call)})) {
+    pending_calls_.GiveUp(ticket);
+    return result;
+  }
+  if (answer.wait_for(deadline - MonotonicClock::now()) !=
+      std::future_status::ready) {
+    pending_calls_.GiveUp(ticket);
+    result.error = ErrorKind::kUnknownOutcome;
+    result.text = "no answer in time";
+    return result;
+  }
+  return answer.get();
+}
+
 HttpReply ControlProcess::Await(std::uint64_t ticket,
                                 std::future<HttpReply> reply,
                                 Input input) {
@@ -207,11 +245,31 @@
              core_->raft().log().membership().voters.size() > 1;
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
-      network_->Maintain(now, dialled_);
+      network_->Maintain(now, DialledAddresses());
     }
   }
 }
 
+std::set<std::string> ControlProcess::DialledAddresses() const {
+  if (settings_.seeds.empty()) {
+    return dialled_;
+  }
+  std::set<std::string> addresses(settings_.seeds.begin(),
+                                  settings_.seeds.end());
+  const Membership& membership = core_->raft().log().membership();
+  if (!core_->raft().leader().empty()) {
+    // The seeds may be out of date; they serve to find the cell.
+    addresses.clear();
+  }
+  for (const auto* group : {&membership.voters, &membership.learners}) {
+    for (const MemberId& member : *group) {
+      addresses.insert(member.id);
+    }
+  }
+  addresses.erase(settings_.id);
+  return addresses;
+}
+
 void ControlProcess::Take(Time now, Input input) {
   if (auto* event = std::get_if<PeerEvent>(&input)) {
     if (event->kind == PeerEvent::Kind::kMessage) {
@@ -225,6 +283,16 @@
     core_->OnCompacted(std::move(compacted->snapshot));
   } else if (const auto* command = std::get_if<ApiCommand>(&input)) {
     core_->Submit(now, WallNow(), command->ticket, command->command);
+  } else if (auto* cell = std::get_if<CellInput>(&input)) {
+    if (auto* logged = std::get_if<Command>(&cell->call)) {
+      LoggedCommand cell_command;
+      cell_command.command = std::move(*logged);
+      core_->Submit(now, WallNow(), cell->ticket | kCellTicket, cell_command);
+    } else {
+      const auto& cell_query = std::get<CellQuery>(cell->call);
+      core_->Query(now, WallNow(), cell->ticket | kCellTicket, cell_query.kind,
+                   cell_query.key);
+    }
   } else if (const auto* query = std::get_if<ApiQuery>(&input)) {
     Answer(now, *query);
   } else {
@@ -266,6 +334,10 @@
     network_->Send(outbound.to, outbound.message);
   }
   for (const LocalAnswer& answer : outputs.answers) {
+    if ((answer.ticket & kCellTicket) != 0) {
+      pending_calls_.Deliver(answer.ticket & ~kCellTicket, answer.result);
+      continue;
+    }
     pending_.Deliver(answer.ticket, CommandReplyFor(answer.result));
   }
   const ControlState& state = core_->state();
--- a/src/process/program.cc
+++ b/src/process/program.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 #include <tclap/CmdLine.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <utility>
@@ -20,8 +21,11 @@
   try {
     TCLAP::CmdLine line(description, ' ', kVersion);
     line.setExceptionHandling(false);
+    // The platform names the file in the environment.
+    const char* named = std::getenv(kSettingsVariable);
     const TCLAP::ValueArg<std::string> settings(
-        "s", "settings", "YAML file with the settings", true, "", "FILE", line);
+        "s", "settings", "YAML file with the settings", named == nullptr,
+        named == nullptr ? "" : named, "FILE", line);
     const TCLAP::SwitchArg check("c", "check-settings",
                                  "check the settings and start nothing", line);
     line.parse(argc, argv);
@@ -60,6 +64,14 @@
   WriteEvents({&event, 1});
 }
 
+void LogReload(const ProgramInfo& info, const Reason* fault) {
+  const Event event =
+      Event(EventId::kSettingsReloaded)
+          .With("program", info.name)
+          .With("fault", fault == nullptr ? "" : ToString(*fault));
+  WriteEvents({&event, 1});
+}
+
 std::optional<HttpReply> ServeHealthAndMetrics(const HttpCall& call,
                                                bool is_leaving,
                                                const Metrics& metrics) {
@@ -79,43 +91,15 @@
   sigemptyset(&signals_);
   sigaddset(&signals_, SIGTERM);
   sigaddset(&signals_, SIGINT);
+  sigaddset(&signals_, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
   static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
 }
 
-void StopSignal::Wait() {
+bool StopSignal::Wait() {
   int signal = 0;
   sigwait(&signals_, &signal);
-}
-
-std::pair<std::uint64_t, std::future<HttpReply>> PendingReplies::Open() {
-  const std::lock_guard lock(mutex_);
-  const std::uint64_t ticket = next_++;
-  return {ticket, waiting_[ticket].get_future()};
-}
-
-void PendingReplies::Deliver(std::uint64_t ticket, HttpReply reply) {
-  std::promise<HttpReply> promise;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = waiting_.find(ticket);
-    if (found == waiting_.end()) {
-      return;
-    }
-    promise = std::move(found->second);
-    waiting_.erase(found);
-  }
-  promise.set_value(std::move(reply));
-}
-
-void PendingReplies::GiveUp(std::uint64_t ticket) {
-  const std::lock_guard lock(mutex_);
-  waiting_.erase(ticket);
-}
-
-std::size_t PendingReplies::open() const {
-  const std::lock_guard lock(mutex_);
-  return waiting_.size();
+  return signal == SIGHUP;
 }
 
 }  // namespace banyan
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -14,6 +14,9 @@
 constexpr std::int64_t kMinLeaseMs = 2000;
 constexpr std::int64_t kMaxLeaseMs = 60000;
 constexpr std::int64_t kDefaultLeaseMs = 10000;
+// A worker is taken as lost after its lease; a new leader is there sooner.
+constexpr std::int64_t kDefaultWorkerLeaseMs = 4000;
+constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kMinSnapshotEvery = 10;
 constexpr std::int64_t kMaxSnapshotEvery = 1000000;
 constexpr std::int64_t kDefaultSnapshotEvery = 5000;
@@ -110,6 +113,52 @@
   return std::nullopt;
 }
 
+std::optional<CellSettings> LoadCellSettings(const std::string& path,
+                                             Reason& reason) {
+  auto reader = SettingsReader::Load(path, reason);
+  if (!reader) {
+    return std::nullopt;
+  }
+  CellSettings settings;
+  settings.id = reader->Text("id");
+  settings.data_centre = reader->Text("data_centre");
+  const std::string ip = reader->Text("ip");
+  const std::string port =
+      std::to_string(reader->Number("peer_port", 1, kMaxPort, std::nullopt));
+  settings.listen = ip + ":" + port;
+  for (const std::string& seed : reader->Texts("seeds")) {
+    if (!IsIpAddress(seed)) {
+      reason = {ErrorKind::kBadSettings,
+                "'seeds' holds '" + seed + "', which is no IP number and port",
+                {path, 1, 1}};
+      return std::nullopt;
+    }
+    // A seed names the operators' address; peers use one port everywhere.
+    settings.seeds.push_back(seed.substr(0, seed.rfind(':') + 1) + port);
+  }
+  settings.bootstrap = reader->Choice("bootstrap", {"true", "false"}) == "true";
+  settings.data_folder = reader->Text("data_folder", "");
+  settings.front = reader->Text("front", "");
+  settings.ready = reader->Text("ready", "");
+  settings.control = reader->Text("control", "");
+  settings.worker = reader->Text("worker", "");
+  settings.metrics = reader->Text("metrics", "");
+  settings.election = Millis(reader->Number(
+      "election_ms", kMinElectionMs, kMaxElectionMs, kDefaultElectionMs));
+  settings.lease = Millis(reader->Number("lease_ms", kMinLeaseMs, kMaxLeaseMs,
+                                         kDefaultWorkerLeaseMs));
+  settings.snapshot_every = static_cast<std::uint64_t>(
+      reader->Number("snapshot_every", kMinSnapshotEvery, kMaxSnapshotEvery,
+                     kDefaultSnapshotEvery));
+  settings.threads = reader->Number("threads", 1, kMaxThreads, kDefaultThreads);
+  settings.drain = ReadDrain(*reader);
+  settings.log_folder = reader->Text("log_folder", "");
+  if (!reader->Finish(reason)) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
 std::optional<EntrySettings> LoadEntrySettings(const std::string& path,
                                                Reason& reason) {
   auto reader = SettingsReader::Load(path, reason);
--- /dev/null
+++ b/src/wire/graph_json.h
@@ -0,0 +1,202 @@
+#ifndef BANYAN_SRC_WIRE_GRAPH_JSON_H_
+#define BANYAN_SRC_WIRE_GRAPH_JSON_H_
+
+// JSON forms of job graphs and of what is said about them. Types that come in
+// large numbers become arrays, the others objects with their fields by name.
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "banyan/wire/graph.h"
+
+namespace banyan {
+
+inline void to_json(nlohmann::json& json, const Resources& r) {
+  json = {{"cpu_millis", r.cpu_millis},
+          {"memory_mib", r.memory_mib},
+          {"accelerators", r.accelerators}};
+}
+inline void from_json(const nlohmann::json& json, Resources& r) {
+  json.at("cpu_millis").get_to(r.cpu_millis);
+  json.at("memory_mib").get_to(r.memory_mib);
+  json.at("accelerators").get_to(r.accelerators);
+}
+
+inline void to_json(nlohmann::json& json, const StepSpec& step) {
+  json = {step.count,
+          step.needs.cpu_millis,
+          step.needs.memory_mib,
+          step.needs.accelerators,
+          step.estimate_ms,
+          step.after,
+          step.checkpointing,
+          step.gang,
+          step.rack_local,
+          step.speculative,
+          step.long_running,
+          step.fills,
+          step.required_label,
+          step.data_rack,
+          step.image,
+          step.per_worker_limit,
+          step.latency_target_ms,
+          step.may_miss ? nlohmann::json(*step.may_miss) : nlohmann::json()};
+}
+inline void from_json(const nlohmann::json& json, StepSpec& step) {
+  std::size_t i = 0;
+  const auto next = [&](auto& field) { json.at(i++).get_to(field); };
+  next(step.count);
+  next(step.needs.cpu_millis);
+  next(step.needs.memory_mib);
+  next(step.needs.accelerators);
+  next(step.estimate_ms);
+  next(step.after);
+  next(step.checkpointing);
+  next(step.gang);
+  next(step.rack_local);
+  next(step.speculative);
+  next(step.long_running);
+  next(step.fills);
+  next(step.required_label);
+  next(step.data_rack);
+  next(step.image);
+  next(step.per_worker_limit);
+  next(step.latency_target_ms);
+  const nlohmann::json& may_miss = json.at(i);
+  if (!may_miss.is_null()) {
+    step.may_miss = may_miss.get<std::int64_t>();
+  }
+}
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GraphSpec,
+                                   queue,
+                                   payload,
+                                   steps,
+                                   occurrences,
+                                   first_due_at,
+                                   interval_ms)
+
+inline void to_json(nlohmann::json& json, const RunRef& run) {
+  json = {run.task.graph, run.task.occurrence, run.task.step, run.task.index,
+          run.run};
+}
+inline void from_json(const nlohmann::json& json, RunRef& run) {
+  json.at(0).get_to(run.task.graph);
+  json.at(1).get_to(run.task.occurrence);
+  json.at(2).get_to(run.task.step);
+  json.at(3).get_to(run.task.index);
+  json.at(4).get_to(run.run);
+}
+inline void to_json(nlohmann::json& json, const WorkerLife& life) {
+  json = {life.id, life.born};
+}
+inline void from_json(const nlohmann::json& json, WorkerLife& life) {
+  json.at(0).get_to(life.id);
+  json.at(1).get_to(life.born);
+}
+inline void to_json(nlohmann::json& json, const RunningRow& row) {
+  json = {row.run, row.checkpoint, row.percent, row.figure};
+}
+inline void from_json(const nlohmann::json& json, RunningRow& row) {
+  json.at(0).get_to(row.run);
+  json.at(1).get_to(row.checkpoint);
+  json.at(2).get_to(row.percent);
+  json.at(3).get_to(row.figure);
+}
+inline void to_json(nlohmann::json& json, const EndedRow& row) {
+  json = {row.number, row.run, row.ending, row.checkpoint};
+}
+inline void from_json(const nlohmann::json& json, EndedRow& row) {
+  json.at(0).get_to(row.number);
+  json.at(1).get_to(row.run);
+  json.at(2).get_to(row.ending);
+  json.at(3).get_to(row.checkpoint);
+}
+inline void to_json(nlohmann::json& json, const RunPlacement& placement) {
+  json = {placement.run, placement.worker};
+}
+inline void from_json(const nlohmann::json& json, RunPlacement& placement) {
+  json.at(0).get_to(placement.run);
+  json.at(1).get_to(placement.worker);
+}
+inline void to_json(nlohmann::json& json, const RunStart& start) {
+  json = {start.run, start.payload, start.checkpoint};
+}
+inline void from_json(const nlohmann::json& json, RunStart& start) {
+  json.at(0).get_to(start.run);
+  json.at(1).get_to(start.payload);
+  json.at(2).get_to(start.checkpoint);
+}
+inline void to_json(nlohmann::json& json, const RunPace& pace) {
+  json = {pace.run, pace.percent};
+}
+inline void from_json(const nlohmann::json& json, RunPace& pace) {
+  json.at(0).get_to(pace.run);
+  json.at(1).get_to(pace.percent);
+}
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerInfo,
+                                   life,
+                                   service,
+                                   data_centre,
+                                   rack,
+                                   labels,
+                                   capacity,
+                                   draining,
+                                   remaining_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QueueSpec,
+                                   name,
+                                   host,
+                                   path_prefix,
+                                   service,
+                                   timeout_ms,
+                                   slo_ms,
+                                   stretch,
+                                   priority,
+                                   max_attempts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolSpec, name, rejects_overload, spare)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestLimits,
+                                   max_header_bytes,
+                                   max_body_bytes,
+                                   header_timeout_ms,
+                                   idle_timeout_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServicePlan,
+                                   version,
+                                   queues,
+                                   pools,
+                                   limits,
+                                   document)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(InstallPlan, plan)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetEvacuated, data_centre, evacuated)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitGraph, id, spec)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CancelGraph, id)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdmitWorker, info, agent)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DropWorker, life, cause, last_seen)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRuns, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndRuns, worker, rows)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerSync,
+                                   seq,
+                                   info,
+                                   reachable,
+                                   gone,
+                                   running,
+                                   ended,
+                                   starting)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders,
+                                   seq,
+                                   worker,
+                                   fencing_token,
+                                   lease_ms,
+                                   noted,
+                                   starts,
+                                   stops,
+                                   paces)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellQuery, seq, kind, key)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryStatus, seq, plan_version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryStatusAck, seq, fresh)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlanUpdate, plan)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellMembers, addresses)
+
+}  // namespace banyan
+
+#endif  // BANYAN_SRC_WIRE_GRAPH_JSON_H_
--- a/src/wire/json_types.h
+++ b/src/wire/json_types.h
@@ -10,17 +10,15 @@
 #include <variant>
 
 #include "banyan/wire/command.h"
+#include "banyan/wire/graph.h"
 #include "banyan/wire/instance.h"
 #include "banyan/wire/job.h"
 #include "banyan/wire/message.h"
 #include "banyan/wire/preset.h"
+#include "src/wire/graph_json.h"
 
 namespace banyan {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Resources,
-                                   cpu_millis,
-                                   memory_mib,
-                                   accelerators)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Preset,
                                                 request_timeout_ms,
                                                 retry_budget_percent,
@@ -106,7 +104,8 @@
                                    error,
                                    text,
                                    version,
-                                   claim)
+                                   claim,
+                                   retry_after_ms)
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MemberId, id, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Membership, voters, learners)
--- a/tests/fakes/serve.h
+++ b/tests/fakes/serve.h
@@ -19,7 +19,8 @@
     std::cerr << ToString(reason) << "\n";
     return 1;
   }
-  stop.Wait();
+  while (stop.Wait()) {
+  }
   server.Stop();
   return 0;
 }
