Tasks that fill are paced by a learned model of interference

Ruled out: strict separation of the two; 44 serving tasks commit 140 of the 176 cores, so the other work must run beside them. Change: an online model of pressure by pair of images, a pacer that goes down within one report and up slowly, serving tasks placed together.

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -13,6 +13,7 @@
 #include "banyan/events/event.h"
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
+#include "banyan/graph/pacer.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/wire/command.h"
 #include "banyan/wire/message.h"
@@ -85,6 +86,9 @@
                  const GraphWorker& worker,
                  const WorkerSync& sync,
                  WorkerOrders& orders);
+  void Pace(const GraphTable& table,
+            const GraphWorker& worker,
+            WorkerOrders& orders);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
   [[nodiscard]] DropWorker DropOf(const WorkerLife& life,
@@ -97,6 +101,7 @@
   std::uint64_t fencing_token_ = 0;
   std::map<std::string, GraphWorkerView> views_;
   GraphPlacement placement_;
+  Pacer pacer_;
   // When a batch of placements was proposed that is not applied yet.
   std::optional<Time> placing_since_;
   GraphLeaderOutputs out_;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -123,6 +123,7 @@
     view.lease_deadline = now + options_.lease + options_.lease_margin;
   }
   Reconcile(now, table, *worker, sync, orders);
+  Pace(table, *worker, orders);
   out_.orders.push_back({agent, std::move(orders)});
 }
 
@@ -248,6 +249,46 @@
   });
 }
 
+void GraphLeader::Pace(const GraphTable& table,
+                       const GraphWorker& worker,
+                       WorkerOrders& orders) {
+  GraphWorkerView& view = views_[worker.info.life.id];
+  std::vector<ServingTask> serving;
+  std::vector<FillingTask> filling;
+  for (const auto& [run, seen] : view.runs) {
+    const Graph* graph = table.FindGraph(run.task.graph);
+    if (graph == nullptr || !table.IsCurrent(run, worker.info.life)) {
+      continue;
+    }
+    const StepSpec& step =
+        graph->spec.steps[static_cast<std::size_t>(run.task.step)];
+    if (step.latency_target_ms > 0) {
+      serving.push_back({step.image, seen.row.figure, step.latency_target_ms});
+    } else if (step.fills) {
+      filling.push_back({run, step.image, seen.pace});
+    }
+  }
+  if (serving.empty() && filling.empty()) {
+    return;
+  }
+  pacer_.Observe(serving, filling);
+  orders.paces = pacer_.Decide(serving, filling);
+  for (const RunPace& pace : orders.paces) {
+    RunView& seen = view.runs.at(pace.run);
+    out_.events.push_back(Event(EventId::kRunPaced)
+                              .With("request", pace.run.task.graph)
+                              .With("step", pace.run.task.step)
+                              .With("task", pace.run.task.index)
+                              .With("run", pace.run.run)
+                              .With("worker", worker.info.life.id)
+                              .With("before", seen.pace)
+                              .With("percent", pace.percent)
+                              .With("serving", serving.size())
+                              .With("filling", filling.size()));
+    seen.pace = pace.percent;
+  }
+}
+
 void GraphLeader::OnApplied(Time now,
                             const GraphTable& table,
                             const Command& command,
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -216,11 +216,12 @@
     const bool is_far =
         (!step.data_rack.empty() && info.rack != step.data_rack) ||
         (!rack.empty() && info.rack != rack);
+    // Tasks that serve go together, and tasks that fill stay away from them.
     int company = 0;
     if (step.fills) {
       company = room.serving;
     } else if (step.latency_target_ms > 0) {
-      company = room.filling + room.serving;
+      company = room.filling - room.serving;
     }
     const Preference preference{failed_here, room.suspected, is_far, company,
                                 -room.idle_cpu_millis};
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -124,10 +124,21 @@
   if (graph.ready > 0) {
     ready_graphs_.insert(command.id);
   }
+  std::int64_t tasks = 0;
+  std::int64_t filling = 0;
+  std::int64_t serving = 0;
+  for (const StepSpec& step : graph.spec.steps) {
+    tasks += step.count;
+    filling += step.fills ? step.count : 0;
+    serving += step.latency_target_ms > 0 ? step.count : 0;
+  }
   applied.events.push_back(Event(EventId::kGraphAccepted)
                                .With("request", command.id)
                                .With("queue", graph.queue.name)
                                .With("steps", graph.spec.steps.size())
+                               .With("tasks", tasks)
+                               .With("filling", filling)
+                               .With("serving", serving)
                                .With("plan", plan_.version));
   return applied;
 }
