Entries leave replicas without a leader; suspected workers are probed beside lasting tasks

Ruled out: the change of leader (placements went on), the evacuation (two data centres had room). Tasks that fill may use what tasks that serve leave unused (an assumed 35%).

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -89,6 +89,7 @@
   void Pace(const GraphTable& table,
             const GraphWorker& worker,
             WorkerOrders& orders);
+  void SuspectAfterFailure(Time now, GraphWorkerView& view, const RunRef& run);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
   [[nodiscard]] DropWorker DropOf(const WorkerLife& life,
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -22,9 +22,10 @@
   // Tasks here with a latency target, and tasks that fill.
   int serving = 0;
   int filling = 0;
-  bool suspected = false;
-  // Runs here in all.
-  std::size_t runs = 0;
+  // Whether the worker gets one run only, to see whether it does well.
+  bool is_probed = false;
+  // Whether it has got that run.
+  bool has_probe = false;
 };
 
 // Chooses which ready tasks start where. Deterministic; knows no clocks but
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -126,6 +126,8 @@
   [[nodiscard]] const TaskProgress* FindTask(const TaskRef& task) const;
   // Whether the run is the one that its task is at, on this worker.
   [[nodiscard]] bool IsCurrent(const RunRef& run, const WorkerLife& life) const;
+  // Whether the plan has a queue of this name.
+  [[nodiscard]] bool HasQueue(std::string_view name) const;
   // Graphs of a queue that were accepted and of which nothing has begun.
   [[nodiscard]] std::int64_t PendingOf(std::string_view queue) const;
 
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -50,9 +50,11 @@
   bool dropping = false;
   // Graphs whose runs failed here since one was done.
   std::set<std::string> failed_graphs;
-  // Until then the worker gets one run at a time, as a probe.
-  Time resting_until;
+  // A suspected worker rests until then, and after that gets one run at a
+  // time, until one is done.
   bool suspected = false;
+  Time resting_until;
+  std::optional<RunRef> probe;
 };
 
 }  // namespace banyan
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -360,6 +360,8 @@
 enum class CellQueryKind : std::uint8_t {
   // The plan's document.
   kPlan,
+  // The version of the plan alone.
+  kPlanVersion,
   // The state of a graph, by its id.
   kGraph,
   // The number of a queue's graphs of which nothing has begun, by its name.
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -302,6 +302,9 @@
       result.version = state_.graphs().plan().version;
       result.text = state_.graphs().plan().document;
       break;
+    case CellQueryKind::kPlanVersion:
+      result.version = state_.graphs().plan().version;
+      break;
     case CellQueryKind::kGraph: {
       const Graph* graph = state_.graphs().FindGraph(key);
       if (graph == nullptr) {
@@ -313,6 +316,12 @@
       break;
     }
     case CellQueryKind::kPending:
+      if (!state_.graphs().HasQueue(key)) {
+        result.ok = false;
+        result.error = ErrorKind::kNotFound;
+        result.text = "no such queue";
+        break;
+      }
       result.version =
           static_cast<std::uint64_t>(state_.graphs().PendingOf(key));
       break;
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -63,11 +63,11 @@
 
 void CellClient::Receive(Time now, const Message& message) {
   if (const auto* reply = std::get_if<CommandReply>(&message)) {
-    link_.OnAnswer(now);
     On(now, *reply);
   } else if (const auto* ack = std::get_if<EntryStatusAck>(&message)) {
-    link_.OnAnswer(now);
+    // A replica that is cut off from its leader is as good as silent.
     if (ack->fresh) {
+      link_.OnAnswer(now);
       fresh_until_ = now + kFreshFor;
     }
   } else if (const auto* update = std::get_if<PlanUpdate>(&message)) {
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -320,7 +320,11 @@
     const GraphWorker* worker = table.FindWorker(placement.worker);
     if (worker != nullptr) {
       orders_for(*worker).starts.push_back(StartOf(table, placement.run));
-      views_[placement.worker.id].started[placement.run] = now;
+      GraphWorkerView& view = views_[placement.worker.id];
+      view.started[placement.run] = now;
+      if (view.suspected) {
+        view.probe = placement.run;
+      }
       out_.events.push_back(
           Event(EventId::kRunPlaced)
               .With("request", placement.run.task.graph)
@@ -364,15 +368,7 @@
         placement_.Forget(row.run.task);
       } else if (row.ending == RunEnding::kFailed) {
         placement_.Avoid(row.run.task, ends->worker.id);
-        view.failed_graphs.insert(row.run.task.graph);
-        if (view.failed_graphs.size() >= kFailedGraphsToSuspect) {
-          view.suspected = true;
-          view.resting_until = now + kSuspectRest;
-          out_.events.push_back(
-              Event(EventId::kWorkerSuspected)
-                  .With("worker", ends->worker.id)
-                  .With("failed_jobs", view.failed_graphs.size()));
-        }
+        SuspectAfterFailure(now, view, row.run);
       }
     }
   }
@@ -390,6 +386,22 @@
   return std::nullopt;
 }
 
+void GraphLeader::SuspectAfterFailure(Time now,
+                                      GraphWorkerView& view,
+                                      const RunRef& run) {
+  view.failed_graphs.insert(run.task.graph);
+  const bool is_failed_probe = view.probe && *view.probe == run;
+  if (view.failed_graphs.size() < kFailedGraphsToSuspect && !is_failed_probe) {
+    return;
+  }
+  view.suspected = true;
+  view.resting_until = now + kSuspectRest;
+  view.probe.reset();
+  out_.events.push_back(Event(EventId::kWorkerSuspected)
+                            .With("worker", view.life.id)
+                            .With("failed_jobs", view.failed_graphs.size()));
+}
+
 void GraphLeader::ExpireLeases(Time now, const GraphTable& table) {
   for (const auto& [id, worker] : table.workers()) {
     GraphWorkerView& view = views_[id];
@@ -425,11 +437,7 @@
         continue;
       }
       placement_.Avoid(run.task, id);
-      view.failed_graphs.insert(run.task.graph);
-      if (view.failed_graphs.size() >= kFailedGraphsToSuspect) {
-        view.suspected = true;
-        view.resting_until = now + kSuspectRest;
-      }
+      SuspectAfterFailure(now, view, run);
       WorkerOrders orders = OrdersFor(*worker);
       orders.stops.push_back(run);
       out_.orders.push_back({worker->agent, std::move(orders)});
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -18,6 +18,18 @@
 // better, the fields in the order of their weight.
 using Preference = std::tuple<bool, bool, bool, int, std::int64_t>;
 
+// Part of its processor time that a task that serves uses at the most.
+constexpr double kServingUse = 0.65;
+
+// Processor time that is committed to a task but that it leaves unused.
+std::int64_t UnusedBy(const StepSpec& step) {
+  return step.latency_target_ms > 0
+             ? static_cast<std::int64_t>(
+                   (1 - kServingUse) *
+                   static_cast<double>(step.needs.cpu_millis))
+             : 0;
+}
+
 }  // namespace
 
 void GraphPlacement::Avoid(const TaskRef& task, const std::string& worker) {
@@ -49,11 +61,13 @@
     room.worker = &worker;
     room.free = worker.info.capacity - worker.committed;
     room.idle_cpu_millis = room.free.cpu_millis - worker.fill_cpu_millis;
-    room.runs = worker.runs.size();
-    room.suspected = view->second.suspected;
-    if (room.suspected &&
-        (view->second.resting_until > now || !worker.runs.empty())) {
-      continue;
+    room.is_probed = view->second.suspected;
+    if (room.is_probed) {
+      const std::optional<RunRef>& probe = view->second.probe;
+      if (view->second.resting_until > now ||
+          (probe && worker.runs.contains(*probe))) {
+        continue;
+      }
     }
     for (const RunRef& run : worker.runs) {
       const Graph* graph = table.FindGraph(run.task.graph);
@@ -64,6 +78,7 @@
           graph->spec.steps[static_cast<std::size_t>(run.task.step)];
       room.serving += step.latency_target_ms > 0 ? 1 : 0;
       room.filling += step.fills ? 1 : 0;
+      room.idle_cpu_millis += UnusedBy(step);
     }
     rooms_.emplace(id, room);
   }
@@ -198,7 +213,11 @@
     const WorkerInfo& info = room.worker->info;
     if (info.service != graph.queue.service || !Fits(HeldBy(step), room.free) ||
         (step.fills && room.idle_cpu_millis < step.needs.cpu_millis) ||
-        (room.suspected && room.runs > 0)) {
+        room.has_probe) {
+      continue;
+    }
+    // A lasting task tells nothing for long, so it is no probe.
+    if (room.is_probed && step.long_running) {
       continue;
     }
     if (!step.required_label.empty() &&
@@ -223,7 +242,7 @@
     } else if (step.latency_target_ms > 0) {
       company = room.filling - room.serving;
     }
-    const Preference preference{failed_here, room.suspected, is_far, company,
+    const Preference preference{failed_here, room.is_probed, is_far, company,
                                 -room.idle_cpu_millis};
     if (best == nullptr || preference < best_preference) {
       best = &room;
@@ -238,7 +257,8 @@
   room.idle_cpu_millis -= step.needs.cpu_millis;
   room.serving += step.latency_target_ms > 0 ? 1 : 0;
   room.filling += step.fills ? 1 : 0;
-  ++room.runs;
+  room.idle_cpu_millis += UnusedBy(step);
+  room.has_probe = room.is_probed;
 }
 
 }  // namespace banyan
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -56,6 +56,12 @@
          task->run == run.run && task->worker == life;
 }
 
+bool GraphTable::HasQueue(std::string_view name) const {
+  return std::any_of(
+      plan_.queues.begin(), plan_.queues.end(),
+      [&](const QueueSpec& queue) { return queue.name == name; });
+}
+
 std::int64_t GraphTable::PendingOf(std::string_view queue) const {
   const auto found = pending_.find(std::string(queue));
   return found == pending_.end() ? 0 : found->second;
@@ -95,7 +101,7 @@
   }
   const auto queue = std::find_if(
       plan_.queues.begin(), plan_.queues.end(),
-      [&](const QueueSpec& q) { return q.name == command.spec.queue; });
+      [&](const QueueSpec& known) { return known.name == command.spec.queue; });
   if (queue == plan_.queues.end()) {
     Refuse(applied, ErrorKind::kNotFound,
            "no queue '" + command.spec.queue + "'");
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -226,6 +226,36 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{4}, world.RunsOn("w2").size());
 }
 
+void SuspectedWorkerIsProbedBesideItsLastingTasks() {
+  LeaderOnTable world;
+  world.Join(SampleWorker("w1"));
+  StepSpec lasting = SampleStep(1);
+  lasting.long_running = true;
+  world.Commit(SampleGraph("watch", {lasting}));
+  world.Pass(kStep);
+  std::int64_t number = 0;
+  for (const char* id : {"g0", "g1"}) {
+    world.Commit(SampleGraph(id, {SampleStep(1)}));
+    world.Pass(kStep);
+    world.Commit(EndRuns{
+        {"w1", 1}, {{++number, RunOf(id, 0, 0), RunEnding::kFailed, ""}}});
+    world.Commit(CancelGraph{id});
+  }
+  world.Commit(SampleGraph("next", {SampleStep(2)}));
+  world.Pass(kStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.RunsOn("w1").size());
+  for (int i = 0; i < 20; ++i) {
+    world.Sync(ReportOf(world, SampleWorker("w1")));
+    world.Pass(Millis(150));
+  }
+  // One run as a probe, and the rest once it is done.
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.RunsOn("w1").size());
+  world.Commit(EndRuns{
+      {"w1", 1}, {{++number, RunOf("next", 0, 0), RunEnding::kDone, ""}}});
+  world.Pass(kStep);
+  CPPUNIT_ASSERT(world.RunsOn("w1").contains(RunOf("next", 0, 1)));
+}
+
 }  // namespace
 
 Section GraphLeaderStory() {
@@ -253,7 +283,9 @@
                 .Then("that can't be listed is not taken as stuck",
                       RunOfAnUnheardWorkerIsNotStuck)
                 .Then("that fails different graphs gets no more for a while",
-                      WorkerThatFailsDifferentGraphsIsSuspected));
+                      WorkerThatFailsDifferentGraphsIsSuspected)
+                .Then("that is suspected is probed beside its lasting tasks",
+                      SuspectedWorkerIsProbedBesideItsLastingTasks));
   return story;
 }
 
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -61,6 +61,7 @@
       .With(GraphLeaderStory())
       .With(WorkerAgentStory())
       .With(PacerStory())
+      .With(CellClientStory())
       .With(HttpClientStory())
       .With(AuditStory())
       .With(ReplayStory());
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -75,6 +75,7 @@
 Section GraphLeaderStory();
 Section WorkerAgentStory();
 Section PacerStory();
+Section CellClientStory();
 Section HttpClientStory();
 Section AuditStory();
 Section ReplayStory();
