Order by what is still in time; starved tasks move; pacing learns from settled reports

Change: placement goes by reach (lasting, begun and in time, in time, late, too late); starved tasks are stopped to go on elsewhere; pressure is learned for each pair, relative to the load's own latency, from rising or settled reports only; a task starts at half its share beside what it may slow down; everything stops after 1.4 s over target.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -63,6 +63,7 @@
   kRunEnded = 1324,
   kRunStuck = 1325,
   kRunPaced = 1326,
+  kRunMoved = 1327,
   kWorkerAdmitted = 1330,
   kWorkerChanged = 1331,
   kWorkerDropped = 1332,
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -86,16 +86,22 @@
                  const GraphWorker& worker,
                  const WorkerSync& sync,
                  WorkerOrders& orders);
-  void Pace(const GraphTable& table,
+  void Pace(Time now,
+            const GraphTable& table,
             const GraphWorker& worker,
             WorkerOrders& orders);
+  void MoveStarved(Time now,
+                   const GraphTable& table,
+                   const GraphWorker& worker,
+                   WorkerOrders& orders);
   void SuspectAfterFailure(Time now, GraphWorkerView& view, const RunRef& run);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
   [[nodiscard]] DropWorker DropOf(const WorkerLife& life,
                                   std::string cause) const;
-  [[nodiscard]] static RunStart StartOf(const GraphTable& table,
-                                        const RunRef& run);
+  [[nodiscard]] RunStart StartOf(const GraphTable& table,
+                                 const GraphWorker& worker,
+                                 const RunRef& run) const;
   [[nodiscard]] WorkerOrders OrdersFor(const GraphWorker& worker) const;
 
   GraphLeaderOptions options_;
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "banyan/base/time.h"
 #include "banyan/graph/graph_table.h"
+#include "banyan/graph/interference.h"
 #include "banyan/graph/worker_view.h"
 
 namespace banyan {
@@ -19,9 +21,12 @@
   Resources free;
   // Processor time that is neither committed nor wanted by tasks that fill.
   std::int64_t idle_cpu_millis = 0;
-  // Tasks here with a latency target, and tasks that fill.
-  int serving = 0;
-  int filling = 0;
+  // Tasks here with a latency target, by image, with their latency in parts
+  // of the target; and the images of the tasks that fill.
+  std::vector<std::pair<std::string, double>> serving;
+  std::vector<std::string> filling;
+  // Of the latter, those not known to be light.
+  int trials = 0;
   // Whether the worker gets one run only, to see whether it does well.
   bool is_probed = false;
   // Whether it has got that run.
@@ -37,7 +42,8 @@
       Time now,
       WallMillis wall,
       const GraphTable& table,
-      const std::map<std::string, GraphWorkerView>& views);
+      const std::map<std::string, GraphWorkerView>& views,
+      const InterferenceModel& model);
 
   // Learns that a run of the task did not do well on the worker.
   void Avoid(const TaskRef& task, const std::string& worker);
@@ -62,8 +68,21 @@
                                      const std::string& rack);
   void Take(WorkerRoom& room, const StepSpec& step);
 
+  // How little a worker suits a step for the company there; smaller is better,
+  // nothing when it does not suit at all.
+  [[nodiscard]] std::optional<int> CompanyIn(const WorkerRoom& room,
+                                             const StepSpec& step) const;
+  // Whether an image that fills is not known to be light beside what serves.
+  [[nodiscard]] bool IsOnTrial(const WorkerRoom& room,
+                               const std::string& image) const;
+
+  const InterferenceModel* model_ = nullptr;
   std::map<std::string, WorkerRoom> rooms_;
   std::map<TaskRef, std::set<std::string>> avoided_;
+  // Since when a graph has had tasks that were not placed.
+  std::map<std::string, Time> waiting_since_;
+  // Whether the graph at hand waited so long that any room will do.
+  bool takes_any_room_ = false;
 };
 
 }  // namespace banyan
--- a/include/banyan/graph/pacer.h
+++ b/include/banyan/graph/pacer.h
@@ -2,6 +2,8 @@
 #define BANYAN_GRAPH_PACER_H_
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +15,8 @@
 
 // A task on a worker that serves its own users, with its last report.
 struct ServingTask {
+  // Names the tasks that carry the same load.
+  std::string group;
   std::string image;
   std::int64_t latency_ms = 0;
   std::int64_t target_ms = 0;
@@ -26,27 +30,52 @@
 };
 
 // Decides at what share the tasks that fill work on one worker, so that the
-// tasks that serve there stay below their latency targets. Goes down within
-// one report and up slowly.
+// tasks that serve there stay below their latency targets. The heaviest
+// neighbours go down first, within one report; the lightest come up first,
+// slowly, also where the model expects the worst: it may be out of date.
 class Pacer {
  public:
   // Learns from one report of a worker.
-  void Observe(const std::vector<ServingTask>& serving,
+  void Observe(Time now,
+               const std::string& worker,
+               const std::vector<ServingTask>& serving,
                const std::vector<FillingTask>& filling);
 
   // Returns the shares that are to change.
   [[nodiscard]] std::vector<RunPace> Decide(
+      Time now,
+      const std::string& worker,
       const std::vector<ServingTask>& serving,
-      const std::vector<FillingTask>& filling) const;
+      const std::vector<FillingTask>& filling);
 
   [[nodiscard]] const InterferenceModel& model() const noexcept {
     return model_;
   }
 
  private:
+  // What is known of one worker from its last reports.
+  struct Site {
+    // When a neighbour came, or its share was changed.
+    Time changed_at;
+    // The shares that the last report was under, and those under which the
+    // latencies had settled.
+    std::map<RunRef, double> shares;
+    std::map<RunRef, double> settled;
+    // Latencies of the last report, by group.
+    std::map<std::string, double> latencies;
+    std::set<std::string> rising;
+    // Since when a group has been over its target on end.
+    std::map<std::string, Time> over_since;
+    bool is_settled = false;
+  };
+
   InterferenceModel model_;
+  std::map<std::string, Site> sites_;
 };
 
+// Returns a task's latency in parts of its target.
+[[nodiscard]] double RelativeLatency(const ServingTask& task) noexcept;
+
 }  // namespace banyan
 
 #endif  // BANYAN_GRAPH_PACER_H_
--- /dev/null
+++ b/include/banyan/graph/urgency.h
@@ -0,0 +1,49 @@
+#ifndef BANYAN_GRAPH_URGENCY_H_
+#define BANYAN_GRAPH_URGENCY_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "banyan/base/time.h"
+#include "banyan/graph/graph_table.h"
+
+namespace banyan {
+
+// What placing tasks of a graph can still achieve, best first.
+enum class Reach : std::uint8_t {
+  // Its tasks last; they serve from the moment that they run.
+  kLasting,
+  // It has begun and can meet its latency objective.
+  kBegunInTime,
+  // Nothing of it has begun, and it can meet its objective.
+  kInTime,
+  // It can only be late.
+  kLate,
+  // Not even a late result counts any more.
+  kTooLate,
+};
+
+// A graph's place in the order of placement; smaller goes first.
+struct Urgency {
+  std::int64_t priority = 0;
+  Reach reach = Reach::kInTime;
+  // When its objective ends, in milliseconds since the epoch.
+  WallMillis objective_at = 0;
+  std::uint64_t order = 0;
+
+  friend auto operator<=>(const Urgency&, const Urgency&) = default;
+};
+
+// Returns a graph's urgency at a wall time. Work that can meet its objective
+// goes before work that can't: in an overload the queue would otherwise make
+// everything late by turns.
+[[nodiscard]] Urgency UrgencyOf(const Graph& graph, WallMillis now);
+
+// Returns the longest chain of work that is left, in milliseconds, by the
+// declared run times.
+[[nodiscard]] std::int64_t RemainingChainMs(const Graph& graph,
+                                            const OccurrenceProgress& steps);
+
+}  // namespace banyan
+
+#endif  // BANYAN_GRAPH_URGENCY_H_
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -23,6 +23,8 @@
   std::optional<Time> over_target_since;
   // The share of processor time that was ordered, in percent.
   std::int64_t pace = 100;
+  // Since when that share has been next to nothing.
+  std::optional<Time> starved_since;
 };
 
 // What the leader learned of one worker's life from its agent's reports.
@@ -36,9 +38,12 @@
   // The worker's list that the runs below are from.
   std::uint64_t lists = 0;
   bool is_new_list = false;
+  Time paced_at;
   // The least moment at which a draining worker ends.
   std::optional<Time> leaves_at;
   std::map<RunRef, RunView> runs;
+  // Shares ordered with a start that no list shows yet.
+  std::map<RunRef, std::int64_t> starting_pace;
   // When an order was sent last, by run.
   std::map<RunRef, Time> started;
   std::map<RunRef, Time> stopped;
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -331,6 +331,8 @@
   RunRef run;
   std::string payload;
   std::string checkpoint;
+  // The share of its processor time that it starts with, in percent.
+  std::int64_t percent = 100;
 };
 
 // A share of its processor time that a run may use, in percent.
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -103,6 +103,8 @@
      "A run whose progress stands still is stopped to be started elsewhere."},
     {EventId::kRunPaced, "run-paced",
      "The share of processor time of a run was changed, with the reason."},
+    {EventId::kRunMoved, "run-moved",
+     "A run that is paced down for long is stopped to go on elsewhere."},
     {EventId::kWorkerAdmitted, "worker-admitted",
      "A life of a worker is known to the control cell."},
     {EventId::kWorkerChanged, "worker-changed",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -21,6 +21,16 @@
 constexpr std::size_t kFailedGraphsToSuspect = 2;
 // How long a suspected worker rests before a probe.
 constexpr Span kSuspectRest = Millis(2500);
+// What the figures in a worker's list cover, less some jitter.
+constexpr Span kFigureSpan = Millis(450);
+// A task at this share or below gets nowhere; after the span it is moved, if
+// it can go on elsewhere or has done no more than the given part.
+constexpr std::int64_t kStarvedPercent = 20;
+constexpr Span kStarvedFor = Millis(900);
+constexpr std::int64_t kCheapPercent = 25;
+// The share that a task starts with where it may slow others down.
+constexpr std::int64_t kCarefulPercent = 50;
+constexpr std::int64_t kFullPercent = 100;
 // Ends proposed in one log entry.
 constexpr std::size_t kMaxEndsPerEntry = 500;
 
@@ -56,10 +66,31 @@
   return drop;
 }
 
-RunStart GraphLeader::StartOf(const GraphTable& table, const RunRef& run) {
+RunStart GraphLeader::StartOf(const GraphTable& table,
+                              const GraphWorker& worker,
+                              const RunRef& run) const {
   const Graph& graph = *table.FindGraph(run.task.graph);
   const TaskProgress& task = *table.FindTask(run.task);
-  return {run, graph.spec.payload, task.checkpoint};
+  RunStart start{run, graph.spec.payload, task.checkpoint};
+  const StepSpec& step =
+      graph.spec.steps[static_cast<std::size_t>(run.task.step)];
+  if (!step.fills) {
+    return start;
+  }
+  // Beside a task that it may slow down it starts at a part of its share.
+  for (const RunRef& other : worker.runs) {
+    const Graph* neighbour = table.FindGraph(other.task.graph);
+    if (neighbour == nullptr) {
+      continue;
+    }
+    const StepSpec& served =
+        neighbour->spec.steps[static_cast<std::size_t>(other.task.step)];
+    if (served.latency_target_ms > 0 &&
+        !pacer_.model().IsKnownLight(served.image, step.image)) {
+      start.percent = kCarefulPercent;
+    }
+  }
+  return start;
 }
 
 WorkerOrders GraphLeader::OrdersFor(const GraphWorker& worker) const {
@@ -112,6 +143,11 @@
     if (known == view.runs.end()) {
       seen.first_seen = now;
       seen.moved_at = now;
+      const auto paced = view.starting_pace.find(row.run);
+      if (paced != view.starting_pace.end()) {
+        seen.pace = paced->second;
+        view.starting_pace.erase(paced);
+      }
     } else if (known->second.row.percent != row.percent) {
       seen.moved_at = now;
       seen.lists_unmoved = 0;
@@ -130,7 +166,7 @@
     view.lease_deadline = now + options_.lease + options_.lease_margin;
   }
   Reconcile(now, table, *worker, sync, orders);
-  Pace(table, *worker, orders);
+  Pace(now, table, *worker, orders);
   out_.orders.push_back({agent, std::move(orders)});
 }
 
@@ -247,18 +283,22 @@
         orders.stops.push_back(run);
       }
     } else if (is_due(view.started, run)) {
-      orders.starts.push_back(StartOf(table, run));
+      orders.starts.push_back(StartOf(table, worker, run));
     }
   }
   std::erase_if(view.started, [&](const auto& item) {
     return !worker.runs.contains(item.first);
   });
+  std::erase_if(view.starting_pace, [&](const auto& item) {
+    return !worker.runs.contains(item.first);
+  });
   std::erase_if(view.stopped, [&](const auto& item) {
     return !worker.runs.contains(item.first) && !known.contains(item.first);
   });
 }
 
-void GraphLeader::Pace(const GraphTable& table,
+void GraphLeader::Pace(Time now,
+                       const GraphTable& table,
                        const GraphWorker& worker,
                        WorkerOrders& orders) {
   GraphWorkerView& view = views_[worker.info.life.id];
@@ -272,7 +312,8 @@
     const StepSpec& step =
         graph->spec.steps[static_cast<std::size_t>(run.task.step)];
     if (step.latency_target_ms > 0) {
-      serving.push_back({step.image, seen.row.figure, step.latency_target_ms});
+      serving.push_back({run.task.graph, step.image, seen.row.figure,
+                         step.latency_target_ms});
     } else if (step.fills) {
       filling.push_back({run, step.image, seen.pace});
     }
@@ -280,11 +321,14 @@
   if (serving.empty() && filling.empty()) {
     return;
   }
-  if (!view.is_new_list) {
+  // Lists come with every end, but their figures are of the last half second;
+  // acting on one figure several times would overshoot.
+  if (!view.is_new_list || view.paced_at + kFigureSpan > now) {
     return;
   }
-  pacer_.Observe(serving, filling);
-  orders.paces = pacer_.Decide(serving, filling);
+  view.paced_at = now;
+  pacer_.Observe(now, worker.info.life.id, serving, filling);
+  orders.paces = pacer_.Decide(now, worker.info.life.id, serving, filling);
   for (const RunPace& pace : orders.paces) {
     RunView& seen = view.runs.at(pace.run);
     out_.events.push_back(Event(EventId::kRunPaced)
@@ -299,6 +343,46 @@
                               .With("filling", filling.size()));
     seen.pace = pace.percent;
   }
+  MoveStarved(now, table, worker, orders);
+}
+
+void GraphLeader::MoveStarved(Time now,
+                              const GraphTable& table,
+                              const GraphWorker& worker,
+                              WorkerOrders& orders) {
+  GraphWorkerView& view = views_[worker.info.life.id];
+  for (auto& [run, seen] : view.runs) {
+    const Graph* graph = table.FindGraph(run.task.graph);
+    if (graph == nullptr || !table.IsCurrent(run, worker.info.life)) {
+      continue;
+    }
+    const StepSpec& step =
+        graph->spec.steps[static_cast<std::size_t>(run.task.step)];
+    if (!step.fills || seen.pace > kStarvedPercent) {
+      seen.starved_since.reset();
+      continue;
+    }
+    const Time since = seen.starved_since.value_or(now);
+    seen.starved_since = since;
+    // Without checkpoints the work so far would be lost.
+    const bool is_cheap =
+        step.checkpointing || seen.row.percent <= kCheapPercent;
+    if (since + kStarvedFor > now || !is_cheap ||
+        !view.stopped.try_emplace(run, now).second) {
+      continue;
+    }
+    placement_.Avoid(run.task, worker.info.life.id);
+    orders.stops.push_back(run);
+    out_.events.push_back(Event(EventId::kRunMoved)
+                              .With("request", run.task.graph)
+                              .With("step", run.task.step)
+                              .With("task", run.task.index)
+                              .With("run", run.run)
+                              .With("worker", worker.info.life.id)
+                              .With("percent", seen.row.percent)
+                              .With("pace", seen.pace)
+                              .With("starved_ms", ToMillis(now - since)));
+  }
 }
 
 void GraphLeader::OnApplied(Time now,
@@ -319,9 +403,14 @@
   for (const RunPlacement& placement : applied.placed) {
     const GraphWorker* worker = table.FindWorker(placement.worker);
     if (worker != nullptr) {
-      orders_for(*worker).starts.push_back(StartOf(table, placement.run));
+      orders_for(*worker).starts.push_back(
+          StartOf(table, *worker, placement.run));
       GraphWorkerView& view = views_[placement.worker.id];
       view.started[placement.run] = now;
+      const std::int64_t percent = orders_for(*worker).starts.back().percent;
+      if (percent < kFullPercent) {
+        view.starting_pace[placement.run] = percent;
+      }
       if (view.suspected) {
         view.probe = placement.run;
       }
@@ -425,7 +514,7 @@
     for (auto& [run, seen] : view.runs) {
       const Graph* graph = table.FindGraph(run.task.graph);
       if (graph == nullptr || !table.IsCurrent(run, view.life) ||
-          seen.pace < 100 || seen.row.percent >= 100) {
+          seen.pace < kFullPercent || seen.row.percent >= 100) {
         continue;
       }
       const StepSpec& step =
@@ -462,7 +551,7 @@
   }
   placing_since_.reset();
   std::vector<RunPlacement> chosen =
-      placement_.Choose(now, wall, table, views_);
+      placement_.Choose(now, wall, table, views_, pacer_.model());
   if (!chosen.empty()) {
     placing_since_ = now;
     out_.proposals.push_back(PlaceRuns{std::move(chosen)});
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "banyan/graph/urgency.h"
+
 namespace banyan {
 namespace {
 
@@ -18,8 +20,16 @@
 // better, the fields in the order of their weight.
 using Preference = std::tuple<bool, bool, bool, int, std::int64_t>;
 
+// From this part of the latency that a task has alone on a neighbour counts as
+// heavy.
+constexpr double kHeavyPressure = 0.35;
+// Pressures are compared in steps of a twentieth, so that room decides between
+// workers that are about equal.
+constexpr double kPressureLevels = 20;
+// After this wait a task that fills goes wherever there is room.
+constexpr Span kAnyRoomAfter = Millis(2500);
 // Part of its processor time that a task that serves uses at the most.
-constexpr double kServingUse = 0.65;
+constexpr double kServingUse = 0.6;
 
 // Processor time that is committed to a task but that it leaves unused.
 std::int64_t UnusedBy(const StepSpec& step) {
@@ -40,7 +50,9 @@
     Time now,
     WallMillis wall,
     const GraphTable& table,
-    const std::map<std::string, GraphWorkerView>& views) {
+    const std::map<std::string, GraphWorkerView>& views,
+    const InterferenceModel& model) {
+  model_ = &model;
   std::vector<RunPlacement> chosen;
   if (table.ready_graphs().empty()) {
     return chosen;
@@ -76,27 +88,55 @@
       }
       const StepSpec& step =
           graph->spec.steps[static_cast<std::size_t>(run.task.step)];
-      room.serving += step.latency_target_ms > 0 ? 1 : 0;
-      room.filling += step.fills ? 1 : 0;
+      if (step.latency_target_ms > 0) {
+        const auto seen = view->second.runs.find(run);
+        const double figure =
+            seen == view->second.runs.end()
+                ? 0
+                : static_cast<double>(seen->second.row.figure);
+        room.serving.emplace_back(
+            step.image, figure / static_cast<double>(step.latency_target_ms));
+      }
+      if (step.fills) {
+        room.filling.push_back(step.image);
+      }
       room.idle_cpu_millis += UnusedBy(step);
     }
+    for (const std::string& image : room.filling) {
+      room.trials += IsOnTrial(room, image) ? 1 : 0;
+    }
     rooms_.emplace(id, room);
   }
-  std::vector<std::pair<const std::string*, const Graph*>> order;
+  struct Candidate {
+    Urgency urgency;
+    const std::string* id = nullptr;
+    const Graph* graph = nullptr;
+  };
+  std::vector<Candidate> order;
   for (const std::string& id : table.ready_graphs()) {
     const auto graph = table.graphs().find(id);
-    order.emplace_back(&graph->first, &graph->second);
+    order.push_back(
+        {UrgencyOf(graph->second, wall), &graph->first, &graph->second});
   }
-  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    return std::pair(a.second->queue.priority, a.second->order) <
-           std::pair(b.second->queue.priority, b.second->order);
-  });
-  for (const auto& [id, graph] : order) {
+  std::sort(order.begin(), order.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.urgency < b.urgency;
+            });
+  for (const auto& [urgency, id, graph] : order) {
     if (chosen.size() >= kMaxBatch) {
       break;
     }
+    const Time since = waiting_since_.try_emplace(*id, now).first->second;
+    takes_any_room_ = since + kAnyRoomAfter <= now;
+    const std::size_t before = chosen.size();
     PlaceGraph(wall, table, *id, *graph, chosen);
+    if (chosen.size() > before) {
+      waiting_since_.erase(*id);
+    }
   }
+  std::erase_if(waiting_since_, [&](const auto& item) {
+    return !table.ready_graphs().contains(item.first);
+  });
   return chosen;
 }
 
@@ -235,14 +275,11 @@
     const bool is_far =
         (!step.data_rack.empty() && info.rack != step.data_rack) ||
         (!rack.empty() && info.rack != rack);
-    // Tasks that serve go together, and tasks that fill stay away from them.
-    int company = 0;
-    if (step.fills) {
-      company = room.serving;
-    } else if (step.latency_target_ms > 0) {
-      company = room.filling - room.serving;
+    const std::optional<int> company = CompanyIn(room, step);
+    if (!company) {
+      continue;
     }
-    const Preference preference{failed_here, room.is_probed, is_far, company,
+    const Preference preference{failed_here, room.is_probed, is_far, *company,
                                 -room.idle_cpu_millis};
     if (best == nullptr || preference < best_preference) {
       best = &room;
@@ -252,11 +289,63 @@
   return best;
 }
 
+std::optional<int> GraphPlacement::CompanyIn(const WorkerRoom& room,
+                                             const StepSpec& step) const {
+  if (step.latency_target_ms > 0) {
+    // Tasks that serve go together, so that other workers are left to tasks
+    // that fill; and rather to their own image, so that more images suit.
+    const bool has_same =
+        std::any_of(room.serving.begin(), room.serving.end(),
+                    [&](const auto& task) { return task.first == step.image; });
+    constexpr int kServing = 2;
+    return static_cast<int>(room.filling.size()) -
+           static_cast<int>(room.serving.size()) * kServing -
+           (has_same ? 1 : 0);
+  }
+  if (!step.fills || room.serving.empty()) {
+    return 0;
+  }
+  double worst = 0;
+  bool is_known = true;
+  for (const auto& [image, latency] : room.serving) {
+    worst = std::max(worst, model_->PressureOf(image, step.image));
+    is_known = is_known && model_->Knows(image, step.image);
+  }
+  const int level = static_cast<int>(worst * kPressureLevels);
+  constexpr int kKnownLight = 1;
+  constexpr int kOnTrial = 100;
+  constexpr int kHeavy = 1000;
+  if (is_known && worst < kLightPressure) {
+    return kKnownLight + level;
+  }
+  // One task at a time shows what an image does here.
+  if (!is_known && room.trials == 0 && worst < kHeavyPressure) {
+    return kOnTrial + level;
+  }
+  if (takes_any_room_ && room.trials == 0) {
+    return kHeavy + level;
+  }
+  return std::nullopt;
+}
+
+bool GraphPlacement::IsOnTrial(const WorkerRoom& room,
+                               const std::string& image) const {
+  return std::any_of(room.serving.begin(), room.serving.end(),
+                     [&](const auto& task) {
+                       return !model_->IsKnownLight(task.first, image);
+                     });
+}
+
 void GraphPlacement::Take(WorkerRoom& room, const StepSpec& step) {
   room.free -= HeldBy(step);
   room.idle_cpu_millis -= step.needs.cpu_millis;
-  room.serving += step.latency_target_ms > 0 ? 1 : 0;
-  room.filling += step.fills ? 1 : 0;
+  if (step.latency_target_ms > 0) {
+    room.serving.emplace_back(step.image, 0);
+  }
+  if (step.fills) {
+    room.filling.push_back(step.image);
+    room.trials += IsOnTrial(room, step.image) ? 1 : 0;
+  }
   room.idle_cpu_millis += UnusedBy(step);
   room.has_probe = room.is_probed;
 }
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -25,6 +25,7 @@
 constexpr Span kLeastLease = Millis(100);
 // How long a refusal is repeated; several times the way to the log.
 constexpr Span kRefusalMemory = Millis(3000);
+constexpr std::int64_t kFullPercent = 100;
 // Syncs whose sending time is remembered.
 constexpr std::size_t kMaxSent = 64;
 
@@ -339,6 +340,11 @@
   starting.is_in_flight = false;
   if (is_ok) {
     started_[reply.run] = reply.received;
+    if (starting.start.percent < kFullPercent) {
+      RunCall call = CallFor(RunCallOp::kPace, reply.run);
+      call.percent = starting.start.percent;
+      out_.calls.push_back(std::move(call));
+    }
     starting_.erase(found);
     return;
   }
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -120,12 +120,13 @@
   json.at(1).get_to(placement.worker);
 }
 inline void to_json(nlohmann::json& json, const RunStart& start) {
-  json = {start.run, start.payload, start.checkpoint};
+  json = {start.run, start.payload, start.checkpoint, start.percent};
 }
 inline void from_json(const nlohmann::json& json, RunStart& start) {
   json.at(0).get_to(start.run);
   json.at(1).get_to(start.payload);
   json.at(2).get_to(start.checkpoint);
+  json.at(3).get_to(start.percent);
 }
 inline void to_json(nlohmann::json& json, const RunPace& pace) {
   json = {pace.run, pace.percent};
