Events as JSON lines on standard output, asynchronous and bounded

Cause: logs went through the library's lock to standard error, one write a line. Change: a queue of 4096 lines with a thread of its own; the oldest lines go when it is full and are counted on /metrics (log_dropped_lines). Programs with a log folder keep their format.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= 6
 PACKAGES = g++ cmake ninja-build clang-format clang-tidy libpoco-dev \
   libwebsocketpp-dev libboost-dev nlohmann-json3-dev libyaml-cpp-dev \
-  libtclap-dev libgoogle-glog-dev libcppunit-dev librapidcheck-dev
+  libtclap-dev libgoogle-glog-dev libspdlog-dev libcppunit-dev librapidcheck-dev
 
 .PHONY: packages build demo test matrix bench format check-format tidy
 
--- a/include/banyan/process/program.h
+++ b/include/banyan/process/program.h
@@ -9,6 +9,7 @@
 
 #include "banyan/base/error_kind.h"
 #include "banyan/events/event.h"
+#include "banyan/events/json_log.h"
 #include "banyan/metrics/metrics.h"
 #include "banyan/net/http.h"
 #include "banyan/process/pending.h"
@@ -36,7 +37,8 @@
     const std::string& description,
     int& exit_code);
 
-// Starts the process log, in a folder or, without one, on standard error.
+// Starts the process log, in a folder or, without one, as JSON lines on standard
+// output.
 void StartLog(const char* program, const std::string& folder);
 
 // Prints what is wrong with the settings and returns the exit code for it.
@@ -109,6 +111,7 @@
   const bool was_clean = process.Stop();
   LogStage(was_clean ? EventId::kProcessStopped : EventId::kProcessCutShort,
            info);
+  StopJsonLog();
   return 0;
 }
 
@@ -117,7 +120,7 @@
 [[nodiscard]] std::optional<HttpReply> ServeHealthAndMetrics(
     const HttpCall& call,
     bool is_leaving,
-    const Metrics& metrics);
+    Metrics& metrics);
 
 // HTTP answers that threads wait for.
 using PendingReplies = Pending<HttpReply>;
--- /dev/null
+++ b/src/events/json_log.cc
@@ -0,0 +1,82 @@
+#include "banyan/events/json_log.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace banyan {
+namespace {
+
+// Lines that wait to be written; about a second of the heaviest day.
+constexpr std::size_t kQueueLines = 4096;
+constexpr std::chrono::seconds kFlushInterval{1};
+
+std::shared_ptr<spdlog::async_logger>& Logger() {
+  static std::shared_ptr<spdlog::async_logger> logger;
+  return logger;
+}
+
+}  // namespace
+
+std::string ToJsonLine(const Event& event, WallMillis time) {
+  const auto rows = EventCatalogue();
+  const auto row =
+      std::find_if(rows.begin(), rows.end(),
+                   [&](const EventRow& r) { return r.id == event.id(); });
+  nlohmann::ordered_json line = {
+      {"time_ms", time},
+      {"event", row == rows.end() ? "unknown" : row->name},
+      {"id", static_cast<int>(event.id())}};
+  const std::string text = event.text();
+  const std::size_t fields = std::min(text.find(' '), text.size());
+  for (auto& [key, value] :
+       ParseEventFields(std::string_view(text).substr(fields))) {
+    line[key] = std::move(value);
+  }
+  // A field may quote bytes of a caller that are no valid text.
+  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void StartJsonLog(const std::string& program) {
+  if (Logger() != nullptr) {
+    return;
+  }
+  spdlog::init_thread_pool(kQueueLines, 1);
+  Logger() = std::make_shared<spdlog::async_logger>(
+      program, std::make_shared<spdlog::sinks::stdout_sink_st>(),
+      spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+  Logger()->set_pattern("%v");
+  spdlog::register_logger(Logger());
+  spdlog::flush_every(kFlushInterval);
+}
+
+bool IsJsonLogStarted() noexcept {
+  return Logger() != nullptr;
+}
+
+void WriteJsonEvents(std::span<const Event> events) {
+  const WallMillis now = WallNow();
+  for (const Event& event : events) {
+    Logger()->info(ToJsonLine(event, now));
+  }
+}
+
+std::uint64_t DroppedLogLines() {
+  const auto pool = spdlog::thread_pool();
+  return pool == nullptr ? 0 : pool->overrun_counter();
+}
+
+void StopJsonLog() {
+  if (Logger() == nullptr) {
+    return;
+  }
+  Logger()->flush();
+  Logger().reset();
+  spdlog::shutdown();
+}
+
+}  // namespace banyan
--- a/src/process/program.cc
+++ b/src/process/program.cc
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <utility>
 
+#include "banyan/events/json_log.h"
 #include "banyan/settings/settings_reader.h"
 
 namespace banyan {
@@ -44,6 +45,7 @@
 void StartLog(const char* program, const std::string& folder) {
   if (folder.empty()) {
     FLAGS_logtostderr = true;
+    StartJsonLog(program);
   } else {
     std::filesystem::create_directories(folder);
     FLAGS_log_dir = folder;
@@ -74,7 +76,7 @@
 
 std::optional<HttpReply> ServeHealthAndMetrics(const HttpCall& call,
                                                bool is_leaving,
-                                               const Metrics& metrics) {
+                                               Metrics& metrics) {
   if (call.path == "/healthz" && is_leaving) {
     return ErrorReply(ErrorKind::kLeaving, "this process is stopping");
   }
@@ -82,6 +84,7 @@
     return HttpReply{200, "application/json", "{\"status\":\"ok\"}\n", {}};
   }
   if (call.path == "/metrics") {
+    metrics.Set("log_dropped_lines", static_cast<double>(DroppedLogLines()));
     return HttpReply{200, "text/plain; version=0.0.4", metrics.Render(), {}};
   }
   return std::nullopt;
