--- a/include/banyan/process/program.h
+++ b/include/banyan/process/program.h
@@ -37,8 +37,8 @@
     const std::string& description,
     int& exit_code);
 
-// Starts the process log, in a folder or, without one, as JSON lines on standard
-// output.
+// Starts the process log, in a folder or, without one, as JSON lines on
+// standard output.
 void StartLog(const char* program, const std::string& folder);
 
 // Prints what is wrong with the settings and returns the exit code for it.
@@ -117,10 +117,8 @@
 
 // Answers the health check and the metrics that every daemon serves; nothing
 // for any other path.
-[[nodiscard]] std::optional<HttpReply> ServeHealthAndMetrics(
-    const HttpCall& call,
-    bool is_leaving,
-    Metrics& metrics);
+[[nodiscard]] std::optional<HttpReply>
+ServeHealthAndMetrics(const HttpCall& call, bool is_leaving, Metrics& metrics);
 
 // HTTP answers that threads wait for.
 using PendingReplies = Pending<HttpReply>;
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -63,6 +63,8 @@
       .With(PacerStory())
       .With(CellClientStory())
       .With(HttpClientStory())
+      .With(PlatformCodecStory())
+      .With(UrgencyStory())
       .With(AuditStory())
       .With(ReplayStory());
   if (!is_quick) {
--- /dev/null
+++ b/tests/unit/platform_codec_test.cc
@@ -0,0 +1,200 @@
+#include "platform/codec.h"
+
+#include <rapidcheck.h>
+
+#include "banyan/graph/queue_match.h"
+#include "tests/unit/story.h"
+
+namespace banyan::platform {
+namespace {
+
+constexpr const char* kPlan =
+    R"({"version":7,"routes":[{"name":"r1","host":"a.example",)"
+    R"("path-prefix":"/p/","kind":"unsafe","timeout-ms":3000,"slo-ms":250,)"
+    R"("priority":0,"service":"s1","max-attempts":4,"stretch":1.5}],)"
+    R"("services":[{"name":"s1","rejects-overload":false,"spare":false}],)"
+    R"("limits":{"max-header-bytes":16384,"max-body-bytes":262144}})";
+
+constexpr const char* kGraph =
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,)"
+    R"("estimate-ms":900},{"count":2,"cpu":2000,"mem-mb":64,"after":[0],)"
+    R"("checkpointing":true,"anti-affinity":1,"image":"i","fills":true}]})";
+
+constexpr const char* kReport =
+    R"({"service":"s1","address":"10.0.0.9:80","zone":"dc-a","version":"v1",)"
+    R"("slots":8,"state":"ready","cold-left-ms":0,"born":17,"clock-ms":482113,)"
+    R"("capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"sequence":4})";
+
+constexpr const char* kLists =
+    R"({"clock-ms":5,"born":17,)"
+    R"("running":[["5c0e.0.1.17",2,"saved",41,7],["no task",1,"",1,1]],)"
+    R"("ended":[[58,"5c0e.0.1.9",1,"done",""],[59,"5c0e.0.1.8",1,"odd",""]]})";
+
+void ReadsAPlan() {
+  Reason reason;
+  const auto plan = ReadPlan(kPlan, reason);
+  CPPUNIT_ASSERT(plan.has_value());
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, plan->version);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{4}, plan->queues[0].max_attempts);
+  CPPUNIT_ASSERT_EQUAL(std::string(kPlan), plan->document);
+  CPPUNIT_ASSERT(!FindPlanFault(*plan));
+}
+
+void RefusesPlansThatMakeNoSense() {
+  Reason reason;
+  const std::string whole = kPlan;
+  CPPUNIT_ASSERT(!ReadPlan(whole.substr(0, whole.size() / 2), reason));
+  CPPUNIT_ASSERT(reason.kind == ErrorKind::kBadRequest);
+  const auto replaced = [&](const std::string& from, const std::string& to) {
+    std::string text = whole;
+    text.replace(text.find(from), from.size(), to);
+    return ReadPlan(text, reason);
+  };
+  CPPUNIT_ASSERT(!replaced("\"version\":7", "\"version\":\"7\""));
+  CPPUNIT_ASSERT(
+      FindPlanFault(*replaced("\"timeout-ms\":3000", "\"timeout-ms\":0")));
+  CPPUNIT_ASSERT(
+      FindPlanFault(*replaced("\"service\":\"s1\"", "\"service\":\"s2\"")));
+  ServicePlan twice = *ReadPlan(whole, reason);
+  twice.queues.push_back(twice.queues[0]);
+  CPPUNIT_ASSERT(FindPlanFault(twice));
+}
+
+void ReadsAGraph() {
+  Reason reason;
+  const auto graph = ReadGraph(kGraph, "r1", reason);
+  CPPUNIT_ASSERT(graph.has_value());
+  CPPUNIT_ASSERT(!FindGraphFault(*graph));
+  const StepSpec& second = graph->steps[1];
+  CPPUNIT_ASSERT(second.checkpointing && second.fills);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, second.per_worker_limit);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, second.after[0]);
+  GraphSpec cyclic = *graph;
+  cyclic.steps[0].after = {1};
+  CPPUNIT_ASSERT(FindGraphFault(cyclic));
+}
+
+void ReadsAReport() {
+  Reason reason;
+  const auto report = ReadReport(kReport, "w1", reason);
+  CPPUNIT_ASSERT(report.has_value());
+  CPPUNIT_ASSERT(report->info.life == (WorkerLife{"w1", 17}));
+  CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), report->info.rack);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, report->info.capacity.cpu_millis);
+  std::string odd = kReport;
+  odd.replace(odd.find("ready"), 5, "asleep");
+  CPPUNIT_ASSERT(!ReadReport(odd, "w1", reason));
+}
+
+void SkipsRowsThatCantBeRead() {
+  RunCallReply reply;
+  reply.life = {"w1", 17};
+  Reason reason;
+  CPPUNIT_ASSERT(ReadAnswer(200, kLists, reply, reason));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.running.size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.ended.size());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, reply.running[0].figure);
+  CPPUNIT_ASSERT(reply.ended[0].ending == RunEnding::kDone);
+}
+
+void ListsOfAnotherLifeAreNotTaken() {
+  RunCallReply reply;
+  reply.life = {"w1", 99};
+  Reason reason;
+  CPPUNIT_ASSERT(ReadAnswer(200, kLists, reply, reason));
+  CPPUNIT_ASSERT(reply.refusal == RunRefusal::kOtherLife);
+  CPPUNIT_ASSERT(reply.running.empty());
+}
+
+void ReadsEveryRefusal() {
+  const auto refusal = [](int status, const std::string& body) {
+    RunCallReply reply;
+    reply.op = RunCallOp::kStart;
+    Reason reason;
+    CPPUNIT_ASSERT(ReadAnswer(status, body, reply, reason));
+    return reply.refusal;
+  };
+  CPPUNIT_ASSERT(refusal(200, R"({"clock-ms":1})") == RunRefusal::kNone);
+  CPPUNIT_ASSERT(refusal(409, R"({"reason":"fence"})") == RunRefusal::kFenced);
+  CPPUNIT_ASSERT(refusal(409, R"({"reason":"old"})") == RunRefusal::kOld);
+  CPPUNIT_ASSERT(refusal(409, R"({"reason":"late"})") == RunRefusal::kLate);
+  CPPUNIT_ASSERT(refusal(409, R"({"reason":"room"})") == RunRefusal::kNoRoom);
+  CPPUNIT_ASSERT(refusal(421, "") == RunRefusal::kOtherLife);
+  CPPUNIT_ASSERT(refusal(503, "") == RunRefusal::kUnhealthy);
+  CPPUNIT_ASSERT(refusal(400, "x") == RunRefusal::kInvalid);
+}
+
+void TaskNamesComeBack() {
+  const bool held = rc::check("a name gives the task again", [] {
+    TaskRef task;
+    task.graph = "5c0e7a21d94b36f8";
+    task.occurrence = *rc::gen::inRange<std::int64_t>(0, 1000);
+    task.step = *rc::gen::inRange<std::int64_t>(0, 1000);
+    task.index = *rc::gen::inRange<std::int64_t>(0, 100000);
+    RC_ASSERT(ReadTask(WriteTask(task)) == task);
+  });
+  CPPUNIT_ASSERT(held);
+  for (const char* bad : {"", "a", "a.1", "a.1.2", "a.1.2.x", "a.1.2."}) {
+    CPPUNIT_ASSERT(!ReadTask(bad));
+  }
+}
+
+// Changes some bytes of a document, as another writer or a broken link would.
+std::string Changed(std::string text) {
+  const auto changes = *rc::gen::inRange(0, 6);
+  for (int i = 0; i < changes; ++i) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+  }
+  return text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size() + 1));
+}
+
+void SurvivesChangedDocuments() {
+  const bool held =
+      rc::check("a changed document gives a value or a reason", [] {
+        Reason reason;
+        RC_ASSERT(ReadPlan(Changed(kPlan), reason) || !reason.text.empty());
+        reason = {};
+        RC_ASSERT(ReadGraph(Changed(kGraph), "r1", reason) ||
+                  !reason.text.empty());
+        reason = {};
+        RC_ASSERT(ReadReport(Changed(kReport), "w1", reason) ||
+                  !reason.text.empty());
+        reason = {};
+        RunCallReply reply;
+        RC_ASSERT(ReadAnswer(200, Changed(kLists), reply, reason) ||
+                  !reason.text.empty());
+      });
+  CPPUNIT_ASSERT(held);
+}
+
+}  // namespace
+}  // namespace banyan::platform
+
+namespace banyan {
+
+Section PlatformCodecStory() {
+  namespace p = platform;
+  Section story("The platform's documents");
+  story
+      .With(Section("an operator's configuration")
+                .Then("is read whole", p::ReadsAPlan)
+                .Then("is refused when it makes no sense",
+                      p::RefusesPlansThatMakeNoSense))
+      .With(Section("a job").Then("is read with its steps", p::ReadsAGraph))
+      .With(Section("a worker")
+                .Then("is read from its heartbeat", p::ReadsAReport)
+                .Then("has rows skipped that can't be read",
+                      p::SkipsRowsThatCantBeRead)
+                .Then("is not mixed up with its other lives",
+                      p::ListsOfAnotherLifeAreNotTaken)
+                .Then("refuses calls in words that are known",
+                      p::ReadsEveryRefusal))
+      .With(Section("any bytes")
+                .Then("name a task or none", p::TaskNamesComeBack)
+                .Then("never end the process", p::SurvivesChangedDocuments));
+  return story;
+}
+
+}  // namespace banyan
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -77,6 +77,8 @@
 Section PacerStory();
 Section CellClientStory();
 Section HttpClientStory();
+Section PlatformCodecStory();
+Section UrgencyStory();
 Section AuditStory();
 Section ReplayStory();
 Section MatrixStory();
