--- a/Makefile
+++ b/Makefile
@@ -36,5 +36,5 @@
 
 # The transport unit is C++17 for its library's sake and is checked alone.
 tidy: build
-	git ls-files 'src/*.cc' 'tests/*.cc' 'examples/*.cc' | grep -v '^src/net/transport.cc' | \
+	git ls-files 'src/*.cc' 'platform/*.cc' 'tests/*.cc' 'examples/*.cc' | grep -v '^src/net/transport.cc' | \
 	  xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet 2>/dev/null
--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -70,6 +70,8 @@
   struct Call {
     CellCall body;
     Time deadline;
+    // When it is given up if no current replica is reachable then.
+    Time give_up_at;
     Time retry_at;
     // Sends that were not answered; each may have been carried out.
     std::set<std::uint64_t> pending;
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -11,6 +11,9 @@
 constexpr Span kNoLeaderRetry = Millis(100);
 // When a call without an answer is sent again.
 constexpr Span kNoAnswerRetry = Millis(900);
+// How long a call waits while no replica hears a leader; an election that goes
+// well is over sooner.
+constexpr Span kNoCellWait = Millis(500);
 // How long a replica's word that it hears the leader counts.
 constexpr Span kFreshFor = Millis(1500);
 
@@ -23,6 +26,7 @@
   Call& entry = calls_[ticket];
   entry.body = std::move(call);
   entry.deadline = deadline;
+  entry.give_up_at = now + kNoCellWait;
   entry.retry_at = now;
   if (link_.connected()) {
     Send(now, ticket, entry);
@@ -134,7 +138,10 @@
 
 void CellClient::Tick(Time now) {
   for (auto it = calls_.begin(); it != calls_.end();) {
-    if (it->second.deadline <= now) {
+    // Without a current replica nothing can be promised; the caller learns so
+    // soon and may come back, rather than wait for its deadline.
+    const bool is_hopeless = it->second.give_up_at <= now && !IsFresh(now);
+    if (it->second.deadline <= now || is_hopeless) {
       GiveUp(it->first, it->second);
       it = calls_.erase(it);
       continue;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -111,7 +111,7 @@
   if (sync.gone) {
     if (worker != nullptr && !views_[life.id].dropping) {
       views_[life.id].dropping = true;
-      out_.proposals.push_back(DropOf(life, "the worker left"));
+      out_.proposals.emplace_back(DropOf(life, "the worker left"));
     }
     return;
   }
@@ -195,7 +195,8 @@
   if (known == nullptr) {
     for (const auto& [id, other] : table.workers()) {
       if (other.agent == agent && other.info.life.born < info.life.born) {
-        out_.proposals.push_back(DropOf(other.info.life, "a later life came"));
+        out_.proposals.emplace_back(
+            DropOf(other.info.life, "a later life came"));
       }
     }
     if (view.life != info.life) {
@@ -205,7 +206,7 @@
     view.dropping = false;
   }
   view.admitting_at = now;
-  out_.proposals.push_back(AdmitWorker{info, agent});
+  out_.proposals.emplace_back(AdmitWorker{info, agent});
 }
 
 void GraphLeader::NoteEnds(Time now,
@@ -239,7 +240,7 @@
   }
   view.proposed_end = last;
   view.proposed_at = now;
-  out_.proposals.push_back(std::move(ends));
+  out_.proposals.emplace_back(std::move(ends));
 }
 
 void GraphLeader::Reconcile(Time now,
@@ -500,7 +501,8 @@
     }
     if (view.lease_deadline <= now && !view.dropping) {
       view.dropping = true;
-      out_.proposals.push_back(DropOf(worker.info.life, "the lease ran out"));
+      out_.proposals.emplace_back(
+          DropOf(worker.info.life, "the lease ran out"));
     }
   }
 }
@@ -554,7 +556,7 @@
       placement_.Choose(now, wall, table, views_, pacer_.model());
   if (!chosen.empty()) {
     placing_since_ = now;
-    out_.proposals.push_back(PlaceRuns{std::move(chosen)});
+    out_.proposals.emplace_back(PlaceRuns{std::move(chosen)});
   }
 }
 
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -65,14 +65,16 @@
       neighbour.share *= kUnexplainedCut;
     }
   }
-  for (auto it = lightest_first.rbegin(); it != lightest_first.rend(); ++it) {
-    if (excess <= 0 || it->weight <= 0) {
+  const std::vector<Weight> heaviest_first(lightest_first.rbegin(),
+                                           lightest_first.rend());
+  for (const Weight& item : heaviest_first) {
+    if (excess <= 0 || item.weight <= 0) {
       return;
     }
-    double& share = neighbours[it->index].share;
-    const double less = std::min(share, excess / it->weight);
+    double& share = neighbours[item.index].share;
+    const double less = std::min(share, excess / item.weight);
     share -= less;
-    excess -= less * it->weight;
+    excess -= less * item.weight;
   }
 }
 
@@ -109,6 +111,7 @@
   site.is_settled = site.changed_at + kSettleSpan <= now;
   site.rising.clear();
   std::vector<double> present;
+  present.reserve(neighbours.size());
   for (const FillingNeighbour& neighbour : neighbours) {
     present.push_back(neighbour.share);
   }
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -7,13 +7,14 @@
 namespace banyan {
 namespace {
 
-const std::vector<std::string> kSeeds = {"10.0.0.1:7", "10.0.0.2:7",
-                                         "10.0.0.3:7"};
+std::vector<std::string> Seeds() {
+  return {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
+}
 
 // A client whose replicas answer as the test says.
 class ClientWorld {
  public:
-  ClientWorld() : client_(kSeeds, 0) { client_.Tick(now_); }
+  ClientWorld() : client_(Seeds(), 0) { client_.Tick(now_); }
 
   // Connects to whichever replica the client wants.
   void Connect() { client_.OnUp(now_, client_.link().current()); }
@@ -122,10 +123,20 @@
   CPPUNIT_ASSERT(world.answers()[0].result.error == ErrorKind::kUnknownOutcome);
 }
 
+void CallIsRefusedSoonWithoutACell() {
+  // The pattern of a core without power: callers would wait for nothing.
+  ClientWorld world;
+  world.Open(Command(CancelGraph{"g"}), Millis(3000));
+  world.Pass(Millis(700));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.answers().size());
+  CPPUNIT_ASSERT(world.answers()[0].result.error == ErrorKind::kNoQuorum);
+}
+
 void LateRefusalDoesNotOverruleAnEarlierSend() {
   ClientWorld world;
   world.Connect();
   world.set_auto_fresh(true);
+  world.Pass(Millis(100));
   world.Open(Command(CancelGraph{"g"}), Millis(2500));
   world.ForgetRequests();
   world.Pass(Millis(1000));
@@ -163,6 +174,8 @@
                       RefusalIsCertainWhenNothingWasTaken)
                 .Then("that was not answered has an unknown outcome",
                       OutcomeIsUnknownWhenASendWasNotAnswered)
+                .Then("is refused soon while no cell is reachable",
+                      CallIsRefusedSoonWithoutACell)
                 .Then("is not refused while an earlier send may count",
                       LateRefusalDoesNotOverruleAnEarlierSend));
   return story;
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -118,11 +118,13 @@
   return orders;
 }
 
-const RunRef kRun = RunOf("g", 0, 0);
+RunRef TheRun() {
+  return RunOf("g", 0, 0);
+}
 
 void StartsUnderALease() {
   AgentWorld world;
-  WorkerOrders orders = StartOrder(kRun);
+  WorkerOrders orders = StartOrder(TheRun());
   world.Grant(orders);
   const std::vector<RunCall> starts = world.Take(RunCallOp::kStart);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
@@ -134,43 +136,43 @@
 
 void StartsNothingWithoutALease() {
   AgentWorld world;
-  world.Grant(StartOrder(kRun), 0);
+  world.Grant(StartOrder(TheRun()), 0);
   world.Pass(Millis(1000));
   CPPUNIT_ASSERT(world.Take(RunCallOp::kStart).empty());
   world.Pass(Millis(1000));
-  CPPUNIT_ASSERT(world.Refused(kRun));
+  CPPUNIT_ASSERT(world.Refused(TheRun()));
 }
 
 void RepeatsAStartWithoutAnAnswer() {
   AgentWorld world;
-  world.Grant(StartOrder(kRun));
+  world.Grant(StartOrder(TheRun()));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Take(RunCallOp::kStart).size());
-  world.Answer(RunCallOp::kStart, kRun, false);
+  world.Answer(RunCallOp::kStart, TheRun(), false);
   world.Pass(Millis(60));
   const std::vector<RunCall> again = world.Take(RunCallOp::kStart);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
-  CPPUNIT_ASSERT(again[0].run == kRun);
+  CPPUNIT_ASSERT(again[0].run == TheRun());
 }
 
 void BarsAStartThatMayComeLateBeforeItIsRefused() {
   AgentWorld world;
-  world.Grant(StartOrder(kRun));
-  world.Answer(RunCallOp::kStart, kRun, false);
+  world.Grant(StartOrder(TheRun()));
+  world.Answer(RunCallOp::kStart, TheRun(), false);
   world.Pass(Millis(60));
-  world.Answer(RunCallOp::kStart, kRun, true, RunRefusal::kNoRoom);
-  CPPUNIT_ASSERT(!world.Refused(kRun));
+  world.Answer(RunCallOp::kStart, TheRun(), true, RunRefusal::kNoRoom);
+  CPPUNIT_ASSERT(!world.Refused(TheRun()));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Take(RunCallOp::kStop).size());
-  world.Answer(RunCallOp::kStop, kRun, true);
-  CPPUNIT_ASSERT(!world.Refused(kRun));
+  world.Answer(RunCallOp::kStop, TheRun(), true);
+  CPPUNIT_ASSERT(!world.Refused(TheRun()));
   world.List({}, {});
-  CPPUNIT_ASSERT(world.Refused(kRun));
+  CPPUNIT_ASSERT(world.Refused(TheRun()));
 }
 
 void RefusesAtOnceWhatTheWorkerRefusedOnce() {
   AgentWorld world;
-  world.Grant(StartOrder(kRun));
-  world.Answer(RunCallOp::kStart, kRun, true, RunRefusal::kUnhealthy);
-  CPPUNIT_ASSERT(world.Refused(kRun));
+  world.Grant(StartOrder(TheRun()));
+  world.Answer(RunCallOp::kStart, TheRun(), true, RunRefusal::kUnhealthy);
+  CPPUNIT_ASSERT(world.Refused(TheRun()));
 }
 
 void LateOrderOfAnOldLeaderIsDropped() {
@@ -178,7 +180,7 @@
   WorkerOrders orders;
   orders.fencing_token = 9;
   world.Grant(orders);
-  WorkerOrders old = StartOrder(kRun);
+  WorkerOrders old = StartOrder(TheRun());
   old.fencing_token = 4;
   world.Grant(old);
   CPPUNIT_ASSERT(world.Take(RunCallOp::kStart).empty());
@@ -188,13 +190,13 @@
   AgentWorld world;
   world.Grant();
   static_cast<void>(world.Take(RunCallOp::kHold));
-  world.List({}, {{1, kRun, RunEnding::kDone, ""}});
+  world.List({}, {{1, TheRun(), RunEnding::kDone, ""}});
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.last_sync().ended.size());
   world.Pass(Millis(300));
   for (const RunCall& call : world.Take(RunCallOp::kHold)) {
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, call.noted);
   }
-  world.List({}, {{1, kRun, RunEnding::kDone, ""}});
+  world.List({}, {{1, TheRun(), RunEnding::kDone, ""}});
   WorkerOrders noted;
   noted.noted = 1;
   world.Grant(noted);
@@ -206,7 +208,7 @@
 void RebornWorkerStartsFromNothing() {
   AgentWorld world;
   world.Grant();
-  world.List({}, {{5, kRun, RunEnding::kDone, ""}});
+  world.List({}, {{5, TheRun(), RunEnding::kDone, ""}});
   world.Report(8, 1);
   CPPUNIT_ASSERT(world.last_sync().ended.empty());
   CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, world.last_sync().info.life.born);
@@ -219,22 +221,22 @@
 void DrainingWorkerStartsNothing() {
   AgentWorld world;
   world.Report(1, 2, true);
-  world.Grant(StartOrder(kRun));
+  world.Grant(StartOrder(TheRun()));
   CPPUNIT_ASSERT(world.Take(RunCallOp::kStart).empty());
-  CPPUNIT_ASSERT(world.Refused(kRun));
+  CPPUNIT_ASSERT(world.Refused(TheRun()));
 }
 
 void StopsWithTheRunsOwnNumber() {
   AgentWorld world;
   RunningRow row;
-  row.run = kRun;
+  row.run = TheRun();
   world.Grant();
   world.List({row}, {});
   WorkerOrders orders;
-  orders.stops = {kRun};
+  orders.stops = {TheRun()};
   world.Grant(orders);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Take(RunCallOp::kStop).size());
-  world.Answer(RunCallOp::kStop, kRun, false);
+  world.Answer(RunCallOp::kStop, TheRun(), false);
   world.Pass(Millis(60));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Take(RunCallOp::kStop).size());
 }
