--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -297,6 +297,10 @@
   }
   std::erase_if(started_,
                 [&](const auto& item) { return item.second <= reply.sent; });
+  // The end of a run may come before the answer to its stop.
+  for (const EndedRow& row : reply.ended) {
+    stopping_.erase(row.run);
+  }
   std::vector<RunRef> absent;
   std::erase_if(stopping_, [&](const auto& item) {
     const std::optional<Time>& at = item.second.confirmed_at;
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -241,6 +241,24 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Take(RunCallOp::kStop).size());
 }
 
+void EndThatComesBeforeTheStopsAnswerIsNoRefusal() {
+  AgentWorld world;
+  RunningRow row;
+  row.run = TheRun();
+  world.Grant();
+  world.List({row}, {});
+  WorkerOrders stop;
+  stop.stops = {TheRun()};
+  world.Grant(stop);
+  world.List({}, {{1, TheRun(), RunEnding::kStopped, "saved"}});
+  WorkerOrders noted;
+  noted.noted = 1;
+  world.Grant(noted);
+  world.Answer(RunCallOp::kStop, TheRun(), true);
+  world.List({}, {});
+  CPPUNIT_ASSERT(!world.Refused(TheRun()));
+}
+
 }  // namespace
 
 Section WorkerAgentStory() {
@@ -263,8 +281,11 @@
                     DrainingWorkerStartsNothing))
       .With(Section("an end").Then("is noted only after the log has it",
                                    EndIsNotedOnlyAfterTheLog))
-      .With(Section("a stop").Then("is repeated until it is answered",
-                                   StopsWithTheRunsOwnNumber))
+      .With(Section("a stop")
+                .Then("is repeated until it is answered",
+                      StopsWithTheRunsOwnNumber)
+                .Then("whose run has ended meanwhile is no refusal",
+                      EndThatComesBeforeTheStopsAnswerIsNoRefusal))
       .With(Section("a reborn worker")
                 .Then("starts from nothing", RebornWorkerStartsFromNothing));
   return story;
