Jobs that no worker is large enough for are refused at once; unused parts out

The admission that let everything in is one now: a step that fits no worker of the queue's pool is refused with Retry-After 5 s, with a line that says why. Fields and parameters that nothing read are gone.

--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -92,7 +92,6 @@
   std::uint64_t plan_version_ = 0;
   Time next_status_;
   Time fresh_until_;
-  Time stale_since_;
   CellClientOutputs out_;
 };
 
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -61,8 +61,7 @@
                  const GraphApplied& applied);
 
   // Returns why a submission is refused, if it is; nothing admits it.
-  [[nodiscard]] std::optional<CommandResult> Admit(Time now,
-                                                   const GraphTable& table,
+  [[nodiscard]] std::optional<CommandResult> Admit(const GraphTable& table,
                                                    const SubmitGraph& submit);
 
   // Lets leases run out and places what is ready.
@@ -77,10 +76,7 @@
                  const GraphTable& table,
                  const std::string& agent,
                  const WorkerSync& sync);
-  void NoteEnds(Time now,
-                const GraphTable& table,
-                const GraphWorker& worker,
-                const WorkerSync& sync);
+  void NoteEnds(Time now, const GraphWorker& worker, const WorkerSync& sync);
   void Reconcile(Time now,
                  const GraphTable& table,
                  const GraphWorker& worker,
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -53,7 +53,6 @@
 
  private:
   void PlaceGraph(WallMillis wall,
-                  const GraphTable& table,
                   const std::string& id,
                   const Graph& graph,
                   std::vector<RunPlacement>& chosen);
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -18,9 +18,6 @@
   // When the percentage last changed, and lists since then.
   Time moved_at;
   int lists_unmoved = 0;
-  Time first_seen;
-  // When the run's figure went over its latency target without coming back.
-  std::optional<Time> over_target_since;
   // The share of processor time that was ordered, in percent.
   std::int64_t pace = 100;
   // Since when that share has been next to nothing.
@@ -39,8 +36,6 @@
   std::uint64_t lists = 0;
   bool is_new_list = false;
   Time paced_at;
-  // The least moment at which a draining worker ends.
-  std::optional<Time> leaves_at;
   std::map<RunRef, RunView> runs;
   // Shares ordered with a start that no list shows yet.
   std::map<RunRef, std::int64_t> starting_pace;
--- a/include/banyan/process/gateway_process.h
+++ b/include/banyan/process/gateway_process.h
@@ -69,7 +69,7 @@
   [[nodiscard]] std::shared_ptr<const ServicePlan> plan() const;
   void RunCore();
   void Take(Time now, Input input);
-  void Act(Time now, CellClientOutputs outputs);
+  void Act(CellClientOutputs outputs);
 
   CellSettings settings_;
   GatewayApis apis_;
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -465,7 +465,7 @@
                  "the leader is not settled yet");
       return;
     }
-    if (auto refusal = graphs_.Admit(now, state_.graphs(), *submit)) {
+    if (auto refusal = graphs_.Admit(state_.graphs(), *submit)) {
       TakeGraphOutputs(now, wall);
       Reply(origin, request.seq, *std::move(refusal));
       return;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -31,6 +31,9 @@
 // The share that a task starts with where it may slow others down.
 constexpr std::int64_t kCarefulPercent = 50;
 constexpr std::int64_t kFullPercent = 100;
+// When a caller may come back with a job that no worker is large enough for;
+// workers of another kind take seconds to join.
+constexpr std::int64_t kMisfitRetryMs = 5000;
 // Ends proposed in one log entry.
 constexpr std::size_t kMaxEndsPerEntry = 500;
 
@@ -131,9 +134,6 @@
   view.agent = agent;
   view.heard = now;
   view.reachable = sync.reachable;
-  if (sync.info.draining && !view.leaves_at) {
-    view.leaves_at = now + Millis(sync.info.remaining_ms);
-  }
   view.is_new_list = sync.lists != view.lists;
   view.lists = sync.lists;
   std::map<RunRef, RunView> runs;
@@ -141,7 +141,6 @@
     const auto known = view.runs.find(row.run);
     RunView seen = known == view.runs.end() ? RunView{} : known->second;
     if (known == view.runs.end()) {
-      seen.first_seen = now;
       seen.moved_at = now;
       const auto paced = view.starting_pace.find(row.run);
       if (paced != view.starting_pace.end()) {
@@ -158,7 +157,7 @@
     runs.emplace(row.run, std::move(seen));
   }
   view.runs = std::move(runs);
-  NoteEnds(now, table, *worker, sync);
+  NoteEnds(now, *worker, sync);
   WorkerOrders orders = OrdersFor(*worker);
   orders.seq = sync.seq;
   if (may_grant && sync.reachable) {
@@ -210,7 +209,6 @@
 }
 
 void GraphLeader::NoteEnds(Time now,
-                           const GraphTable& /*table*/,
                            const GraphWorker& worker,
                            const WorkerSync& sync) {
   GraphWorkerView& view = views_[worker.info.life.id];
@@ -470,10 +468,43 @@
   }
 }
 
-std::optional<CommandResult> GraphLeader::Admit(Time /*now*/,
-                                                const GraphTable& /*table*/,
-                                                const SubmitGraph& /*submit*/) {
-  return std::nullopt;
+std::optional<CommandResult> GraphLeader::Admit(const GraphTable& table,
+                                                const SubmitGraph& submit) {
+  const ServicePlan& plan = table.plan();
+  const auto queue = std::find_if(
+      plan.queues.begin(), plan.queues.end(),
+      [&](const QueueSpec& known) { return known.name == submit.spec.queue; });
+  if (table.FindGraph(submit.id) != nullptr || queue == plan.queues.end()) {
+    return std::nullopt;
+  }
+  bool has_worker = false;
+  std::vector<bool> fits(submit.spec.steps.size(), false);
+  for (const auto& [id, worker] : table.workers()) {
+    if (worker.info.service != queue->service) {
+      continue;
+    }
+    has_worker = true;
+    for (std::size_t s = 0; s < fits.size(); ++s) {
+      fits[s] =
+          fits[s] || Fits(HeldBy(submit.spec.steps[s]), worker.info.capacity);
+    }
+  }
+  // Without any worker nothing is known of what may come.
+  const auto misfit = std::find(fits.begin(), fits.end(), false);
+  if (!has_worker || misfit == fits.end()) {
+    return std::nullopt;
+  }
+  CommandResult refusal;
+  refusal.error = ErrorKind::kOverloaded;
+  refusal.text = "no worker is large enough for step " +
+                 std::to_string(misfit - fits.begin());
+  refusal.retry_after_ms = kMisfitRetryMs;
+  out_.events.push_back(Event(EventId::kGraphRefused)
+                            .With("request", submit.id)
+                            .With("queue", queue->name)
+                            .With("workers", table.workers().size())
+                            .With("reason", refusal.text));
+  return refusal;
 }
 
 void GraphLeader::SuspectAfterFailure(Time now,
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -130,7 +130,7 @@
     const Time since = waiting_since_.try_emplace(*id, now).first->second;
     takes_any_room_ = since + kAnyRoomAfter <= now;
     const std::size_t before = chosen.size();
-    PlaceGraph(wall, table, *id, *graph, chosen);
+    PlaceGraph(wall, *id, *graph, chosen);
     if (chosen.size() > before) {
       waiting_since_.erase(*id);
     }
@@ -142,7 +142,6 @@
 }
 
 void GraphPlacement::PlaceGraph(WallMillis wall,
-                                const GraphTable& /*table*/,
                                 const std::string& id,
                                 const Graph& graph,
                                 std::vector<RunPlacement>& chosen) {
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -179,7 +179,7 @@
     }
     const Time now = MonotonicClock::now();
     client_.Tick(now);
-    Act(now, client_.TakeOutputs());
+    Act(client_.TakeOutputs());
     is_fresh_ = client_.IsFresh(now);
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
@@ -218,7 +218,7 @@
   }
 }
 
-void GatewayProcess::Act(Time /*now*/, CellClientOutputs outputs) {
+void GatewayProcess::Act(CellClientOutputs outputs) {
   if (outputs.plan) {
     const Event in_force = Event(EventId::kPlanInForce)
                                .With("version", outputs.plan->version)
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -280,6 +280,19 @@
                  GraphState::kRunning);
 }
 
+void JobTooLargeForAnyWorkerIsRefusedAtOnce() {
+  LeaderOnTable world;
+  const SubmitGraph large = SampleGraph("g", {SampleStep(1, 4001)});
+  CPPUNIT_ASSERT(!world.leader().Admit(world.table(), large));
+  world.Join(SampleWorker("w1"));
+  const auto refusal = world.leader().Admit(world.table(), large);
+  CPPUNIT_ASSERT(refusal.has_value());
+  CPPUNIT_ASSERT(refusal->error == ErrorKind::kOverloaded);
+  CPPUNIT_ASSERT(refusal->retry_after_ms > 0);
+  CPPUNIT_ASSERT(
+      !world.leader().Admit(world.table(), SampleGraph("h", {SampleStep(1)})));
+}
+
 }  // namespace
 
 Section GraphLeaderStory() {
@@ -299,6 +312,9 @@
                       KeepsLabelsAndSpread)
                 .Then("does not forget tasks that fill",
                       WaitingFillsAreNotForgotten))
+      .With(Section("admission")
+                .Then("refuses at once what no worker is large enough for",
+                      JobTooLargeForAnyWorkerIsRefusedAtOnce))
       .With(Section("a worker")
                 .Then("that is silent keeps its runs until its lease ends",
                       SilentWorkerIsReplacedOnlyAfterItsLease)
