Job graphs: one lookup each, one way to place a task, dead state out

Read-through of the change. A task's step was looked up in eight places (GraphTable::FindStep), a queue by name in three (FindQueue), a worker of one life in four (MutableWorker), a step's end counted in five (StepProgress::is_done), a lease's end in four (LeaseEnd), the full share defined in four files (kFullPercent). Placement of plain steps and of gangs shares PlaceTask and is two levels flatter. Gone: a latency that placement computed for every run and nothing read, fields and accessors without a reader, a public function with one caller. Behaviour is meant to stay; one edge differs: a batch that a gang fills past its bound ends there.

--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -60,7 +60,6 @@
   }
 
   [[nodiscard]] CellLink& link() noexcept { return link_; }
-  [[nodiscard]] std::size_t open() const noexcept { return calls_.size(); }
   // Whether a replica that heard its leader of late answered of late.
   [[nodiscard]] bool IsFresh(Time now) const noexcept {
     return fresh_until_ > now;
--- a/include/banyan/graph/cell_link.h
+++ b/include/banyan/graph/cell_link.h
@@ -2,7 +2,6 @@
 #define BANYAN_GRAPH_CELL_LINK_H_
 
 #include <cstdint>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -31,7 +30,7 @@
 
   // Notes that something was sent that the replica must answer, or an answer.
   void OnSent(Time now);
-  void OnAnswer(Time now);
+  void OnAnswer();
 
   // Goes on to another replica when this one does not answer. Returns whether
   // it did; the connection to the one before must be dropped.
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -93,6 +93,10 @@
   void SuspectAfterFailure(Time now, GraphWorkerView& view, const RunRef& run);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
+  // When a lease that is granted now has run out for certain.
+  [[nodiscard]] Time LeaseEnd(Time now) const noexcept {
+    return now + options_.lease + options_.lease_margin;
+  }
   [[nodiscard]] DropWorker DropOf(const WorkerLife& life,
                                   std::string cause) const;
   [[nodiscard]] RunStart StartOf(const GraphTable& table,
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -21,9 +21,8 @@
   Resources free;
   // Processor time that is neither committed nor wanted by tasks that fill.
   std::int64_t idle_cpu_millis = 0;
-  // Tasks here with a latency target, by image, with their latency in parts
-  // of the target; and the images of the tasks that fill.
-  std::vector<std::pair<std::string, double>> serving;
+  // Images of the tasks here with a latency target, and of those that fill.
+  std::vector<std::string> serving;
   std::vector<std::string> filling;
   // Of the latter, those not known to be light.
   int trials = 0;
@@ -52,19 +51,37 @@
   void Forget(const TaskRef& task) { avoided_.erase(task); }
 
  private:
+  // Where the tasks of one step run.
+  struct Spread {
+    // Tasks by worker.
+    std::map<std::string, int> tasks;
+    std::string rack;
+  };
+
+  // Where the tasks of a step that run do so.
+  [[nodiscard]] Spread SpreadOf(const StepProgress& progress) const;
   void PlaceGraph(WallMillis wall,
                   const std::string& id,
                   const Graph& graph,
                   std::vector<RunPlacement>& chosen);
+  void PlaceStep(const Graph& graph,
+                 const TaskRef& first,
+                 const StepProgress& progress,
+                 std::vector<RunPlacement>& chosen);
   void PlaceGang(const Graph& graph,
                  const TaskRef& first,
                  const StepProgress& progress,
                  std::vector<RunPlacement>& chosen);
+  // Places one task in the best room for it; nothing when there is none.
+  [[nodiscard]] std::optional<RunPlacement> PlaceTask(const Graph& graph,
+                                                      const TaskRef& task,
+                                                      const StepSpec& step,
+                                                      std::int64_t run,
+                                                      Spread& spread);
   [[nodiscard]] WorkerRoom* BestRoom(const Graph& graph,
                                      const TaskRef& task,
                                      const StepSpec& step,
-                                     const std::map<std::string, int>& here,
-                                     const std::string& rack);
+                                     const Spread& spread);
   void Take(WorkerRoom& room, const StepSpec& step);
 
   // How little a worker suits a step for the company there; smaller is better,
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -39,11 +39,18 @@
   std::int64_t gang_failures = 0;
   std::int64_t last_failed_run = 0;
   std::vector<TaskProgress> tasks;
+
+  [[nodiscard]] bool is_done() const noexcept {
+    return done == static_cast<std::int64_t>(tasks.size());
+  }
 };
 
 // The steps of one occurrence.
 using OccurrenceProgress = std::vector<StepProgress>;
 
+// Returns whether every step of an occurrence is done.
+[[nodiscard]] bool IsDone(const OccurrenceProgress& steps);
+
 // A job graph with its progress. The occurrences of a final graph are dropped.
 struct Graph {
   GraphSpec spec;
@@ -122,18 +129,22 @@
 
   [[nodiscard]] const Graph* FindGraph(std::string_view id) const;
   [[nodiscard]] const GraphWorker* FindWorker(const WorkerLife& life) const;
+  // The step of a task, also of a graph that is over; nothing for one of a
+  // graph that is not known.
+  [[nodiscard]] const StepSpec* FindStep(const TaskRef& task) const;
   // The progress of a task; nothing for one of a graph that is over.
   [[nodiscard]] const TaskProgress* FindTask(const TaskRef& task) const;
   // Whether the run is the one that its task is at, on this worker.
   [[nodiscard]] bool IsCurrent(const RunRef& run, const WorkerLife& life) const;
-  // Whether the plan has a queue of this name.
-  [[nodiscard]] bool HasQueue(std::string_view name) const;
+  // The plan's queue of this name; nothing if it has none.
+  [[nodiscard]] const QueueSpec* FindQueue(std::string_view name) const;
   // Graphs of a queue that were accepted and of which nothing has begun.
   [[nodiscard]] std::int64_t PendingOf(std::string_view queue) const;
 
   friend struct GraphTableCodec;
 
  private:
+  [[nodiscard]] GraphWorker* MutableWorker(const WorkerLife& life);
   [[nodiscard]] TaskProgress* MutableTask(const TaskRef& task);
   void OpenSteps(Graph& graph, std::size_t occurrence);
   void SetPhase(const std::string& id,
--- a/include/banyan/graph/pacer.h
+++ b/include/banyan/graph/pacer.h
@@ -26,7 +26,7 @@
 struct FillingTask {
   RunRef run;
   std::string image;
-  std::int64_t percent = 100;
+  std::int64_t percent = kFullPercent;
 };
 
 // Decides at what share the tasks that fill work on one worker, so that the
--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -36,7 +36,7 @@
   std::int64_t noted = 0;
   // How long a list waits for an end, in milliseconds.
   std::int64_t wait_ms = 0;
-  std::int64_t percent = 100;
+  std::int64_t percent = kFullPercent;
 };
 
 // Why a worker refused a call.
--- a/include/banyan/graph/urgency.h
+++ b/include/banyan/graph/urgency.h
@@ -39,11 +39,6 @@
 // everything late by turns.
 [[nodiscard]] Urgency UrgencyOf(const Graph& graph, WallMillis now);
 
-// Returns the longest chain of work that is left, in milliseconds, by the
-// declared run times.
-[[nodiscard]] std::int64_t RemainingChainMs(const Graph& graph,
-                                            const OccurrenceProgress& steps);
-
 }  // namespace banyan
 
 #endif  // BANYAN_GRAPH_URGENCY_H_
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -49,14 +49,6 @@
     return std::exchange(out_, WorkerAgentOutputs{});
   }
 
-  // The worker's present life; nothing before its first report.
-  [[nodiscard]] const std::optional<WorkerInfo>& worker() const noexcept {
-    return info_;
-  }
-  [[nodiscard]] bool HoldsLease(Time now) const noexcept {
-    return lease_deadline_ > now;
-  }
-
  private:
   // A start that the worker has not confirmed.
   struct Starting {
@@ -102,7 +94,6 @@
   std::optional<WorkerInfo> info_;
   std::int64_t sequence_ = 0;
   bool is_gone_ = false;
-  Time leaves_at_;
   std::optional<ClockSample> clock_;
   std::uint64_t fencing_token_ = 0;
   Time lease_deadline_;
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -19,7 +19,7 @@
   Time moved_at;
   int lists_unmoved = 0;
   // The share of processor time that was ordered, in percent.
-  std::int64_t pace = 100;
+  std::int64_t pace = kFullPercent;
   // Since when that share has been next to nothing.
   std::optional<Time> starved_since;
 };
@@ -27,10 +27,8 @@
 // What the leader learned of one worker's life from its agent's reports.
 struct GraphWorkerView {
   WorkerLife life;
-  std::string agent;
   // When the leader may take the worker's lease as run out.
   Time lease_deadline;
-  Time heard;
   bool reachable = false;
   // The worker's list that the runs below are from.
   std::uint64_t lists = 0;
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -12,6 +12,10 @@
 
 namespace banyan {
 
+// The whole share of a task's processor time, and the progress of a task that
+// is done, in percent.
+inline constexpr std::int64_t kFullPercent = 100;
+
 // One step of a job graph: equal tasks that become ready together.
 struct StepSpec {
   std::int64_t count = 0;
@@ -332,13 +336,13 @@
   std::string payload;
   std::string checkpoint;
   // The share of its processor time that it starts with, in percent.
-  std::int64_t percent = 100;
+  std::int64_t percent = kFullPercent;
 };
 
 // A share of its processor time that a run may use, in percent.
 struct RunPace {
   RunRef run;
-  std::int64_t percent = 100;
+  std::int64_t percent = kFullPercent;
 };
 
 // Answers a WorkerSync, or brings orders between two of them.
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -316,7 +316,7 @@
       break;
     }
     case CellQueryKind::kPending:
-      if (!state_.graphs().HasQueue(key)) {
+      if (state_.graphs().FindQueue(key) == nullptr) {
         result.ok = false;
         result.error = ErrorKind::kNotFound;
         result.text = "no such queue";
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -71,7 +71,7 @@
   } else if (const auto* ack = std::get_if<EntryStatusAck>(&message)) {
     // A replica that is cut off from its leader is as good as silent.
     if (ack->fresh) {
-      link_.OnAnswer(now);
+      link_.OnAnswer();
       fresh_until_ = now + kFreshFor;
     }
   } else if (const auto* update = std::get_if<PlanUpdate>(&message)) {
--- a/src/graph/cell_link.cc
+++ b/src/graph/cell_link.cc
@@ -10,6 +10,16 @@
 // way through a disk write on a slow machine.
 constexpr Span kAnswerTimeout = Millis(800);
 
+// Adds the addresses that a list lacks to its end.
+void AddMissing(const std::vector<std::string>& addresses,
+                std::vector<std::string>& list) {
+  for (const std::string& address : addresses) {
+    if (std::find(list.begin(), list.end(), address) == list.end()) {
+      list.push_back(address);
+    }
+  }
+}
+
 }  // namespace
 
 CellLink::CellLink(std::vector<std::string> seeds, std::uint64_t seed)
@@ -20,11 +30,7 @@
 }
 
 void CellLink::AddSeeds(const std::vector<std::string>& seeds) {
-  for (const std::string& seed : seeds) {
-    if (std::find(seeds_.begin(), seeds_.end(), seed) == seeds_.end()) {
-      seeds_.push_back(seed);
-    }
-  }
+  AddMissing(seeds, seeds_);
 }
 
 void CellLink::SetMembers(const std::vector<std::string>& members) {
@@ -52,7 +58,7 @@
   }
 }
 
-void CellLink::OnAnswer(Time /*now*/) {
+void CellLink::OnAnswer() {
   is_awaiting_ = false;
 }
 
@@ -72,12 +78,7 @@
   // Seeds that are no members any more are asked only in between, in case
   // that the known members are all gone.
   std::vector<std::string> candidates = members_;
-  for (const std::string& seed : seeds_) {
-    if (std::find(candidates.begin(), candidates.end(), seed) ==
-        candidates.end()) {
-      candidates.push_back(seed);
-    }
-  }
+  AddMissing(seeds_, candidates);
   is_connected_ = false;
   is_awaiting_ = false;
   answer_deadline_ = now + kAnswerTimeout;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -30,7 +30,6 @@
 constexpr std::int64_t kCheapPercent = 25;
 // The share that a task starts with where it may slow others down.
 constexpr std::int64_t kCarefulPercent = 50;
-constexpr std::int64_t kFullPercent = 100;
 // When a caller may come back with a job that no worker is large enough for;
 // workers of another kind take seconds to join.
 constexpr std::int64_t kMisfitRetryMs = 5000;
@@ -50,8 +49,7 @@
   for (const auto& [id, worker] : table.workers()) {
     GraphWorkerView& view = views_[id];
     view.life = worker.info.life;
-    view.agent = worker.agent;
-    view.lease_deadline = now + options_.lease + options_.lease_margin;
+    view.lease_deadline = LeaseEnd(now);
   }
 }
 
@@ -72,24 +70,17 @@
 RunStart GraphLeader::StartOf(const GraphTable& table,
                               const GraphWorker& worker,
                               const RunRef& run) const {
-  const Graph& graph = *table.FindGraph(run.task.graph);
-  const TaskProgress& task = *table.FindTask(run.task);
-  RunStart start{run, graph.spec.payload, task.checkpoint};
-  const StepSpec& step =
-      graph.spec.steps[static_cast<std::size_t>(run.task.step)];
+  RunStart start{run, table.FindGraph(run.task.graph)->spec.payload,
+                 table.FindTask(run.task)->checkpoint};
+  const StepSpec& step = *table.FindStep(run.task);
   if (!step.fills) {
     return start;
   }
   // Beside a task that it may slow down it starts at a part of its share.
   for (const RunRef& other : worker.runs) {
-    const Graph* neighbour = table.FindGraph(other.task.graph);
-    if (neighbour == nullptr) {
-      continue;
-    }
-    const StepSpec& served =
-        neighbour->spec.steps[static_cast<std::size_t>(other.task.step)];
-    if (served.latency_target_ms > 0 &&
-        !pacer_.model().IsKnownLight(served.image, step.image)) {
+    const StepSpec* neighbour = table.FindStep(other.task);
+    if (neighbour != nullptr && neighbour->latency_target_ms > 0 &&
+        !pacer_.model().IsKnownLight(neighbour->image, step.image)) {
       start.percent = kCarefulPercent;
     }
   }
@@ -131,8 +122,6 @@
     // Its removal stands in the log; the lease must not be renewed.
     return;
   }
-  view.agent = agent;
-  view.heard = now;
   view.reachable = sync.reachable;
   view.is_new_list = sync.lists != view.lists;
   view.lists = sync.lists;
@@ -162,7 +151,7 @@
   orders.seq = sync.seq;
   if (may_grant && sync.reachable) {
     orders.lease_ms = ToMillis(options_.lease);
-    view.lease_deadline = now + options_.lease + options_.lease_margin;
+    view.lease_deadline = LeaseEnd(now);
   }
   Reconcile(now, table, *worker, sync, orders);
   Pace(now, table, *worker, orders);
@@ -304,12 +293,10 @@
   std::vector<ServingTask> serving;
   std::vector<FillingTask> filling;
   for (const auto& [run, seen] : view.runs) {
-    const Graph* graph = table.FindGraph(run.task.graph);
-    if (graph == nullptr || !table.IsCurrent(run, worker.info.life)) {
+    if (!table.IsCurrent(run, worker.info.life)) {
       continue;
     }
-    const StepSpec& step =
-        graph->spec.steps[static_cast<std::size_t>(run.task.step)];
+    const StepSpec& step = *table.FindStep(run.task);
     if (step.latency_target_ms > 0) {
       serving.push_back({run.task.graph, step.image, seen.row.figure,
                          step.latency_target_ms});
@@ -351,12 +338,10 @@
                               WorkerOrders& orders) {
   GraphWorkerView& view = views_[worker.info.life.id];
   for (auto& [run, seen] : view.runs) {
-    const Graph* graph = table.FindGraph(run.task.graph);
-    if (graph == nullptr || !table.IsCurrent(run, worker.info.life)) {
+    if (!table.IsCurrent(run, worker.info.life)) {
       continue;
     }
-    const StepSpec& step =
-        graph->spec.steps[static_cast<std::size_t>(run.task.step)];
+    const StepSpec& step = *table.FindStep(run.task);
     if (!step.fills || seen.pace > kStarvedPercent) {
       seen.starved_since.reset();
       continue;
@@ -402,14 +387,13 @@
   for (const RunPlacement& placement : applied.placed) {
     const GraphWorker* worker = table.FindWorker(placement.worker);
     if (worker != nullptr) {
-      orders_for(*worker).starts.push_back(
-          StartOf(table, *worker, placement.run));
+      RunStart start = StartOf(table, *worker, placement.run);
       GraphWorkerView& view = views_[placement.worker.id];
       view.started[placement.run] = now;
-      const std::int64_t percent = orders_for(*worker).starts.back().percent;
-      if (percent < kFullPercent) {
-        view.starting_pace[placement.run] = percent;
+      if (start.percent < kFullPercent) {
+        view.starting_pace[placement.run] = start.percent;
       }
+      orders_for(*worker).starts.push_back(std::move(start));
       if (view.suspected) {
         view.probe = placement.run;
       }
@@ -437,7 +421,7 @@
       view.life = worker.info.life;
     }
     if (view.lease_deadline == Time{}) {
-      view.lease_deadline = now + options_.lease + options_.lease_margin;
+      view.lease_deadline = LeaseEnd(now);
     }
     WorkerOrders& worker_orders = orders_for(worker);
     for (const RunRef& run : worker.runs) {
@@ -470,11 +454,8 @@
 
 std::optional<CommandResult> GraphLeader::Admit(const GraphTable& table,
                                                 const SubmitGraph& submit) {
-  const ServicePlan& plan = table.plan();
-  const auto queue = std::find_if(
-      plan.queues.begin(), plan.queues.end(),
-      [&](const QueueSpec& known) { return known.name == submit.spec.queue; });
-  if (table.FindGraph(submit.id) != nullptr || queue == plan.queues.end()) {
+  const QueueSpec* queue = table.FindQueue(submit.spec.queue);
+  if (table.FindGraph(submit.id) != nullptr || queue == nullptr) {
     return std::nullopt;
   }
   bool has_worker = false;
@@ -528,7 +509,7 @@
     GraphWorkerView& view = views_[id];
     if (view.lease_deadline == Time{}) {
       view.life = worker.info.life;
-      view.lease_deadline = now + options_.lease + options_.lease_margin;
+      view.lease_deadline = LeaseEnd(now);
     }
     if (view.lease_deadline <= now && !view.dropping) {
       view.dropping = true;
@@ -545,13 +526,11 @@
       continue;
     }
     for (auto& [run, seen] : view.runs) {
-      const Graph* graph = table.FindGraph(run.task.graph);
-      if (graph == nullptr || !table.IsCurrent(run, view.life) ||
-          seen.pace < kFullPercent || seen.row.percent >= 100) {
+      if (!table.IsCurrent(run, view.life) || seen.pace < kFullPercent ||
+          seen.row.percent >= kFullPercent) {
         continue;
       }
-      const StepSpec& step =
-          graph->spec.steps[static_cast<std::size_t>(run.task.step)];
+      const StepSpec& step = *table.FindStep(run.task);
       const Span patience = step.long_running ? kAbsentAfter : kStuckAfter;
       if (step.fills || step.gang || now - seen.moved_at < patience ||
           seen.lists_unmoved < kStuckLists ||
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -83,25 +83,17 @@
       }
     }
     for (const RunRef& run : worker.runs) {
-      const Graph* graph = table.FindGraph(run.task.graph);
-      if (graph == nullptr) {
+      const StepSpec* step = table.FindStep(run.task);
+      if (step == nullptr) {
         continue;
       }
-      const StepSpec& step =
-          graph->spec.steps[static_cast<std::size_t>(run.task.step)];
-      if (step.latency_target_ms > 0) {
-        const auto seen = view->second.runs.find(run);
-        const double figure =
-            seen == view->second.runs.end()
-                ? 0
-                : static_cast<double>(seen->second.row.figure);
-        room.serving.emplace_back(
-            step.image, figure / static_cast<double>(step.latency_target_ms));
+      if (step->latency_target_ms > 0) {
+        room.serving.push_back(step->image);
       }
-      if (step.fills) {
-        room.filling.push_back(step.image);
+      if (step->fills) {
+        room.filling.push_back(step->image);
       }
-      room.idle_cpu_millis += UnusedBy(step);
+      room.idle_cpu_millis += UnusedBy(*step);
     }
     for (const std::string& image : room.filling) {
       room.trials += IsOnTrial(room, image) ? 1 : 0;
@@ -154,57 +146,65 @@
       break;
     }
     for (std::size_t s = 0; s < graph.occurrences[k].size(); ++s) {
-      const StepProgress& progress = graph.occurrences[k][s];
-      const StepSpec& step = graph.spec.steps[s];
-      TaskRef ref{id, occurrence, static_cast<std::int64_t>(s), 0};
-      if (step.gang) {
-        PlaceGang(graph, ref, progress, chosen);
-        continue;
-      }
-      std::map<std::string, int> here;
-      if (step.per_worker_limit > 0) {
-        for (const TaskProgress& task : progress.tasks) {
-          if (task.phase == TaskPhase::kRunning) {
-            ++here[task.worker.id];
-          }
-        }
+      const TaskRef first{id, occurrence, static_cast<std::int64_t>(s), 0};
+      if (graph.spec.steps[s].gang) {
+        PlaceGang(graph, first, graph.occurrences[k][s], chosen);
+      } else {
+        PlaceStep(graph, first, graph.occurrences[k][s], chosen);
       }
-      std::string rack;
-      if (step.rack_local) {
-        for (const TaskProgress& task : progress.tasks) {
-          const auto room = rooms_.find(task.worker.id);
-          if (task.phase == TaskPhase::kRunning && room != rooms_.end()) {
-            rack = room->second.worker->info.rack;
-          }
-        }
+      if (chosen.size() >= kMaxBatch) {
+        return;
       }
-      int misses = 0;
-      for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
-        const TaskProgress& task = progress.tasks[i];
-        if (task.phase != TaskPhase::kReady) {
-          continue;
-        }
-        ref.index = static_cast<std::int64_t>(i);
-        WorkerRoom* room = BestRoom(graph, ref, step, here, rack);
-        if (room == nullptr) {
-          if (++misses >= kMaxMissesPerStep) {
-            break;
-          }
-          continue;
-        }
-        Take(*room, step);
-        // One task shows that the graph is not forgotten; the others wait for
-        // rooms that suit.
-        takes_any_room_ = false;
-        ++here[room->worker->info.life.id];
-        if (step.rack_local && rack.empty()) {
-          rack = room->worker->info.rack;
-        }
-        chosen.push_back({{ref, task.run + 1}, room->worker->info.life});
-        if (chosen.size() >= kMaxBatch) {
-          return;
-        }
+    }
+  }
+}
+
+GraphPlacement::Spread GraphPlacement::SpreadOf(
+    const StepProgress& progress) const {
+  Spread spread;
+  for (const TaskProgress& task : progress.tasks) {
+    if (task.phase != TaskPhase::kRunning) {
+      continue;
+    }
+    ++spread.tasks[task.worker.id];
+    const auto room = rooms_.find(task.worker.id);
+    if (room != rooms_.end()) {
+      spread.rack = room->second.worker->info.rack;
+    }
+  }
+  return spread;
+}
+
+void GraphPlacement::PlaceStep(const Graph& graph,
+                               const TaskRef& first,
+                               const StepProgress& progress,
+                               std::vector<RunPlacement>& chosen) {
+  const StepSpec& step = graph.spec.steps[static_cast<std::size_t>(first.step)];
+  Spread spread;
+  if (step.per_worker_limit > 0 || step.rack_local) {
+    spread = SpreadOf(progress);
+  }
+  TaskRef ref = first;
+  int misses = 0;
+  for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+    const TaskProgress& task = progress.tasks[i];
+    if (task.phase != TaskPhase::kReady) {
+      continue;
+    }
+    ref.index = static_cast<std::int64_t>(i);
+    const auto placed = PlaceTask(graph, ref, step, task.run + 1, spread);
+    if (!placed) {
+      if (++misses >= kMaxMissesPerStep) {
+        return;
       }
+      continue;
+    }
+    // One task shows that the graph is not forgotten; the others wait for
+    // rooms that suit.
+    takes_any_room_ = false;
+    chosen.push_back(*placed);
+    if (chosen.size() >= kMaxBatch) {
+      return;
     }
   }
 }
@@ -224,31 +224,42 @@
   // All members at once or none.
   const std::map<std::string, WorkerRoom> before = rooms_;
   std::vector<RunPlacement> members;
-  std::map<std::string, int> here;
-  std::string rack;
+  Spread spread;
   TaskRef ref = first;
   for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
     ref.index = static_cast<std::int64_t>(i);
-    WorkerRoom* room = BestRoom(graph, ref, step, here, rack);
-    if (room == nullptr) {
+    const auto placed = PlaceTask(graph, ref, step, run + 1, spread);
+    if (!placed) {
       rooms_ = before;
       return;
     }
-    Take(*room, step);
-    ++here[room->worker->info.life.id];
-    if (step.rack_local && rack.empty()) {
-      rack = room->worker->info.rack;
-    }
-    members.push_back({{ref, run + 1}, room->worker->info.life});
+    members.push_back(*placed);
   }
   chosen.insert(chosen.end(), members.begin(), members.end());
 }
 
+std::optional<RunPlacement> GraphPlacement::PlaceTask(const Graph& graph,
+                                                      const TaskRef& task,
+                                                      const StepSpec& step,
+                                                      std::int64_t run,
+                                                      Spread& spread) {
+  WorkerRoom* room = BestRoom(graph, task, step, spread);
+  if (room == nullptr) {
+    return std::nullopt;
+  }
+  Take(*room, step);
+  const WorkerInfo& info = room->worker->info;
+  ++spread.tasks[info.life.id];
+  if (spread.rack.empty()) {
+    spread.rack = info.rack;
+  }
+  return RunPlacement{{task, run}, info.life};
+}
+
 WorkerRoom* GraphPlacement::BestRoom(const Graph& graph,
                                      const TaskRef& task,
                                      const StepSpec& step,
-                                     const std::map<std::string, int>& here,
-                                     const std::string& rack) {
+                                     const Spread& spread) {
   const auto avoided = avoided_.find(task);
   WorkerRoom* best = nullptr;
   Preference best_preference;
@@ -269,8 +280,8 @@
                   step.required_label) == info.labels.end()) {
       continue;
     }
-    const auto count = here.find(id);
-    if (step.per_worker_limit > 0 && count != here.end() &&
+    const auto count = spread.tasks.find(id);
+    if (step.per_worker_limit > 0 && count != spread.tasks.end() &&
         count->second >= step.per_worker_limit) {
       continue;
     }
@@ -278,7 +289,7 @@
         avoided != avoided_.end() && avoided->second.contains(id);
     const bool is_far =
         (!step.data_rack.empty() && info.rack != step.data_rack) ||
-        (!rack.empty() && info.rack != rack);
+        (step.rack_local && !spread.rack.empty() && info.rack != spread.rack);
     const std::optional<int> company = CompanyIn(room, step);
     if (!company) {
       continue;
@@ -298,9 +309,8 @@
   if (step.latency_target_ms > 0) {
     // Tasks that serve go together, so that other workers are left to tasks
     // that fill; and rather to their own image, so that more images suit.
-    const bool has_same =
-        std::any_of(room.serving.begin(), room.serving.end(),
-                    [&](const auto& task) { return task.first == step.image; });
+    const bool has_same = std::find(room.serving.begin(), room.serving.end(),
+                                    step.image) != room.serving.end();
     constexpr int kServing = 2;
     return static_cast<int>(room.filling.size()) -
            static_cast<int>(room.serving.size()) * kServing -
@@ -311,7 +321,7 @@
   }
   double worst = 0;
   bool is_known = true;
-  for (const auto& [image, latency] : room.serving) {
+  for (const std::string& image : room.serving) {
     worst = std::max(worst, model_->PressureOf(image, step.image));
     is_known = is_known && model_->Knows(image, step.image);
   }
@@ -335,8 +345,8 @@
 bool GraphPlacement::IsOnTrial(const WorkerRoom& room,
                                const std::string& image) const {
   return std::any_of(room.serving.begin(), room.serving.end(),
-                     [&](const auto& task) {
-                       return !model_->IsKnownLight(task.first, image);
+                     [&](const std::string& serving) {
+                       return !model_->IsKnownLight(serving, image);
                      });
 }
 
@@ -344,7 +354,7 @@
   room.free -= HeldBy(step);
   room.idle_cpu_millis -= step.needs.cpu_millis;
   if (step.latency_target_ms > 0) {
-    room.serving.emplace_back(step.image, 0);
+    room.serving.push_back(step.image);
   }
   if (step.fills) {
     room.filling.push_back(step.image);
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -17,6 +17,11 @@
 
 }  // namespace
 
+bool IsDone(const OccurrenceProgress& steps) {
+  return std::all_of(steps.begin(), steps.end(),
+                     [](const StepProgress& step) { return step.is_done(); });
+}
+
 const Graph* GraphTable::FindGraph(std::string_view id) const {
   const auto found = graphs_.find(std::string(id));
   return found == graphs_.end() ? nullptr : &found->second;
@@ -29,6 +34,18 @@
              : &found->second;
 }
 
+GraphWorker* GraphTable::MutableWorker(const WorkerLife& life) {
+  return const_cast<GraphWorker*>(std::as_const(*this).FindWorker(life));
+}
+
+const StepSpec* GraphTable::FindStep(const TaskRef& task) const {
+  const Graph* graph = FindGraph(task.graph);
+  const auto step = static_cast<std::size_t>(task.step);
+  return graph == nullptr || step >= graph->spec.steps.size()
+             ? nullptr
+             : &graph->spec.steps[step];
+}
+
 TaskProgress* GraphTable::MutableTask(const TaskRef& task) {
   return const_cast<TaskProgress*>(std::as_const(*this).FindTask(task));
 }
@@ -56,10 +73,11 @@
          task->run == run.run && task->worker == life;
 }
 
-bool GraphTable::HasQueue(std::string_view name) const {
-  return std::any_of(
-      plan_.queues.begin(), plan_.queues.end(),
-      [&](const QueueSpec& queue) { return queue.name == name; });
+const QueueSpec* GraphTable::FindQueue(std::string_view name) const {
+  const auto found =
+      std::find_if(plan_.queues.begin(), plan_.queues.end(),
+                   [&](const QueueSpec& queue) { return queue.name == name; });
+  return found == plan_.queues.end() ? nullptr : &*found;
 }
 
 std::int64_t GraphTable::PendingOf(std::string_view queue) const {
@@ -99,10 +117,8 @@
   if (graphs_.contains(command.id)) {
     return applied;
   }
-  const auto queue = std::find_if(
-      plan_.queues.begin(), plan_.queues.end(),
-      [&](const QueueSpec& known) { return known.name == command.spec.queue; });
-  if (queue == plan_.queues.end()) {
+  const QueueSpec* queue = FindQueue(command.spec.queue);
+  if (queue == nullptr) {
     Refuse(applied, ErrorKind::kNotFound,
            "no queue '" + command.spec.queue + "'");
     return applied;
@@ -159,8 +175,7 @@
     const std::vector<std::int64_t>& after = graph.spec.steps[s].after;
     const bool is_open =
         std::all_of(after.begin(), after.end(), [&](std::int64_t before) {
-          const StepProgress& step = steps[static_cast<std::size_t>(before)];
-          return step.done == static_cast<std::int64_t>(step.tasks.size());
+          return steps[static_cast<std::size_t>(before)].is_done();
         });
     if (!is_open) {
       continue;
@@ -246,8 +261,8 @@
 
 GraphApplied GraphTable::Apply(const DropWorker& command, WallMillis now) {
   GraphApplied applied;
-  const auto found = workers_.find(command.life.id);
-  if (found == workers_.end() || found->second.info.life != command.life) {
+  GraphWorker* worker = MutableWorker(command.life);
+  if (worker == nullptr) {
     Refuse(applied, ErrorKind::kStale, "another life is known");
     return applied;
   }
@@ -257,8 +272,8 @@
       MutableTask(row.run.task)->checkpoint = row.checkpoint;
     }
   }
-  DropLife(found->second, command.cause, now, applied);
-  workers_.erase(found);
+  DropLife(*worker, command.cause, now, applied);
+  workers_.erase(command.life.id);
   return applied;
 }
 
@@ -283,26 +298,24 @@
   applied.result.ok = true;
   for (const RunPlacement& placement : command.runs) {
     TaskProgress* task = MutableTask(placement.run.task);
-    const auto worker = workers_.find(placement.worker.id);
-    const bool is_possible =
-        task != nullptr && task->phase == TaskPhase::kReady &&
-        placement.run.run > task->run && worker != workers_.end() &&
-        worker->second.info.life == placement.worker;
+    GraphWorker* worker = MutableWorker(placement.worker);
+    const bool is_possible = task != nullptr &&
+                             task->phase == TaskPhase::kReady &&
+                             placement.run.run > task->run && worker != nullptr;
     if (!is_possible) {
       continue;
     }
     const std::string& id = placement.run.task.graph;
     Graph& graph = graphs_.at(id);
-    const StepSpec& step =
-        graph.spec.steps[static_cast<std::size_t>(placement.run.task.step)];
+    const StepSpec& step = *FindStep(placement.run.task);
     task->run = placement.run.run;
     task->worker = placement.worker;
     SetPhase(id, graph, *task, TaskPhase::kRunning);
     Begin(graph);
     graph.changed_at = now;
-    worker->second.committed += HeldBy(step);
-    worker->second.fill_cpu_millis += step.fills ? step.needs.cpu_millis : 0;
-    worker->second.runs.insert(placement.run);
+    worker->committed += HeldBy(step);
+    worker->fill_cpu_millis += step.fills ? step.needs.cpu_millis : 0;
+    worker->runs.insert(placement.run);
     applied.placed.push_back(placement);
   }
   return applied;
@@ -310,8 +323,8 @@
 
 GraphApplied GraphTable::Apply(const EndRuns& command, WallMillis now) {
   GraphApplied applied;
-  const auto found = workers_.find(command.worker.id);
-  if (found == workers_.end() || found->second.info.life != command.worker) {
+  GraphWorker* worker = MutableWorker(command.worker);
+  if (worker == nullptr) {
     Refuse(applied, ErrorKind::kStale, "another life is known");
     return applied;
   }
@@ -319,11 +332,11 @@
   applied.touched_workers.insert(command.worker.id);
   for (const EndedRow& row : command.rows) {
     // A refusal is the agent's word and has no number in the worker's list.
-    if (row.number != 0 && row.number <= found->second.noted) {
+    if (row.number != 0 && row.number <= worker->noted) {
       continue;
     }
-    found->second.noted = std::max(found->second.noted, row.number);
-    EndRun(found->second, row, now, applied);
+    worker->noted = std::max(worker->noted, row.number);
+    EndRun(*worker, row, now, applied);
   }
   return applied;
 }
@@ -336,8 +349,7 @@
   if (worker.runs.erase(row.run) == 0 || graph == graphs_.end()) {
     return;
   }
-  const StepSpec& step =
-      graph->second.spec.steps[static_cast<std::size_t>(row.run.task.step)];
+  const StepSpec& step = *FindStep(row.run.task);
   worker.committed -= HeldBy(step);
   worker.fill_cpu_millis -= step.fills ? step.needs.cpu_millis : 0;
   applied.events.push_back(Event(EventId::kRunEnded)
@@ -384,21 +396,16 @@
       ++step.done;
     }
   }
-  if (step.done < static_cast<std::int64_t>(step.tasks.size())) {
+  if (!step.is_done()) {
     return;
   }
   OpenSteps(graph, occurrence);
   if (graph.ready > 0) {
     ready_graphs_.insert(id);
   }
-  for (const OccurrenceProgress& steps : graph.occurrences) {
-    for (const StepProgress& other : steps) {
-      if (other.done < static_cast<std::int64_t>(other.tasks.size())) {
-        return;
-      }
-    }
+  if (std::all_of(graph.occurrences.begin(), graph.occurrences.end(), IsDone)) {
+    Finish(id, graph, GraphState::kCompleted, now, applied);
   }
-  Finish(id, graph, GraphState::kCompleted, now, applied);
 }
 
 void GraphTable::CountFailure(const std::string& id,
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -21,7 +21,6 @@
 // then all of them go down together.
 constexpr double kLeastExplained = 0.5;
 constexpr double kUnexplainedCut = 0.5;
-constexpr double kFullPercent = 100;
 // How long latencies take to follow a change of shares: reports cover half a
 // second, and what is queued must be served first.
 constexpr Span kSettleSpan = Millis(1200);
@@ -40,8 +39,8 @@
   std::vector<FillingNeighbour> neighbours;
   neighbours.reserve(filling.size());
   for (const FillingTask& task : filling) {
-    neighbours.push_back(
-        {task.image, static_cast<double>(task.percent) / kFullPercent});
+    neighbours.push_back({task.image, static_cast<double>(task.percent) /
+                                          static_cast<double>(kFullPercent)});
   }
   return neighbours;
 }
@@ -214,7 +213,9 @@
                              ? wanted[i].share
                              : present[i].share + rises[i];
     const std::int64_t percent =
-        is_harmed ? 0 : std::lround(std::clamp(share, 0.0, 1.0) * kFullPercent);
+        is_harmed ? 0
+                  : std::lround(std::clamp(share, 0.0, 1.0) *
+                                static_cast<double>(kFullPercent));
     if (percent != filling[i].percent) {
       paces.push_back({filling[i].run, percent});
     }
--- a/src/graph/urgency.cc
+++ b/src/graph/urgency.cc
@@ -14,9 +14,7 @@
 
 // Returns the run time of a step's tasks that is left, by their progress.
 std::int64_t LeftOf(const StepSpec& spec, const StepProgress& progress) {
-  const bool is_done =
-      progress.done == static_cast<std::int64_t>(progress.tasks.size());
-  if (is_done) {
+  if (progress.is_done()) {
     return 0;
   }
   const bool is_running =
@@ -47,13 +45,6 @@
 
 }  // namespace
 
-std::int64_t RemainingChainMs(const Graph& graph,
-                              const OccurrenceProgress& steps) {
-  return LongestChain(graph.spec, [&](std::size_t s) {
-    return LeftOf(graph.spec.steps[s], steps[s]);
-  });
-}
-
 Urgency UrgencyOf(const Graph& graph, WallMillis now) {
   Urgency urgency;
   urgency.priority = graph.queue.priority;
@@ -80,16 +71,14 @@
       start = graph.spec.first_due_at +
               static_cast<std::int64_t>(k) * graph.spec.interval_ms;
     }
-    const bool is_done =
-        std::all_of(steps->begin(), steps->end(), [](const StepProgress& step) {
-          return step.done == static_cast<std::int64_t>(step.tasks.size());
-        });
-    if (!is_done) {
+    if (!IsDone(*steps)) {
       break;
     }
   }
   urgency.objective_at = start + objective;
-  const WallMillis end = now + RemainingChainMs(graph, *steps);
+  const WallMillis end = now + LongestChain(graph.spec, [&](std::size_t s) {
+                           return LeftOf(graph.spec.steps[s], (*steps)[s]);
+                         });
   if (end > start + objective * kLateFactor) {
     urgency.reach = Reach::kTooLate;
   } else if (end > urgency.objective_at) {
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -25,7 +25,6 @@
 constexpr Span kLeastLease = Millis(100);
 // How long a refusal is repeated; several times the way to the log.
 constexpr Span kRefusalMemory = Millis(3000);
-constexpr std::int64_t kFullPercent = 100;
 // Syncs whose sending time is remembered.
 constexpr std::size_t kMaxSent = 64;
 
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -148,7 +148,7 @@
       link_.OnDown(now, event.sender.id);
     } else if (const auto* orders = std::get_if<WorkerOrders>(&event.message)) {
       if (agent_.OnOrders(now, *orders)) {
-        link_.OnAnswer(now);
+        link_.OnAnswer();
       }
     } else if (const auto* members = std::get_if<CellMembers>(&event.message)) {
       link_.SetMembers(members->addresses);
--- a/tests/support/virtual_machines.cc
+++ b/tests/support/virtual_machines.cc
@@ -2,12 +2,9 @@
 
 #include <algorithm>
 
-namespace banyan {
-namespace {
-
-constexpr std::int64_t kFullPercent = 100;
+#include "banyan/wire/graph.h"
 
-}  // namespace
+namespace banyan {
 
 void VirtualDisk::Write(const PersistBatch& batch) {
   if (batch.hard_state) {
