An agent calls a run refused only once its worker has barred it

Ruled out: a lost log entry (the run stood in the table with its placement), stops in progress (their runs stay in the worker's list until the end). Change: whatever keeps an agent from starting a run (no lease, a draining worker, a refusal, a stop) has the worker bar the run first; the refusal follows the worker's word and its next list.

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -81,7 +81,10 @@
   void OnStarted(Time now, const RunCallReply& reply);
   void OnStopped(Time now, const RunCallReply& reply);
   void Refuse(Time now, const RunRef& run, const char* why);
-  void Stop(Time now, const RunRef& run);
+  // Has the worker bar a run that is not to begin here. Only the worker can
+  // tell that it never will: an agent before this one, or a call without an
+  // answer, may have started it.
+  void Bar(Time now, const RunRef& run, const char* why);
   void SetReachable(Time now, bool reachable, const std::string& why);
   void CallHold(Time now);
   void CallStarts(Time now);
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -128,13 +128,16 @@
       continue;
     }
     if (info_->draining) {
-      Refuse(now, start.run, "draining");
+      Bar(now, start.run, "draining");
       continue;
     }
     starting_[start.run] = Starting{start, now, now, false, 0};
   }
   for (const RunRef& run : orders.stops) {
-    Stop(now, run);
+    if (!stopping_.contains(run)) {
+      starting_.erase(run);
+      stopping_[run] = Stopping{now, false, std::nullopt};
+    }
   }
   for (const RunPace& pace : orders.paces) {
     RunCall call = CallFor(RunCallOp::kPace, pace.run);
@@ -147,21 +150,17 @@
   return is_answer;
 }
 
-void WorkerAgent::Stop(Time now, const RunRef& run) {
-  if (stopping_.contains(run)) {
-    return;
-  }
-  const auto starting = starting_.find(run);
-  if (starting != starting_.end()) {
-    const bool was_called =
-        starting->second.is_in_flight || starting->second.unanswered > 0;
-    starting_.erase(starting);
-    if (!was_called) {
-      Refuse(now, run, "stopped before its start");
-      return;
-    }
-  }
+void WorkerAgent::Bar(Time now, const RunRef& run, const char* why) {
+  starting_.erase(run);
   stopping_[run] = Stopping{now, false, std::nullopt};
+  out_.events.push_back(Event(EventId::kRunOrdered)
+                            .With("request", run.task.graph)
+                            .With("step", run.task.step)
+                            .With("task", run.task.index)
+                            .With("run", run.run)
+                            .With("worker", info_->life.id)
+                            .With("outcome", "barred")
+                            .With("reason", why));
 }
 
 void WorkerAgent::Refuse(Time now, const RunRef& run, const char* why) {
@@ -179,7 +178,7 @@
 }
 
 void WorkerAgent::CallStarts(Time now) {
-  std::vector<RunRef> refused;
+  std::vector<RunRef> expired;
   for (auto& [run, starting] : starting_) {
     if (starting.is_in_flight || starting.retry_at > now) {
       continue;
@@ -187,8 +186,8 @@
     const bool has_lease =
         lease_deadline_ > now + kLeastLease && LeaseOnWorkerClock();
     if (!has_lease) {
-      if (starting.ordered_at + kLeaseWait < now && starting.unanswered == 0) {
-        refused.push_back(run);
+      if (starting.ordered_at + kLeaseWait < now) {
+        expired.push_back(run);
       }
       continue;
     }
@@ -198,9 +197,8 @@
     starting.is_in_flight = true;
     out_.calls.push_back(std::move(call));
   }
-  for (const RunRef& run : refused) {
-    starting_.erase(run);
-    Refuse(now, run, "no lease");
+  for (const RunRef& run : expired) {
+    Bar(now, run, "no lease");
   }
 }
 
@@ -355,22 +353,15 @@
     ++starting.unanswered;
     starting.retry_at = now + kOrderRetry;
     if (starting.unanswered >= kMaxUnanswered) {
-      starting_.erase(found);
-      stopping_[reply.run] = Stopping{now, false, std::nullopt};
+      Bar(now, reply.run, "no answer to its start");
     }
     return;
   }
-  const bool may_come_late = starting.unanswered > 0;
-  starting_.erase(found);
   if (IsListed(reply.run)) {
+    starting_.erase(found);
     return;
   }
-  if (may_come_late || reply.refusal == RunRefusal::kOld) {
-    // An earlier call may have started it, or may do so yet.
-    stopping_[reply.run] = Stopping{now, false, std::nullopt};
-    return;
-  }
-  Refuse(now, reply.run, ToString(reply.refusal));
+  Bar(now, reply.run, ToString(reply.refusal));
 }
 
 void WorkerAgent::OnStopped(Time now, const RunCallReply& reply) {
