A backlog keeps its order; serving tasks join their own image

The figures of every worker over time show two workers with 17 filling tasks each, wanting twice what there is: every waiting graph was given one task "in any room" after two seconds, so that the backlog was shared out and everything came late. Ruled out: the leader's outage (the backlog stays for 40 s after it), memory. Change: only a graph of which nothing runs may take any room, and only in a pool that is not half committed; one task that fills may still have what is left of a worker where no other fills. Serving tasks prefer workers with their own image, then mixed ones, empty ones last: a task that fills must suit every image there. The story of the load fails on the code before.

--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -1,6 +1,7 @@
 #include "banyan/graph/graph_placement.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -27,11 +28,41 @@
 // workers that are about equal.
 constexpr double kPressureLevels = 20;
 // After this wait one task that fills goes wherever its memory has room. A
-// graph must not stand still for three seconds beside room that counts as free.
+// graph must not stand still for three seconds while its pool is not busy.
 constexpr Span kAnyRoomAfter = Millis(2000);
 // Part of its processor time that a task that serves uses at the most.
 constexpr double kServingUse = 0.6;
 
+// From this part of its processor time on a pool counts as busy: waiting for a
+// room that suits is then what overload looks like, not neglect.
+constexpr double kBusyPool = 0.5;
+
+// The processor time of a service's workers, in thousandths.
+struct PoolUse {
+  std::int64_t capacity = 0;
+  std::int64_t committed = 0;
+
+  [[nodiscard]] bool is_busy() const noexcept {
+    return static_cast<double>(committed) >=
+           kBusyPool * static_cast<double>(capacity);
+  }
+};
+
+// Whether any task of a graph runs.
+bool HasRunningTask(const Graph& graph) {
+  for (const OccurrenceProgress& occurrence : graph.occurrences) {
+    for (const StepProgress& step : occurrence) {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(),
+                      [](const TaskProgress& task) {
+                        return task.phase == TaskPhase::kRunning;
+                      })) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 // Processor time that is committed to a task but that it leaves unused.
 std::int64_t UnusedBy(const StepSpec& step) {
   return step.latency_target_ms > 0
@@ -59,7 +90,11 @@
     return chosen;
   }
   rooms_.clear();
+  std::map<std::string_view, PoolUse> pools;
   for (const auto& [id, worker] : table.workers()) {
+    PoolUse& pool = pools[worker.info.service];
+    pool.capacity += worker.info.capacity.cpu_millis;
+    pool.committed += worker.committed.cpu_millis;
     const auto view = views.find(id);
     const bool is_usable =
         view != views.end() && view->second.life == worker.info.life &&
@@ -120,7 +155,9 @@
       break;
     }
     const Time since = waiting_since_.try_emplace(*id, now).first->second;
-    takes_any_room_ = since + kAnyRoomAfter <= now;
+    takes_any_room_ = since + kAnyRoomAfter <= now &&
+                      !pools[graph->queue.service].is_busy() &&
+                      !HasRunningTask(*graph);
     const std::size_t before = chosen.size();
     PlaceGraph(wall, *id, *graph, chosen);
     if (chosen.size() > before) {
@@ -266,7 +303,7 @@
   for (auto& [id, room] : rooms_) {
     const WorkerInfo& info = room.worker->info;
     if (info.service != graph.queue.service || !Fits(HeldBy(step), room.free) ||
-        (step.fills && !takes_any_room_ &&
+        (step.fills && !takes_any_room_ && !room.filling.empty() &&
          room.idle_cpu_millis < step.needs.cpu_millis) ||
         room.has_probe) {
       continue;
@@ -308,13 +345,17 @@
                                              const StepSpec& step) const {
   if (step.latency_target_ms > 0) {
     // Tasks that serve go together, so that other workers are left to tasks
-    // that fill; and rather to their own image, so that more images suit.
-    const bool has_same = std::find(room.serving.begin(), room.serving.end(),
-                                    step.image) != room.serving.end();
+    // that fill, and with their own image rather than with others: what fills
+    // must suit every image on its worker.
+    const bool is_mixed = std::any_of(
+        room.serving.begin(), room.serving.end(),
+        [&](const std::string& image) { return image != step.image; });
     constexpr int kServing = 2;
+    constexpr int kMixed = 20;
+    constexpr int kEmpty = 50;
     return static_cast<int>(room.filling.size()) -
-           static_cast<int>(room.serving.size()) * kServing -
-           (has_same ? 1 : 0);
+           static_cast<int>(room.serving.size()) * kServing +
+           (is_mixed ? kMixed : 0) + (room.serving.empty() ? kEmpty : 0);
   }
   if (!step.fills || room.serving.empty()) {
     return 0;
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -280,6 +280,38 @@
                  GraphState::kRunning);
 }
 
+void BacklogIsNotSpreadOverFullRooms() {
+  // The pattern of a scale day: tasks that serve commit half of the pool, and
+  // packet builds come faster than the rest can bear. Sharing out what is left
+  // among all of them would make every one late.
+  LeaderOnTable world;
+  world.Join(SampleWorker("w1"));
+  world.Join(SampleWorker("w2"));
+  StepSpec serving = SampleStep(4);
+  serving.long_running = true;
+  serving.latency_target_ms = 20;
+  serving.image = "s";
+  world.Commit(SampleGraph("watch", {serving}));
+  world.Pass(kStep);
+  StepSpec fills = SampleStep(2, 2000);
+  fills.fills = true;
+  fills.image = "f";
+  for (int i = 0; i < 8; ++i) {
+    world.Commit(SampleGraph("packet" + std::to_string(i), {fills}, "batch"));
+  }
+  for (int i = 0; i < 100; ++i) {
+    for (const char* id : {"w1", "w2"}) {
+      world.Sync(ReportOf(world, SampleWorker(id)));
+    }
+    world.Pass(Millis(100));
+  }
+  const bool serves_on_first =
+      world.RunsOn("w1").contains(RunOf("watch", 0, 0));
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "no more run than the free worker has room for", std::size_t{2},
+      world.RunsOn(serves_on_first ? "w2" : "w1").size());
+}
+
 void JobTooLargeForAnyWorkerIsRefusedAtOnce() {
   LeaderOnTable world;
   const SubmitGraph large = SampleGraph("g", {SampleStep(1, 4001)});
@@ -310,6 +342,8 @@
                       GangIsPlacedWholeOrNotAtAll)
                 .Then("keeps labels and the spread of a step",
                       KeepsLabelsAndSpread)
+                .Then("does not spread a backlog over full rooms",
+                      BacklogIsNotSpreadOverFullRooms)
                 .Then("does not forget tasks that fill",
                       WaitingFillsAreNotForgotten))
       .With(Section("admission")
