Interference is learned as occupancy, from what neighbours used in the same span

Series of every worker's figures show why: a neighbour multiplies what a serving task's load occupies (latency = 4 ms / (1 - occupied), light pairs 0 to 0.5 and heavy ones 5 to 10 for a whole worker), but pressures were learned as parts of the latency, so that a light pair seen in a peak was called heavy for good, and only from reports under settled shares, which tasks of two seconds hardly let come. Change: pressure is the part by which a neighbour that used the whole worker would raise the occupancy; each report teaches, with the processor time that it says the neighbours used; placement goes by the occupancy expected of the worst off; the pacer counts the shares that it ordered and the report does not show yet, instead of waiting until latencies settle. The stories of pacing give their tasks a size, as workers report it; their bounds are as they were.

--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -15,16 +15,27 @@
 
 namespace banyan {
 
+// Returns processor time, in thousandths, in parts of what the worker has.
+[[nodiscard]] double PartOf(const GraphWorker& worker,
+                            std::int64_t cpu_millis) noexcept;
+
+// A task that serves on a worker.
+struct ServingCompany {
+  // Names the tasks that carry the same load.
+  std::string group;
+  std::string image;
+};
+
 // A worker as placement sees it: what is free after all that was decided.
 struct WorkerRoom {
   const GraphWorker* worker = nullptr;
   Resources free;
   // Processor time that is neither committed nor wanted by tasks that fill.
   std::int64_t idle_cpu_millis = 0;
-  // Images of the tasks here with a latency target, and of those that fill.
-  std::vector<std::string> serving;
-  std::vector<std::string> filling;
-  // Of the latter, those not known to be light.
+  // The tasks here with a latency target, and those that fill.
+  std::vector<ServingCompany> serving;
+  std::vector<FillingNeighbour> filling;
+  // Of the latter, those of which it is not known what they do here.
   int trials = 0;
   // Whether the worker gets one run only, to see whether it does well.
   bool is_probed = false;
@@ -82,16 +93,17 @@
                                      const TaskRef& task,
                                      const StepSpec& step,
                                      const Spread& spread);
-  void Take(WorkerRoom& room, const StepSpec& step);
+  void Take(WorkerRoom& room, const TaskRef& task, const StepSpec& step);
 
   // How little a worker suits a step for the company there; smaller is better,
   // nothing when it does not suit at all.
   [[nodiscard]] std::optional<int> CompanyIn(const WorkerRoom& room,
                                              const StepSpec& step) const;
-  // Whether an image that fills is not known to be light beside what serves.
+  // Whether it is not known what an image that fills does to what serves here.
   [[nodiscard]] bool IsOnTrial(const WorkerRoom& room,
                                const std::string& image) const;
 
+  Time now_;
   const InterferenceModel* model_ = nullptr;
   std::map<std::string, WorkerRoom> rooms_;
   std::map<TaskRef, std::set<std::string>> avoided_;
--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -10,21 +10,26 @@
 
 namespace banyan {
 
-// A task that fills beside one that serves, and the share at which it works.
+// A task that fills beside one that serves.
 struct FillingNeighbour {
   std::string image;
-  // 0 to 1.
-  double share = 1;
+  // What it uses, in parts of the worker's processor time.
+  double load = 0;
 };
 
-// A neighbour whose pressure is below this part of the latency that a task has
-// alone counts as light.
-inline constexpr double kLightPressure = 0.2;
+// Pressure below which a neighbour counts as light: it could fill a whole
+// worker and would about double what the other task's load occupies.
+inline constexpr double kLightPressure = 1.5;
 
 // How much tasks that fill slow tasks that serve down, learned for each pair
 // of images from the tail latencies that workers report. Latencies are in
-// parts of the serving task's target, pressures in parts of the latency that
-// the task would have alone.
+// parts of the serving task's target.
+//
+// A serving task is taken for a queue: its latency is its latency without load
+// divided by the part that is not occupied. A neighbour makes each request
+// take longer, so that the occupied part grows by the neighbour's load times
+// its pressure, whatever the serving task's own load is at the time. A
+// pressure that was learned in a lull therefore holds in a peak.
 class InterferenceModel {
  public:
   // Takes a task's latency. Tasks of one group carry the same load, so the
@@ -37,16 +42,20 @@
               double latency,
               bool has_neighbours);
 
-  // Learns from a latency beside neighbours; each answers for the excess over
-  // what was expected by its part in `blame`, in the order of the neighbours.
+  // Learns from a latency beside neighbours, with what they used in the span
+  // that the latency is of.
   void Learn(double base,
              const std::string& serving,
              double latency,
-             std::span<const FillingNeighbour> neighbours,
-             std::span<const double> blame);
+             std::span<const FillingNeighbour> neighbours);
 
-  // Returns by what part of the base the neighbours are expected to slow the
-  // task down.
+  // Returns which part of its time a task with that latency is occupied, 0 to
+  // 1.
+  [[nodiscard]] double OccupancyOf(const std::string& serving,
+                                   double latency) const;
+
+  // Returns by what part the neighbours are expected to raise the occupancy
+  // that the load alone gives.
   [[nodiscard]] double ExpectedPressure(
       const std::string& serving,
       std::span<const FillingNeighbour> neighbours) const;
@@ -72,8 +81,8 @@
   // Returns the latency that the image's tasks usually have alone.
   [[nodiscard]] double UsualBase(const std::string& serving) const;
 
-  // Returns by what part of the base one neighbour at its full share slows the
-  // task down.
+  // Returns by what part one neighbour that uses the whole worker raises the
+  // occupancy.
   [[nodiscard]] double PressureOf(const std::string& serving,
                                   const std::string& filling) const;
 
@@ -86,8 +95,9 @@
 
   // The last report of each group's task with the least latency, by worker.
   std::map<std::string, std::map<std::string, Report>> groups_;
-  // Usual latency alone, by image.
+  // Usual latency alone, and the least ever reported, by image.
   std::map<std::string, double> base_;
+  std::map<std::string, double> floor_;
   std::map<std::pair<std::string, std::string>, double> pressure_;
 };
 
--- a/include/banyan/graph/pacer.h
+++ b/include/banyan/graph/pacer.h
@@ -27,6 +27,10 @@
   RunRef run;
   std::string image;
   std::int64_t percent = kFullPercent;
+  // What it uses at its full share, and what it used in the last half second,
+  // in parts of the worker's processor time.
+  double size = 0;
+  double used = 0;
 };
 
 // Decides at what share the tasks that fill work on one worker, so that the
@@ -56,17 +60,14 @@
   // What is known of one worker from its last reports.
   struct Site {
     // When a neighbour came, or its share was changed.
-    Time changed_at;
-    // The shares that the last report was under, and those under which the
-    // latencies had settled.
-    std::map<RunRef, double> shares;
-    std::map<RunRef, double> settled;
+    std::map<RunRef, Time> changed_at;
+    // The shares that the last report was under.
+    std::map<RunRef, std::int64_t> percents;
     // Latencies of the last report, by group.
     std::map<std::string, double> latencies;
     std::set<std::string> rising;
     // Since when a group has been over its target on end.
     std::map<std::string, Time> over_since;
-    bool is_settled = false;
   };
 
   InterferenceModel model_;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -80,7 +80,7 @@
   for (const RunRef& other : worker.runs) {
     const StepSpec* neighbour = table.FindStep(other.task);
     if (neighbour != nullptr && neighbour->latency_target_ms > 0 &&
-        !pacer_.model().IsKnownLight(neighbour->image, step.image)) {
+        !pacer_.model().Knows(neighbour->image, step.image)) {
       start.percent = kCarefulPercent;
     }
   }
@@ -301,7 +301,9 @@
       serving.push_back({run.task.graph, step.image, seen.row.figure,
                          step.latency_target_ms});
     } else if (step.fills) {
-      filling.push_back({run, step.image, seen.pace});
+      filling.push_back({run, step.image, seen.pace,
+                         PartOf(worker, step.needs.cpu_millis),
+                         PartOf(worker, seen.row.figure)});
     }
   }
   if (serving.empty() && filling.empty()) {
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -21,12 +21,13 @@
 // better, the fields in the order of their weight.
 using Preference = std::tuple<bool, bool, bool, int, std::int64_t>;
 
-// From this part of the latency that a task has alone on a neighbour counts as
-// heavy.
-constexpr double kHeavyPressure = 0.35;
-// Pressures are compared in steps of a twentieth, so that room decides between
-// workers that are about equal.
-constexpr double kPressureLevels = 20;
+// The latency that tasks that serve are expected to keep, in parts of their
+// target, and by how much their load may rise while a task that fills runs.
+constexpr double kKeptLatency = 0.8;
+constexpr double kLoadRise = 1.2;
+// Occupancies are compared in steps of a twentieth, so that room decides
+// between workers that are about equal.
+constexpr double kOccupancyLevels = 20;
 // After this wait one task that fills goes wherever its memory has room. A
 // graph must not stand still for three seconds while its pool is not busy.
 constexpr Span kAnyRoomAfter = Millis(2000);
@@ -74,6 +75,12 @@
 
 }  // namespace
 
+double PartOf(const GraphWorker& worker, std::int64_t cpu_millis) noexcept {
+  return static_cast<double>(cpu_millis) /
+         static_cast<double>(
+             std::max<std::int64_t>(worker.info.capacity.cpu_millis, 1));
+}
+
 void GraphPlacement::Avoid(const TaskRef& task, const std::string& worker) {
   avoided_[task].insert(worker);
 }
@@ -84,6 +91,7 @@
     const GraphTable& table,
     const std::map<std::string, GraphWorkerView>& views,
     const InterferenceModel& model) {
+  now_ = now;
   model_ = &model;
   std::vector<RunPlacement> chosen;
   if (table.ready_graphs().empty()) {
@@ -123,15 +131,20 @@
         continue;
       }
       if (step->latency_target_ms > 0) {
-        room.serving.push_back(step->image);
+        room.serving.push_back({run.task.graph, step->image});
       }
       if (step->fills) {
-        room.filling.push_back(step->image);
+        const auto seen = view->second.runs.find(run);
+        const std::int64_t percent =
+            seen == view->second.runs.end() ? kFullPercent : seen->second.pace;
+        room.filling.push_back(
+            {step->image,
+             PartOf(worker, step->needs.cpu_millis * percent / kFullPercent)});
       }
       room.idle_cpu_millis += UnusedBy(*step);
     }
-    for (const std::string& image : room.filling) {
-      room.trials += IsOnTrial(room, image) ? 1 : 0;
+    for (const FillingNeighbour& neighbour : room.filling) {
+      room.trials += IsOnTrial(room, neighbour.image) ? 1 : 0;
     }
     rooms_.emplace(id, room);
   }
@@ -284,7 +297,7 @@
   if (room == nullptr) {
     return std::nullopt;
   }
-  Take(*room, step);
+  Take(*room, task, step);
   const WorkerInfo& info = room->worker->info;
   ++spread.tasks[info.life.id];
   if (spread.rack.empty()) {
@@ -349,7 +362,7 @@
     // must suit every image on its worker.
     const bool is_mixed = std::any_of(
         room.serving.begin(), room.serving.end(),
-        [&](const std::string& image) { return image != step.image; });
+        [&](const ServingCompany& other) { return other.image != step.image; });
     constexpr int kServing = 2;
     constexpr int kMixed = 20;
     constexpr int kEmpty = 50;
@@ -360,25 +373,32 @@
   if (!step.fills || room.serving.empty()) {
     return 0;
   }
-  double worst = 0;
-  bool is_known = true;
-  for (const std::string& image : room.serving) {
-    worst = std::max(worst, model_->PressureOf(image, step.image));
-    is_known = is_known && model_->Knows(image, step.image);
+  const bool is_trial = IsOnTrial(room, step.image);
+  const FillingNeighbour added{step.image,
+                               PartOf(*room.worker, step.needs.cpu_millis)};
+  // How far the worst off is expected above or below what it is to keep.
+  double worst = -1;
+  for (const ServingCompany& other : room.serving) {
+    const double alone =
+        kLoadRise *
+        model_->OccupancyOf(other.image,
+                            model_->BaseOf(now_, other.group, other.image));
+    // What is not known is tried where what is known leaves room.
+    const double pressure =
+        model_->ExpectedPressure(other.image, room.filling) +
+        (is_trial ? 0 : model_->ExpectedPressure(other.image, {&added, 1}));
+    worst = std::max(worst, alone * (1 + pressure) -
+                                model_->OccupancyOf(other.image, kKeptLatency));
   }
-  const int level = static_cast<int>(worst * kPressureLevels);
-  constexpr int kKnownLight = 1;
+  const int level = static_cast<int>(worst * kOccupancyLevels);
   constexpr int kOnTrial = 100;
-  constexpr int kHeavy = 1000;
-  if (is_known && worst < kLightPressure) {
-    return kKnownLight + level;
-  }
+  constexpr int kTooMuch = 1000;
   // One task at a time shows what an image does here.
-  if (!is_known && room.trials == 0 && worst < kHeavyPressure) {
-    return kOnTrial + level;
+  if (worst <= 0 && (!is_trial || room.trials == 0)) {
+    return (is_trial ? kOnTrial : 0) + level;
   }
   if (takes_any_room_) {
-    return kHeavy + level;
+    return kTooMuch + level;
   }
   return std::nullopt;
 }
@@ -386,20 +406,23 @@
 bool GraphPlacement::IsOnTrial(const WorkerRoom& room,
                                const std::string& image) const {
   return std::any_of(room.serving.begin(), room.serving.end(),
-                     [&](const std::string& serving) {
-                       return !model_->IsKnownLight(serving, image);
+                     [&](const ServingCompany& other) {
+                       return !model_->Knows(other.image, image);
                      });
 }
 
-void GraphPlacement::Take(WorkerRoom& room, const StepSpec& step) {
+void GraphPlacement::Take(WorkerRoom& room,
+                          const TaskRef& task,
+                          const StepSpec& step) {
   room.free -= HeldBy(step);
   room.idle_cpu_millis -= step.needs.cpu_millis;
   if (step.latency_target_ms > 0) {
-    room.serving.push_back(step.image);
+    room.serving.push_back({task.graph, step.image});
   }
   if (step.fills) {
-    room.filling.push_back(step.image);
     room.trials += IsOnTrial(room, step.image) ? 1 : 0;
+    room.filling.push_back(
+        {step.image, PartOf(*room.worker, step.needs.cpu_millis)});
   }
   room.idle_cpu_millis += UnusedBy(step);
   room.has_probe = room.is_probed;
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -1,17 +1,27 @@
 #include "banyan/graph/interference.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace banyan {
 namespace {
 
 // What is assumed of images that were never seen: a task that serves alone
-// needs a quarter of its target, and a neighbour adds a third of that.
+// needs a quarter of its target, and a sixth of it without any load.
 constexpr double kAssumedBase = 0.25;
-constexpr double kAssumedPressure = 0.3;
+constexpr double kAssumedFloor = 1.0 / 6;
+// Between a light and a heavy neighbour.
+constexpr double kAssumedPressure = 3;
+// Occupancies are kept between these; latencies are reported in whole
+// milliseconds.
+constexpr double kLeastOccupancy = 0.05;
+constexpr double kMostOccupancy = 0.98;
+// What a neighbour of a tenth of the worker adds while the task is half
+// occupied; less than that tells little.
+constexpr double kTellingLoad = 0.05;
 // Weight of one observation. Pressure changes within seconds and a report
 // comes twice a second, so a few reports must turn the estimate.
-constexpr double kPressureWeight = 0.5;
+constexpr double kPressureWeight = 0.7;
 // Weight of a latency without neighbours in the usual base.
 constexpr double kLoneWeight = 0.5;
 // The usual base follows a lower latency at once and a higher one slowly.
@@ -67,6 +77,8 @@
   report.latency =
       report.at == now ? std::min(report.latency, latency) : latency;
   report.at = now;
+  double& floor = floor_.try_emplace(serving, kAssumedFloor).first->second;
+  floor = std::max(kLeastBase, std::min(floor, latency));
   double& usual =
       base_.try_emplace(serving, std::min(latency, kAssumedBase)).first->second;
   if (!has_neighbours) {
@@ -78,12 +90,20 @@
   }
 }
 
+double InterferenceModel::OccupancyOf(const std::string& serving,
+                                      double latency) const {
+  const auto floor = floor_.find(serving);
+  const double unloaded = floor == floor_.end() ? kAssumedFloor : floor->second;
+  return std::clamp(1 - unloaded / std::max(latency, kLeastBase),
+                    kLeastOccupancy, kMostOccupancy);
+}
+
 double InterferenceModel::ExpectedPressure(
     const std::string& serving,
     std::span<const FillingNeighbour> neighbours) const {
   double expected = 0;
   for (const FillingNeighbour& neighbour : neighbours) {
-    expected += neighbour.share * PressureOf(serving, neighbour.image);
+    expected += neighbour.load * PressureOf(serving, neighbour.image);
   }
   return expected;
 }
@@ -91,24 +111,27 @@
 void InterferenceModel::Learn(double base,
                               const std::string& serving,
                               double latency,
-                              std::span<const FillingNeighbour> neighbours,
-                              std::span<const double> blame) {
+                              std::span<const FillingNeighbour> neighbours) {
+  const double alone = OccupancyOf(serving, base);
+  std::vector<double> regressors;
   double norm = 0;
-  for (const double part : blame) {
-    norm += part * part;
+  for (const FillingNeighbour& neighbour : neighbours) {
+    regressors.push_back(alone * neighbour.load);
+    norm += regressors.back() * regressors.back();
   }
   if (norm <= 0) {
     return;
   }
-  // A normalized least-mean-squares step.
-  const double error =
-      latency / base - 1 - ExpectedPressure(serving, neighbours);
+  // A normalized least-mean-squares step, small where little is to be seen.
+  norm += kTellingLoad * kTellingLoad;
+  const double error = OccupancyOf(serving, latency) -
+                       alone * (1 + ExpectedPressure(serving, neighbours));
   for (std::size_t i = 0; i < neighbours.size(); ++i) {
     double& pressure =
         pressure_.try_emplace({serving, neighbours[i].image}, kAssumedPressure)
             .first->second;
-    pressure =
-        std::max(0.0, pressure + kPressureWeight * error * blame[i] / norm);
+    pressure = std::max(
+        0.0, pressure + kPressureWeight * error * regressors[i] / norm);
   }
 }
 
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -76,6 +76,7 @@
       .With(GraphTableStory())
       .With(GraphLeaderStory())
       .With(WorkerAgentStory())
+      .With(InterferenceStory())
       .With(PacerStory())
       .With(CellClientStory())
       .With(HttpClientStory())
--- a/tests/unit/pacer_test.cc
+++ b/tests/unit/pacer_test.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::int64_t kTargetMs = 24;
+// Of the worker's processor time.
+constexpr double kTaskSize = 0.1;
 
 // A worker on which heavy and light tasks fill beside one task that serves.
 // Each adds its pressure at its share to the base latency.
@@ -22,13 +24,17 @@
     filling_.push_back(
         {{{"g", 0, 0, static_cast<std::int64_t>(filling_.size())}, 1},
          image,
-         100});
+         100,
+         kTaskSize});
     pressures_.push_back(pressure_ms);
   }
 
   // One report, and the orders on it.
   void Report(Pacer& pacer) {
     now_ += Millis(500);
+    for (FillingTask& task : filling_) {
+      task.used = task.size * static_cast<double>(task.percent) / 100.0;
+    }
     const std::vector<ServingTask> serving = {
         {"watch", "serving", std::lround(latency_ms()), kTargetMs}};
     pacer.Observe(now_, "w1", serving, filling_);
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -74,6 +74,7 @@
 Section GraphTableStory();
 Section GraphLeaderStory();
 Section WorkerAgentStory();
+Section InterferenceStory();
 Section PacerStory();
 Section CellClientStory();
 Section HttpClientStory();
