--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -102,7 +102,9 @@
     {EventId::kRunStuck, "run-stuck",
      "A run whose progress stands still is stopped to be started elsewhere."},
     {EventId::kRunPaced, "run-paced",
-     "The share of processor time of a run was changed, with the reason."},
+     "The share of processor time of a run was changed, with the serving task "
+     "that decided, its latency and target, and the number of the worker's "
+     "list."},
     {EventId::kRunMoved, "run-moved",
      "A run that is paced down for long is stopped to go on elsewhere."},
     {EventId::kWorkerAdmitted, "worker-admitted",
@@ -116,7 +118,8 @@
     {EventId::kWorkerLost, "worker-lost",
      "The worker beside an agent answers no calls any more."},
     {EventId::kRunOrdered, "run-ordered",
-     "The agent ordered its worker to start a run, with the outcome."},
+     "The agent ordered its worker to start a run, with the outcome; `barred` "
+     "where the run is not to begin and the worker has to confirm that."},
     {EventId::kRunRefused, "run-refused",
      "A run will not begin on this worker, with the reason."},
     {EventId::kRunStopped, "run-stopped",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -36,6 +36,17 @@
 // Ends proposed in one log entry.
 constexpr std::size_t kMaxEndsPerEntry = 500;
 
+// Returns the task that is closest to its target or furthest over it; one
+// without a name where there is none.
+ServingTask WorstOff(const std::vector<ServingTask>& serving) {
+  const auto worst =
+      std::max_element(serving.begin(), serving.end(),
+                       [](const ServingTask& a, const ServingTask& b) {
+                         return RelativeLatency(a) < RelativeLatency(b);
+                       });
+  return worst == serving.end() ? ServingTask{} : *worst;
+}
+
 }  // namespace
 
 void GraphLeader::Reset(Time now,
@@ -317,6 +328,7 @@
   view.paced_at = now;
   pacer_.Observe(now, worker.info.life.id, serving, filling);
   orders.paces = pacer_.Decide(now, worker.info.life.id, serving, filling);
+  const ServingTask decider = WorstOff(serving);
   for (const RunPace& pace : orders.paces) {
     RunView& seen = view.runs.at(pace.run);
     out_.events.push_back(Event(EventId::kRunPaced)
@@ -328,7 +340,11 @@
                               .With("before", seen.pace)
                               .With("percent", pace.percent)
                               .With("serving", serving.size())
-                              .With("filling", filling.size()));
+                              .With("filling", filling.size())
+                              .With("decider", decider.group)
+                              .With("latency_ms", decider.latency_ms)
+                              .With("target_ms", decider.target_ms)
+                              .With("list", view.lists));
     seen.pace = pace.percent;
   }
   MoveStarved(now, table, worker, orders);
