A stopping process waits for requests that no thread has read yet

The stop ends when no request has been under way for 200 ms, but a connection that waits for a thread did not count. Change: the server counts connections that wait for a thread as active.

--- a/include/banyan/net/http.h
+++ b/include/banyan/net/http.h
@@ -79,7 +79,8 @@
   // Refuses new connections, then ends the ones that are left.
   void Stop();
 
-  // Requests whose reply is not written yet.
+  // Requests whose reply is not written yet, and connections that wait for a
+  // thread, whose requests are not read yet.
   [[nodiscard]] int active() const noexcept;
 
  private:
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -231,7 +231,9 @@
 
   void Stop() { server_->stopAll(true); }
 
-  [[nodiscard]] int active() const noexcept { return active_; }
+  [[nodiscard]] int active() const {
+    return active_ + server_->queuedConnections();
+  }
 
  private:
   std::atomic<int> active_{0};
