--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -17,10 +17,6 @@
   double load = 0;
 };
 
-// Pressure below which a neighbour counts as light: it could fill a whole
-// worker and would about double what the other task's load occupies.
-inline constexpr double kLightPressure = 1.5;
-
 // How much tasks that fill slow tasks that serve down, learned for each pair
 // of images from the tail latencies that workers report. Latencies are in
 // parts of the serving task's target.
@@ -66,13 +62,6 @@
     return pressure_.contains({serving, filling});
   }
 
-  // Whether the pair was seen together and hardly felt it.
-  [[nodiscard]] bool IsKnownLight(const std::string& serving,
-                                  const std::string& filling) const {
-    return Knows(serving, filling) &&
-           PressureOf(serving, filling) < kLightPressure;
-  }
-
   // Returns the latency that the group's load alone gives.
   [[nodiscard]] double BaseOf(Time now,
                               const std::string& group,
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -28,7 +28,7 @@
 constexpr std::int64_t kStarvedPercent = 20;
 constexpr Span kStarvedFor = Millis(900);
 constexpr std::int64_t kCheapPercent = 25;
-// The share that a task starts with where it may slow others down.
+// The share that a task starts with beside what it was never seen with.
 constexpr std::int64_t kCarefulPercent = 50;
 // When a caller may come back with a job that no worker is large enough for;
 // workers of another kind take seconds to join.
@@ -87,7 +87,8 @@
   if (!step.fills) {
     return start;
   }
-  // Beside a task that it may slow down it starts at a part of its share.
+  // Beside an image that it was never seen with it starts at a part of its
+  // share.
   for (const RunRef& other : worker.runs) {
     const StepSpec* neighbour = table.FindStep(other.task);
     if (neighbour != nullptr && neighbour->latency_target_ms > 0 &&
