Events keep their fields; a log line is no longer formatted and parsed back

Each line of the JSON log was formatted as text, parsed and formatted again, on the path of every decision. An event now holds its fields and both forms come from them.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace banyan {
@@ -103,7 +104,7 @@
  public:
   explicit Event(EventId id) : id_(id) {}
 
-  // Adds a text field. Spaces and quotes in the value are escaped.
+  // Adds a text field. Line ends and tabs in the value become spaces.
   Event&& With(std::string_view key, std::string_view value) &&;
 
   // Adds a number field.
@@ -114,15 +115,21 @@
 
   [[nodiscard]] EventId id() const noexcept { return id_; }
 
-  // Returns the value of a field as it was added; empty if there is none.
+  // Keys and values in the order in which they were added.
+  [[nodiscard]] std::span<const std::pair<std::string, std::string>> fields()
+      const noexcept {
+    return fields_;
+  }
+
+  // Returns the value of a field as it was added last; empty if there is none.
   [[nodiscard]] std::string Field(std::string_view key) const;
 
-  // Returns "E1203 key=value ...".
+  // Returns "E1203 key=value ...", with values quoted where they need it.
   [[nodiscard]] std::string text() const;
 
  private:
   EventId id_;
-  std::string fields_;
+  std::vector<std::pair<std::string, std::string>> fields_;
 };
 
 // Reads the fields of an event line, from the space before the first one.
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -190,17 +190,17 @@
 
 // Returns whether a value must be quoted to stay one field.
 bool NeedsQuotes(std::string_view value) {
-  return value.empty() || value.find_first_of(" \"=\n\t") != value.npos;
+  return value.empty() || value.find_first_of(" \"=") != value.npos;
 }
 
-// Appends the value in quotes, with quotes and line ends escaped.
+// Appends the value in quotes, with quotes escaped.
 void AppendQuoted(std::string& out, std::string_view value) {
   out += '"';
   for (const char c : value) {
     if (c == '"' || c == '\\') {
       out += '\\';
     }
-    out += (c == '\n' || c == '\t') ? ' ' : c;
+    out += c;
   }
   out += '"';
 }
@@ -212,14 +212,10 @@
 }
 
 Event&& Event::With(std::string_view key, std::string_view value) && {
-  fields_ += ' ';
-  fields_ += key;
-  fields_ += '=';
-  if (NeedsQuotes(value)) {
-    AppendQuoted(fields_, value);
-  } else {
-    fields_ += value;
-  }
+  std::string& added = fields_.emplace_back(key, value).second;
+  std::replace_if(
+      added.begin(), added.end(), [](char c) { return c == '\n' || c == '\t'; },
+      ' ');
   return std::move(*this);
 }
 
@@ -239,13 +235,25 @@
 }
 
 std::string Event::Field(std::string_view key) const {
-  const auto fields = ParseEventFields(fields_);
-  const auto found = fields.find(std::string(key));
-  return found == fields.end() ? "" : found->second;
+  const auto found =
+      std::find_if(fields_.rbegin(), fields_.rend(),
+                   [&](const auto& field) { return field.first == key; });
+  return found == fields_.rend() ? "" : found->second;
 }
 
 std::string Event::text() const {
-  return "E" + std::to_string(static_cast<int>(id_)) + fields_;
+  std::string text = "E" + std::to_string(static_cast<int>(id_));
+  for (const auto& [key, value] : fields_) {
+    text += ' ';
+    text += key;
+    text += '=';
+    if (NeedsQuotes(value)) {
+      AppendQuoted(text, value);
+    } else {
+      text += value;
+    }
+  }
+  return text;
 }
 
 }  // namespace banyan
--- a/src/events/json_log.cc
+++ b/src/events/json_log.cc
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -31,11 +32,12 @@
       {"time_ms", time},
       {"event", row == rows.end() ? "unknown" : row->name},
       {"id", static_cast<int>(event.id())}};
-  const std::string text = event.text();
-  const std::size_t fields = std::min(text.find(' '), text.size());
-  for (auto& [key, value] :
-       ParseEventFields(std::string_view(text).substr(fields))) {
-    line[key] = std::move(value);
+  std::map<std::string_view, std::string_view> sorted;
+  for (const auto& [key, value] : event.fields()) {
+    sorted[key] = value;
+  }
+  for (const auto& [key, value] : sorted) {
+    line[std::string(key)] = value;
   }
   // A field may quote bytes of a caller that are no valid text.
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/tests/unit/events_test.cc
+++ b/tests/unit/events_test.cc
@@ -2,6 +2,7 @@
 #include <sstream>
 
 #include "banyan/events/event.h"
+#include "banyan/events/json_log.h"
 #include "tests/unit/story.h"
 
 namespace banyan {
@@ -43,6 +44,22 @@
                        event.Field("reason"));
 }
 
+void JsonLineBearsTheFieldsByKey() {
+  const Event event = Event(EventId::kTaskPlaced)
+                          .With("worker", "w\\1")
+                          .With("job", "two\nlines\tand \"quotes\" = more")
+                          .With("attempt", 3)
+                          .With("empty", "")
+                          .With("attempt", 4);
+  CPPUNIT_ASSERT_EQUAL(
+      std::string("{\"time_ms\":7,\"event\":\"task-placed\",\"id\":1301,"
+                  "\"attempt\":\"4\",\"empty\":\"\","
+                  "\"job\":\"two lines and \\\"quotes\\\" = more\","
+                  "\"worker\":\"w\\\\1\"}"),
+      ToJsonLine(event, 7));
+  CPPUNIT_ASSERT_EQUAL(std::string("4"), event.Field("attempt"));
+}
+
 }  // namespace
 
 Section EventsStory() {
@@ -50,7 +67,9 @@
   story
       .Then("stand in the catalogue of the docs, each and no other",
             CatalogueAgreesWithDocs)
-      .Then("give back the fields they were given", FieldsComeBack);
+      .Then("give back the fields they were given", FieldsComeBack)
+      .Then("become JSON lines with the fields by key",
+            JsonLineBearsTheFieldsByKey);
   return story;
 }
 
