Placement: one way to count a task in a room; limits are worked out once a pass

Rooms were filled by one piece of code from the table and by another from what was just placed. Both go through AddCompany now. What a serving task's load occupies and may occupy does not change within a pass, but was looked up for every task, room and neighbour; it stands with the task in the room. The pacer looked each pressure up twice. No decision changes: the operands and their order are the same.

--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -21,9 +21,11 @@
 
 // A task that serves on a worker.
 struct ServingCompany {
-  // Names the tasks that carry the same load.
-  std::string group;
   std::string image;
+  // What its load is expected to occupy while a task that fills runs, and what
+  // may be occupied in all.
+  double alone = 0;
+  double limit = 0;
 };
 
 // A worker as placement sees it: what is free after all that was decided.
@@ -93,7 +95,13 @@
                                      const TaskRef& task,
                                      const StepSpec& step,
                                      const Spread& spread);
-  void Take(WorkerRoom& room, const TaskRef& task, const StepSpec& step);
+  // Counts a task that runs on the worker, at a share in percent, among the
+  // company of others.
+  void AddCompany(WorkerRoom& room,
+                  const TaskRef& task,
+                  const StepSpec& step,
+                  std::int64_t percent) const;
+  void Take(WorkerRoom& room, const TaskRef& task, const StepSpec& step) const;
 
   // How little a worker suits a step for the company there; smaller is better,
   // nothing when it does not suit at all.
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -130,23 +130,17 @@
       if (step == nullptr) {
         continue;
       }
-      if (step->latency_target_ms > 0) {
-        room.serving.push_back({run.task.graph, step->image});
-      }
+      std::int64_t percent = kFullPercent;
       if (step->fills) {
         const auto seen = view->second.runs.find(run);
-        const std::int64_t percent =
-            seen == view->second.runs.end() ? kFullPercent : seen->second.pace;
-        room.filling.push_back(
-            {step->image,
-             PartOf(worker, step->needs.cpu_millis * percent / kFullPercent)});
+        percent = seen == view->second.runs.end() ? percent : seen->second.pace;
       }
-      room.idle_cpu_millis += UnusedBy(*step);
+      AddCompany(room, run.task, *step, percent);
     }
     for (const FillingNeighbour& neighbour : room.filling) {
       room.trials += IsOnTrial(room, neighbour.image) ? 1 : 0;
     }
-    rooms_.emplace(id, room);
+    rooms_.emplace(id, std::move(room));
   }
   struct Candidate {
     Urgency urgency;
@@ -379,16 +373,11 @@
   // How far the worst off is expected above or below what it is to keep.
   double worst = -1;
   for (const ServingCompany& other : room.serving) {
-    const double alone =
-        kLoadRise *
-        model_->OccupancyOf(other.image,
-                            model_->BaseOf(now_, other.group, other.image));
     // What is not known is tried where what is known leaves room.
     const double pressure =
         model_->ExpectedPressure(other.image, room.filling) +
         (is_trial ? 0 : model_->ExpectedPressure(other.image, {&added, 1}));
-    worst = std::max(worst, alone * (1 + pressure) -
-                                model_->OccupancyOf(other.image, kKeptLatency));
+    worst = std::max(worst, other.alone * (1 + pressure) - other.limit);
   }
   const int level = static_cast<int>(worst * kOccupancyLevels);
   constexpr int kOnTrial = 100;
@@ -411,20 +400,33 @@
                      });
 }
 
+void GraphPlacement::AddCompany(WorkerRoom& room,
+                                const TaskRef& task,
+                                const StepSpec& step,
+                                std::int64_t percent) const {
+  if (step.latency_target_ms > 0) {
+    const double base = model_->BaseOf(now_, task.graph, step.image);
+    room.serving.push_back({step.image,
+                            kLoadRise * model_->OccupancyOf(step.image, base),
+                            model_->OccupancyOf(step.image, kKeptLatency)});
+  }
+  if (step.fills) {
+    room.filling.push_back(
+        {step.image,
+         PartOf(*room.worker, step.needs.cpu_millis * percent / kFullPercent)});
+  }
+  room.idle_cpu_millis += UnusedBy(step);
+}
+
 void GraphPlacement::Take(WorkerRoom& room,
                           const TaskRef& task,
-                          const StepSpec& step) {
+                          const StepSpec& step) const {
   room.free -= HeldBy(step);
   room.idle_cpu_millis -= step.needs.cpu_millis;
-  if (step.latency_target_ms > 0) {
-    room.serving.push_back({task.graph, step.image});
-  }
+  AddCompany(room, task, step, kFullPercent);
   if (step.fills) {
     room.trials += IsOnTrial(room, step.image) ? 1 : 0;
-    room.filling.push_back(
-        {step.image, PartOf(*room.worker, step.needs.cpu_millis)});
   }
-  room.idle_cpu_millis += UnusedBy(step);
   room.has_probe = room.is_probed;
 }
 
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -90,8 +90,6 @@
   for (const FillingTask& task : filling) {
     neighbours.push_back({task.image, task.used});
     percents[task.run] = task.percent;
-  }
-  for (const FillingTask& task : filling) {
     const auto before = site.percents.find(task.run);
     if (before == site.percents.end() || before->second != task.percent) {
       site.changed_at[task.run] = now;
@@ -160,15 +158,11 @@
     };
     const double alone = occupancy(model_.BaseOf(now, task.group, task.image));
     std::vector<Weight> weights;
-    for (std::size_t i = 0; i < filling.size(); ++i) {
-      weights.push_back({alone * filling[i].size *
-                             model_.PressureOf(task.image, filling[i].image),
-                         i});
-    }
     double expected = occupancy(latency);
     for (std::size_t i = 0; i < filling.size(); ++i) {
-      expected +=
-          alone * pending[i] * model_.PressureOf(task.image, filling[i].image);
+      const double pressure = model_.PressureOf(task.image, filling[i].image);
+      weights.push_back({alone * filling[i].size * pressure, i});
+      expected += alone * pending[i] * pressure;
     }
     std::sort(
         weights.begin(), weights.end(),
