One event on a run, one view of a life, one way to begin a stop

The five fields by which logs find a run were written out in nine places, a worker's view was replaced for a new life in three, an outcome named in two, and a stop begun in two. RunEvent, ViewOf, OutcomeOf and BeginStop serve them. Refuse has one caller left since runs are barred first, so its reason and its guard are gone. The JSON lines are the same; in text lines `occurrence` stands after `worker`.

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -93,6 +93,9 @@
   void SuspectAfterFailure(Time now, GraphWorkerView& view, const RunRef& run);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
+  // Returns what was seen of a worker's life; what was seen of the life before
+  // it is forgotten.
+  [[nodiscard]] GraphWorkerView& ViewOf(const WorkerLife& life);
   // When a lease that is granted now has run out for certain.
   [[nodiscard]] Time LeaseEnd(Time now) const noexcept {
     return now + options_.lease + options_.lease_margin;
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -80,7 +80,10 @@
   void OnHold(Time now, const RunCallReply& reply);
   void OnStarted(Time now, const RunCallReply& reply);
   void OnStopped(Time now, const RunCallReply& reply);
-  void Refuse(Time now, const RunRef& run, const char* why);
+  // Tells the leader that a run will not begin here, now that it is barred.
+  void Refuse(Time now, const RunRef& run);
+  // Has the worker end a run, or never begin it.
+  void BeginStop(Time now, const RunRef& run);
   // Has the worker bar a run that is not to begin here. Only the worker can
   // tell that it never will: an agent before this one, or a call without an
   // answer, may have started it.
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "banyan/graph/run_event.h"
+
 namespace banyan {
 namespace {
 
@@ -64,6 +66,15 @@
   }
 }
 
+GraphWorkerView& GraphLeader::ViewOf(const WorkerLife& life) {
+  GraphWorkerView& view = views_[life.id];
+  if (view.life != life) {
+    view = GraphWorkerView{};
+    view.life = life;
+  }
+  return view;
+}
+
 DropWorker GraphLeader::DropOf(const WorkerLife& life,
                                std::string cause) const {
   DropWorker drop{life, std::move(cause), {}};
@@ -125,11 +136,7 @@
   if (worker == nullptr) {
     return;
   }
-  GraphWorkerView& view = views_[life.id];
-  if (view.life != life) {
-    view = GraphWorkerView{};
-    view.life = life;
-  }
+  GraphWorkerView& view = ViewOf(life);
   if (view.dropping) {
     // Its removal stands in the log; the lease must not be renewed.
     return;
@@ -199,11 +206,7 @@
             DropOf(other.info.life, "a later life came"));
       }
     }
-    if (view.life != info.life) {
-      view = GraphWorkerView{};
-      view.life = info.life;
-    }
-    view.dropping = false;
+    ViewOf(info.life).dropping = false;
   }
   view.admitting_at = now;
   out_.proposals.emplace_back(AdmitWorker{info, agent});
@@ -332,20 +335,16 @@
   const ServingTask decider = WorstOff(serving);
   for (const RunPace& pace : orders.paces) {
     RunView& seen = view.runs.at(pace.run);
-    out_.events.push_back(Event(EventId::kRunPaced)
-                              .With("request", pace.run.task.graph)
-                              .With("step", pace.run.task.step)
-                              .With("task", pace.run.task.index)
-                              .With("run", pace.run.run)
-                              .With("worker", worker.info.life.id)
-                              .With("before", seen.pace)
-                              .With("percent", pace.percent)
-                              .With("serving", serving.size())
-                              .With("filling", filling.size())
-                              .With("decider", decider.group)
-                              .With("latency_ms", decider.latency_ms)
-                              .With("target_ms", decider.target_ms)
-                              .With("list", view.lists));
+    out_.events.push_back(
+        RunEvent(EventId::kRunPaced, pace.run, worker.info.life.id)
+            .With("before", seen.pace)
+            .With("percent", pace.percent)
+            .With("serving", serving.size())
+            .With("filling", filling.size())
+            .With("decider", decider.group)
+            .With("latency_ms", decider.latency_ms)
+            .With("target_ms", decider.target_ms)
+            .With("list", view.lists));
     seen.pace = pace.percent;
   }
   MoveStarved(now, table, worker, orders);
@@ -376,12 +375,7 @@
     }
     placement_.Avoid(run.task, worker.info.life.id);
     orders.stops.push_back(run);
-    out_.events.push_back(Event(EventId::kRunMoved)
-                              .With("request", run.task.graph)
-                              .With("step", run.task.step)
-                              .With("task", run.task.index)
-                              .With("run", run.run)
-                              .With("worker", worker.info.life.id)
+    out_.events.push_back(RunEvent(EventId::kRunMoved, run, worker.info.life.id)
                               .With("percent", seen.row.percent)
                               .With("pace", seen.pace)
                               .With("starved_ms", ToMillis(now - since)));
@@ -417,13 +411,8 @@
         view.probe = placement.run;
       }
       out_.events.push_back(
-          Event(EventId::kRunPlaced)
-              .With("request", placement.run.task.graph)
+          RunEvent(EventId::kRunPlaced, placement.run, placement.worker.id)
               .With("occurrence", placement.run.task.occurrence)
-              .With("step", placement.run.task.step)
-              .With("task", placement.run.task.index)
-              .With("run", placement.run.run)
-              .With("worker", placement.worker.id)
               .With("token", fencing_token_));
     }
   }
@@ -434,11 +423,7 @@
       continue;
     }
     const GraphWorker& worker = found->second;
-    GraphWorkerView& view = views_[id];
-    if (view.life != worker.info.life) {
-      view = GraphWorkerView{};
-      view.life = worker.info.life;
-    }
+    GraphWorkerView& view = ViewOf(worker.info.life);
     if (view.lease_deadline == Time{}) {
       view.lease_deadline = LeaseEnd(now);
     }
@@ -562,12 +547,7 @@
       orders.stops.push_back(run);
       out_.orders.push_back({worker->agent, std::move(orders)});
       out_.events.push_back(
-          Event(EventId::kRunStuck)
-              .With("request", run.task.graph)
-              .With("step", run.task.step)
-              .With("task", run.task.index)
-              .With("run", run.run)
-              .With("worker", id)
+          RunEvent(EventId::kRunStuck, run, id)
               .With("percent", seen.row.percent)
               .With("still_ms", ToMillis(now - seen.moved_at)));
     }
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "banyan/graph/run_event.h"
+
 namespace banyan {
 namespace {
 
@@ -352,15 +354,11 @@
   const StepSpec& step = *FindStep(row.run.task);
   worker.committed -= HeldBy(step);
   worker.fill_cpu_millis -= step.fills ? step.needs.cpu_millis : 0;
-  applied.events.push_back(Event(EventId::kRunEnded)
-                               .With("request", row.run.task.graph)
-                               .With("occurrence", row.run.task.occurrence)
-                               .With("step", row.run.task.step)
-                               .With("task", row.run.task.index)
-                               .With("run", row.run.run)
-                               .With("worker", worker.info.life.id)
-                               .With("number", row.number)
-                               .With("ending", ToString(row.ending)));
+  applied.events.push_back(
+      RunEvent(EventId::kRunEnded, row.run, worker.info.life.id)
+          .With("occurrence", row.run.task.occurrence)
+          .With("number", row.number)
+          .With("ending", ToString(row.ending)));
   if (!IsCurrent(row.run, worker.info.life)) {
     return;
   }
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "banyan/graph/run_event.h"
+
 namespace banyan {
 namespace {
 
@@ -28,6 +30,11 @@
 // Syncs whose sending time is remembered.
 constexpr std::size_t kMaxSent = 64;
 
+// Returns what a call came to, as logs show it.
+const char* OutcomeOf(const RunCallReply& reply) noexcept {
+  return reply.answered ? ToString(reply.refusal) : "no-answer";
+}
+
 }  // namespace
 
 void WorkerAgent::OnReport(Time now, const WorkerReport& report) {
@@ -135,8 +142,7 @@
   }
   for (const RunRef& run : orders.stops) {
     if (!stopping_.contains(run)) {
-      starting_.erase(run);
-      stopping_[run] = Stopping{now, false, std::nullopt};
+      BeginStop(now, run);
     }
   }
   for (const RunPace& pace : orders.paces) {
@@ -150,30 +156,25 @@
   return is_answer;
 }
 
-void WorkerAgent::Bar(Time now, const RunRef& run, const char* why) {
+void WorkerAgent::BeginStop(Time now, const RunRef& run) {
   starting_.erase(run);
   stopping_[run] = Stopping{now, false, std::nullopt};
-  out_.events.push_back(Event(EventId::kRunOrdered)
-                            .With("request", run.task.graph)
-                            .With("step", run.task.step)
-                            .With("task", run.task.index)
-                            .With("run", run.run)
-                            .With("worker", info_->life.id)
+}
+
+void WorkerAgent::Bar(Time now, const RunRef& run, const char* why) {
+  BeginStop(now, run);
+  out_.events.push_back(RunEvent(EventId::kRunOrdered, run, info_->life.id)
                             .With("outcome", "barred")
                             .With("reason", why));
 }
 
-void WorkerAgent::Refuse(Time now, const RunRef& run, const char* why) {
+void WorkerAgent::Refuse(Time now, const RunRef& run) {
   refused_[run] = now + kRefusalMemory;
-  out_.events.push_back(Event(EventId::kRunRefused)
-                            .With("request", run.task.graph)
-                            .With("occurrence", run.task.occurrence)
-                            .With("step", run.task.step)
-                            .With("task", run.task.index)
-                            .With("run", run.run)
-                            .With("worker", info_ ? info_->life.id : "")
-                            .With("token", fencing_token_)
-                            .With("reason", why));
+  out_.events.push_back(
+      RunEvent(EventId::kRunRefused, run, info_->life.id)
+          .With("occurrence", run.task.occurrence)
+          .With("token", fencing_token_)
+          .With("reason", "it was not there when it was stopped"));
   next_sync_ = now;
 }
 
@@ -310,7 +311,7 @@
     return true;
   });
   for (const RunRef& run : absent) {
-    Refuse(now, run, "it was not there when it was stopped");
+    Refuse(now, run);
   }
   SetReachable(now, true, "it answered");
   next_hold_ = ended_.empty() ? now : now + kNoteWait;
@@ -323,16 +324,10 @@
   const auto found = starting_.find(reply.run);
   const bool is_ok = reply.answered && reply.refusal == RunRefusal::kNone;
   if (!is_ok) {
-    out_.events.push_back(Event(EventId::kRunOrdered)
-                              .With("request", reply.run.task.graph)
-                              .With("step", reply.run.task.step)
-                              .With("task", reply.run.task.index)
-                              .With("run", reply.run.run)
-                              .With("worker", reply.life.id)
-                              .With("outcome", reply.answered
-                                                   ? ToString(reply.refusal)
-                                                   : "no-answer")
-                              .With("reason", reply.text));
+    out_.events.push_back(
+        RunEvent(EventId::kRunOrdered, reply.run, reply.life.id)
+            .With("outcome", OutcomeOf(reply))
+            .With("reason", reply.text));
   }
   if (found == starting_.end()) {
     return;
@@ -370,15 +365,8 @@
     return;
   }
   found->second.is_in_flight = false;
-  out_.events.push_back(Event(EventId::kRunStopped)
-                            .With("request", reply.run.task.graph)
-                            .With("step", reply.run.task.step)
-                            .With("task", reply.run.task.index)
-                            .With("run", reply.run.run)
-                            .With("worker", reply.life.id)
-                            .With("outcome", reply.answered
-                                                 ? ToString(reply.refusal)
-                                                 : "no-answer"));
+  out_.events.push_back(RunEvent(EventId::kRunStopped, reply.run, reply.life.id)
+                            .With("outcome", OutcomeOf(reply)));
   if (reply.answered && (reply.refusal == RunRefusal::kNone ||
                          reply.refusal == RunRefusal::kOld)) {
     found->second.confirmed_at = reply.received;
