Processes share one push with its log line, replicas one reader of their settings

Five processes wrote the line of a full ring by hand; PushOrLog serves them. The gateway dropped a reload that found its ring full without a word, and now logs it. ReplyTo replaces two copies of a call's reply, ReadReplica two readers of the same three settings with their own default of the lease, and the stories of the leader share samples of steps that serve and fill; their checks are as they were.

--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -100,6 +100,15 @@
   std::vector<EndedRow> ended;
 };
 
+// Returns a reply to a call that tells nothing yet.
+[[nodiscard]] inline RunCallReply ReplyTo(const RunCall& call) {
+  RunCallReply reply;
+  reply.op = call.op;
+  reply.life = call.life;
+  reply.run = call.run;
+  return reply;
+}
+
 // A worker's announcement of itself.
 struct WorkerReport {
   WorkerInfo info;
--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "banyan/base/random.h"
+#include "banyan/process/push_or_log.h"
 #include "banyan/process/worker_client.h"
 
 namespace banyan {
@@ -45,9 +46,7 @@
 }
 
 void AgentProcess::Push(Input input) {
-  if (!inputs_.TryPush(std::move(input))) {
-    WriteEvent(Event(EventId::kRingFull).With("ring", "agent-core"));
-  }
+  PushOrLog(inputs_, std::move(input), "agent-core");
 }
 
 bool AgentProcess::Start(Reason& reason) {
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -8,6 +8,7 @@
 
 #include "banyan/base/random.h"
 #include "banyan/process/operator_api.h"
+#include "banyan/process/push_or_log.h"
 
 namespace banyan {
 namespace {
@@ -64,9 +65,7 @@
 }
 
 void ControlProcess::Push(Input input) {
-  if (!inputs_.TryPush(std::move(input))) {
-    WriteEvent(Event(EventId::kRingFull).With("ring", "control-core"));
-  }
+  PushOrLog(inputs_, std::move(input), "control-core");
 }
 
 bool ControlProcess::Start(Reason& reason) {
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -7,6 +7,7 @@
 
 #include "banyan/base/random.h"
 #include "banyan/process/operator_api.h"
+#include "banyan/process/push_or_log.h"
 
 namespace banyan {
 namespace {
@@ -61,9 +62,7 @@
       control_(settings_.control, settings_.data_centre),
       inputs_(kRingCapacity),
       network_(settings_.id, NewIncarnation(), [this](PeerEvent&& event) {
-        if (!inputs_.TryPush(std::move(event))) {
-          WriteEvent(Event(EventId::kRingFull).With("ring", "entry-core"));
-        }
+        PushOrLog(inputs_, std::move(event), "entry-core");
       }) {}
 
 EntryProcess::~EntryProcess() {
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -6,11 +6,14 @@
 #include "banyan/base/random.h"
 #include "banyan/events/event.h"
 #include "banyan/process/program.h"
+#include "banyan/process/push_or_log.h"
 
 namespace banyan {
 namespace {
 
 constexpr std::size_t kRingCapacity = 8192;
+// The name of its inputs in the log.
+constexpr const char* kRing = "gateway";
 // How long the core sleeps without input.
 constexpr Span kTick = Millis(20);
 constexpr Span kMaintenanceInterval = Millis(100);
@@ -47,9 +50,7 @@
       client_(settings_.seeds, NewIncarnation()),
       inputs_(kRingCapacity),
       network_(settings_.id, NewIncarnation(), [this](PeerEvent&& event) {
-        if (!inputs_.TryPush(std::move(event))) {
-          WriteEvent(Event(EventId::kRingFull).With("ring", "gateway"));
-        }
+        PushOrLog(inputs_, std::move(event), kRing);
       }) {}
 
 GatewayProcess::~GatewayProcess() {
@@ -111,7 +112,7 @@
 }
 
 void GatewayProcess::Reload(const CellSettings& settings) {
-  static_cast<void>(inputs_.TryPush(SeedsInput{settings.seeds}));
+  PushOrLog(inputs_, SeedsInput{settings.seeds}, kRing);
 }
 
 std::shared_ptr<const ServicePlan> GatewayProcess::plan() const {
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -3,6 +3,7 @@
 #include "banyan/base/random.h"
 #include "banyan/events/event.h"
 #include "banyan/process/program.h"
+#include "banyan/process/push_or_log.h"
 
 namespace banyan {
 namespace {
@@ -37,9 +38,7 @@
 }
 
 void WorkerAgentProcess::Push(Input input) {
-  if (!inputs_.TryPush(std::move(input))) {
-    WriteEvent(Event(EventId::kRingFull).With("ring", "worker-agent"));
-  }
+  PushOrLog(inputs_, std::move(input), "worker-agent");
 }
 
 bool WorkerAgentProcess::Start(Reason& reason) {
@@ -161,10 +160,7 @@
     }
   }
   for (RunCall& call : outputs.calls) {
-    RunCallReply refusal;
-    refusal.op = call.op;
-    refusal.life = call.life;
-    refusal.run = call.run;
+    RunCallReply refusal = ReplyTo(call);
     refusal.text = "the ring of calls is full";
     BoundedRing<RunCall>& ring = call.op == RunCallOp::kHold ? lists_ : orders_;
     if (!ring.TryPush(std::move(call))) {
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -75,6 +75,21 @@
       section.Number("accelerators", 0, kMaxAccelerators, 0);
 }
 
+// Reads what every replica needs, with the default of its lease in
+// milliseconds.
+template <typename Settings>
+void ReadReplica(SettingsReader& reader,
+                 std::int64_t default_lease_ms,
+                 Settings& settings) {
+  settings.election = Millis(reader.Number("election_ms", kMinElectionMs,
+                                           kMaxElectionMs, kDefaultElectionMs));
+  settings.lease = Millis(
+      reader.Number("lease_ms", kMinLeaseMs, kMaxLeaseMs, default_lease_ms));
+  settings.snapshot_every = static_cast<std::uint64_t>(
+      reader.Number("snapshot_every", kMinSnapshotEvery, kMaxSnapshotEvery,
+                    kDefaultSnapshotEvery));
+}
+
 }  // namespace
 
 std::optional<ControlSettings> LoadControlSettings(const std::string& path,
@@ -90,13 +105,7 @@
   settings.listen = reader->Address("listen");
   settings.api = reader->Address("api");
   settings.members = ReadMembers(*reader, "members", reason);
-  settings.election = Millis(reader->Number(
-      "election_ms", kMinElectionMs, kMaxElectionMs, kDefaultElectionMs));
-  settings.lease = Millis(
-      reader->Number("lease_ms", kMinLeaseMs, kMaxLeaseMs, kDefaultLeaseMs));
-  settings.snapshot_every = static_cast<std::uint64_t>(
-      reader->Number("snapshot_every", kMinSnapshotEvery, kMaxSnapshotEvery,
-                     kDefaultSnapshotEvery));
+  ReadReplica(*reader, kDefaultLeaseMs, settings);
   settings.drain = ReadDrain(*reader);
   settings.log_folder = reader->Text("log_folder", "");
   if (!reader->Finish(reason)) {
@@ -143,13 +152,7 @@
   settings.control = reader->Text("control", "");
   settings.worker = reader->Text("worker", "");
   settings.metrics = reader->Text("metrics", "");
-  settings.election = Millis(reader->Number(
-      "election_ms", kMinElectionMs, kMaxElectionMs, kDefaultElectionMs));
-  settings.lease = Millis(reader->Number("lease_ms", kMinLeaseMs, kMaxLeaseMs,
-                                         kDefaultWorkerLeaseMs));
-  settings.snapshot_every = static_cast<std::uint64_t>(
-      reader->Number("snapshot_every", kMinSnapshotEvery, kMaxSnapshotEvery,
-                     kDefaultSnapshotEvery));
+  ReadReplica(*reader, kDefaultWorkerLeaseMs, settings);
   settings.threads = reader->Number("threads", 1, kMaxThreads, kDefaultThreads);
   settings.drain = ReadDrain(*reader);
   settings.log_folder = reader->Text("log_folder", "");
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -58,6 +58,23 @@
   return step;
 }
 
+// Tasks of an image "s" that last and serve.
+inline StepSpec ServingStep(std::int64_t count) {
+  StepSpec step = SampleStep(count);
+  step.long_running = true;
+  step.latency_target_ms = 20;
+  step.image = "s";
+  return step;
+}
+
+// Tasks of an image "f" that fill.
+inline StepSpec FillingStep(std::int64_t count, std::int64_t cpu_millis) {
+  StepSpec step = SampleStep(count, cpu_millis);
+  step.fills = true;
+  step.image = "f";
+  return step;
+}
+
 inline SubmitGraph SampleGraph(const std::string& id,
                                std::vector<StepSpec> steps,
                                const std::string& queue = "quick") {
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -261,16 +261,9 @@
   // packet builds wait beside memory that is free.
   LeaderOnTable world;
   world.Join(SampleWorker("w1"));
-  StepSpec serving = SampleStep(4);
-  serving.long_running = true;
-  serving.latency_target_ms = 20;
-  serving.image = "s";
-  world.Commit(SampleGraph("watch", {serving}));
+  world.Commit(SampleGraph("watch", {ServingStep(4)}));
   world.Pass(kStep);
-  StepSpec fills = SampleStep(6, 3000);
-  fills.fills = true;
-  fills.image = "f";
-  world.Commit(SampleGraph("packet", {fills}, "batch"));
+  world.Commit(SampleGraph("packet", {FillingStep(6, 3000)}, "batch"));
   constexpr Span kPromised = std::chrono::seconds(3);
   for (Span passed{}; passed < kPromised; passed += Millis(100)) {
     world.Sync(ReportOf(world, SampleWorker("w1")));
@@ -287,17 +280,11 @@
   LeaderOnTable world;
   world.Join(SampleWorker("w1"));
   world.Join(SampleWorker("w2"));
-  StepSpec serving = SampleStep(4);
-  serving.long_running = true;
-  serving.latency_target_ms = 20;
-  serving.image = "s";
-  world.Commit(SampleGraph("watch", {serving}));
+  world.Commit(SampleGraph("watch", {ServingStep(4)}));
   world.Pass(kStep);
-  StepSpec fills = SampleStep(2, 2000);
-  fills.fills = true;
-  fills.image = "f";
   for (int i = 0; i < 8; ++i) {
-    world.Commit(SampleGraph("packet" + std::to_string(i), {fills}, "batch"));
+    world.Commit(SampleGraph("packet" + std::to_string(i),
+                             {FillingStep(2, 2000)}, "batch"));
   }
   for (int i = 0; i < 100; ++i) {
     for (const char* id : {"w1", "w2"}) {
