--- a/include/banyan/events.h
+++ b/include/banyan/events.h
@@ -4,5 +4,6 @@
 // Umbrella header: numbered log events.
 
 #include "banyan/events/event.h"
+#include "banyan/events/json_log.h"
 
 #endif  // BANYAN_EVENTS_H_
--- /dev/null
+++ b/include/banyan/graph.h
@@ -0,0 +1,20 @@
+#ifndef BANYAN_GRAPH_H_
+#define BANYAN_GRAPH_H_
+
+// Umbrella header: job graphs from callers to workers, without I/O.
+
+#include "banyan/graph/cell_client.h"
+#include "banyan/graph/cell_link.h"
+#include "banyan/graph/graph_leader.h"
+#include "banyan/graph/graph_placement.h"
+#include "banyan/graph/graph_table.h"
+#include "banyan/graph/interference.h"
+#include "banyan/graph/pacer.h"
+#include "banyan/graph/queue_match.h"
+#include "banyan/graph/run_call.h"
+#include "banyan/graph/run_event.h"
+#include "banyan/graph/urgency.h"
+#include "banyan/graph/worker_agent.h"
+#include "banyan/graph/worker_view.h"
+
+#endif  // BANYAN_GRAPH_H_
