A replica outlives a full disk: a refused write waits and is written again

Ruled out: going on without the write (a promise would be broken after a loss of power); ending only on the second refusal (the disk is full for seconds).

Change: a write that the disk refuses leaves nothing: the log is cut back to its last whole record, and kDiskFull tells the caller that the same batches may be written again. The replica tries until there is room; nothing that waits for the disk is confirmed meanwhile, so the cell commits with its other replicas. A sync that fails still ends the process. Both log lines are events now.

Not covered: a replica that starts on a full disk still ends at once and is started again by whoever runs it.

--- a/include/banyan/consensus/raft_storage.h
+++ b/include/banyan/consensus/raft_storage.h
@@ -37,8 +37,9 @@
   [[nodiscard]] std::optional<RestoredLog> Open(const std::string& folder,
                                                 Reason& reason);
 
-  // Writes batches in order with one sync. On false the reason is kDiskFailed
-  // and the process must end: what the disk holds is not known any more.
+  // Writes batches in order with one sync. On kDiskFull nothing of them stands
+  // and the same batches may be written again; on kDiskFailed the process must
+  // end, because what the disk holds is not known any more.
   [[nodiscard]] bool Write(std::span<const PersistBatch> batches,
                            Reason& reason);
 
@@ -86,6 +87,8 @@
                                std::string_view bytes,
                                Reason& reason);
   [[nodiscard]] int CreateSegment(std::uint64_t number, Reason& reason);
+  // Takes off the log what a refused write may have left there.
+  [[nodiscard]] bool CutRefusedTail(Reason& reason);
   void AdoptPreparedSegment();
   void DropCoveredSegments(std::uint64_t covered_index);
   [[nodiscard]] std::string PathOf(std::string_view name) const;
@@ -98,6 +101,10 @@
   // Segments in use by the disk thread, oldest first; the last is written to.
   std::deque<Segment> segments_;
   int log_fd_ = -1;
+  // Bytes of whole records in that segment, and whether a refused write may
+  // have left more.
+  std::uint64_t log_bytes_ = 0;
+  bool has_refused_tail_ = false;
   // Whether the next record must repeat the hard state, because the segments
   // that hold it may go.
   bool must_repeat_hard_state_ = false;
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <variant>
 
@@ -85,6 +86,11 @@
   void RunCore();
   void RunDisk();
   void RunSnapshots();
+  // Repeats a write until the disk takes it; false when the process ends
+  // first. Does not return when the disk failed otherwise.
+  [[nodiscard]] bool WriteToDisk(
+      std::string_view what,
+      const std::function<bool(Reason& reason)>& write);
   [[nodiscard]] std::set<std::string> DialledAddresses() const;
   void Take(Time now, Input input);
   void Answer(Time now, const ApiQuery& query);
--- a/src/consensus/raft_storage.cc
+++ b/src/consensus/raft_storage.cc
@@ -72,8 +72,11 @@
   return {ErrorKind::kDiskFailed, what + ": " + std::strerror(errno), {}};
 }
 
-// Writes all bytes and syncs the file.
-bool WriteAndSync(int fd, std::string_view bytes) {
+Reason RefusedWrite(const std::string& what) {
+  return {ErrorKind::kDiskFull, what + ": " + std::strerror(errno), {}};
+}
+
+bool WriteAll(int fd, std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t written = ::write(fd, bytes.data(), bytes.size());
     if (written < 0 && errno == EINTR) {
@@ -84,7 +87,7 @@
     }
     bytes.remove_prefix(static_cast<std::size_t>(written));
   }
-  return ::fsync(fd) == 0;
+  return true;
 }
 
 bool SyncFolder(const std::string& folder) {
@@ -314,6 +317,7 @@
     reason = DiskError("can't open the log in " + folder_);
     return false;
   }
+  log_bytes_ = std::filesystem::file_size(SegmentPath(segments_.back().number));
   return true;
 }
 
@@ -372,12 +376,20 @@
   const int fd = ::open(temporary.c_str(),
                         O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
   if (fd < 0) {
-    reason = DiskError("can't create " + temporary);
+    reason = RefusedWrite("can't create " + temporary);
     return false;
   }
-  const bool written = WriteAndSync(fd, bytes);
+  // Until it is renamed the file means nothing, so a later try may start anew.
+  const bool is_written = WriteAll(fd, bytes) && ::fsync(fd) == 0;
+  if (!is_written) {
+    reason = RefusedWrite("can't write " + temporary);
+  }
   ::close(fd);
-  if (!written || std::rename(temporary.c_str(), path.c_str()) != 0 ||
+  if (!is_written) {
+    ::unlink(temporary.c_str());
+    return false;
+  }
+  if (std::rename(temporary.c_str(), path.c_str()) != 0 ||
       !SyncFolder(folder_)) {
     reason = DiskError("can't write " + path);
     return false;
@@ -390,7 +402,7 @@
   const int fd =
       ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
   if (fd < 0) {
-    reason = DiskError("can't create " + path);
+    reason = RefusedWrite("can't create " + path);
   }
   return fd;
 }
@@ -418,6 +430,10 @@
     }
   }
   if (!WriteSnapshot(snapshot, reason)) {
+    if (!prepared_) {
+      ::close(prepared.fd);
+      ::unlink(SegmentPath(prepared.number).c_str());
+    }
     return false;
   }
   snapshot_index_ = snapshot.last_index;
@@ -437,6 +453,7 @@
   }
   ::close(log_fd_);
   log_fd_ = prepared->fd;
+  log_bytes_ = 0;
   segments_.push_back({prepared->number, 0});
   must_repeat_hard_state_ = true;
   DropCoveredSegments(prepared->covered_index);
@@ -451,14 +468,28 @@
   }
 }
 
+bool RaftStorage::CutRefusedTail(Reason& reason) {
+  if (!has_refused_tail_) {
+    return true;
+  }
+  if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0) {
+    reason = RefusedWrite("can't cut the log in " + folder_);
+    return false;
+  }
+  has_refused_tail_ = false;
+  return true;
+}
+
 bool RaftStorage::Write(std::span<const PersistBatch> batches, Reason& reason) {
+  if (!CutRefusedTail(reason)) {
+    return false;
+  }
   AdoptPreparedSegment();
   json record = json::array();
   if (must_repeat_hard_state_) {
     PersistBatch repeated;
     repeated.hard_state = hard_state_;
     record.push_back(BatchToJson(repeated));
-    must_repeat_hard_state_ = false;
   }
   for (const PersistBatch& batch : batches) {
     if (batch.snapshot) {
@@ -474,10 +505,21 @@
     segment.last_index = std::max(segment.last_index, LastIndexOf(batch));
     record.push_back(BatchToJson(batch));
   }
-  if (!WriteAndSync(log_fd_, Frame(ToCbor(record)))) {
-    reason = DiskError("can't write the log in " + folder_);
+  const std::string frame = Frame(ToCbor(record));
+  if (!WriteAll(log_fd_, frame)) {
+    reason = RefusedWrite("can't write the log in " + folder_);
+    has_refused_tail_ = true;
+    // A cut that fails is tried again before the next write.
+    Reason cut;
+    static_cast<void>(CutRefusedTail(cut));
+    return false;
+  }
+  if (::fsync(log_fd_) != 0) {
+    reason = DiskError("can't sync the log in " + folder_);
     return false;
   }
+  log_bytes_ += frame.size();
+  must_repeat_hard_state_ = false;
   return true;
 }
 
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -1,7 +1,5 @@
 #include "banyan/process/control_process.h"
 
-#include <glog/logging.h>
-
 #include <cstdlib>
 #include <utility>
 #include <vector>
@@ -19,6 +17,8 @@
 // How long the core sleeps without input.
 constexpr Span kTick = Millis(5);
 constexpr Span kMaintenanceInterval = Millis(100);
+// How long a write that a full disk refused waits for its next try.
+constexpr Span kDiskRetry = Millis(50);
 // How long an operator's command may take.
 constexpr Span kCommandWait = std::chrono::seconds(5);
 constexpr int kApiThreads = 16;
@@ -198,18 +198,53 @@
     if (batches.empty()) {
       continue;
     }
-    Reason reason;
     const Time start = MonotonicClock::now();
-    if (!storage_.Write(batches, reason)) {
-      // What the disk holds is not known, so nothing may build on it.
-      LOG(ERROR) << "disk: " << ToString(reason);
-      std::_Exit(kDiskExitCode);
+    if (!WriteToDisk("log", [&](Reason& reason) {
+          return storage_.Write(batches, reason);
+        })) {
+      return;
     }
     metrics_.Observe("disk_write_seconds", MonotonicClock::now() - start);
     Push(Persisted{batches.back().seq});
   }
 }
 
+bool ControlProcess::WriteToDisk(
+    std::string_view what,
+    const std::function<bool(Reason& reason)>& write) {
+  const Time since = MonotonicClock::now();
+  std::uint64_t refusals = 0;
+  Reason reason;
+  while (!write(reason)) {
+    if (reason.kind != ErrorKind::kDiskFull) {
+      // What the disk holds is not known, so nothing may build on it.
+      WriteEvent(Event(EventId::kDiskLost)
+                     .With("write", what)
+                     .With("reason", ToString(reason)));
+      std::_Exit(kDiskExitCode);
+    }
+    // Nothing of the write stands, and nobody was told that it does: the cell
+    // goes on with its other replicas until there is room again.
+    if (refusals++ == 0) {
+      WriteEvent(Event(EventId::kDiskRefused)
+                     .With("write", what)
+                     .With("reason", ToString(reason)));
+    }
+    metrics_.Count("disk_refusals");
+    if (must_end_) {
+      return false;
+    }
+    std::this_thread::sleep_for(kDiskRetry);
+  }
+  if (refusals > 0) {
+    WriteEvent(Event(EventId::kDiskRegained)
+                   .With("write", what)
+                   .With("refusals", refusals)
+                   .With("waited_ms", ToMillis(MonotonicClock::now() - since)));
+  }
+  return true;
+}
+
 void ControlProcess::RunSnapshots() {
   CompactOrder order;
   while (!snapshots_.drained()) {
@@ -219,10 +254,10 @@
     }
     order.snapshot.state = order.state->Encode();
     order.state.reset();
-    Reason reason;
-    if (!storage_.Compact(order.snapshot, reason)) {
-      LOG(ERROR) << "snapshot: " << ToString(reason);
-      std::_Exit(kDiskExitCode);
+    if (!WriteToDisk("snapshot", [&](Reason& reason) {
+          return storage_.Compact(order.snapshot, reason);
+        })) {
+      return;
     }
     Push(Compacted{std::move(order.snapshot)});
   }
@@ -319,7 +354,9 @@
   WriteEvents(outputs.events);
   for (PersistBatch& batch : outputs.persists) {
     if (!disk_.TryPush(std::move(batch))) {
-      LOG(ERROR) << "disk: the ring of batches is full";
+      WriteEvent(Event(EventId::kDiskLost)
+                     .With("write", "log")
+                     .With("reason", "the ring of batches is full"));
       std::_Exit(kDiskExitCode);
     }
   }
