Placement for tasks that fill: zones for serving images, light neighbours, load in use

Cause, from what the leader saw while tasks that fill waited: about half of the rooms were refused because some image there is pressed heavily, a third because their processor time counted as taken, next to none for memory or trials.

--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -13,8 +13,10 @@
 #include "banyan/graph/queue_match.h"
 #include "banyan/graph/run_call.h"
 #include "banyan/graph/run_event.h"
+#include "banyan/graph/serving_rank.h"
 #include "banyan/graph/urgency.h"
 #include "banyan/graph/worker_agent.h"
+#include "banyan/graph/worker_room.h"
 #include "banyan/graph/worker_view.h"
 
 #endif  // BANYAN_GRAPH_H_
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_GRAPH_GRAPH_PLACEMENT_H_
 #define BANYAN_GRAPH_GRAPH_PLACEMENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "banyan/base/time.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/interference.h"
+#include "banyan/graph/worker_room.h"
 #include "banyan/graph/worker_view.h"
 
 namespace banyan {
@@ -19,32 +21,6 @@
 [[nodiscard]] double PartOf(const GraphWorker& worker,
                             std::int64_t cpu_millis) noexcept;
 
-// A task that serves on a worker.
-struct ServingCompany {
-  std::string image;
-  // What its load is expected to occupy while a task that fills runs, and what
-  // may be occupied in all.
-  double alone = 0;
-  double limit = 0;
-};
-
-// A worker as placement sees it: what is free after all that was decided.
-struct WorkerRoom {
-  const GraphWorker* worker = nullptr;
-  Resources free;
-  // Processor time that is neither committed nor wanted by tasks that fill.
-  std::int64_t idle_cpu_millis = 0;
-  // The tasks here with a latency target, and those that fill.
-  std::vector<ServingCompany> serving;
-  std::vector<FillingNeighbour> filling;
-  // Of the latter, those of which it is not known what they do here.
-  int trials = 0;
-  // Whether the worker gets one run only, to see whether it does well.
-  bool is_probed = false;
-  // Whether it has got that run.
-  bool has_probe = false;
-};
-
 // Chooses which ready tasks start where. Deterministic; knows no clocks but
 // those it is given.
 class GraphPlacement {
@@ -117,8 +93,10 @@
   std::map<TaskRef, std::set<std::string>> avoided_;
   // Since when a graph has had tasks that were not placed.
   std::map<std::string, Time> waiting_since_;
-  // Whether the graph at hand waited so long that any room will do.
+  // Whether the graph at hand waited so long that any room will do, and the
+  // workers of its pool.
   bool takes_any_room_ = false;
+  std::size_t pool_workers_ = 0;
 };
 
 }  // namespace banyan
--- /dev/null
+++ b/include/banyan/graph/worker_room.h
@@ -0,0 +1,44 @@
+#ifndef BANYAN_GRAPH_WORKER_ROOM_H_
+#define BANYAN_GRAPH_WORKER_ROOM_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "banyan/base/resources.h"
+#include "banyan/graph/graph_table.h"
+#include "banyan/graph/interference.h"
+
+namespace banyan {
+
+// A task that serves on a worker.
+struct ServingCompany {
+  std::string image;
+  // What its load is expected to occupy while a task that fills runs, and what
+  // may be occupied in all.
+  double alone = 0;
+  double limit = 0;
+  // Whether its step bounds how many of its tasks share a worker.
+  bool is_spread = false;
+};
+
+// A worker as placement sees it: what is free after all that was decided.
+struct WorkerRoom {
+  const GraphWorker* worker = nullptr;
+  Resources free;
+  // Processor time that is neither committed nor wanted by tasks that fill.
+  std::int64_t idle_cpu_millis = 0;
+  // The tasks here with a latency target, and those that fill.
+  std::vector<ServingCompany> serving;
+  std::vector<FillingNeighbour> filling;
+  // Of the latter, those of which it is not known what they do here.
+  int trials = 0;
+  // Whether the worker gets one run only, to see whether it does well.
+  bool is_probed = false;
+  // Whether it has got that run.
+  bool has_probe = false;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_GRAPH_WORKER_ROOM_H_
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 #include <utility>
 
+#include "banyan/graph/serving_rank.h"
 #include "banyan/graph/urgency.h"
 
 namespace banyan {
@@ -28,18 +29,25 @@
 // Occupancies are compared in steps of a twentieth, so that room decides
 // between workers that are about equal.
 constexpr double kOccupancyLevels = 20;
+// A neighbour that raises an occupancy by less than this is let in under any
+// load: keeping it out would not bring a latency down.
+constexpr double kNegligibleRise = 0.02;
 // After this wait one task that fills goes wherever its memory has room. A
 // graph must not stand still for three seconds while its pool is not busy.
 constexpr Span kAnyRoomAfter = Millis(2000);
-// Part of its processor time that a task that serves uses at the most.
-constexpr double kServingUse = 0.6;
+// Bounds of the part of its processor time that a task that serves is expected
+// to use, and how much more than at present that is.
+constexpr double kLeastServingUse = 0.35;
+constexpr double kMostServingUse = 0.9;
+constexpr double kServingUseRise = 1.1;
 
 // From this part of its processor time on a pool counts as busy: waiting for a
 // room that suits is then what overload looks like, not neglect.
 constexpr double kBusyPool = 0.5;
 
-// The processor time of a service's workers, in thousandths.
+// A service's workers with their processor time, in thousandths.
 struct PoolUse {
+  std::size_t workers = 0;
   std::int64_t capacity = 0;
   std::int64_t committed = 0;
 
@@ -64,13 +72,13 @@
   return false;
 }
 
-// Processor time that is committed to a task but that it leaves unused.
-std::int64_t UnusedBy(const StepSpec& step) {
-  return step.latency_target_ms > 0
-             ? static_cast<std::int64_t>(
-                   (1 - kServingUse) *
-                   static_cast<double>(step.needs.cpu_millis))
-             : 0;
+// Returns the processor time that is committed to a task that serves but that
+// it leaves unused while its load occupies the given part of its time.
+std::int64_t UnusedBy(const StepSpec& step, double occupancy) {
+  const double use = std::clamp(kServingUseRise * occupancy, kLeastServingUse,
+                                kMostServingUse);
+  return static_cast<std::int64_t>((1 - use) *
+                                   static_cast<double>(step.needs.cpu_millis));
 }
 
 }  // namespace
@@ -101,6 +109,7 @@
   std::map<std::string_view, PoolUse> pools;
   for (const auto& [id, worker] : table.workers()) {
     PoolUse& pool = pools[worker.info.service];
+    ++pool.workers;
     pool.capacity += worker.info.capacity.cpu_millis;
     pool.committed += worker.committed.cpu_millis;
     const auto view = views.find(id);
@@ -162,9 +171,10 @@
       break;
     }
     const Time since = waiting_since_.try_emplace(*id, now).first->second;
-    takes_any_room_ = since + kAnyRoomAfter <= now &&
-                      !pools[graph->queue.service].is_busy() &&
+    const PoolUse& pool = pools[graph->queue.service];
+    takes_any_room_ = since + kAnyRoomAfter <= now && !pool.is_busy() &&
                       !HasRunningTask(*graph);
+    pool_workers_ = pool.workers;
     const std::size_t before = chosen.size();
     PlaceGraph(wall, *id, *graph, chosen);
     if (chosen.size() > before) {
@@ -351,18 +361,7 @@
 std::optional<int> GraphPlacement::CompanyIn(const WorkerRoom& room,
                                              const StepSpec& step) const {
   if (step.latency_target_ms > 0) {
-    // Tasks that serve go together, so that other workers are left to tasks
-    // that fill, and with their own image rather than with others: what fills
-    // must suit every image on its worker.
-    const bool is_mixed = std::any_of(
-        room.serving.begin(), room.serving.end(),
-        [&](const ServingCompany& other) { return other.image != step.image; });
-    constexpr int kServing = 2;
-    constexpr int kMixed = 20;
-    constexpr int kEmpty = 50;
-    return static_cast<int>(room.filling.size()) -
-           static_cast<int>(room.serving.size()) * kServing +
-           (is_mixed ? kMixed : 0) + (room.serving.empty() ? kEmpty : 0);
+    return ServingRank(pool_workers_, room, step);
   }
   if (!step.fills || room.serving.empty()) {
     return 0;
@@ -374,9 +373,13 @@
   double worst = -1;
   for (const ServingCompany& other : room.serving) {
     // What is not known is tried where what is known leaves room.
+    const double own =
+        is_trial ? 0 : model_->ExpectedPressure(other.image, {&added, 1});
+    if (!is_trial && other.alone * own <= kNegligibleRise) {
+      continue;
+    }
     const double pressure =
-        model_->ExpectedPressure(other.image, room.filling) +
-        (is_trial ? 0 : model_->ExpectedPressure(other.image, {&added, 1}));
+        model_->ExpectedPressure(other.image, room.filling) + own;
     worst = std::max(worst, other.alone * (1 + pressure) - other.limit);
   }
   const int level = static_cast<int>(worst * kOccupancyLevels);
@@ -406,16 +409,17 @@
                                 std::int64_t percent) const {
   if (step.latency_target_ms > 0) {
     const double base = model_->BaseOf(now_, task.graph, step.image);
-    room.serving.push_back({step.image,
-                            kLoadRise * model_->OccupancyOf(step.image, base),
-                            model_->OccupancyOf(step.image, kKeptLatency)});
+    const double occupancy = model_->OccupancyOf(step.image, base);
+    room.serving.push_back({step.image, kLoadRise * occupancy,
+                            model_->OccupancyOf(step.image, kKeptLatency),
+                            step.per_worker_limit > 0});
+    room.idle_cpu_millis += UnusedBy(step, occupancy);
   }
   if (step.fills) {
     room.filling.push_back(
         {step.image,
          PartOf(*room.worker, step.needs.cpu_millis * percent / kFullPercent)});
   }
-  room.idle_cpu_millis += UnusedBy(step);
 }
 
 void GraphPlacement::Take(WorkerRoom& room,
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -81,6 +81,7 @@
       .With(CellClientStory())
       .With(HttpClientStory())
       .With(PlatformCodecStory())
+      .With(ServingRankStory())
       .With(UrgencyStory())
       .With(AuditStory())
       .With(ReplayStory());
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -79,6 +79,7 @@
 Section CellClientStory();
 Section HttpClientStory();
 Section PlatformCodecStory();
+Section ServingRankStory();
 Section UrgencyStory();
 Section AuditStory();
 Section ReplayStory();
