Placement leaves out graphs that would end late behind the backlog before them

Cause: in a backlog every graph counted as in time as long as its own chain fitted, so room went to graphs that end late all the same and made others late.

Change: Backlog takes graphs in their order, with the work left and the processor time that the pool gives to tasks that fill; one that would end after its objective goes behind those that can be in time and takes no room from them. It is placed all the same where room is left: a late result still serves its caller, so nothing is refused for it.

--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -3,6 +3,7 @@
 
 // Umbrella header: job graphs from callers to workers, without I/O.
 
+#include "banyan/graph/backlog.h"
 #include "banyan/graph/cell_client.h"
 #include "banyan/graph/cell_link.h"
 #include "banyan/graph/graph_leader.h"
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 #include <utility>
 
+#include "banyan/graph/backlog.h"
 #include "banyan/graph/serving_rank.h"
 #include "banyan/graph/urgency.h"
 
@@ -45,11 +46,17 @@
 // room that suits is then what overload looks like, not neglect.
 constexpr double kBusyPool = 0.5;
 
+// The least part of its processor time that a pool is taken to give to tasks
+// that fill: when few of them run, that says little of how many could.
+constexpr double kLeastDrain = 0.15;
+
 // A service's workers with their processor time, in thousandths.
 struct PoolUse {
   std::size_t workers = 0;
   std::int64_t capacity = 0;
   std::int64_t committed = 0;
+  // What the tasks that fill have, or could have.
+  std::int64_t drain = 0;
 
   [[nodiscard]] bool is_busy() const noexcept {
     return static_cast<double>(committed) >=
@@ -81,6 +88,48 @@
                                    static_cast<double>(step.needs.cpu_millis));
 }
 
+// A graph with ready tasks.
+struct Candidate {
+  Urgency urgency;
+  const std::string* id = nullptr;
+  const Graph* graph = nullptr;
+};
+
+bool Fills(const Graph& graph) {
+  return std::any_of(graph.spec.steps.begin(), graph.spec.steps.end(),
+                     [](const StepSpec& step) { return step.fills; });
+}
+
+// Returns the graphs with ready tasks in the order of placement.
+std::vector<Candidate> OrderOf(const GraphTable& table,
+                               const std::map<std::string_view, PoolUse>& pools,
+                               WallMillis wall) {
+  std::vector<Candidate> order;
+  for (const std::string& id : table.ready_graphs()) {
+    const auto graph = table.graphs().find(id);
+    order.push_back(
+        {UrgencyOf(graph->second, wall), &graph->first, &graph->second});
+  }
+  const auto before = [](const Candidate& a, const Candidate& b) {
+    return a.urgency < b.urgency;
+  };
+  std::sort(order.begin(), order.end(), before);
+  std::map<std::string_view, Backlog> backlogs;
+  for (const auto& [service, pool] : pools) {
+    backlogs.emplace(service, Backlog(pool.drain));
+  }
+  for (Candidate& candidate : order) {
+    const auto backlog = backlogs.find(candidate.graph->queue.service);
+    if (candidate.urgency.reach == Reach::kInTime && Fills(*candidate.graph) &&
+        backlog != backlogs.end() &&
+        !backlog->second.Take(candidate.urgency, wall)) {
+      candidate.urgency.reach = Reach::kLate;
+    }
+  }
+  std::sort(order.begin(), order.end(), before);
+  return order;
+}
+
 }  // namespace
 
 double PartOf(const GraphWorker& worker, std::int64_t cpu_millis) noexcept {
@@ -112,6 +161,11 @@
     ++pool.workers;
     pool.capacity += worker.info.capacity.cpu_millis;
     pool.committed += worker.committed.cpu_millis;
+    pool.drain +=
+        std::max(worker.fill_cpu_millis,
+                 static_cast<std::int64_t>(
+                     kLeastDrain *
+                     static_cast<double>(worker.info.capacity.cpu_millis)));
     const auto view = views.find(id);
     const bool is_usable =
         view != views.end() && view->second.life == worker.info.life &&
@@ -151,22 +205,7 @@
     }
     rooms_.emplace(id, std::move(room));
   }
-  struct Candidate {
-    Urgency urgency;
-    const std::string* id = nullptr;
-    const Graph* graph = nullptr;
-  };
-  std::vector<Candidate> order;
-  for (const std::string& id : table.ready_graphs()) {
-    const auto graph = table.graphs().find(id);
-    order.push_back(
-        {UrgencyOf(graph->second, wall), &graph->first, &graph->second});
-  }
-  std::sort(order.begin(), order.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.urgency < b.urgency;
-            });
-  for (const auto& [urgency, id, graph] : order) {
+  for (const auto& [urgency, id, graph] : OrderOf(table, pools, wall)) {
     if (chosen.size() >= kMaxBatch) {
       break;
     }
--- a/tests/unit/urgency_test.cc
+++ b/tests/unit/urgency_test.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <vector>
 
+#include "banyan/graph/backlog.h"
 #include "tests/support/graph_samples.h"
 #include "tests/unit/story.h"
 
@@ -30,6 +31,20 @@
                  Reach::kTooLate);
 }
 
+void BacklogLeavesOutWhatWouldBeLate() {
+  // Two processors; each build needs two seconds of both, objective five.
+  const Graph graph = GraphAt(kGraphStart, 2000, 2);
+  const Urgency urgency = UrgencyOf(graph, kGraphStart);
+  Backlog backlog(2000);
+  CPPUNIT_ASSERT(backlog.Take(urgency, kGraphStart));
+  CPPUNIT_ASSERT(backlog.Take(urgency, kGraphStart));
+  CPPUNIT_ASSERT(!backlog.Take(urgency, kGraphStart));
+  // What was left out takes no room from those behind it.
+  Urgency patient = urgency;
+  patient.objective_at += 1000;
+  CPPUNIT_ASSERT(backlog.Take(patient, kGraphStart));
+}
+
 void LeastWorkLeftGoesFirst() {
   Graph begun = GraphAt(kGraphStart, 2000, 4);
   begun.state = GraphState::kRunning;
@@ -152,7 +167,9 @@
       .With(Section("a graph")
                 .Then("reaches less as time passes", ReachFallsWithTime)
                 .Then("with the least work left goes first",
-                      LeastWorkLeftGoesFirst))
+                      LeastWorkLeftGoesFirst)
+                .Then("that would end late behind others is left out",
+                      BacklogLeavesOutWhatWouldBeLate))
       .With(Section("twice the load that fits")
                 .Then("is served by half in time instead of all late",
                       OverloadServesHalfInTimeInsteadOfNothing))
