A restarted leader tells nothing twice that its disk holds

Change: entries that were read back from disk at start are applied without their events. Entries that a leader left committed and not yet applied are still told by its successor, unless that one was restarted as well.

--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -226,6 +226,8 @@
   bool is_compacting_ = false;
   bool is_leading_ = false;
   Time next_schedule_;
+  // The last entry that was read back from disk at start.
+  std::uint64_t recovered_index_ = 0;
   std::map<std::string, Attached> attached_;
   // The leader's knowledge of which replica an attached process uses.
   std::map<std::string, Origin> route_;
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -25,7 +25,8 @@
     : options_(std::move(options)),
       raft_(options_.raft, restored, now),
       graphs_(options_.graphs),
-      next_schedule_(now) {
+      next_schedule_(now),
+      recovered_index_(raft_.log().last_index()) {
   // Replicas that wrote their snapshots at the same entry would all be slow to
   // sync their logs at the same time, and with them the commit.
   const std::vector<std::string>& all = options_.raft.configured;
@@ -620,8 +621,10 @@
     }
     waiting_.erase(waiting);
   }
-  // Every replica applies the entry; the leader's log tells it once.
-  if (raft_.role() == RaftRole::kLeader) {
+  // Every replica applies the entry; the leader's log tells it once. What was
+  // read back from disk was told before the restart, and telling thousands of
+  // entries again would delay the recovery.
+  if (raft_.role() == RaftRole::kLeader && entry.index > recovered_index_) {
     std::move(applied.events.begin(), applied.events.end(),
               std::back_inserter(out_.events));
     if (!applied.result.ok && !command->command_id.empty()) {
