Stories of the rooms for tasks that fill: a light neighbour in a peak, room by load

With the negligible rise and the load in use taken out, 'is there for a light neighbour' and 'is what the watch feeds leave' fail; with them they pass.

--- /dev/null
+++ b/tests/unit/graph_placement_test.cc
@@ -0,0 +1,131 @@
+#include "banyan/graph/graph_placement.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tests/support/graph_samples.h"
+#include "tests/unit/story.h"
+
+namespace banyan {
+namespace {
+
+constexpr std::int64_t kCpuMillis = 16000;
+
+// Two workers whose processor time is committed to watch feeds, and packet
+// builds that wait to fill what the feeds leave.
+class FullPool {
+ public:
+  FullPool() {
+    table_.Apply(InstallPlan{SamplePlan()}, kGraphStart);
+    for (const char* id : {"w1", "w2"}) {
+      WorkerInfo info = SampleWorker(id);
+      info.capacity = {kCpuMillis, 65536, 0};
+      table_.Apply(AdmitWorker{info, std::string("agent-") + id}, kGraphStart);
+      GraphWorkerView view;
+      view.life = info.life;
+      view.reachable = true;
+      view.lease_deadline = now_ + std::chrono::seconds(10);
+      views_.emplace(id, view);
+    }
+    StepSpec feed = ServingStep(2);
+    feed.needs = {kCpuMillis, 1024, 0};
+    table_.Apply(SampleGraph("feed", {feed}), kGraphStart);
+    table_.Apply(PlaceRuns{{{RunOf("feed", 0, 0), {"w1", 1}},
+                            {RunOf("feed", 0, 1), {"w2", 1}}}},
+                 kGraphStart);
+  }
+
+  // The feeds report a latency, in parts of their target, while neighbours of
+  // an image use a tenth of each worker.
+  void Report(double latency, const std::string& image = "") {
+    now_ += Millis(500);
+    for (const char* id : {"w1", "w2"}) {
+      model_.Sample(now_, id, "feed", "s", latency, !image.empty());
+    }
+    if (!image.empty()) {
+      const std::vector<FillingNeighbour> neighbours = {{image, 0.1}};
+      model_.Learn(model_.BaseOf(now_, "feed", "s"), "s", latency, neighbours);
+    }
+  }
+
+  // Teaches that an image raises the latency from a third of the target to
+  // all of it.
+  void TeachHeavy(const std::string& image) {
+    for (int i = 0; i < 10; ++i) {
+      Report(0.33);
+      const std::vector<FillingNeighbour> neighbours = {{image, 0.1}};
+      model_.Learn(0.33, "s", 1.0, neighbours);
+    }
+  }
+
+  // Teaches that an image does nothing to the latency.
+  void TeachLight(const std::string& image) {
+    for (int i = 0; i < 10; ++i) {
+      Report(0.33, image);
+    }
+  }
+
+  // Submits builds of an image and returns how many tasks get a room.
+  std::size_t Placed(const std::string& image, std::int64_t tasks) {
+    StepSpec build = FillingStep(tasks, 1000);
+    build.image = image;
+    table_.Apply(SampleGraph("build-" + image, {build}, "batch"), kGraphStart);
+    GraphPlacement placement;
+    return placement.Choose(now_, kGraphStart, table_, views_, model_).size();
+  }
+
+ private:
+  Time now_ = Time(std::chrono::seconds(100));
+  GraphTable table_;
+  std::map<std::string, GraphWorkerView> views_;
+  InterferenceModel model_;
+};
+
+void LightNeighbourJoinsInAPeak() {
+  FullPool pool;
+  pool.TeachLight("light");
+  pool.Report(0.75);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.Placed("light", 1));
+}
+
+void HeavyNeighbourStaysAwayInAPeak() {
+  FullPool pool;
+  pool.TeachHeavy("heavy");
+  pool.Report(0.75);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pool.Placed("heavy", 1));
+}
+
+void LoadDecidesHowManyFit() {
+  FullPool lull;
+  lull.TeachLight("light");
+  lull.Report(0.22);
+  FullPool peak;
+  peak.TeachLight("light");
+  peak.Report(0.6);
+  const std::size_t in_lull = lull.Placed("light", 40);
+  const std::size_t in_peak = peak.Placed("light", 40);
+  // In the lull the feeds use a quarter of the 32 processors, in the peak close
+  // to three quarters.
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(in_lull), in_lull >= 16);
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(in_lull), in_lull <= 24);
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(in_peak), in_peak <= 10);
+}
+
+}  // namespace
+
+Section GraphPlacementStory() {
+  Section story("Room for tasks that fill");
+  story
+      .With(Section("while the load of watch feeds peaks")
+                .Then("is there for a light neighbour",
+                      LightNeighbourJoinsInAPeak)
+                .Then("is not there for a heavy one",
+                      HeavyNeighbourStaysAwayInAPeak))
+      .With(Section("as the load swings")
+                .Then("is what the watch feeds leave", LoadDecidesHowManyFit));
+  return story;
+}
+
+}  // namespace banyan
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -74,6 +74,7 @@
       .With(SchedulerStory())
       .With(RoutingStory())
       .With(AgentStory())
+      .With(GraphPlacementStory())
       .With(GraphTableStory())
       .With(GraphLeaderStory())
       .With(WorkerAgentStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -72,6 +72,7 @@
 Section SchedulerStory();
 Section RoutingStory();
 Section AgentStory();
+Section GraphPlacementStory();
 Section GraphTableStory();
 Section GraphLeaderStory();
 Section WorkerAgentStory();
