A build that had to take any room keeps one task at work

Ruled out: the order of placement (the graph was placed on time each time the wait had passed); leases, evacuations and suspicion (none near).

Change: a graph that took one task by way of any room keeps its wait, so that the next task goes as soon as nothing of it runs; the wait ends once two or more found a room. Story 'is found for one task at a time of a build that waits': failed before the change, passes now.

--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -214,9 +214,12 @@
     takes_any_room_ = since + kAnyRoomAfter <= now && !pool.is_busy() &&
                       !HasRunningTask(*graph);
     pool_workers_ = pool.workers;
+    // One that had to take any room takes the next as soon as its task has
+    // ended; starting the wait again would leave it idle most of the time.
+    const std::size_t least = takes_any_room_ ? 2 : 1;
     const std::size_t before = chosen.size();
     PlaceGraph(wall, *id, *graph, chosen);
-    if (chosen.size() > before) {
+    if (chosen.size() >= before + least) {
       waiting_since_.erase(*id);
     }
   }
--- a/tests/unit/graph_placement_test.cc
+++ b/tests/unit/graph_placement_test.cc
@@ -17,7 +17,8 @@
 // builds that wait to fill what the feeds leave.
 class FullPool {
  public:
-  FullPool() {
+  // The part of their processor time is what the feeds commit.
+  explicit FullPool(double committed = 1) {
     table_.Apply(InstallPlan{SamplePlan()}, kGraphStart);
     for (const char* id : {"w1", "w2"}) {
       WorkerInfo info = SampleWorker(id);
@@ -26,11 +27,11 @@
       GraphWorkerView view;
       view.life = info.life;
       view.reachable = true;
-      view.lease_deadline = now_ + std::chrono::seconds(10);
+      view.lease_deadline = now_ + std::chrono::minutes(1);
       views_.emplace(id, view);
     }
     StepSpec feed = ServingStep(2);
-    feed.needs = {kCpuMillis, 1024, 0};
+    feed.needs = {static_cast<std::int64_t>(committed * kCpuMillis), 1024, 0};
     table_.Apply(SampleGraph("feed", {feed}), kGraphStart);
     table_.Apply(PlaceRuns{{{RunOf("feed", 0, 0), {"w1", 1}},
                             {RunOf("feed", 0, 1), {"w2", 1}}}},
@@ -67,16 +68,40 @@
     }
   }
 
-  // Submits builds of an image and returns how many tasks get a room.
-  std::size_t Placed(const std::string& image, std::int64_t tasks) {
+  // Submits builds of an image.
+  void Submit(const std::string& image, std::int64_t tasks) {
     StepSpec build = FillingStep(tasks, 1000);
     build.image = image;
     table_.Apply(SampleGraph("build-" + image, {build}, "batch"), kGraphStart);
-    GraphPlacement placement;
-    return placement.Choose(now_, kGraphStart, table_, views_, model_).size();
   }
 
+  // Submits builds and returns how many tasks get a room.
+  std::size_t Placed(const std::string& image, std::int64_t tasks) {
+    Submit(image, tasks);
+    return Place().size();
+  }
+
+  // Places what is ready.
+  std::vector<RunPlacement> Place() {
+    const std::vector<RunPlacement> chosen =
+        placement_.Choose(now_, kGraphStart, table_, views_, model_);
+    table_.Apply(PlaceRuns{chosen}, kGraphStart);
+    return chosen;
+  }
+
+  // A run is done after a span.
+  void End(const RunPlacement& placed, Span after) {
+    now_ += after;
+    table_.Apply(
+        EndRuns{placed.worker, {{++ends_, placed.run, RunEnding::kDone, ""}}},
+        kGraphStart);
+  }
+
+  void Pass(Span span) { now_ += span; }
+
  private:
+  GraphPlacement placement_;
+  std::int64_t ends_ = 0;
   Time now_ = Time(std::chrono::seconds(100));
   GraphTable table_;
   std::map<std::string, GraphWorkerView> views_;
@@ -113,6 +138,23 @@
   CPPUNIT_ASSERT_MESSAGE(std::to_string(in_peak), in_peak <= 10);
 }
 
+void ForgottenBuildKeepsOneTaskAtWork() {
+  // The pattern of the end of a day: the pool is less than half in use, and the
+  // image of a waiting build is heavy for whatever serves there.
+  FullPool pool(0.4);
+  pool.TeachHeavy("heavy");
+  pool.Report(0.75);
+  pool.Submit("heavy", 5);
+  CPPUNIT_ASSERT(pool.Place().empty());
+  pool.Pass(Millis(2100));
+  for (int i = 0; i < 4; ++i) {
+    const std::vector<RunPlacement> placed = pool.Place();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(i), std::size_t{1},
+                                 placed.size());
+    pool.End(placed[0], Millis(700));
+  }
+}
+
 }  // namespace
 
 Section GraphPlacementStory() {
@@ -123,6 +165,9 @@
                       LightNeighbourJoinsInAPeak)
                 .Then("is not there for a heavy one",
                       HeavyNeighbourStaysAwayInAPeak))
+      .With(Section("in a pool that is not busy")
+                .Then("is found for one task at a time of a build that waits",
+                      ForgottenBuildKeepsOneTaskAtWork))
       .With(Section("as the load swings")
                 .Then("is what the watch feeds leave", LoadDecidesHowManyFit));
   return story;
