--- a/tests/unit/graph_placement_test.cc
+++ b/tests/unit/graph_placement_test.cc
@@ -83,7 +83,7 @@
 
   // Places what is ready.
   std::vector<RunPlacement> Place() {
-    const std::vector<RunPlacement> chosen =
+    std::vector<RunPlacement> chosen =
         placement_.Choose(now_, kGraphStart, table_, views_, model_);
     table_.Apply(PlaceRuns{chosen}, kGraphStart);
     return chosen;
