Interference as a mixture of which pairs interfere, with switches and logs

One number a pair could hold neither: it turned with every report. Change: each report weighs every assignment of which neighbours interfere; base load, class and level are updated together. Beside it: `scheduling` in the settings switches each mechanism off, `log_latencies` logs every report, graph-waiting names why a task found no worker.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -68,6 +68,8 @@
   kRunStuck = 1325,
   kRunPaced = 1326,
   kRunMoved = 1327,
+  kLatencyReported = 1328,
+  kGraphWaiting = 1329,
   kWorkerAdmitted = 1330,
   kWorkerChanged = 1331,
   kWorkerDropped = 1332,
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,18 +16,21 @@
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/pacer.h"
 #include "banyan/graph/worker_view.h"
+#include "banyan/settings/scheduling_policy.h"
 #include "banyan/wire/command.h"
 #include "banyan/wire/message.h"
 
 namespace banyan {
 
-// Spans that the leader's duties for job graphs need.
+// What the leader's duties for job graphs depend on.
 struct GraphLeaderOptions {
   // The lease that a sync gives a worker, from its sending on.
   Span lease = std::chrono::seconds(4);
   // What the leader waits beyond a lease: clocks drift by 2%, and an agent
   // that was frozen needs a moment to notice.
   Span lease_margin = Millis(500);
+  SchedulingPolicy scheduling;
+  bool log_latencies = false;
 };
 
 // What the leader wants done for job graphs.
@@ -86,6 +90,9 @@
             const GraphTable& table,
             const GraphWorker& worker,
             WorkerOrders& orders);
+  void LogLatencies(const GraphWorker& worker,
+                    std::span<const ServingTask> serving,
+                    std::span<const FillingTask> filling);
   void MoveStarved(Time now,
                    const GraphTable& table,
                    const GraphWorker& worker,
@@ -110,7 +117,7 @@
   GraphLeaderOptions options_;
   std::uint64_t fencing_token_ = 0;
   std::map<std::string, GraphWorkerView> views_;
-  GraphPlacement placement_;
+  GraphPlacement placement_{options_.scheduling};
   Pacer pacer_;
   // When a batch of placements was proposed that is not applied yet.
   std::optional<Time> placing_since_;
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -7,13 +7,16 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "banyan/base/time.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/interference.h"
+#include "banyan/graph/placement_wait.h"
 #include "banyan/graph/worker_room.h"
 #include "banyan/graph/worker_view.h"
+#include "banyan/settings/scheduling_policy.h"
 
 namespace banyan {
 
@@ -25,6 +28,8 @@
 // those it is given.
 class GraphPlacement {
  public:
+  explicit GraphPlacement(SchedulingPolicy policy) : policy_(policy) {}
+
   // Returns the placements to propose, most urgent first.
   [[nodiscard]] std::vector<RunPlacement> Choose(
       Time now,
@@ -36,6 +41,11 @@
   // Learns that a run of the task did not do well on the worker.
   void Avoid(const TaskRef& task, const std::string& worker);
 
+  // The graphs that the last pass left waiting, at most once in a while each.
+  [[nodiscard]] std::vector<PlacementWait> TakeWaits() {
+    return std::exchange(waits_, {});
+  }
+
   // Forgets what was learned of a task that is done.
   void Forget(const TaskRef& task) { avoided_.erase(task); }
 
@@ -70,7 +80,9 @@
   [[nodiscard]] WorkerRoom* BestRoom(const Graph& graph,
                                      const TaskRef& task,
                                      const StepSpec& step,
-                                     const Spread& spread);
+                                     const Spread& spread,
+                                     PlacementWait& wait);
+  void NoteWait(PlacementWait wait);
   // Counts a task that runs on the worker, at a share in percent, among the
   // company of others.
   void AddCompany(WorkerRoom& room,
@@ -87,12 +99,16 @@
   [[nodiscard]] bool IsOnTrial(const WorkerRoom& room,
                                const std::string& image) const;
 
+  SchedulingPolicy policy_;
   Time now_;
   const InterferenceModel* model_ = nullptr;
   std::map<std::string, WorkerRoom> rooms_;
   std::map<TaskRef, std::set<std::string>> avoided_;
   // Since when a graph has had tasks that were not placed.
   std::map<std::string, Time> waiting_since_;
+  std::vector<PlacementWait> waits_;
+  // When a graph's wait was noted last.
+  std::map<std::string, Time> wait_noted_at_;
   // Whether the graph at hand waited so long that any room will do, and the
   // workers of its pool.
   bool takes_any_room_ = false;
--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -5,89 +5,151 @@
 #include <span>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "banyan/base/time.h"
 
 namespace banyan {
 
-// A task that fills beside one that serves.
+// A best-effort task beside a latency-sensitive one.
 struct FillingNeighbour {
   std::string image;
   // What it uses, in parts of the worker's processor time.
   double load = 0;
 };
 
-// How much tasks that fill slow tasks that serve down, learned for each pair
-// of images from the tail latencies that workers report. Latencies are in
-// parts of the serving task's target.
+// A latency-sensitive task's report of itself.
+struct LatencyReport {
+  // Names the tasks that carry the same load, on whatever worker.
+  std::string group;
+  std::string image;
+  // Tail latency in parts of the task's target, and the unit that reports
+  // round it to.
+  double latency = 0;
+  double resolution = 0;
+};
+
+// What is believed of a pair of a latency-sensitive and a best-effort image.
+// A pair either does not interfere at all or does so at a level that drifts.
+struct PairBelief {
+  // Probability that the pair interferes.
+  double interferes = 0;
+  // Mean and variance of the level if it does: the part by which a neighbour
+  // that uses the whole worker raises the occupancy.
+  double level = 0;
+  double variance = 0;
+  Time at;
+
+  // The level that is to be expected.
+  [[nodiscard]] double expected_level() const noexcept {
+    return interferes * level;
+  }
+};
+
+// How much best-effort tasks slow latency-sensitive tasks down, learned from
+// the tail latencies that workers report.
 //
-// A serving task is taken for a queue: its latency is its latency without load
-// divided by the part that is not occupied. A neighbour makes each request
-// take longer, so that the occupied part grows by the neighbour's load times
-// its pressure, whatever the serving task's own load is at the time. A
-// pressure that was learned in a lull therefore holds in a peak.
+// A latency-sensitive task is taken for a queue: its latency is its latency
+// without load divided by the part of its time that is not occupied. Its load
+// alone gives a base occupancy that all tasks of its group share; neighbours
+// raise it by the sum of their loads times the levels of their pairs. Each
+// report updates the group's base and the beliefs of all pairs present
+// together, each in proportion to how uncertain it is: a filter over a mixture
+// of which pairs interfere, collapsed to its moments after each report.
 class InterferenceModel {
  public:
-  // Takes a task's latency. Tasks of one group carry the same load, so the
-  // least of their latencies on different workers tells what the load alone
-  // does.
-  void Sample(Time now,
-              const std::string& worker,
-              const std::string& group,
-              const std::string& serving,
-              double latency,
-              bool has_neighbours);
-
-  // Learns from a latency beside neighbours, with what they used in the span
-  // that the latency is of.
-  void Learn(double base,
-             const std::string& serving,
-             double latency,
-             std::span<const FillingNeighbour> neighbours);
+  // Updates the beliefs with a report and what the neighbours used in the span
+  // that it covers.
+  void Observe(Time now,
+               const LatencyReport& report,
+               std::span<const FillingNeighbour> neighbours);
 
   // Returns which part of its time a task with that latency is occupied, 0 to
   // 1.
-  [[nodiscard]] double OccupancyOf(const std::string& serving,
+  [[nodiscard]] double OccupancyOf(const std::string& image,
                                    double latency) const;
 
-  // Returns by what part the neighbours are expected to raise the occupancy
-  // that the load alone gives.
-  [[nodiscard]] double ExpectedPressure(
-      const std::string& serving,
-      std::span<const FillingNeighbour> neighbours) const;
+  // Returns the occupancy that the group's load alone gives.
+  [[nodiscard]] double BaseOccupancy(const std::string& group,
+                                     const std::string& image) const;
 
-  // Whether the pair was ever seen together.
-  [[nodiscard]] bool Knows(const std::string& serving,
-                           const std::string& filling) const {
-    return pressure_.contains({serving, filling});
-  }
-
-  // Returns the latency that the group's load alone gives.
-  [[nodiscard]] double BaseOf(Time now,
-                              const std::string& group,
-                              const std::string& serving) const;
+  // Returns by what part the neighbours are expected to raise the base
+  // occupancy.
+  [[nodiscard]] double ExpectedRise(
+      const std::string& image,
+      std::span<const FillingNeighbour> neighbours) const;
 
-  // Returns the latency that the image's tasks usually have alone.
-  [[nodiscard]] double UsualBase(const std::string& serving) const;
+  // Returns the belief of a pair as of the latest report.
+  [[nodiscard]] PairBelief BeliefOf(const std::string& image,
+                                    const std::string& neighbour) const;
 
-  // Returns by what part one neighbour that uses the whole worker raises the
-  // occupancy.
-  [[nodiscard]] double PressureOf(const std::string& serving,
-                                  const std::string& filling) const;
+  // Whether it is neither likely that the pair interferes nor that it doesn't.
+  [[nodiscard]] bool IsUncertain(const std::string& image,
+                                 const std::string& neighbour) const;
 
  private:
-  // A latency that was reported.
-  struct Report {
+  using PairKey = std::pair<std::string, std::string>;
+
+  // A group's base occupancy, with its variance.
+  struct Base {
+    double mean = 0;
+    double variance = 0;
     Time at;
-    double latency = 0;
   };
 
-  // The last report of each group's task with the least latency, by worker.
-  std::map<std::string, std::map<std::string, Report>> groups_;
-  // Usual latency alone, and the least ever reported, by image.
-  std::map<std::string, double> base_;
-  std::map<std::string, double> floor_;
-  std::map<std::pair<std::string, std::string>, double> pressure_;
+  // One pair that takes part in a report.
+  struct Term {
+    PairKey pair;
+    double load = 0;
+    PairBelief belief;
+  };
+
+  // One assignment of which terms interfere, with what it expects of the
+  // occupancy: the factor on the base, and the variance of that factor.
+  struct Hypothesis {
+    std::vector<bool> interferes;
+    double weight = 1;
+    double factor = 1;
+    double variance = 0;
+    // By what a report differs from the expectation, and the variance of that.
+    double error = 0;
+    double error_variance = 0;
+  };
+
+  // What a report says of the occupancy, with the deviation of its noise, and
+  // what was believed of the base before.
+  struct Evidence {
+    double occupancy = 0;
+    double noise = 0;
+    Base base;
+  };
+
+  [[nodiscard]] Base BaseAt(Time now,
+                            const std::string& group,
+                            const std::string& image) const;
+  [[nodiscard]] std::vector<Term> TermsOf(
+      const std::string& image,
+      std::span<const FillingNeighbour> neighbours) const;
+  [[nodiscard]] static std::vector<Hypothesis> HypothesesOf(
+      std::span<const Term> terms);
+  // Weighs the hypotheses by the likelihood of the evidence; the weights add
+  // up to 1 afterwards.
+  static void Weigh(const Evidence& evidence,
+                    std::vector<Hypothesis>& hypotheses);
+  [[nodiscard]] static Base UpdatedBase(const Base& base,
+                                        std::span<const Hypothesis> hypotheses);
+  [[nodiscard]] static PairBelief UpdatedBelief(
+      const Base& base,
+      std::span<const Hypothesis> hypotheses,
+      const Term& term,
+      std::size_t index);
+
+  Time latest_;
+  std::map<std::string, Base> groups_;
+  // Usual base occupancy, and the least latency ever reported, by image.
+  std::map<std::string, double> usual_;
+  std::map<std::string, double> floors_;
+  std::map<PairKey, PairBelief> pairs_;
 };
 
 }  // namespace banyan
--- a/include/banyan/settings.h
+++ b/include/banyan/settings.h
@@ -3,6 +3,7 @@
 
 // Umbrella header: checked settings.
 
+#include "banyan/settings/scheduling_policy.h"
 #include "banyan/settings/settings.h"
 #include "banyan/settings/settings_reader.h"
 
--- a/include/banyan/settings/settings.h
+++ b/include/banyan/settings/settings.h
@@ -8,6 +8,7 @@
 
 #include "banyan/base/error_kind.h"
 #include "banyan/base/time.h"
+#include "banyan/settings/scheduling_policy.h"
 #include "banyan/wire/instance.h"
 
 namespace banyan {
@@ -39,6 +40,9 @@
   Span election;
   Span lease;
   std::uint64_t snapshot_every = 0;
+  SchedulingPolicy scheduling;
+  // Whether each latency report is logged, for study of interference.
+  bool log_latencies = false;
   Span drain;
   std::string log_folder;
 };
@@ -66,6 +70,9 @@
   // The lease of a worker.
   Span lease;
   std::uint64_t snapshot_every = 0;
+  SchedulingPolicy scheduling;
+  // Whether each latency report is logged, for study of interference.
+  bool log_latencies = false;
   std::int64_t threads = 0;
   // How long a planned stop may take.
   Span drain;
--- a/include/banyan/settings/settings_reader.h
+++ b/include/banyan/settings/settings_reader.h
@@ -44,6 +44,8 @@
   // One of a few words.
   [[nodiscard]] std::string Choice(std::string_view key,
                                    const std::vector<std::string>& words);
+  // "on" or "off".
+  [[nodiscard]] bool Switch(std::string_view key, bool fallback);
   // A list of texts; absent means empty.
   [[nodiscard]] std::vector<std::string> Texts(std::string_view key);
   // A list of mappings, each read by its own reader.
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -113,6 +113,12 @@
      "list."},
     {EventId::kRunMoved, "run-moved",
      "A run that is paced down for long is stopped to go on elsewhere."},
+    {EventId::kLatencyReported, "latency-reported",
+     "With `log_latencies` on: a latency-sensitive task's latency with the "
+     "best-effort tasks beside it, each as image:used:percent."},
+    {EventId::kGraphWaiting, "graph-waiting",
+     "A ready task found no worker; counts the workers that were passed over "
+     "by reason."},
     {EventId::kWorkerAdmitted, "worker-admitted",
      "A life of a worker is known to the control cell."},
     {EventId::kWorkerChanged, "worker-changed",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -1,6 +1,7 @@
 #include "banyan/graph/graph_leader.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "banyan/graph/run_event.h"
@@ -56,7 +57,7 @@
                         std::uint64_t fencing_token) {
   fencing_token_ = fencing_token;
   views_.clear();
-  placement_ = GraphPlacement();
+  placement_ = GraphPlacement(options_.scheduling);
   placing_since_.reset();
   out_ = GraphLeaderOutputs{};
   for (const auto& [id, worker] : table.workers()) {
@@ -95,7 +96,7 @@
   RunStart start{run, table.FindGraph(run.task.graph)->spec.payload,
                  table.FindTask(run.task)->checkpoint};
   const StepSpec& step = *table.FindStep(run.task);
-  if (!step.fills) {
+  if (!step.fills || !options_.scheduling.careful_starts) {
     return start;
   }
   // Beside an image that it was never seen with it starts at a part of its
@@ -103,7 +104,7 @@
   for (const RunRef& other : worker.runs) {
     const StepSpec* neighbour = table.FindStep(other.task);
     if (neighbour != nullptr && neighbour->latency_target_ms > 0 &&
-        !pacer_.model().Knows(neighbour->image, step.image)) {
+        pacer_.model().IsUncertain(neighbour->image, step.image)) {
       start.percent = kCarefulPercent;
     }
   }
@@ -330,6 +331,9 @@
     return;
   }
   view.paced_at = now;
+  if (options_.log_latencies) {
+    LogLatencies(worker, serving, filling);
+  }
   pacer_.Observe(now, worker.info.life.id, serving, filling);
   orders.paces = pacer_.Decide(now, worker.info.life.id, serving, filling);
   const ServingTask decider = WorstOff(serving);
@@ -347,7 +351,27 @@
             .With("list", view.lists));
     seen.pace = pace.percent;
   }
-  MoveStarved(now, table, worker, orders);
+  if (options_.scheduling.starved_moves) {
+    MoveStarved(now, table, worker, orders);
+  }
+}
+
+void GraphLeader::LogLatencies(const GraphWorker& worker,
+                               std::span<const ServingTask> serving,
+                               std::span<const FillingTask> filling) {
+  std::ostringstream neighbours;
+  for (const FillingTask& task : filling) {
+    neighbours << task.image << ':' << task.used << ':' << task.percent << ' ';
+  }
+  for (const ServingTask& task : serving) {
+    out_.events.push_back(Event(EventId::kLatencyReported)
+                              .With("worker", worker.info.life.id)
+                              .With("group", task.group)
+                              .With("image", task.image)
+                              .With("latency_ms", task.latency_ms)
+                              .With("target_ms", task.target_ms)
+                              .With("neighbours", neighbours.str()));
+  }
 }
 
 void GraphLeader::MoveStarved(Time now,
@@ -497,6 +521,9 @@
                                       const RunRef& run) {
   view.failed_graphs.insert(run.task.graph);
   const bool is_failed_probe = view.probe && *view.probe == run;
+  if (!options_.scheduling.worker_suspicion) {
+    return;
+  }
   if (view.failed_graphs.size() < kFailedGraphsToSuspect && !is_failed_probe) {
     return;
   }
@@ -563,6 +590,16 @@
   placing_since_.reset();
   std::vector<RunPlacement> chosen =
       placement_.Choose(now, wall, table, views_, pacer_.model());
+  for (const PlacementWait& wait : placement_.TakeWaits()) {
+    out_.events.push_back(Event(EventId::kGraphWaiting)
+                              .With("request", wait.graph)
+                              .With("image", wait.image)
+                              .With("unfit", wait.unfit)
+                              .With("busy", wait.busy)
+                              .With("interference", wait.interference)
+                              .With("untried", wait.untried)
+                              .With("excluded", wait.excluded));
+  }
   if (!chosen.empty()) {
     placing_since_ = now;
     out_.proposals.emplace_back(PlaceRuns{std::move(chosen)});
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -14,6 +14,8 @@
 
 // Placements of one batch, so that its log entry stays small.
 constexpr std::size_t kMaxBatch = 256;
+// A graph that waits is logged again after this.
+constexpr Span kWaitLogInterval = Millis(2000);
 // A lease with less than this left is not worth a start.
 constexpr Span kLeastLeaseLeft = Millis(1000);
 // Ready tasks without room for one of them are passed over after this many.
@@ -103,6 +105,7 @@
 // Returns the graphs with ready tasks in the order of placement.
 std::vector<Candidate> OrderOf(const GraphTable& table,
                                const std::map<std::string_view, PoolUse>& pools,
+                               bool has_forecast,
                                WallMillis wall) {
   std::vector<Candidate> order;
   for (const std::string& id : table.ready_graphs()) {
@@ -114,6 +117,9 @@
     return a.urgency < b.urgency;
   };
   std::sort(order.begin(), order.end(), before);
+  if (!has_forecast) {
+    return order;
+  }
   std::map<std::string_view, Backlog> backlogs;
   for (const auto& [service, pool] : pools) {
     backlogs.emplace(service, Backlog(pool.drain));
@@ -205,7 +211,8 @@
     }
     rooms_.emplace(id, std::move(room));
   }
-  for (const auto& [urgency, id, graph] : OrderOf(table, pools, wall)) {
+  for (const auto& [urgency, id, graph] :
+       OrderOf(table, pools, policy_.backlog_forecast, wall)) {
     if (chosen.size() >= kMaxBatch) {
       break;
     }
@@ -223,9 +230,11 @@
       waiting_since_.erase(*id);
     }
   }
-  std::erase_if(waiting_since_, [&](const auto& item) {
+  const auto is_settled = [&](const auto& item) {
     return !table.ready_graphs().contains(item.first);
-  });
+  };
+  std::erase_if(waiting_since_, is_settled);
+  std::erase_if(wait_noted_at_, is_settled);
   return chosen;
 }
 
@@ -339,8 +348,12 @@
                                                       const StepSpec& step,
                                                       std::int64_t run,
                                                       Spread& spread) {
-  WorkerRoom* room = BestRoom(graph, task, step, spread);
+  PlacementWait wait;
+  WorkerRoom* room = BestRoom(graph, task, step, spread, wait);
   if (room == nullptr) {
+    wait.graph = task.graph;
+    wait.image = step.image;
+    NoteWait(std::move(wait));
     return std::nullopt;
   }
   Take(*room, task, step);
@@ -355,30 +368,44 @@
 WorkerRoom* GraphPlacement::BestRoom(const Graph& graph,
                                      const TaskRef& task,
                                      const StepSpec& step,
-                                     const Spread& spread) {
+                                     const Spread& spread,
+                                     PlacementWait& wait) {
   const auto avoided = avoided_.find(task);
   WorkerRoom* best = nullptr;
   Preference best_preference;
   for (auto& [id, room] : rooms_) {
     const WorkerInfo& info = room.worker->info;
-    if (info.service != graph.queue.service || !Fits(HeldBy(step), room.free) ||
-        (step.fills && !takes_any_room_ && !room.filling.empty() &&
-         room.idle_cpu_millis < step.needs.cpu_millis) ||
-        room.has_probe) {
+    if (info.service != graph.queue.service) {
+      continue;
+    }
+    if (!Fits(HeldBy(step), room.free)) {
+      ++wait.unfit;
+      continue;
+    }
+    if (step.fills && !takes_any_room_ && !room.filling.empty() &&
+        room.idle_cpu_millis < step.needs.cpu_millis) {
+      ++wait.busy;
+      continue;
+    }
+    if (room.has_probe) {
+      ++wait.excluded;
       continue;
     }
     // A lasting task tells nothing for long, so it is no probe.
     if (room.is_probed && step.long_running) {
+      ++wait.excluded;
       continue;
     }
     if (!step.required_label.empty() &&
         std::find(info.labels.begin(), info.labels.end(),
                   step.required_label) == info.labels.end()) {
+      ++wait.excluded;
       continue;
     }
     const auto count = spread.tasks.find(id);
     if (step.per_worker_limit > 0 && count != spread.tasks.end() &&
         count->second >= step.per_worker_limit) {
+      ++wait.excluded;
       continue;
     }
     const bool failed_here =
@@ -388,6 +415,7 @@
         (step.rack_local && !spread.rack.empty() && info.rack != spread.rack);
     const std::optional<int> company = CompanyIn(room, step);
     if (!company) {
+      ++(IsOnTrial(room, step.image) ? wait.untried : wait.interference);
       continue;
     }
     const Preference preference{failed_here, room.is_probed, is_far, *company,
@@ -400,10 +428,18 @@
   return best;
 }
 
+void GraphPlacement::NoteWait(PlacementWait wait) {
+  const auto [noted, is_new] = wait_noted_at_.try_emplace(wait.graph, now_);
+  if (is_new || noted->second + kWaitLogInterval <= now_) {
+    noted->second = now_;
+    waits_.push_back(std::move(wait));
+  }
+}
+
 std::optional<int> GraphPlacement::CompanyIn(const WorkerRoom& room,
                                              const StepSpec& step) const {
   if (step.latency_target_ms > 0) {
-    return ServingRank(pool_workers_, room, step);
+    return policy_.image_packing ? ServingRank(pool_workers_, room, step) : 0;
   }
   if (!step.fills || room.serving.empty()) {
     return 0;
@@ -416,12 +452,13 @@
   for (const ServingCompany& other : room.serving) {
     // What is not known is tried where what is known leaves room.
     const double own =
-        is_trial ? 0 : model_->ExpectedPressure(other.image, {&added, 1});
-    if (!is_trial && other.alone * own <= kNegligibleRise) {
+        is_trial ? 0 : model_->ExpectedRise(other.image, {&added, 1});
+    if (policy_.light_neighbours && !is_trial &&
+        other.alone * own <= kNegligibleRise) {
       continue;
     }
     const double pressure =
-        model_->ExpectedPressure(other.image, room.filling) + own;
+        model_->ExpectedRise(other.image, room.filling) + own;
     worst = std::max(worst, other.alone * (1 + pressure) - other.limit);
   }
   const int level = static_cast<int>(worst * kOccupancyLevels);
@@ -441,7 +478,7 @@
                                const std::string& image) const {
   return std::any_of(room.serving.begin(), room.serving.end(),
                      [&](const ServingCompany& other) {
-                       return !model_->Knows(other.image, image);
+                       return model_->IsUncertain(other.image, image);
                      });
 }
 
@@ -450,12 +487,12 @@
                                 const StepSpec& step,
                                 std::int64_t percent) const {
   if (step.latency_target_ms > 0) {
-    const double base = model_->BaseOf(now_, task.graph, step.image);
-    const double occupancy = model_->OccupancyOf(step.image, base);
+    const double occupancy = model_->BaseOccupancy(task.graph, step.image);
     room.serving.push_back({step.image, kLoadRise * occupancy,
                             model_->OccupancyOf(step.image, kKeptLatency),
                             step.per_worker_limit > 0});
-    room.idle_cpu_millis += UnusedBy(step, occupancy);
+    room.idle_cpu_millis +=
+        UnusedBy(step, policy_.load_dependent_slack ? occupancy : 0);
   }
   if (step.fills) {
     room.filling.push_back(
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -1,137 +1,289 @@
 #include "banyan/graph/interference.h"
 
 #include <algorithm>
-#include <vector>
+#include <cmath>
+#include <cstddef>
+#include <tuple>
 
 namespace banyan {
 namespace {
 
-// What is assumed of images that were never seen: a task that serves alone
-// needs a quarter of its target, and a sixth of it without any load.
-constexpr double kAssumedBase = 0.25;
+// What is assumed of images that were never seen: the latency without load, in
+// parts of the target, and the occupancy.
 constexpr double kAssumedFloor = 1.0 / 6;
-// Between a light and a heavy neighbour.
-constexpr double kAssumedPressure = 3;
-// Occupancies are kept between these; latencies are reported in whole
-// milliseconds.
-constexpr double kLeastOccupancy = 0.05;
+constexpr double kAssumedBase = 0.4;
+// The belief of a pair that was never seen.
+constexpr double kPriorInterferes = 0.5;
+constexpr double kPriorLevel = 3;
+constexpr double kPriorVariance = 4;
+// Levels drift within seconds: what is known of one decays in this time, in
+// seconds. That a pair interferes or not lasts, and is doubted again only
+// slowly.
+constexpr double kLevelMemory = 10;
+constexpr double kClassMemory = 90;
+// A probability is kept this far from certainty, so that a wrong one is turned
+// by a few reports.
+constexpr double kLeastDoubt = 0.005;
+constexpr double kLeastVariance = 0.05;
+// Drift of a base occupancy per square root of a second, and the most that its
+// variance grows to.
+constexpr double kBaseDrift = 0.1;
+constexpr double kMostBaseVariance = 0.03;
+constexpr double kLeastBaseVariance = 1e-5;
+// Occupancies are kept between these.
+constexpr double kLeastBase = 0.03;
 constexpr double kMostOccupancy = 0.98;
-// What a neighbour of a tenth of the worker adds while the task is half
-// occupied; less than that tells little.
-constexpr double kTellingLoad = 0.05;
-// Weight of one observation. Pressure changes within seconds and a report
-// comes twice a second, so a few reports must turn the estimate.
-constexpr double kPressureWeight = 0.7;
-// Weight of a latency without neighbours in the usual base.
-constexpr double kLoneWeight = 0.5;
-// The usual base follows a lower latency at once and a higher one slowly.
-constexpr double kBaseRise = 0.03;
-// Reports older than this tell nothing of the present load.
-constexpr Span kSampleAge = Millis(1500);
-// Groups and reports that are kept.
+constexpr double kLeastLatency = 0.02;
+// Relative deviation of reports beyond their rounding, and the deviation of
+// the rounding in units of the resolution.
+constexpr double kReportNoise = 0.1;
+constexpr double kRoundingNoise = 0.35;
+// Reports that fit no hypothesis, such as of a worker that is slow: their part
+// of all reports, and the density of their occupancies.
+constexpr double kOutliers = 0.05;
+constexpr double kOutlierDensity = 0.5;
+// Weight of a report without neighbours in the usual base.
+constexpr double kUsualWeight = 0.05;
+// A load below this leaves no trace in a latency.
+constexpr double kTellingLoad = 0.004;
+// Pairs of one report whose class is weighed; the others count by their mean.
+constexpr std::size_t kMaxTerms = 5;
+// Between these probabilities it is open whether a pair interferes.
+constexpr double kLikelyNot = 0.15;
+constexpr double kLikely = 0.85;
 constexpr std::size_t kMaxGroups = 4096;
-constexpr double kLeastBase = 0.02;
+
+double SecondsOf(Span span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+double Faded(double value, double towards, double age_s, double memory_s) {
+  return towards + (value - towards) * std::exp(-age_s / memory_s);
+}
+
+PairBelief PriorBelief(Time at) {
+  return {kPriorInterferes, kPriorLevel, kPriorVariance, at};
+}
+
+// Returns a belief as of a later time.
+PairBelief Aged(const PairBelief& belief, Time now) {
+  const double age = SecondsOf(now - belief.at);
+  return {Faded(belief.interferes, kPriorInterferes, age, kClassMemory),
+          Faded(belief.level, kPriorLevel, age, kLevelMemory),
+          Faded(belief.variance, kPriorVariance, age, kLevelMemory), now};
+}
 
 }  // namespace
 
-double InterferenceModel::PressureOf(const std::string& serving,
-                                     const std::string& filling) const {
-  const auto found = pressure_.find({serving, filling});
-  return found == pressure_.end() ? kAssumedPressure : found->second;
-}
-
-double InterferenceModel::BaseOf(Time now,
-                                 const std::string& group,
-                                 const std::string& serving) const {
-  std::size_t fresh = 0;
-  double least = 0;
-  const auto samples = groups_.find(group);
-  if (samples != groups_.end()) {
-    for (const auto& [worker, sample] : samples->second) {
-      if (sample.at + kSampleAge < now) {
-        continue;
-      }
-      least = fresh == 0 ? sample.latency : std::min(least, sample.latency);
-      ++fresh;
-    }
+double InterferenceModel::OccupancyOf(const std::string& image,
+                                      double latency) const {
+  const auto floor = floors_.find(image);
+  const double unloaded =
+      floor == floors_.end() ? kAssumedFloor : floor->second;
+  return std::clamp(1 - unloaded / std::max(latency, kLeastLatency), 0.0,
+                    kMostOccupancy);
+}
+
+InterferenceModel::Base InterferenceModel::BaseAt(
+    Time now,
+    const std::string& group,
+    const std::string& image) const {
+  const auto known = groups_.find(group);
+  if (known == groups_.end()) {
+    const auto usual = usual_.find(image);
+    return {usual == usual_.end() ? kAssumedBase : usual->second,
+            kMostBaseVariance, now};
   }
-  // One report alone can't tell load from pressure.
-  return std::max(fresh > 1 ? least : UsualBase(serving), kLeastBase);
+  const double age = SecondsOf(now - known->second.at);
+  return {known->second.mean,
+          std::min(known->second.variance + kBaseDrift * kBaseDrift * age,
+                   kMostBaseVariance),
+          now};
 }
 
-double InterferenceModel::UsualBase(const std::string& serving) const {
-  const auto usual = base_.find(serving);
-  return usual == base_.end() ? kAssumedBase : usual->second;
+double InterferenceModel::BaseOccupancy(const std::string& group,
+                                        const std::string& image) const {
+  return BaseAt(latest_, group, image).mean;
 }
 
-void InterferenceModel::Sample(Time now,
-                               const std::string& worker,
-                               const std::string& group,
-                               const std::string& serving,
-                               double latency,
-                               bool has_neighbours) {
-  if (groups_.size() >= kMaxGroups && !groups_.contains(group)) {
-    groups_.clear();
-  }
-  Report& report = groups_[group][worker];
-  report.latency =
-      report.at == now ? std::min(report.latency, latency) : latency;
-  report.at = now;
-  double& floor = floor_.try_emplace(serving, kAssumedFloor).first->second;
-  floor = std::max(kLeastBase, std::min(floor, latency));
-  double& usual =
-      base_.try_emplace(serving, std::min(latency, kAssumedBase)).first->second;
-  if (!has_neighbours) {
-    usual += kLoneWeight * (latency - usual);
-  } else if (latency < usual) {
-    usual = latency;
-  } else {
-    usual += kBaseRise * (latency - usual);
-  }
+PairBelief InterferenceModel::BeliefOf(const std::string& image,
+                                       const std::string& neighbour) const {
+  const auto known = pairs_.find({image, neighbour});
+  return known == pairs_.end() ? PriorBelief(latest_)
+                               : Aged(known->second, latest_);
 }
 
-double InterferenceModel::OccupancyOf(const std::string& serving,
-                                      double latency) const {
-  const auto floor = floor_.find(serving);
-  const double unloaded = floor == floor_.end() ? kAssumedFloor : floor->second;
-  return std::clamp(1 - unloaded / std::max(latency, kLeastBase),
-                    kLeastOccupancy, kMostOccupancy);
+bool InterferenceModel::IsUncertain(const std::string& image,
+                                    const std::string& neighbour) const {
+  const double interferes = BeliefOf(image, neighbour).interferes;
+  return interferes > kLikelyNot && interferes < kLikely;
 }
 
-double InterferenceModel::ExpectedPressure(
-    const std::string& serving,
+double InterferenceModel::ExpectedRise(
+    const std::string& image,
     std::span<const FillingNeighbour> neighbours) const {
-  double expected = 0;
+  double rise = 0;
   for (const FillingNeighbour& neighbour : neighbours) {
-    expected += neighbour.load * PressureOf(serving, neighbour.image);
+    rise += neighbour.load * BeliefOf(image, neighbour.image).expected_level();
   }
-  return expected;
+  return rise;
 }
 
-void InterferenceModel::Learn(double base,
-                              const std::string& serving,
-                              double latency,
-                              std::span<const FillingNeighbour> neighbours) {
-  const double alone = OccupancyOf(serving, base);
-  std::vector<double> regressors;
-  double norm = 0;
+std::vector<InterferenceModel::Term> InterferenceModel::TermsOf(
+    const std::string& image,
+    std::span<const FillingNeighbour> neighbours) const {
+  std::vector<Term> terms;
   for (const FillingNeighbour& neighbour : neighbours) {
-    regressors.push_back(alone * neighbour.load);
-    norm += regressors.back() * regressors.back();
+    const auto same = std::find_if(
+        terms.begin(), terms.end(),
+        [&](const Term& term) { return term.pair.second == neighbour.image; });
+    if (same != terms.end()) {
+      same->load += neighbour.load;
+    } else {
+      terms.push_back({{image, neighbour.image},
+                       neighbour.load,
+                       BeliefOf(image, neighbour.image)});
+    }
+  }
+  std::erase_if(terms,
+                [](const Term& term) { return term.load <= kTellingLoad; });
+  std::sort(terms.begin(), terms.end(), [](const Term& a, const Term& b) {
+    return std::tie(b.load, a.pair) < std::tie(a.load, b.pair);
+  });
+  return terms;
+}
+
+std::vector<InterferenceModel::Hypothesis> InterferenceModel::HypothesesOf(
+    std::span<const Term> terms) {
+  const std::size_t weighed = std::min(terms.size(), kMaxTerms);
+  std::vector<Hypothesis> hypotheses(1);
+  for (const Term& term : terms.subspan(weighed)) {
+    const double mean = term.belief.expected_level();
+    const double square =
+        term.belief.interferes *
+        (term.belief.variance + term.belief.level * term.belief.level);
+    hypotheses.front().factor += term.load * mean;
+    hypotheses.front().variance +=
+        term.load * term.load * (square - mean * mean);
+  }
+  for (const Term& term : terms.first(weighed)) {
+    const std::size_t before = hypotheses.size();
+    for (std::size_t i = 0; i < before; ++i) {
+      Hypothesis with = hypotheses[i];
+      with.interferes.push_back(true);
+      with.weight *= term.belief.interferes;
+      with.factor += term.load * term.belief.level;
+      with.variance += term.load * term.load * term.belief.variance;
+      hypotheses.push_back(std::move(with));
+      hypotheses[i].interferes.push_back(false);
+      hypotheses[i].weight *= 1 - term.belief.interferes;
+    }
+  }
+  return hypotheses;
+}
+
+void InterferenceModel::Weigh(const Evidence& evidence,
+                              std::vector<Hypothesis>& hypotheses) {
+  double total = 0;
+  for (Hypothesis& hypothesis : hypotheses) {
+    const double base = evidence.base.mean;
+    hypothesis.error = evidence.occupancy - base * hypothesis.factor;
+    hypothesis.error_variance =
+        evidence.noise * evidence.noise +
+        evidence.base.variance * hypothesis.factor * hypothesis.factor +
+        base * base * hypothesis.variance;
+    const double variance = hypothesis.error_variance;
+    const double likelihood =
+        std::exp(-hypothesis.error * hypothesis.error / (2 * variance)) /
+        std::sqrt(variance);
+    hypothesis.weight *=
+        (1 - kOutliers) * likelihood + kOutliers * kOutlierDensity;
+    total += hypothesis.weight;
+  }
+  for (Hypothesis& hypothesis : hypotheses) {
+    hypothesis.weight /= total;
+  }
+}
+
+InterferenceModel::Base InterferenceModel::UpdatedBase(
+    const Base& base,
+    std::span<const Hypothesis> hypotheses) {
+  double mean = 0;
+  double square = 0;
+  for (const Hypothesis& hypothesis : hypotheses) {
+    const double gain =
+        base.variance * hypothesis.factor / hypothesis.error_variance;
+    const double updated = base.mean + gain * hypothesis.error;
+    mean += hypothesis.weight * updated;
+    square +=
+        hypothesis.weight *
+        (base.variance * (1 - gain * hypothesis.factor) + updated * updated);
+  }
+  return {std::clamp(mean, kLeastBase, kMostOccupancy),
+          std::max(square - mean * mean, kLeastBaseVariance), base.at};
+}
+
+PairBelief InterferenceModel::UpdatedBelief(
+    const Base& base,
+    std::span<const Hypothesis> hypotheses,
+    const Term& term,
+    std::size_t index) {
+  double interferes = 0;
+  double level = 0;
+  double square = 0;
+  for (const Hypothesis& hypothesis : hypotheses) {
+    if (!hypothesis.interferes[index]) {
+      continue;
+    }
+    const double slope = base.mean * term.load;
+    const double gain =
+        term.belief.variance * slope / hypothesis.error_variance;
+    const double updated =
+        std::max(0.0, term.belief.level + gain * hypothesis.error);
+    interferes += hypothesis.weight;
+    level += hypothesis.weight * updated;
+    square += hypothesis.weight *
+              (term.belief.variance * (1 - gain * slope) + updated * updated);
+  }
+  PairBelief belief = term.belief;
+  belief.interferes = std::clamp(interferes, kLeastDoubt, 1 - kLeastDoubt);
+  if (interferes > 0) {
+    belief.level = level / interferes;
+    belief.variance = std::max(
+        square / interferes - belief.level * belief.level, kLeastVariance);
+  }
+  return belief;
+}
+
+void InterferenceModel::Observe(Time now,
+                                const LatencyReport& report,
+                                std::span<const FillingNeighbour> neighbours) {
+  latest_ = std::max(latest_, now);
+  if (groups_.size() >= kMaxGroups && !groups_.contains(report.group)) {
+    groups_.clear();
   }
-  if (norm <= 0) {
-    return;
+  double& floor =
+      floors_.try_emplace(report.image, kAssumedFloor).first->second;
+  floor = std::clamp(report.latency, kLeastLatency, floor);
+  const std::vector<Term> terms = TermsOf(report.image, neighbours);
+  const double latency = std::max(report.latency, floor);
+  Evidence evidence;
+  evidence.occupancy = OccupancyOf(report.image, latency);
+  evidence.noise =
+      floor / latency *
+      (kReportNoise + kRoundingNoise * report.resolution / latency);
+  evidence.base = BaseAt(now, report.group, report.image);
+  std::vector<Hypothesis> hypotheses = HypothesesOf(terms);
+  Weigh(evidence, hypotheses);
+  groups_[report.group] = UpdatedBase(evidence.base, hypotheses);
+  if (terms.empty()) {
+    double& usual =
+        usual_.try_emplace(report.image, kAssumedBase).first->second;
+    usual += kUsualWeight * (evidence.occupancy - usual);
   }
-  // A normalized least-mean-squares step, small where little is to be seen.
-  norm += kTellingLoad * kTellingLoad;
-  const double error = OccupancyOf(serving, latency) -
-                       alone * (1 + ExpectedPressure(serving, neighbours));
-  for (std::size_t i = 0; i < neighbours.size(); ++i) {
-    double& pressure =
-        pressure_.try_emplace({serving, neighbours[i].image}, kAssumedPressure)
-            .first->second;
-    pressure = std::max(
-        0.0, pressure + kPressureWeight * error * regressors[i] / norm);
+  for (std::size_t i = 0; i < std::min(terms.size(), kMaxTerms); ++i) {
+    pairs_[terms[i].pair] =
+        UpdatedBelief(evidence.base, hypotheses, terms[i], i);
   }
 }
 
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -25,8 +25,13 @@
 // that is younger does not show in it as a whole.
 constexpr Span kReportSpan = Millis(700);
 // A task that is over its target for so long on end has its neighbours
-// stopped, whatever the model says. Less than half of what is promised.
+// stopped, first those that are not known to be harmless, then all. The second
+// is little more than half of what is promised.
 constexpr Span kMostOver = Millis(1400);
+constexpr Span kMostOverAtAll = Millis(2300);
+// A neighbour that interferes with less than this probability is taken to be
+// harmless.
+constexpr double kCleared = 0.05;
 // A latency rises when it is this much greater than in the last report.
 constexpr double kRise = 1.08;
 
@@ -45,6 +50,8 @@
 struct Weight {
   double weight = 0;
   std::size_t index = 0;
+  // Whether the neighbour is known not to interfere.
+  bool is_cleared = false;
 };
 
 // Lowers shares, heaviest first, until the excess is gone.
@@ -56,14 +63,14 @@
     explained += item.weight * shares[item.index];
   }
   if (explained < excess * kLeastExplained) {
-    for (double& share : shares) {
-      share *= kUnexplainedCut;
+    for (const Weight& item : lightest_first) {
+      shares[item.index] *= item.is_cleared ? 1 : kUnexplainedCut;
     }
   }
   const std::vector<Weight> heaviest_first(lightest_first.rbegin(),
                                            lightest_first.rend());
   for (const Weight& item : heaviest_first) {
-    if (excess <= 0 || item.weight <= 0) {
+    if (excess <= 0 || item.is_cleared || item.weight <= 0) {
       return;
     }
     double& share = shares[item.index];
@@ -109,10 +116,11 @@
     if (before == site.latencies.end() || latency > before->second * kRise) {
       site.rising.insert(task.group);
     }
-    model_.Sample(now, worker, task.group, task.image, latency,
-                  !filling.empty());
-    model_.Learn(model_.BaseOf(now, task.group, task.image), task.image,
-                 latency, neighbours);
+    model_.Observe(
+        now,
+        {task.group, task.image, latency,
+         1 / static_cast<double>(std::max<std::int64_t>(task.target_ms, 1))},
+        neighbours);
   }
   site.latencies.clear();
   for (const ServingTask& task : serving) {
@@ -139,30 +147,35 @@
     pending.push_back(
         is_pending ? present[i] * filling[i].size - filling[i].used : 0);
   }
-  bool is_harmed = false;
+  Span longest_over = Span::zero();
   std::set<std::string> over;
   for (const ServingTask& task : serving) {
     if (RelativeLatency(task) > 1) {
       over.insert(task.group);
       const Time since =
           site.over_since.try_emplace(task.group, now).first->second;
-      is_harmed = is_harmed || since + kMostOver <= now;
+      longest_over = std::max(longest_over, now - since);
     }
   }
   std::erase_if(site.over_since,
                 [&](const auto& item) { return !over.contains(item.first); });
+  // Whether each neighbour is harmless to all tasks here.
+  std::vector<bool> harmless(filling.size(), true);
   for (const ServingTask& task : serving) {
     const double latency = RelativeLatency(task);
     const auto occupancy = [&](double at) {
       return model_.OccupancyOf(task.image, at);
     };
-    const double alone = occupancy(model_.BaseOf(now, task.group, task.image));
+    const double alone = model_.BaseOccupancy(task.group, task.image);
     std::vector<Weight> weights;
     double expected = occupancy(latency);
     for (std::size_t i = 0; i < filling.size(); ++i) {
-      const double pressure = model_.PressureOf(task.image, filling[i].image);
-      weights.push_back({alone * filling[i].size * pressure, i});
-      expected += alone * pending[i] * pressure;
+      const PairBelief belief = model_.BeliefOf(task.image, filling[i].image);
+      const bool is_cleared = belief.interferes < kCleared;
+      harmless[i] = harmless[i] && is_cleared;
+      weights.push_back(
+          {alone * filling[i].size * belief.expected_level(), i, is_cleared});
+      expected += alone * pending[i] * belief.expected_level();
     }
     std::sort(
         weights.begin(), weights.end(),
@@ -176,8 +189,9 @@
     bool has_probe = false;
     for (const Weight& item : weights) {
       const double missing = 1 - present[item.index];
-      double rise =
-          item.weight <= 0 ? kMaxRise : std::min(kMaxRise, room / item.weight);
+      double rise = item.is_cleared || item.weight <= 0
+                        ? kMaxRise
+                        : std::min(kMaxRise, room / item.weight);
       // One neighbour at a time shows whether the model is still right.
       if (room > 0 && rise < kLeastRise && missing > 0 && !has_probe) {
         rise = kLeastRise;
@@ -192,10 +206,12 @@
   for (std::size_t i = 0; i < filling.size(); ++i) {
     const double share =
         wanted[i] < present[i] ? wanted[i] : present[i] + rises[i];
+    const bool is_stopped = harmless[i] ? longest_over >= kMostOverAtAll
+                                        : longest_over >= kMostOver;
     const std::int64_t percent =
-        is_harmed ? 0
-                  : std::lround(std::clamp(share, 0.0, 1.0) *
-                                static_cast<double>(kFullPercent));
+        is_stopped ? 0
+                   : std::lround(std::clamp(share, 0.0, 1.0) *
+                                 static_cast<double>(kFullPercent));
     if (percent != filling[i].percent) {
       paces.push_back({filling[i].run, percent});
     }
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -39,6 +39,8 @@
   }
   options.raft.may_form = settings.bootstrap;
   options.graphs.lease = settings.lease;
+  options.graphs.scheduling = settings.scheduling;
+  options.graphs.log_latencies = settings.log_latencies;
   constexpr int kHeartbeatsPerElection = 8;
   constexpr int kMarginsPerElection = 10;
   options.raft.timings.election = settings.election;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -75,12 +75,33 @@
       section.Number("accelerators", 0, kMaxAccelerators, 0);
 }
 
+SchedulingPolicy ReadScheduling(SettingsReader& reader, Reason& reason) {
+  SchedulingPolicy policy;
+  auto section = reader.Section("scheduling");
+  if (!section) {
+    return policy;
+  }
+  const auto read = [&](std::string_view key, bool& value) {
+    value = section->Switch(key, value);
+  };
+  read("backlog_forecast", policy.backlog_forecast);
+  read("light_neighbours", policy.light_neighbours);
+  read("load_dependent_slack", policy.load_dependent_slack);
+  read("image_packing", policy.image_packing);
+  read("careful_starts", policy.careful_starts);
+  read("starved_moves", policy.starved_moves);
+  read("worker_suspicion", policy.worker_suspicion);
+  static_cast<void>(section->Finish(reason));
+  return policy;
+}
+
 // Reads what every replica needs, with the default of its lease in
 // milliseconds.
 template <typename Settings>
 void ReadReplica(SettingsReader& reader,
                  std::int64_t default_lease_ms,
-                 Settings& settings) {
+                 Settings& settings,
+                 Reason& reason) {
   settings.election = Millis(reader.Number("election_ms", kMinElectionMs,
                                            kMaxElectionMs, kDefaultElectionMs));
   settings.lease = Millis(
@@ -88,6 +109,8 @@
   settings.snapshot_every = static_cast<std::uint64_t>(
       reader.Number("snapshot_every", kMinSnapshotEvery, kMaxSnapshotEvery,
                     kDefaultSnapshotEvery));
+  settings.scheduling = ReadScheduling(reader, reason);
+  settings.log_latencies = reader.Switch("log_latencies", false);
 }
 
 }  // namespace
@@ -105,7 +128,7 @@
   settings.listen = reader->Address("listen");
   settings.api = reader->Address("api");
   settings.members = ReadMembers(*reader, "members", reason);
-  ReadReplica(*reader, kDefaultLeaseMs, settings);
+  ReadReplica(*reader, kDefaultLeaseMs, settings, reason);
   settings.drain = ReadDrain(*reader);
   settings.log_folder = reader->Text("log_folder", "");
   if (!reader->Finish(reason)) {
@@ -152,7 +175,7 @@
   settings.control = reader->Text("control", "");
   settings.worker = reader->Text("worker", "");
   settings.metrics = reader->Text("metrics", "");
-  ReadReplica(*reader, kDefaultWorkerLeaseMs, settings);
+  ReadReplica(*reader, kDefaultWorkerLeaseMs, settings, reason);
   settings.threads = reader->Number("threads", 1, kMaxThreads, kDefaultThreads);
   settings.drain = ReadDrain(*reader);
   settings.log_folder = reader->Text("log_folder", "");
--- a/src/settings/settings_reader.cc
+++ b/src/settings/settings_reader.cc
@@ -150,6 +150,11 @@
   return text;
 }
 
+bool SettingsReader::Switch(std::string_view key, bool fallback) {
+  return impl_->Ask(key).IsDefined() ? Choice(key, {"on", "off"}) == "on"
+                                     : fallback;
+}
+
 std::vector<std::string> SettingsReader::Texts(std::string_view key) {
   std::vector<std::string> texts;
   const YAML::Node list = impl_->Ask(key);
--- a/tests/unit/graph_placement_test.cc
+++ b/tests/unit/graph_placement_test.cc
@@ -100,7 +100,7 @@
   void Pass(Span span) { now_ += span; }
 
  private:
-  GraphPlacement placement_;
+  GraphPlacement placement_{SchedulingPolicy{}};
   std::int64_t ends_ = 0;
   Time now_ = Time(std::chrono::seconds(100));
   GraphTable table_;
