--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -444,16 +444,13 @@
   if (!step.fills || room.serving.empty()) {
     return 0;
   }
-  const bool is_trial = IsOnTrial(room, step.image);
   const FillingNeighbour added{step.image,
                                PartOf(*room.worker, step.needs.cpu_millis)};
   // How far the worst off is expected above or below what it is to keep.
   double worst = -1;
   for (const ServingCompany& other : room.serving) {
-    // What is not known is tried where what is known leaves room.
-    const double own =
-        is_trial ? 0 : model_->ExpectedRise(other.image, {&added, 1});
-    if (policy_.light_neighbours && !is_trial &&
+    const double own = model_->ExpectedRise(other.image, {&added, 1});
+    if (policy_.light_neighbours &&
         other.alone * own <= kNegligibleRise) {
       continue;
     }
@@ -462,11 +459,9 @@
     worst = std::max(worst, other.alone * (1 + pressure) - other.limit);
   }
   const int level = static_cast<int>(worst * kOccupancyLevels);
-  constexpr int kOnTrial = 100;
   constexpr int kTooMuch = 1000;
-  // One task at a time shows what an image does here.
-  if (worst <= 0 && (!is_trial || room.trials == 0)) {
-    return (is_trial ? kOnTrial : 0) + level;
+  if (worst <= 0) {
+    return level;
   }
   if (takes_any_room_) {
     return kTooMuch + level;
