--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -360,8 +360,10 @@
                                std::span<const ServingTask> serving,
                                std::span<const FillingTask> filling) {
   std::ostringstream neighbours;
+  double wanted = 0;
   for (const FillingTask& task : filling) {
     neighbours << task.image << ':' << task.used << ':' << task.percent << ' ';
+    wanted += task.size * static_cast<double>(task.percent) / 100;
   }
   for (const ServingTask& task : serving) {
     out_.events.push_back(Event(EventId::kLatencyReported)
@@ -370,6 +372,9 @@
                               .With("image", task.image)
                               .With("latency_ms", task.latency_ms)
                               .With("target_ms", task.target_ms)
+                              .With("wanted_percent", static_cast<int>(100 * wanted))
+                              .With("committed_millis", worker.committed.cpu_millis)
+                              .With("capacity_millis", worker.info.capacity.cpu_millis)
                               .With("neighbours", neighbours.str()));
   }
 }
