The latency without load is learned from the least one reported

Cause: it was bounded by a sixth of the target; where the target is four and a half times the latency without load, every occupancy was overstated, and with it the processor time that serving tasks use.

--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -97,6 +97,15 @@
     Time at;
   };
 
+  // The least latency that an image ever reported, and of how many reports.
+  struct Floor {
+    double least = 0;
+    double reports = 0;
+
+    // The latency without load: the first reports are all under load.
+    [[nodiscard]] double unloaded() const noexcept;
+  };
+
   // One pair that takes part in a report.
   struct Term {
     PairKey pair;
@@ -146,9 +155,9 @@
 
   Time latest_;
   std::map<std::string, Base> groups_;
-  // Usual base occupancy, and the least latency ever reported, by image.
+  // Usual base occupancy, and latency without load, by image.
   std::map<std::string, double> usual_;
-  std::map<std::string, double> floors_;
+  std::map<std::string, Floor> floors_;
   std::map<PairKey, PairBelief> pairs_;
 };
 
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -12,6 +12,9 @@
 // parts of the target, and the occupancy.
 constexpr double kAssumedFloor = 1.0 / 6;
 constexpr double kAssumedBase = 0.4;
+// Reports after which the least latency of an image is about the one that it
+// has without load.
+constexpr double kFloorReports = 20;
 // The belief of a pair that was never seen.
 constexpr double kPriorInterferes = 0.5;
 constexpr double kPriorLevel = 3;
@@ -75,11 +78,15 @@
 
 }  // namespace
 
+double InterferenceModel::Floor::unloaded() const noexcept {
+  return least * (1 - kAssumedBase * std::exp(-reports / kFloorReports));
+}
+
 double InterferenceModel::OccupancyOf(const std::string& image,
                                       double latency) const {
   const auto floor = floors_.find(image);
   const double unloaded =
-      floor == floors_.end() ? kAssumedFloor : floor->second;
+      floor == floors_.end() ? kAssumedFloor : floor->second.unloaded();
   return std::clamp(1 - unloaded / std::max(latency, kLeastLatency), 0.0,
                     kMostOccupancy);
 }
@@ -262,15 +269,16 @@
   if (groups_.size() >= kMaxGroups && !groups_.contains(report.group)) {
     groups_.clear();
   }
-  double& floor =
-      floors_.try_emplace(report.image, kAssumedFloor).first->second;
-  floor = std::clamp(report.latency, kLeastLatency, floor);
+  const double latency = std::max(report.latency, kLeastLatency);
+  Floor& floor =
+      floors_.try_emplace(report.image, Floor{latency, 0}).first->second;
+  floor.least = std::min(floor.least, latency);
+  ++floor.reports;
   const std::vector<Term> terms = TermsOf(report.image, neighbours);
-  const double latency = std::max(report.latency, floor);
   Evidence evidence;
   evidence.occupancy = OccupancyOf(report.image, latency);
   evidence.noise =
-      floor / latency *
+      floor.unloaded() / latency *
       (kReportNoise + kRoundingNoise * report.resolution / latency);
   evidence.base = BaseAt(now, report.group, report.image);
   std::vector<Hypothesis> hypotheses = HypothesesOf(terms);
