--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -40,10 +40,14 @@
   double variance = 0;
   Time at;
 
-  // The level that is to be expected.
+  // The level that is to be expected, and the variance around it.
   [[nodiscard]] double expected_level() const noexcept {
     return interferes * level;
   }
+  [[nodiscard]] double level_variance() const noexcept {
+    return interferes * (variance + level * level) -
+           expected_level() * expected_level();
+  }
 };
 
 // How much best-effort tasks slow latency-sensitive tasks down, learned from
@@ -79,6 +83,12 @@
       const std::string& image,
       std::span<const FillingNeighbour> neighbours) const;
 
+  // Returns a rise that is rarely exceeded: the expected one and a part of its
+  // deviation.
+  [[nodiscard]] double RiskyRise(
+      const std::string& image,
+      std::span<const FillingNeighbour> neighbours) const;
+
   // Returns the belief of a pair as of the latest report.
   [[nodiscard]] PairBelief BeliefOf(const std::string& image,
                                     const std::string& neighbour) const;
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -203,6 +203,9 @@
       if (step->fills) {
         const auto seen = view->second.runs.find(run);
         percent = seen == view->second.runs.end() ? percent : seen->second.pace;
+        // What a task that is paced down leaves is free for others.
+        room.idle_cpu_millis +=
+            step->needs.cpu_millis * (kFullPercent - percent) / kFullPercent;
       }
       AddCompany(room, run.task, *step, percent);
     }
@@ -449,13 +452,13 @@
   // How far the worst off is expected above or below what it is to keep.
   double worst = -1;
   for (const ServingCompany& other : room.serving) {
-    const double own = model_->ExpectedRise(other.image, {&added, 1});
+    const double own = model_->RiskyRise(other.image, {&added, 1});
     if (policy_.light_neighbours &&
         other.alone * own <= kNegligibleRise) {
       continue;
     }
     const double pressure =
-        model_->ExpectedRise(other.image, room.filling) + own;
+        model_->RiskyRise(other.image, room.filling) + own;
     worst = std::max(worst, other.alone * (1 + pressure) - other.limit);
   }
   const int level = static_cast<int>(worst * kOccupancyLevels);
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -55,6 +55,8 @@
 constexpr double kLikelyNot = 0.15;
 constexpr double kLikely = 0.85;
 constexpr std::size_t kMaxGroups = 4096;
+// Deviations that a rise is allowed for beyond the expected one.
+constexpr double kRiskDeviations = 0.5;
 
 double SecondsOf(Span span) {
   return std::chrono::duration<double>(span).count();
@@ -136,6 +138,18 @@
   return rise;
 }
 
+double InterferenceModel::RiskyRise(
+    const std::string& image,
+    std::span<const FillingNeighbour> neighbours) const {
+  double rise = 0;
+  double variance = 0;
+  for (const Term& term : TermsOf(image, neighbours)) {
+    rise += term.load * term.belief.expected_level();
+    variance += term.load * term.load * term.belief.level_variance();
+  }
+  return rise + kRiskDeviations * std::sqrt(variance);
+}
+
 std::vector<InterferenceModel::Term> InterferenceModel::TermsOf(
     const std::string& image,
     std::span<const FillingNeighbour> neighbours) const {
@@ -165,13 +179,9 @@
   const std::size_t weighed = std::min(terms.size(), kMaxTerms);
   std::vector<Hypothesis> hypotheses(1);
   for (const Term& term : terms.subspan(weighed)) {
-    const double mean = term.belief.expected_level();
-    const double square =
-        term.belief.interferes *
-        (term.belief.variance + term.belief.level * term.belief.level);
-    hypotheses.front().factor += term.load * mean;
+    hypotheses.front().factor += term.load * term.belief.expected_level();
     hypotheses.front().variance +=
-        term.load * term.load * (square - mean * mean);
+        term.load * term.load * term.belief.level_variance();
   }
   for (const Term& term : terms.first(weighed)) {
     const std::size_t before = hypotheses.size();
