Stories of the mixture: class, level, base, outliers

The stories that were there keep their bounds; they feed reports in place of the two calls that are gone.

--- a/tests/unit/graph_placement_test.cc
+++ b/tests/unit/graph_placement_test.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::int64_t kCpuMillis = 16000;
+// Of a latency, in parts of its target: a millisecond of 24.
+constexpr double kResolution = 1.0 / 24;
 
 // Two workers whose processor time is committed to watch feeds, and packet
 // builds that wait to fill what the feeds leave.
@@ -42,12 +44,12 @@
   // an image use a tenth of each worker.
   void Report(double latency, const std::string& image = "") {
     now_ += Millis(500);
-    for (const char* id : {"w1", "w2"}) {
-      model_.Sample(now_, id, "feed", "s", latency, !image.empty());
-    }
+    std::vector<FillingNeighbour> neighbours;
     if (!image.empty()) {
-      const std::vector<FillingNeighbour> neighbours = {{image, 0.1}};
-      model_.Learn(model_.BaseOf(now_, "feed", "s"), "s", latency, neighbours);
+      neighbours.push_back({image, 0.1});
+    }
+    for (int worker = 0; worker < 2; ++worker) {
+      model_.Observe(now_, {"feed", "s", latency, kResolution}, neighbours);
     }
   }
 
@@ -56,14 +58,14 @@
   void TeachHeavy(const std::string& image) {
     for (int i = 0; i < 10; ++i) {
       Report(0.33);
-      const std::vector<FillingNeighbour> neighbours = {{image, 0.1}};
-      model_.Learn(0.33, "s", 1.0, neighbours);
+      Report(1.0, image);
     }
   }
 
   // Teaches that an image does nothing to the latency.
   void TeachLight(const std::string& image) {
     for (int i = 0; i < 10; ++i) {
+      Report(0.33);
       Report(0.33, image);
     }
   }
--- a/tests/unit/interference_test.cc
+++ b/tests/unit/interference_test.cc
@@ -19,31 +19,41 @@
 class ServingPair {
  public:
   // Reports, in whole milliseconds, under a load and neighbours whose true
-  // pressures are given.
+  // levels are given.
   void Report(InterferenceModel& model,
               double load,
               const std::vector<FillingNeighbour>& neighbours,
-              const std::vector<double>& pressures) {
+              const std::vector<double>& levels) {
     now_ += Millis(500);
-    double pressed = 1;
+    model.Observe(now_, ReportOf(load), {});
+    ReportBeside(model, load, neighbours, levels);
+  }
+
+  // The same of a group that has no task without neighbours.
+  void ReportBeside(InterferenceModel& model,
+                    double load,
+                    const std::vector<FillingNeighbour>& neighbours,
+                    const std::vector<double>& levels) {
+    double rise = 1;
     for (std::size_t i = 0; i < neighbours.size(); ++i) {
-      pressed += neighbours[i].load * pressures[i];
+      rise += neighbours[i].load * levels[i];
     }
-    model.Sample(now_, "w1", "watch", "serving", LatencyAt(load), false);
-    const double latency = LatencyAt(std::min(load * pressed, 0.97));
-    model.Sample(now_, "w2", "watch", "serving", latency, true);
-    model.Learn(model.BaseOf(now_, "watch", "serving"), "serving", latency,
-                neighbours);
+    model.Observe(now_, ReportOf(std::min(load * rise, 0.97)), neighbours);
   }
 
-  [[nodiscard]] static double LatencyAt(double occupied) {
-    return std::round(kUnloadedMs / (1 - occupied)) / kTargetMs;
+ private:
+  static LatencyReport ReportOf(double occupied) {
+    const double latency = std::round(kUnloadedMs / (1 - occupied)) / kTargetMs;
+    return {"watch", "serving", latency, 1 / kTargetMs};
   }
 
- private:
   Time now_ = Time(std::chrono::seconds(100));
 };
 
+double LevelOf(const InterferenceModel& model, const std::string& image) {
+  return model.BeliefOf("serving", image).expected_level();
+}
+
 void HoldsInAPeakWhatWasLearnedInALull() {
   // The pattern of watch feeds, whose load swings between a quarter and three
   // quarters within seconds while packet builds fill beside them.
@@ -53,8 +63,7 @@
     pair.Report(model, 0.4, {{"builds", 0.1}}, {6});
   }
   const std::array<FillingNeighbour, 1> present = {{{"builds", 0.05}}};
-  const double expected =
-      0.6 * (1 + model.ExpectedPressure("serving", present));
+  const double expected = 0.6 * (1 + model.ExpectedRise("serving", present));
   constexpr double kTrue = 0.6 * (1 + 0.05 * 6);
   CPPUNIT_ASSERT_DOUBLES_EQUAL(kTrue, expected, 0.05);
 }
@@ -69,35 +78,110 @@
         {{"light", 0.3 * random.Unit()}, {"heavy", 0.1 * random.Unit()}},
         {0.2, 8});
   }
-  CPPUNIT_ASSERT(model.PressureOf("serving", "light") < 1);
-  CPPUNIT_ASSERT(model.PressureOf("serving", "heavy") > 5);
+  CPPUNIT_ASSERT(LevelOf(model, "light") < 1);
+  CPPUNIT_ASSERT(LevelOf(model, "heavy") > 5);
 }
 
-void FollowsAPressureThatChanges() {
+void FollowsALevelThatChanges() {
   InterferenceModel model;
   ServingPair pair;
   for (int i = 0; i < 20; ++i) {
     pair.Report(model, 0.5, {{"builds", 0.1}}, {0});
   }
-  CPPUNIT_ASSERT(model.PressureOf("serving", "builds") < 1);
+  CPPUNIT_ASSERT(LevelOf(model, "builds") < 1);
   for (int i = 0; i < 4; ++i) {
     pair.Report(model, 0.5, {{"builds", 0.1}}, {6});
   }
-  CPPUNIT_ASSERT_MESSAGE("within two seconds",
-                         model.PressureOf("serving", "builds") > 4);
+  CPPUNIT_ASSERT_MESSAGE("within two seconds", LevelOf(model, "builds") > 4);
+}
+
+void ClearsAHarmlessImageWithinThreeSeconds() {
+  InterferenceModel model;
+  ServingPair pair;
+  CPPUNIT_ASSERT(model.IsUncertain("serving", "builds"));
+  for (int i = 0; i < 6; ++i) {
+    pair.Report(model, 0.45, {{"builds", 0.1}}, {0});
+  }
+  CPPUNIT_ASSERT(!model.IsUncertain("serving", "builds"));
+  CPPUNIT_ASSERT(model.BeliefOf("serving", "builds").interferes < 0.5);
+}
+
+void KeepsTheClassOfAPairWhoseLevelDrifts() {
+  // The pattern of a pair that was measured over a day: heavy all the time,
+  // at a level between 0.7 and 7 that changes within seconds.
+  InterferenceModel model;
+  ServingPair pair;
+  for (int i = 0; i < 60; ++i) {
+    const double level = 3.9 + 3.2 * std::sin(i / 6.0);
+    pair.Report(model, 0.45, {{"heavy", 0.1}, {"light", 0.2}}, {level, 0});
+  }
+  CPPUNIT_ASSERT(model.BeliefOf("serving", "heavy").interferes > 0.9);
+  CPPUNIT_ASSERT(model.BeliefOf("serving", "light").interferes < 0.1);
+}
+
+void BlamesTheUnknownOfAKnownAndAnUnknownImage() {
+  InterferenceModel model;
+  ServingPair pair;
+  for (int i = 0; i < 20; ++i) {
+    pair.Report(model, 0.45, {{"cleared", 0.2}}, {0});
+  }
+  for (int i = 0; i < 4; ++i) {
+    pair.Report(model, 0.45, {{"cleared", 0.2}, {"new", 0.1}}, {0, 5});
+  }
+  CPPUNIT_ASSERT(model.BeliefOf("serving", "cleared").interferes < 0.1);
+  CPPUNIT_ASSERT(model.BeliefOf("serving", "new").interferes > 0.9);
+}
+
+void LearnsTheBaseBesideHarmlessNeighbours() {
+  // No task of the group is without neighbours, but they are known.
+  InterferenceModel model;
+  ServingPair pair;
+  for (int i = 0; i < 20; ++i) {
+    pair.Report(model, 0.3, {{"cleared", 0.2}}, {0});
+  }
+  for (int i = 0; i < 8; ++i) {
+    pair.ReportBeside(model, 0.6, {{"cleared", 0.2}}, {0});
+  }
+  CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, model.BaseOccupancy("watch", "serving"),
+                               0.1);
+  CPPUNIT_ASSERT(model.BeliefOf("serving", "cleared").interferes < 0.15);
+}
+
+void IsNotTurnedByOneWildReport() {
+  // A worker that hesitates reports a latency that no neighbour explains.
+  InterferenceModel model;
+  ServingPair pair;
+  for (int i = 0; i < 20; ++i) {
+    pair.Report(model, 0.4, {{"cleared", 0.1}}, {0});
+  }
+  pair.ReportBeside(model, 0.95, {{"cleared", 0.1}}, {0});
+  CPPUNIT_ASSERT(model.BeliefOf("serving", "cleared").interferes < 0.3);
 }
 
 }  // namespace
 
 Section InterferenceStory() {
-  Section story("What tasks that fill do to a task that serves");
-  story.With(Section("learned from its latencies")
-                 .Then("holds in a peak when it was learned in a lull",
-                       HoldsInAPeakWhatWasLearnedInALull)
-                 .Then("tells a light neighbour from a heavy one",
-                       TellsALightNeighbourFromAHeavyOne)
-                 .Then("follows a change within two seconds",
-                       FollowsAPressureThatChanges));
+  Section story("Interference of best-effort tasks");
+  story
+      .With(Section("as a level of a pair")
+                .Then("holds in a peak when it was learned in a lull",
+                      HoldsInAPeakWhatWasLearnedInALull)
+                .Then("follows a change within two seconds",
+                      FollowsALevelThatChanges))
+      .With(Section("as a class of a pair")
+                .Then("is told apart for two neighbours of one task",
+                      TellsALightNeighbourFromAHeavyOne)
+                .Then("is cleared within three seconds",
+                      ClearsAHarmlessImageWithinThreeSeconds)
+                .Then("stays while the level drifts",
+                      KeepsTheClassOfAPairWhoseLevelDrifts)
+                .Then("falls on the image that is not known yet",
+                      BlamesTheUnknownOfAKnownAndAnUnknownImage)
+                .Then("is not turned by one wild report",
+                      IsNotTurnedByOneWildReport))
+      .With(Section("apart from the load")
+                .Then("leaves the base to be learned beside harmless images",
+                      LearnsTheBaseBesideHarmlessNeighbours));
   return story;
 }
 
