Stories begin with a task that was seen without load

The model no longer presumes a sixth of the target, so that a story that knows the latency without load has to show it.

--- a/tests/unit/graph_placement_test.cc
+++ b/tests/unit/graph_placement_test.cc
@@ -14,6 +14,9 @@
 constexpr std::int64_t kCpuMillis = 16000;
 // Of a latency, in parts of its target: a millisecond of 24.
 constexpr double kResolution = 1.0 / 24;
+// What the feeds report before they have any load.
+constexpr double kIdleLatency = 1.0 / 6;
+constexpr int kIdleReports = 40;
 
 // Two workers whose processor time is committed to watch feeds, and packet
 // builds that wait to fill what the feeds leave.
@@ -38,6 +41,9 @@
     table_.Apply(PlaceRuns{{{RunOf("feed", 0, 0), {"w1", 1}},
                             {RunOf("feed", 0, 1), {"w2", 1}}}},
                  kGraphStart);
+    for (int i = 0; i < kIdleReports; ++i) {
+      Report(kIdleLatency);
+    }
   }
 
   // The feeds report a latency, in parts of their target, while neighbours of
