--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -127,7 +127,10 @@
   // occupancy: the factor on the base, and the variance of that factor.
   struct Hypothesis {
     std::vector<bool> interferes;
+    // Probability that it holds, and that it holds while the report is an
+    // outlier, which then says nothing of anything else.
     double weight = 1;
+    double outlier_weight = 0;
     double factor = 1;
     double variance = 0;
     // By what a report differs from the expectation, and the variance of that.
@@ -151,8 +154,8 @@
       std::span<const FillingNeighbour> neighbours) const;
   [[nodiscard]] static std::vector<Hypothesis> HypothesesOf(
       std::span<const Term> terms);
-  // Weighs the hypotheses by the likelihood of the evidence; the weights add
-  // up to 1 afterwards.
+  // Weighs the hypotheses by the likelihood of the evidence; all weights add up
+  // to 1 afterwards.
   static void Weigh(const Evidence& evidence,
                     std::vector<Hypothesis>& hypotheses);
   [[nodiscard]] static Base UpdatedBase(const Base& base,
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -366,16 +366,17 @@
     wanted += task.size * static_cast<double>(task.percent) / 100;
   }
   for (const ServingTask& task : serving) {
-    out_.events.push_back(Event(EventId::kLatencyReported)
-                              .With("worker", worker.info.life.id)
-                              .With("group", task.group)
-                              .With("image", task.image)
-                              .With("latency_ms", task.latency_ms)
-                              .With("target_ms", task.target_ms)
-                              .With("wanted_percent", static_cast<int>(100 * wanted))
-                              .With("committed_millis", worker.committed.cpu_millis)
-                              .With("capacity_millis", worker.info.capacity.cpu_millis)
-                              .With("neighbours", neighbours.str()));
+    out_.events.push_back(
+        Event(EventId::kLatencyReported)
+            .With("worker", worker.info.life.id)
+            .With("group", task.group)
+            .With("image", task.image)
+            .With("latency_ms", task.latency_ms)
+            .With("target_ms", task.target_ms)
+            .With("wanted_percent", static_cast<int>(100 * wanted))
+            .With("committed_millis", worker.committed.cpu_millis)
+            .With("capacity_millis", worker.info.capacity.cpu_millis)
+            .With("neighbours", neighbours.str()));
   }
 }
 
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -453,12 +453,10 @@
   double worst = -1;
   for (const ServingCompany& other : room.serving) {
     const double own = model_->RiskyRise(other.image, {&added, 1});
-    if (policy_.light_neighbours &&
-        other.alone * own <= kNegligibleRise) {
+    if (policy_.light_neighbours && other.alone * own <= kNegligibleRise) {
       continue;
     }
-    const double pressure =
-        model_->RiskyRise(other.image, room.filling) + own;
+    const double pressure = model_->RiskyRise(other.image, room.filling) + own;
     worst = std::max(worst, other.alone * (1 + pressure) - other.limit);
   }
   const int level = static_cast<int>(worst * kOccupancyLevels);
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -18,11 +18,11 @@
 // The belief of a pair that was never seen.
 constexpr double kPriorInterferes = 0.5;
 constexpr double kPriorLevel = 3;
-constexpr double kPriorVariance = 4;
+constexpr double kPriorVariance = 6;
 // Levels drift within seconds: what is known of one decays in this time, in
 // seconds. That a pair interferes or not lasts, and is doubted again only
 // slowly.
-constexpr double kLevelMemory = 10;
+constexpr double kLevelMemory = 20;
 constexpr double kClassMemory = 90;
 // A probability is kept this far from certainty, so that a wrong one is turned
 // by a few reports.
@@ -66,6 +66,26 @@
   return towards + (value - towards) * std::exp(-age_s / memory_s);
 }
 
+// Mean and variance of a mixture, from its weighted components.
+class Moments {
+ public:
+  void Add(double weight, double mean, double variance) noexcept {
+    weight_ += weight;
+    mean_ += weight * mean;
+    square_ += weight * (variance + mean * mean);
+  }
+  [[nodiscard]] double weight() const noexcept { return weight_; }
+  [[nodiscard]] double mean() const noexcept { return mean_ / weight_; }
+  [[nodiscard]] double variance() const noexcept {
+    return square_ / weight_ - mean() * mean();
+  }
+
+ private:
+  double weight_ = 0;
+  double mean_ = 0;
+  double square_ = 0;
+};
+
 PairBelief PriorBelief(Time at) {
   return {kPriorInterferes, kPriorLevel, kPriorVariance, at};
 }
@@ -213,12 +233,13 @@
     const double likelihood =
         std::exp(-hypothesis.error * hypothesis.error / (2 * variance)) /
         std::sqrt(variance);
-    hypothesis.weight *=
-        (1 - kOutliers) * likelihood + kOutliers * kOutlierDensity;
-    total += hypothesis.weight;
+    hypothesis.outlier_weight = hypothesis.weight * kOutliers * kOutlierDensity;
+    hypothesis.weight *= (1 - kOutliers) * likelihood;
+    total += hypothesis.weight + hypothesis.outlier_weight;
   }
   for (Hypothesis& hypothesis : hypotheses) {
     hypothesis.weight /= total;
+    hypothesis.outlier_weight /= total;
   }
 }
 
@@ -245,9 +266,7 @@
     std::span<const Hypothesis> hypotheses,
     const Term& term,
     std::size_t index) {
-  double interferes = 0;
-  double level = 0;
-  double square = 0;
+  Moments level;
   for (const Hypothesis& hypothesis : hypotheses) {
     if (!hypothesis.interferes[index]) {
       continue;
@@ -255,20 +274,18 @@
     const double slope = base.mean * term.load;
     const double gain =
         term.belief.variance * slope / hypothesis.error_variance;
-    const double updated =
-        std::max(0.0, term.belief.level + gain * hypothesis.error);
-    interferes += hypothesis.weight;
-    level += hypothesis.weight * updated;
-    square += hypothesis.weight *
-              (term.belief.variance * (1 - gain * slope) + updated * updated);
+    level.Add(hypothesis.weight,
+              std::max(0.0, term.belief.level + gain * hypothesis.error),
+              term.belief.variance * (1 - gain * slope));
+    level.Add(hypothesis.outlier_weight, term.belief.level,
+              term.belief.variance);
   }
   PairBelief belief = term.belief;
-  belief.interferes = std::clamp(interferes, kLeastDoubt, 1 - kLeastDoubt);
-  if (interferes > 0) {
-    belief.level = level / interferes;
-    belief.variance = std::max(
-        square / interferes - belief.level * belief.level, kLeastVariance);
-  }
+  belief.interferes = std::clamp(level.weight(), kLeastDoubt, 1 - kLeastDoubt);
+  // As far as the pair does not interfere, nothing was learned of its level.
+  level.Add(1 - belief.interferes, kPriorLevel, kPriorVariance);
+  belief.level = level.mean();
+  belief.variance = std::max(level.variance(), kLeastVariance);
   return belief;
 }
 
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -32,6 +32,9 @@
 // A neighbour that interferes with less than this probability is taken to be
 // harmless.
 constexpr double kCleared = 0.05;
+// At this latency harmless neighbours are paced like all others: if they were
+// harmless, the task would not be there.
+constexpr double kSparedBelow = 0.95;
 // A latency rises when it is this much greater than in the last report.
 constexpr double kRise = 1.08;
 
@@ -150,7 +153,7 @@
   Span longest_over = Span::zero();
   std::set<std::string> over;
   for (const ServingTask& task : serving) {
-    if (RelativeLatency(task) > 1) {
+    if (RelativeLatency(task) >= 1) {
       over.insert(task.group);
       const Time since =
           site.over_since.try_emplace(task.group, now).first->second;
@@ -171,7 +174,8 @@
     double expected = occupancy(latency);
     for (std::size_t i = 0; i < filling.size(); ++i) {
       const PairBelief belief = model_.BeliefOf(task.image, filling[i].image);
-      const bool is_cleared = belief.interferes < kCleared;
+      const bool is_cleared =
+          belief.interferes < kCleared && latency < kSparedBelow;
       harmless[i] = harmless[i] && is_cleared;
       weights.push_back(
           {alone * filling[i].size * belief.expected_level(), i, is_cleared});
--- a/tests/unit/interference_test.cc
+++ b/tests/unit/interference_test.cc
@@ -118,11 +118,15 @@
 void KeepsTheClassOfAPairWhoseLevelDrifts() {
   // The pattern of a pair that was measured over a day: heavy all the time,
   // at a level between 0.7 and 7 that changes within seconds.
+  Random random(1);
   InterferenceModel model;
   ServingPair pair(model);
   for (int i = 0; i < 60; ++i) {
     const double level = 3.9 + 3.2 * std::sin(i / 6.0);
-    pair.Report(model, 0.45, {{"heavy", 0.1}, {"light", 0.2}}, {level, 0});
+    pair.Report(
+        model, 0.45,
+        {{"heavy", 0.15 * random.Unit()}, {"light", 0.3 * random.Unit()}},
+        {level, 0});
   }
   CPPUNIT_ASSERT(model.BeliefOf("serving", "heavy").interferes > 0.9);
   CPPUNIT_ASSERT(model.BeliefOf("serving", "light").interferes < 0.1);
