--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -202,10 +202,7 @@
       std::int64_t percent = kFullPercent;
       if (step->fills) {
         const auto seen = view->second.runs.find(run);
-        percent = seen == view->second.runs.end() ? percent : seen->second.pace;
-        // What a task that is paced down leaves is free for others.
-        room.idle_cpu_millis +=
-            step->needs.cpu_millis * (kFullPercent - percent) / kFullPercent;
+        percent = kFullPercent; (void)seen;
       }
       AddCompany(room, run.task, *step, percent);
     }
