--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -83,21 +83,19 @@
                                      const Spread& spread,
                                      PlacementWait& wait);
   void NoteWait(PlacementWait wait);
-  // Counts a task that runs on the worker, at a share in percent, among the
-  // company of others.
+  // Counts a task that runs on the worker among the company of others.
   void AddCompany(WorkerRoom& room,
                   const TaskRef& task,
-                  const StepSpec& step,
-                  std::int64_t percent) const;
+                  const StepSpec& step) const;
   void Take(WorkerRoom& room, const TaskRef& task, const StepSpec& step) const;
 
   // How little a worker suits a step for the company there; smaller is better,
   // nothing when it does not suit at all.
   [[nodiscard]] std::optional<int> CompanyIn(const WorkerRoom& room,
                                              const StepSpec& step) const;
-  // Whether it is not known what an image that fills does to what serves here.
-  [[nodiscard]] bool IsOnTrial(const WorkerRoom& room,
-                               const std::string& image) const;
+  // Whether it is open what a best-effort image does to what is served here.
+  [[nodiscard]] bool IsUncertain(const WorkerRoom& room,
+                                 const std::string& image) const;
 
   SchedulingPolicy policy_;
   Time now_;
--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -83,9 +83,9 @@
       const std::string& image,
       std::span<const FillingNeighbour> neighbours) const;
 
-  // Returns a rise that is rarely exceeded: the expected one and a part of its
+  // Returns a rise that is seldom exceeded: the expected one and one standard
   // deviation.
-  [[nodiscard]] double RiskyRise(
+  [[nodiscard]] double SafeRise(
       const std::string& image,
       std::span<const FillingNeighbour> neighbours) const;
 
--- a/include/banyan/graph/placement_wait.h
+++ b/include/banyan/graph/placement_wait.h
@@ -16,9 +16,9 @@
   int busy = 0;
   // A latency-sensitive task there would miss its target.
   int interference = 0;
-  // It is not known what the image does there, and another such task is
-  // already being watched or the load is too high to try.
-  int untried = 0;
+  // It is open whether the image interferes there, and the load leaves too
+  // little to find out.
+  int uncertain = 0;
   // Labels, spread, or a worker that is under suspicion.
   int excluded = 0;
 };
--- a/include/banyan/graph/worker_room.h
+++ b/include/banyan/graph/worker_room.h
@@ -31,8 +31,6 @@
   // The tasks here with a latency target, and those that fill.
   std::vector<ServingCompany> serving;
   std::vector<FillingNeighbour> filling;
-  // Of the latter, those of which it is not known what they do here.
-  int trials = 0;
   // Whether the worker gets one run only, to see whether it does well.
   bool is_probed = false;
   // Whether it has got that run.
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -603,7 +603,7 @@
                               .With("unfit", wait.unfit)
                               .With("busy", wait.busy)
                               .With("interference", wait.interference)
-                              .With("untried", wait.untried)
+                              .With("uncertain", wait.uncertain)
                               .With("excluded", wait.excluded));
   }
   if (!chosen.empty()) {
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -196,18 +196,9 @@
     }
     for (const RunRef& run : worker.runs) {
       const StepSpec* step = table.FindStep(run.task);
-      if (step == nullptr) {
-        continue;
-      }
-      std::int64_t percent = kFullPercent;
-      if (step->fills) {
-        const auto seen = view->second.runs.find(run);
-        percent = kFullPercent; (void)seen;
+      if (step != nullptr) {
+        AddCompany(room, run.task, *step);
       }
-      AddCompany(room, run.task, *step, percent);
-    }
-    for (const FillingNeighbour& neighbour : room.filling) {
-      room.trials += IsOnTrial(room, neighbour.image) ? 1 : 0;
     }
     rooms_.emplace(id, std::move(room));
   }
@@ -415,7 +406,7 @@
         (step.rack_local && !spread.rack.empty() && info.rack != spread.rack);
     const std::optional<int> company = CompanyIn(room, step);
     if (!company) {
-      ++(IsOnTrial(room, step.image) ? wait.untried : wait.interference);
+      ++(IsUncertain(room, step.image) ? wait.uncertain : wait.interference);
       continue;
     }
     const Preference preference{failed_here, room.is_probed, is_far, *company,
@@ -449,11 +440,11 @@
   // How far the worst off is expected above or below what it is to keep.
   double worst = -1;
   for (const ServingCompany& other : room.serving) {
-    const double own = model_->RiskyRise(other.image, {&added, 1});
+    const double own = model_->SafeRise(other.image, {&added, 1});
     if (policy_.light_neighbours && other.alone * own <= kNegligibleRise) {
       continue;
     }
-    const double pressure = model_->RiskyRise(other.image, room.filling) + own;
+    const double pressure = model_->SafeRise(other.image, room.filling) + own;
     worst = std::max(worst, other.alone * (1 + pressure) - other.limit);
   }
   const int level = static_cast<int>(worst * kOccupancyLevels);
@@ -467,8 +458,8 @@
   return std::nullopt;
 }
 
-bool GraphPlacement::IsOnTrial(const WorkerRoom& room,
-                               const std::string& image) const {
+bool GraphPlacement::IsUncertain(const WorkerRoom& room,
+                                 const std::string& image) const {
   return std::any_of(room.serving.begin(), room.serving.end(),
                      [&](const ServingCompany& other) {
                        return model_->IsUncertain(other.image, image);
@@ -477,8 +468,7 @@
 
 void GraphPlacement::AddCompany(WorkerRoom& room,
                                 const TaskRef& task,
-                                const StepSpec& step,
-                                std::int64_t percent) const {
+                                const StepSpec& step) const {
   if (step.latency_target_ms > 0) {
     const double occupancy = model_->BaseOccupancy(task.graph, step.image);
     room.serving.push_back({step.image, kLoadRise * occupancy,
@@ -488,9 +478,9 @@
         UnusedBy(step, policy_.load_dependent_slack ? occupancy : 0);
   }
   if (step.fills) {
+    // One that is paced down is to come back to its full share.
     room.filling.push_back(
-        {step.image,
-         PartOf(*room.worker, step.needs.cpu_millis * percent / kFullPercent)});
+        {step.image, PartOf(*room.worker, step.needs.cpu_millis)});
   }
 }
 
@@ -499,10 +489,7 @@
                           const StepSpec& step) const {
   room.free -= HeldBy(step);
   room.idle_cpu_millis -= step.needs.cpu_millis;
-  AddCompany(room, task, step, kFullPercent);
-  if (step.fills) {
-    room.trials += IsOnTrial(room, step.image) ? 1 : 0;
-  }
+  AddCompany(room, task, step);
   room.has_probe = room.is_probed;
 }
 
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -56,7 +56,7 @@
 constexpr double kLikely = 0.85;
 constexpr std::size_t kMaxGroups = 4096;
 // Deviations that a rise is allowed for beyond the expected one.
-constexpr double kRiskDeviations = 0.5;
+constexpr double kSafeDeviations = 1;
 
 double SecondsOf(Span span) {
   return std::chrono::duration<double>(span).count();
@@ -158,7 +158,7 @@
   return rise;
 }
 
-double InterferenceModel::RiskyRise(
+double InterferenceModel::SafeRise(
     const std::string& image,
     std::span<const FillingNeighbour> neighbours) const {
   double rise = 0;
@@ -167,7 +167,7 @@
     rise += term.load * term.belief.expected_level();
     variance += term.load * term.load * term.belief.level_variance();
   }
-  return rise + kRiskDeviations * std::sqrt(variance);
+  return rise + kSafeDeviations * std::sqrt(variance);
 }
 
 std::vector<InterferenceModel::Term> InterferenceModel::TermsOf(
