--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -40,6 +40,12 @@
   double variance = 0;
   Time at;
 
+  // Whether the pair can be taken not to interfere.
+  [[nodiscard]] bool is_cleared() const noexcept {
+    constexpr double kCleared = 0.05;
+    return interferes < kCleared;
+  }
+
   // The level that is to be expected, and the variance around it.
   [[nodiscard]] double expected_level() const noexcept {
     return interferes * level;
@@ -83,8 +89,8 @@
       const std::string& image,
       std::span<const FillingNeighbour> neighbours) const;
 
-  // Returns a rise that is seldom exceeded: the expected one and one standard
-  // deviation.
+  // Returns a rise that is seldom exceeded: the expected one and a standard
+  // deviation of what pairs that are not cleared may add.
   [[nodiscard]] double SafeRise(
       const std::string& image,
       std::span<const FillingNeighbour> neighbours) const;
--- a/include/banyan/graph/worker_room.h
+++ b/include/banyan/graph/worker_room.h
@@ -31,6 +31,8 @@
   // The tasks here with a latency target, and those that fill.
   std::vector<ServingCompany> serving;
   std::vector<FillingNeighbour> filling;
+  // Of the latter, those whose interference here is open.
+  int explored = 0;
   // Whether the worker gets one run only, to see whether it does well.
   bool is_probed = false;
   // Whether it has got that run.
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -200,6 +200,9 @@
         AddCompany(room, run.task, *step);
       }
     }
+    for (const FillingNeighbour& neighbour : room.filling) {
+      room.explored += IsUncertain(room, neighbour.image) ? 1 : 0;
+    }
     rooms_.emplace(id, std::move(room));
   }
   for (const auto& [urgency, id, graph] :
@@ -437,10 +440,15 @@
   }
   const FillingNeighbour added{step.image,
                                PartOf(*room.worker, step.needs.cpu_millis)};
+  const bool is_exploring = room.explored == 0 && IsUncertain(room, step.image);
   // How far the worst off is expected above or below what it is to keep.
   double worst = -1;
   for (const ServingCompany& other : room.serving) {
-    const double own = model_->SafeRise(other.image, {&added, 1});
+    // The first task whose interference is open starts at a part of its share,
+    // so that what is expected of it is enough.
+    const double own = is_exploring
+                           ? model_->ExpectedRise(other.image, {&added, 1})
+                           : model_->SafeRise(other.image, {&added, 1});
     if (policy_.light_neighbours && other.alone * own <= kNegligibleRise) {
       continue;
     }
@@ -490,6 +498,9 @@
   room.free -= HeldBy(step);
   room.idle_cpu_millis -= step.needs.cpu_millis;
   AddCompany(room, task, step);
+  if (step.fills) {
+    room.explored += IsUncertain(room, step.image) ? 1 : 0;
+  }
   room.has_probe = room.is_probed;
 }
 
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -165,7 +165,9 @@
   double variance = 0;
   for (const Term& term : TermsOf(image, neighbours)) {
     rise += term.load * term.belief.expected_level();
-    variance += term.load * term.load * term.belief.level_variance();
+    if (!term.belief.is_cleared()) {
+      variance += term.load * term.load * term.belief.level_variance();
+    }
   }
   return rise + kSafeDeviations * std::sqrt(variance);
 }
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -29,9 +29,6 @@
 // is little more than half of what is promised.
 constexpr Span kMostOver = Millis(1400);
 constexpr Span kMostOverAtAll = Millis(2300);
-// A neighbour that interferes with less than this probability is taken to be
-// harmless.
-constexpr double kCleared = 0.05;
 // At this latency harmless neighbours are paced like all others: if they were
 // harmless, the task would not be there.
 constexpr double kSparedBelow = 0.95;
@@ -57,8 +54,10 @@
   bool is_cleared = false;
 };
 
-// Lowers shares, heaviest first, until the excess is gone.
+// Lowers shares, heaviest first, until the excess is gone; where the model
+// does not explain it, all together by a factor.
 void Cut(double excess,
+         double unexplained_cut,
          const std::vector<Weight>& lightest_first,
          std::vector<double>& shares) {
   double explained = 0;
@@ -67,7 +66,7 @@
   }
   if (explained < excess * kLeastExplained) {
     for (const Weight& item : lightest_first) {
-      shares[item.index] *= item.is_cleared ? 1 : kUnexplainedCut;
+      shares[item.index] *= item.is_cleared ? 1 : unexplained_cut;
     }
   }
   const std::vector<Weight> heaviest_first(lightest_first.rbegin(),
@@ -174,8 +173,7 @@
     double expected = occupancy(latency);
     for (std::size_t i = 0; i < filling.size(); ++i) {
       const PairBelief belief = model_.BeliefOf(task.image, filling[i].image);
-      const bool is_cleared =
-          belief.interferes < kCleared && latency < kSparedBelow;
+      const bool is_cleared = belief.is_cleared() && latency < kSparedBelow;
       harmless[i] = harmless[i] && is_cleared;
       weights.push_back(
           {alone * filling[i].size * belief.expected_level(), i, is_cleared});
@@ -185,7 +183,9 @@
         weights.begin(), weights.end(),
         [](const Weight& a, const Weight& b) { return a.weight < b.weight; });
     if (expected > occupancy(kHighLatency)) {
-      Cut(expected - occupancy(kCutTo), weights, wanted);
+      Cut(expected - occupancy(kCutTo),
+          std::min(kUnexplainedCut, kCutTo / std::max(latency, kCutTo)),
+          weights, wanted);
     }
     const bool is_low =
         expected < occupancy(kLowLatency) && !site.rising.contains(task.group);
