--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -139,6 +139,9 @@
     double outlier_weight = 0;
     double factor = 1;
     double variance = 0;
+    // By what the variances of levels are multiplied: more than 1 where a level
+    // is far from what was believed.
+    double spread = 1;
     // By what a report differs from the expectation, and the variance of that.
     double error = 0;
     double error_variance = 0;
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -17,8 +17,12 @@
 constexpr double kFloorReports = 20;
 // The belief of a pair that was never seen.
 constexpr double kPriorInterferes = 0.5;
-constexpr double kPriorLevel = 3;
-constexpr double kPriorVariance = 6;
+constexpr double kPriorLevel = 2.5;
+constexpr double kPriorVariance = 3;
+// The part of reports at which a level has jumped, and by what that multiplies
+// the variance of what was believed of it.
+constexpr double kJumps = 0.05;
+constexpr double kJumpSpread = 10;
 // Levels drift within seconds: what is known of one decays in this time, in
 // seconds. That a pair interferes or not lasts, and is doubted again only
 // slowly.
@@ -218,6 +222,20 @@
       hypotheses[i].weight *= 1 - term.belief.interferes;
     }
   }
+  const std::size_t assignments = hypotheses.size();
+  for (std::size_t i = 0; i < assignments; ++i) {
+    Hypothesis& usual = hypotheses[i];
+    if (std::find(usual.interferes.begin(), usual.interferes.end(), true) ==
+        usual.interferes.end()) {
+      continue;
+    }
+    Hypothesis jump = usual;
+    jump.weight *= kJumps;
+    jump.variance *= kJumpSpread;
+    jump.spread = kJumpSpread;
+    usual.weight *= 1 - kJumps;
+    hypotheses.push_back(std::move(jump));
+  }
   return hypotheses;
 }
 
@@ -274,11 +292,11 @@
       continue;
     }
     const double slope = base.mean * term.load;
-    const double gain =
-        term.belief.variance * slope / hypothesis.error_variance;
+    const double variance = term.belief.variance * hypothesis.spread;
+    const double gain = variance * slope / hypothesis.error_variance;
     level.Add(hypothesis.weight,
               std::max(0.0, term.belief.level + gain * hypothesis.error),
-              term.belief.variance * (1 - gain * slope));
+              variance * (1 - gain * slope));
     level.Add(hypothesis.outlier_weight, term.belief.level,
               term.belief.variance);
   }
