--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -24,6 +24,10 @@
 [[nodiscard]] double PartOf(const GraphWorker& worker,
                             std::int64_t cpu_millis) noexcept;
 
+// The share, in percent, at which a best-effort task starts where it is open
+// whether its image interferes.
+inline constexpr std::int64_t kExploringPercent = 50;
+
 // Chooses which ready tasks start where. Deterministic; knows no clocks but
 // those it is given.
 class GraphPlacement {
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -31,8 +31,6 @@
 constexpr std::int64_t kStarvedPercent = 20;
 constexpr Span kStarvedFor = Millis(900);
 constexpr std::int64_t kCheapPercent = 25;
-// The share that a task starts with beside what it was never seen with.
-constexpr std::int64_t kCarefulPercent = 50;
 // When a caller may come back with a job that no worker is large enough for;
 // workers of another kind take seconds to join.
 constexpr std::int64_t kMisfitRetryMs = 5000;
@@ -105,7 +103,7 @@
     const StepSpec* neighbour = table.FindStep(other.task);
     if (neighbour != nullptr && neighbour->latency_target_ms > 0 &&
         pacer_.model().IsUncertain(neighbour->image, step.image)) {
-      start.percent = kCarefulPercent;
+      start.percent = kExploringPercent;
     }
   }
   return start;
--- a/tests/unit/interference_test.cc
+++ b/tests/unit/interference_test.cc
@@ -13,17 +13,18 @@
 
 constexpr double kTargetMs = 24;
 constexpr double kUnloadedMs = 4;
-constexpr int kIdleReports = 40;
+constexpr double kSwingStep = 0.314;
+constexpr int kReportsAlone = 40;
 
 // A serving task on two workers, with neighbours on the second only. What it
 // reports follows a queue: its load, and what neighbours make of it.
 class ServingPair {
  public:
-  // The model sees the tasks without load first.
+  // The model sees the tasks alone for two swings of their load first.
   explicit ServingPair(InterferenceModel& model) {
-    for (int i = 0; i < kIdleReports; ++i) {
+    for (int i = 0; i < kReportsAlone; ++i) {
       now_ += Millis(500);
-      model.Observe(now_, ReportOf(0), {});
+      model.Observe(now_, ReportOf(0.3 * (1 - std::cos(i * kSwingStep))), {});
     }
   }
 
--- a/tests/unit/pacer_test.cc
+++ b/tests/unit/pacer_test.cc
@@ -13,7 +13,9 @@
 constexpr std::int64_t kTargetMs = 24;
 // What the serving task reports before it has any load.
 constexpr double kIdleMs = 4;
-constexpr int kIdleReports = 40;
+constexpr double kSwingMs = 3;
+constexpr double kSwingStep = 0.314;
+constexpr int kReportsAlone = 40;
 // Of the worker's processor time.
 constexpr double kTaskSize = 0.1;
 
@@ -21,8 +23,10 @@
 // Each adds its pressure at its share to the base latency.
 class FilledWorker {
  public:
-  FilledWorker(Pacer& pacer, double base_ms) : base_ms_(kIdleMs) {
-    for (int i = 0; i < kIdleReports; ++i) {
+  // The task serves alone for two swings of its load before it settles.
+  FilledWorker(Pacer& pacer, double base_ms) : base_ms_(base_ms) {
+    for (int i = 0; i < kReportsAlone; ++i) {
+      base_ms_ = kIdleMs + kSwingMs * (1 - std::cos(i * kSwingStep));
       Report(pacer);
     }
     base_ms_ = base_ms;
