--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -438,14 +438,16 @@
   if (!step.fills || room.serving.empty()) {
     return 0;
   }
-  const FillingNeighbour added{step.image,
-                               PartOf(*room.worker, step.needs.cpu_millis)};
   const bool is_exploring = room.explored == 0 && IsUncertain(room, step.image);
+  const std::int64_t share = is_exploring ? kExploringPercent : kFullPercent;
+  const FillingNeighbour added{
+      step.image,
+      PartOf(*room.worker, step.needs.cpu_millis * share / kFullPercent)};
   // How far the worst off is expected above or below what it is to keep.
   double worst = -1;
   for (const ServingCompany& other : room.serving) {
-    // The first task whose interference is open starts at a part of its share,
-    // so that what is expected of it is enough.
+    // One task at a time finds out, at a part of its share, so that the
+    // expected rise is enough for it.
     const double own = is_exploring
                            ? model_->ExpectedRise(other.image, {&added, 1})
                            : model_->SafeRise(other.image, {&added, 1});
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -17,8 +17,8 @@
 constexpr double kFloorReports = 20;
 // The belief of a pair that was never seen.
 constexpr double kPriorInterferes = 0.5;
-constexpr double kPriorLevel = 2.5;
-constexpr double kPriorVariance = 3;
+constexpr double kPriorLevel = 3;
+constexpr double kPriorVariance = 6;
 // The part of reports at which a level has jumped, and by what that multiplies
 // the variance of what was believed of it.
 constexpr double kJumps = 0.05;
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -54,19 +54,22 @@
   bool is_cleared = false;
 };
 
-// Lowers shares, heaviest first, until the excess is gone; where the model
-// does not explain it, all together by a factor.
+// Lowers shares, heaviest first, until the excess is gone. Where the model does
+// not explain it, or the task is over its target, where a queue's latency says
+// little of how far, all that may be the cause go down together.
 void Cut(double excess,
-         double unexplained_cut,
+         double latency,
          const std::vector<Weight>& lightest_first,
          std::vector<double>& shares) {
   double explained = 0;
   for (const Weight& item : lightest_first) {
     explained += item.weight * shares[item.index];
   }
-  if (explained < excess * kLeastExplained) {
+  if (latency >= 1 || explained < excess * kLeastExplained) {
+    const double factor =
+        std::min(kUnexplainedCut, kCutTo / std::max(latency, kCutTo));
     for (const Weight& item : lightest_first) {
-      shares[item.index] *= item.is_cleared ? 1 : unexplained_cut;
+      shares[item.index] *= item.is_cleared ? 1 : factor;
     }
   }
   const std::vector<Weight> heaviest_first(lightest_first.rbegin(),
@@ -183,9 +186,7 @@
         weights.begin(), weights.end(),
         [](const Weight& a, const Weight& b) { return a.weight < b.weight; });
     if (expected > occupancy(kHighLatency)) {
-      Cut(expected - occupancy(kCutTo),
-          std::min(kUnexplainedCut, kCutTo / std::max(latency, kCutTo)),
-          weights, wanted);
+      Cut(expected - occupancy(kCutTo), latency, weights, wanted);
     }
     const bool is_low =
         expected < occupancy(kLowLatency) && !site.rising.contains(task.group);
