--- a/include/banyan/graph/pacer.h
+++ b/include/banyan/graph/pacer.h
@@ -68,6 +68,8 @@
     std::set<std::string> rising;
     // Since when a group has been over its target on end.
     std::map<std::string, Time> over_since;
+    // When a group was over its target last.
+    std::map<std::string, Time> over_at;
   };
 
   InterferenceModel model_;
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -17,6 +17,9 @@
 // Steps of one report, in parts of the full share.
 constexpr double kMaxRise = 0.35;
 constexpr double kLeastRise = 0.1;
+// For so long after a task was over its target, neighbours that may have been
+// the cause come up by the least step only.
+constexpr Span kWaryFor = Millis(3000);
 // Neighbours that explain less than this part of an excess are not its cause;
 // then all of them go down together.
 constexpr double kLeastExplained = 0.5;
@@ -29,6 +32,8 @@
 // is little more than half of what is promised.
 constexpr Span kMostOver = Millis(1400);
 constexpr Span kMostOverAtAll = Millis(2300);
+// From this probability on a neighbour is likely to interfere.
+constexpr double kSuspect = 0.5;
 // At this latency harmless neighbours are paced like all others: if they were
 // harmless, the task would not be there.
 constexpr double kSparedBelow = 0.95;
@@ -50,13 +55,16 @@
 struct Weight {
   double weight = 0;
   std::size_t index = 0;
-  // Whether the neighbour is known not to interfere.
+  // Whether the neighbour is known not to interfere, and whether it is likely
+  // to.
   bool is_cleared = false;
+  bool is_suspect = false;
 };
 
 // Lowers shares, heaviest first, until the excess is gone. Where the model does
-// not explain it, or the task is over its target, where a queue's latency says
-// little of how far, all that may be the cause go down together.
+// not explain it, all that may be the cause go down together first; over the
+// target, where a queue's latency says little of how far, all that are likely
+// to be.
 void Cut(double excess,
          double latency,
          const std::vector<Weight>& lightest_first,
@@ -65,12 +73,13 @@
   for (const Weight& item : lightest_first) {
     explained += item.weight * shares[item.index];
   }
-  if (latency >= 1 || explained < excess * kLeastExplained) {
-    const double factor =
-        std::min(kUnexplainedCut, kCutTo / std::max(latency, kCutTo));
-    for (const Weight& item : lightest_first) {
-      shares[item.index] *= item.is_cleared ? 1 : factor;
-    }
+  const bool is_explained = explained >= excess * kLeastExplained;
+  const double factor =
+      std::min(kUnexplainedCut, kCutTo / std::max(latency, kCutTo));
+  for (const Weight& item : lightest_first) {
+    const bool goes_down =
+        is_explained ? latency >= 1 && item.is_suspect : !item.is_cleared;
+    shares[item.index] *= goes_down ? factor : 1;
   }
   const std::vector<Weight> heaviest_first(lightest_first.rbegin(),
                                            lightest_first.rend());
@@ -157,6 +166,7 @@
   for (const ServingTask& task : serving) {
     if (RelativeLatency(task) >= 1) {
       over.insert(task.group);
+      site.over_at[task.group] = now;
       const Time since =
           site.over_since.try_emplace(task.group, now).first->second;
       longest_over = std::max(longest_over, now - since);
@@ -164,6 +174,9 @@
   }
   std::erase_if(site.over_since,
                 [&](const auto& item) { return !over.contains(item.first); });
+  std::erase_if(site.over_at, [&](const auto& item) {
+    return item.second + kWaryFor <= now;
+  });
   // Whether each neighbour is harmless to all tasks here.
   std::vector<bool> harmless(filling.size(), true);
   for (const ServingTask& task : serving) {
@@ -178,8 +191,8 @@
       const PairBelief belief = model_.BeliefOf(task.image, filling[i].image);
       const bool is_cleared = belief.is_cleared() && latency < kSparedBelow;
       harmless[i] = harmless[i] && is_cleared;
-      weights.push_back(
-          {alone * filling[i].size * belief.expected_level(), i, is_cleared});
+      weights.push_back({alone * filling[i].size * belief.expected_level(), i,
+                         is_cleared, belief.interferes >= kSuspect});
       expected += alone * pending[i] * belief.expected_level();
     }
     std::sort(
@@ -192,11 +205,13 @@
         expected < occupancy(kLowLatency) && !site.rising.contains(task.group);
     double room = is_low ? (occupancy(kHighLatency) - expected) * kRoomUse : 0;
     bool has_probe = false;
+    const bool is_wary = site.over_at.contains(task.group);
     for (const Weight& item : weights) {
       const double missing = 1 - present[item.index];
+      const double most = is_wary && !item.is_cleared ? kLeastRise : kMaxRise;
       double rise = item.is_cleared || item.weight <= 0
-                        ? kMaxRise
-                        : std::min(kMaxRise, room / item.weight);
+                        ? most
+                        : std::min(most, room / item.weight);
       // One neighbour at a time shows whether the model is still right.
       if (room > 0 && rise < kLeastRise && missing > 0 && !has_probe) {
         rise = kLeastRise;
