--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -203,17 +203,24 @@
     }
     const bool is_low =
         expected < occupancy(kLowLatency) && !site.rising.contains(task.group);
-    double room = is_low ? (occupancy(kHighLatency) - expected) * kRoomUse : 0;
+    // Neighbours that are not likely to interfere need no low latency to come
+    // up, only one that is not high.
+    double room = std::max(0.0, occupancy(kHighLatency) - expected) * kRoomUse;
     bool has_probe = false;
     const bool is_wary = site.over_at.contains(task.group);
     for (const Weight& item : weights) {
       const double missing = 1 - present[item.index];
       const double most = is_wary && !item.is_cleared ? kLeastRise : kMaxRise;
-      double rise = item.is_cleared || item.weight <= 0
-                        ? most
-                        : std::min(most, room / item.weight);
+      const bool may_rise = is_low || !item.is_suspect;
+      double rise = 0;
+      if (item.is_cleared || item.weight <= 0) {
+        rise = most;
+      } else if (may_rise) {
+        rise = std::min(most, room / item.weight);
+      }
       // One neighbour at a time shows whether the model is still right.
-      if (room > 0 && rise < kLeastRise && missing > 0 && !has_probe) {
+      if (may_rise && room > 0 && rise < kLeastRise && missing > 0 &&
+          !has_probe) {
         rise = kLeastRise;
         has_probe = true;
       }
