--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -21,8 +21,8 @@
 constexpr double kPriorVariance = 6;
 // The part of reports at which a level has jumped, and by what that multiplies
 // the variance of what was believed of it.
-constexpr double kJumps = 0.05;
-constexpr double kJumpSpread = 10;
+constexpr double kJumps = 0.02;
+constexpr double kJumpSpread = 30;
 // Levels drift within seconds: what is known of one decays in this time, in
 // seconds. That a pair interferes or not lasts, and is doubted again only
 // slowly.
@@ -62,8 +62,10 @@
 // Deviations that a rise is allowed for beyond the expected one.
 constexpr double kSafeDeviations = 1;
 
-double SecondsOf(Span span) {
-  return std::chrono::duration<double>(span).count();
+// Returns the age in seconds; none of what is of a later time.
+double AgeOf(Time at, Time now) {
+  return std::chrono::duration<double>(std::max(now - at, Span::zero()))
+      .count();
 }
 
 double Faded(double value, double towards, double age_s, double memory_s) {
@@ -96,7 +98,7 @@
 
 // Returns a belief as of a later time.
 PairBelief Aged(const PairBelief& belief, Time now) {
-  const double age = SecondsOf(now - belief.at);
+  const double age = AgeOf(belief.at, now);
   return {Faded(belief.interferes, kPriorInterferes, age, kClassMemory),
           Faded(belief.level, kPriorLevel, age, kLevelMemory),
           Faded(belief.variance, kPriorVariance, age, kLevelMemory), now};
@@ -127,7 +129,7 @@
     return {usual == usual_.end() ? kAssumedBase : usual->second,
             kMostBaseVariance, now};
   }
-  const double age = SecondsOf(now - known->second.at);
+  const double age = AgeOf(known->second.at, now);
   return {known->second.mean,
           std::min(known->second.variance + kBaseDrift * kBaseDrift * age,
                    kMostBaseVariance),
--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -19,7 +19,7 @@
 constexpr double kLeastRise = 0.1;
 // For so long after a task was over its target, neighbours that may have been
 // the cause come up by the least step only.
-constexpr Span kWaryFor = Millis(3000);
+constexpr Span kWaryFor = Millis(2000);
 // Neighbours that explain less than this part of an excess are not its cause;
 // then all of them go down together.
 constexpr double kLeastExplained = 0.5;
