--- a/tests/unit/graph_placement_test.cc
+++ b/tests/unit/graph_placement_test.cc
@@ -107,6 +107,10 @@
 
   void Pass(Span span) { now_ += span; }
 
+  [[nodiscard]] std::vector<PlacementWait> TakeWaits() {
+    return placement_.TakeWaits();
+  }
+
  private:
   GraphPlacement placement_{SchedulingPolicy{}};
   std::int64_t ends_ = 0;
@@ -130,6 +134,35 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pool.Placed("heavy", 1));
 }
 
+void UnknownImageIsTriedByFewTasks() {
+  // The pattern of a quiet day: builds of nine images wait beside feeds that
+  // they were never seen with.
+  FullPool pool;
+  pool.Report(0.33);
+  pool.Submit("unknown", 12);
+  std::map<std::string, int> placed;
+  for (const RunPlacement& placement : pool.Place()) {
+    ++placed[placement.worker.id];
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placed.size());
+  CPPUNIT_ASSERT(placed["w1"] + placed["w2"] < 12);
+}
+
+void ReasonOfAWaitIsNamed() {
+  FullPool pool;
+  pool.TeachHeavy("heavy");
+  pool.Report(0.75);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pool.Placed("heavy", 1));
+  const std::vector<PlacementWait> waits = pool.TakeWaits();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, waits.size());
+  CPPUNIT_ASSERT_EQUAL(std::string("heavy"), waits[0].image);
+  CPPUNIT_ASSERT_EQUAL(2, waits[0].interference);
+  CPPUNIT_ASSERT_EQUAL(0, waits[0].unfit + waits[0].busy);
+  // It is not repeated with every pass.
+  CPPUNIT_ASSERT(pool.Place().empty());
+  CPPUNIT_ASSERT(pool.TakeWaits().empty());
+}
+
 void LoadDecidesHowManyFit() {
   FullPool lull;
   lull.TeachLight("light");
@@ -173,6 +206,12 @@
                       LightNeighbourJoinsInAPeak)
                 .Then("is not there for a heavy one",
                       HeavyNeighbourStaysAwayInAPeak))
+      .With(Section("beside feeds that an image was never seen with")
+                .Then("is found for a few tasks on each worker",
+                      UnknownImageIsTriedByFewTasks))
+      .With(Section("that is not there")
+                .Then("is logged with the reason, once in a while",
+                      ReasonOfAWaitIsNamed))
       .With(Section("in a pool that is not busy")
                 .Then("is found for one task at a time of a build that waits",
                       ForgottenBuildKeepsOneTaskAtWork))
--- a/tests/unit/interference_test.cc
+++ b/tests/unit/interference_test.cc
@@ -172,6 +172,19 @@
   CPPUNIT_ASSERT(model.BeliefOf("serving", "cleared").interferes < 0.3);
 }
 
+void DoesNotAgeBackwards() {
+  // A report that was delayed on its way is older than the last of its group.
+  InterferenceModel model;
+  const LatencyReport report{"watch", "serving", 0.5, 1 / kTargetMs};
+  const std::array<FillingNeighbour, 1> builds = {{{"builds", 0.1}}};
+  model.Observe(Time(std::chrono::seconds(100)), report, builds);
+  model.Observe(Time(std::chrono::seconds(10)), report, builds);
+  const double base = model.BaseOccupancy("watch", "serving");
+  CPPUNIT_ASSERT(base > 0 && base < 1);
+  const double rise = model.SafeRise("serving", builds);
+  CPPUNIT_ASSERT(rise > 0 && rise < 1);
+}
+
 }  // namespace
 
 Section InterferenceStory() {
@@ -193,6 +206,8 @@
                       BlamesTheUnknownOfAKnownAndAnUnknownImage)
                 .Then("is not turned by one wild report",
                       IsNotTurnedByOneWildReport))
+      .With(Section("from a report that comes late")
+                .Then("stays within bounds", DoesNotAgeBackwards))
       .With(Section("apart from the load")
                 .Then("leaves the base to be learned beside harmless images",
                       LearnsTheBaseBesideHarmlessNeighbours));
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -46,6 +46,21 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, settings->members.size());
 }
 
+void MechanismsCanBeSwitchedOff() {
+  Reason reason;
+  const auto plain = LoadControlSettings(Write(GoodControl()), reason);
+  CPPUNIT_ASSERT(plain->scheduling.backlog_forecast);
+  CPPUNIT_ASSERT(!plain->log_latencies);
+  const auto switched = LoadControlSettings(
+      Write(GoodControl() +
+            "log_latencies: on\nscheduling: {backlog_forecast: off}\n"),
+      reason);
+  CPPUNIT_ASSERT_MESSAGE(ToString(reason), switched.has_value());
+  CPPUNIT_ASSERT(switched->log_latencies);
+  CPPUNIT_ASSERT(!switched->scheduling.backlog_forecast);
+  CPPUNIT_ASSERT(switched->scheduling.light_neighbours);
+}
+
 void AgentHasOneRole() {
   Reason reason;
   const std::string text = std::string("id: a\ndata_centre: dc-a\n") +
@@ -60,6 +75,13 @@
 Section SettingsStory() {
   Section story("Settings");
   story.Then("are read when right", ReadsGoodSettings)
+      .Then("switch mechanisms of the scheduler off",
+            MechanismsCanBeSwitchedOff)
+      .Then("refuse a switch that is neither on nor off",
+            [] {
+              ExpectError(GoodControl() + "scheduling: {careful_starts: 2}\n",
+                          8, "allowed is on, off");
+            })
       .Then("name an unknown key with its line",
             [] {
               ExpectError(GoodControl() + "colour: red\n", 8,
