--- a/tests/unit/graph_placement_test.cc
+++ b/tests/unit/graph_placement_test.cc
@@ -12,6 +12,11 @@
 namespace {
 
 constexpr std::int64_t kCpuMillis = 16000;
+// Of a latency, in parts of its target: a millisecond of 24.
+constexpr double kResolution = 1.0 / 24;
+// What the feeds report before they have any load.
+constexpr double kIdleLatency = 1.0 / 6;
+constexpr int kIdleReports = 40;
 
 // Two workers whose processor time is committed to watch feeds, and packet
 // builds that wait to fill what the feeds leave.
@@ -36,18 +41,21 @@
     table_.Apply(PlaceRuns{{{RunOf("feed", 0, 0), {"w1", 1}},
                             {RunOf("feed", 0, 1), {"w2", 1}}}},
                  kGraphStart);
+    for (int i = 0; i < kIdleReports; ++i) {
+      Report(kIdleLatency);
+    }
   }
 
   // The feeds report a latency, in parts of their target, while neighbours of
   // an image use a tenth of each worker.
   void Report(double latency, const std::string& image = "") {
     now_ += Millis(500);
-    for (const char* id : {"w1", "w2"}) {
-      model_.Sample(now_, id, "feed", "s", latency, !image.empty());
-    }
+    std::vector<FillingNeighbour> neighbours;
     if (!image.empty()) {
-      const std::vector<FillingNeighbour> neighbours = {{image, 0.1}};
-      model_.Learn(model_.BaseOf(now_, "feed", "s"), "s", latency, neighbours);
+      neighbours.push_back({image, 0.1});
+    }
+    for (int worker = 0; worker < 2; ++worker) {
+      model_.Observe(now_, {"feed", "s", latency, kResolution}, neighbours);
     }
   }
 
@@ -56,14 +64,14 @@
   void TeachHeavy(const std::string& image) {
     for (int i = 0; i < 10; ++i) {
       Report(0.33);
-      const std::vector<FillingNeighbour> neighbours = {{image, 0.1}};
-      model_.Learn(0.33, "s", 1.0, neighbours);
+      Report(1.0, image);
     }
   }
 
   // Teaches that an image does nothing to the latency.
   void TeachLight(const std::string& image) {
     for (int i = 0; i < 10; ++i) {
+      Report(0.33);
       Report(0.33, image);
     }
   }
@@ -99,8 +107,12 @@
 
   void Pass(Span span) { now_ += span; }
 
+  [[nodiscard]] std::vector<PlacementWait> TakeWaits() {
+    return placement_.TakeWaits();
+  }
+
  private:
-  GraphPlacement placement_;
+  GraphPlacement placement_{SchedulingPolicy{}};
   std::int64_t ends_ = 0;
   Time now_ = Time(std::chrono::seconds(100));
   GraphTable table_;
@@ -122,6 +134,35 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pool.Placed("heavy", 1));
 }
 
+void UnknownImageIsTriedByFewTasks() {
+  // The pattern of a quiet day: builds of nine images wait beside feeds that
+  // they were never seen with.
+  FullPool pool;
+  pool.Report(0.33);
+  pool.Submit("unknown", 12);
+  std::map<std::string, int> placed;
+  for (const RunPlacement& placement : pool.Place()) {
+    ++placed[placement.worker.id];
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placed.size());
+  CPPUNIT_ASSERT(placed["w1"] + placed["w2"] < 12);
+}
+
+void ReasonOfAWaitIsNamed() {
+  FullPool pool;
+  pool.TeachHeavy("heavy");
+  pool.Report(0.75);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pool.Placed("heavy", 1));
+  const std::vector<PlacementWait> waits = pool.TakeWaits();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, waits.size());
+  CPPUNIT_ASSERT_EQUAL(std::string("heavy"), waits[0].image);
+  CPPUNIT_ASSERT_EQUAL(2, waits[0].interference);
+  CPPUNIT_ASSERT_EQUAL(0, waits[0].unfit + waits[0].busy);
+  // It is not repeated with every pass.
+  CPPUNIT_ASSERT(pool.Place().empty());
+  CPPUNIT_ASSERT(pool.TakeWaits().empty());
+}
+
 void LoadDecidesHowManyFit() {
   FullPool lull;
   lull.TeachLight("light");
@@ -165,6 +206,12 @@
                       LightNeighbourJoinsInAPeak)
                 .Then("is not there for a heavy one",
                       HeavyNeighbourStaysAwayInAPeak))
+      .With(Section("beside feeds that an image was never seen with")
+                .Then("is found for a few tasks on each worker",
+                      UnknownImageIsTriedByFewTasks))
+      .With(Section("that is not there")
+                .Then("is logged with the reason, once in a while",
+                      ReasonOfAWaitIsNamed))
       .With(Section("in a pool that is not busy")
                 .Then("is found for one task at a time of a build that waits",
                       ForgottenBuildKeepsOneTaskAtWork))
