--- a/src/graph/pacer.cc
+++ b/src/graph/pacer.cc
@@ -28,10 +28,8 @@
 // that is younger does not show in it as a whole.
 constexpr Span kReportSpan = Millis(700);
 // A task that is over its target for so long on end has its neighbours
-// stopped, first those that are not known to be harmless, then all. The second
-// is little more than half of what is promised.
+// stopped, whatever the model says. Less than half of what is promised.
 constexpr Span kMostOver = Millis(1400);
-constexpr Span kMostOverAtAll = Millis(2300);
 // From this probability on a neighbour is likely to interfere.
 constexpr double kSuspect = 0.5;
 // At this latency harmless neighbours are paced like all others: if they were
@@ -161,7 +159,7 @@
     pending.push_back(
         is_pending ? present[i] * filling[i].size - filling[i].used : 0);
   }
-  Span longest_over = Span::zero();
+  bool is_harmed = false;
   std::set<std::string> over;
   for (const ServingTask& task : serving) {
     if (RelativeLatency(task) >= 1) {
@@ -169,7 +167,7 @@
       site.over_at[task.group] = now;
       const Time since =
           site.over_since.try_emplace(task.group, now).first->second;
-      longest_over = std::max(longest_over, now - since);
+      is_harmed = is_harmed || since + kMostOver <= now;
     }
   }
   std::erase_if(site.over_since,
@@ -177,8 +175,6 @@
   std::erase_if(site.over_at, [&](const auto& item) {
     return item.second + kWaryFor <= now;
   });
-  // Whether each neighbour is harmless to all tasks here.
-  std::vector<bool> harmless(filling.size(), true);
   for (const ServingTask& task : serving) {
     const double latency = RelativeLatency(task);
     const auto occupancy = [&](double at) {
@@ -190,7 +186,6 @@
     for (std::size_t i = 0; i < filling.size(); ++i) {
       const PairBelief belief = model_.BeliefOf(task.image, filling[i].image);
       const bool is_cleared = belief.is_cleared() && latency < kSparedBelow;
-      harmless[i] = harmless[i] && is_cleared;
       weights.push_back({alone * filling[i].size * belief.expected_level(), i,
                          is_cleared, belief.interferes >= kSuspect});
       expected += alone * pending[i] * belief.expected_level();
@@ -233,12 +228,10 @@
   for (std::size_t i = 0; i < filling.size(); ++i) {
     const double share =
         wanted[i] < present[i] ? wanted[i] : present[i] + rises[i];
-    const bool is_stopped = harmless[i] ? longest_over >= kMostOverAtAll
-                                        : longest_over >= kMostOver;
     const std::int64_t percent =
-        is_stopped ? 0
-                   : std::lround(std::clamp(share, 0.0, 1.0) *
-                                 static_cast<double>(kFullPercent));
+        is_harmed ? 0
+                  : std::lround(std::clamp(share, 0.0, 1.0) *
+                                static_cast<double>(kFullPercent));
     if (percent != filling[i].percent) {
       paces.push_back({filling[i].run, percent});
     }
