--- a/tests/unit/graph_placement_test.cc
+++ b/tests/unit/graph_placement_test.cc
@@ -97,6 +97,15 @@
     return chosen;
   }
 
+  // The placed runs are paced down to nothing.
+  void Pause(const std::vector<RunPlacement>& placed) {
+    for (const RunPlacement& placement : placed) {
+      RunView& seen = views_[placement.worker.id].runs[placement.run];
+      seen.row.run = placement.run;
+      seen.pace = 0;
+    }
+  }
+
   // A run is done after a span.
   void End(const RunPlacement& placed, Span after) {
     now_ += after;
@@ -148,6 +157,19 @@
   CPPUNIT_ASSERT(placed["w1"] + placed["w2"] < 12);
 }
 
+void PausedTasksKeepTheirRoom() {
+  // The pattern of a day with trouble: best-effort tasks wait on their workers,
+  // paced to nothing, and more of them come to the same workers.
+  FullPool pool;
+  pool.TeachLight("light");
+  pool.Report(0.33);
+  pool.Submit("light", 60);
+  const std::vector<RunPlacement> placed = pool.Place();
+  CPPUNIT_ASSERT(!placed.empty() && placed.size() < 60);
+  pool.Pause(placed);
+  CPPUNIT_ASSERT(pool.Place().empty());
+}
+
 void ReasonOfAWaitIsNamed() {
   FullPool pool;
   pool.TeachHeavy("heavy");
@@ -209,6 +231,8 @@
       .With(Section("beside feeds that an image was never seen with")
                 .Then("is found for a few tasks on each worker",
                       UnknownImageIsTriedByFewTasks))
+      .With(Section("where tasks are paced to nothing")
+                .Then("stays theirs", PausedTasksKeepTheirRoom))
       .With(Section("that is not there")
                 .Then("is logged with the reason, once in a while",
                       ReasonOfAWaitIsNamed))
