Graphs: log what is known of a worker's ends when it leaves

The log could not tell how a task came to run twice: whether an end was lost with its incarnation, was acknowledged without effect, or was hidden by a refusal. The leader logs each decision to remove a worker, with the ends that the agent reported, how many of them are done, and the rest of the lease. The table logs an end that is acknowledged without effect. Decisions are as before.

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -112,6 +112,12 @@
   [[nodiscard]] Time LeaseExpiry(Time now) const noexcept {
     return now + options_.lease + options_.lease_margin;
   }
+  // Proposes to remove a worker's incarnation. `ended` is what its agent
+  // reported in the sync that causes the removal.
+  void ProposeRemoval(Time now,
+                      const GraphWorker& worker,
+                      std::span<const EndedRun> ended,
+                      std::string cause);
   [[nodiscard]] DropWorker MakeDropWorker(const WorkerIncarnation& incarnation,
                                           std::string cause) const;
   [[nodiscard]] RunStart MakeStart(const GraphTable& table,
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -134,6 +134,15 @@
      "The worker beside an agent answers calls."},
     {EventId::kWorkerLost, "worker-lost",
      "The worker beside an agent no longer answers calls."},
+    {EventId::kWorkerLeaving, "worker-leaving",
+     "A worker announced its shutdown to its agent; counts the runs and the "
+     "uncommitted ends of its last list."},
+    {EventId::kWorkerReplaced, "worker-replaced",
+     "A later incarnation reported to an agent; counts the runs and the "
+     "uncommitted ends known of the earlier one."},
+    {EventId::kWorkerRemovalProposed, "worker-removal-proposed",
+     "Decision to remove an incarnation of a worker, with its runs, the "
+     "uncommitted ends that its agent reported, and the rest of its lease."},
     {EventId::kRunOrdered, "run-ordered",
      "The agent ordered its worker to start a run, with the outcome; `barred` "
      "if the run must not start and the worker has to confirm that."},
@@ -141,6 +150,9 @@
      "A run will not start on this worker, with the reason."},
     {EventId::kRunStopped, "run-stopped",
      "The agent ordered its worker to stop a run, with the outcome."},
+    {EventId::kRunEndIgnored, "run-end-ignored",
+     "The end of a run was acknowledged without effect, because the run was "
+     "not placed on this incarnation of the worker."},
     {EventId::kCallAnswered, "call-answered",
      "A caller of a queue or an operator received a final answer."},
     {EventId::kConfigInForce, "config-in-force",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -77,6 +77,31 @@
   return view;
 }
 
+void GraphLeader::ProposeRemoval(Time now,
+                                 const GraphWorker& worker,
+                                 std::span<const EndedRun> ended,
+                                 std::string cause) {
+  const WorkerIncarnation& incarnation = worker.info.life;
+  const auto view = views_.find(incarnation.id);
+  const auto is_uncommitted_done = [&](const EndedRun& row) {
+    return row.reason == RunEndReason::kDone && worker.runs.contains(row.run);
+  };
+  out_.events.push_back(
+      Event(EventId::kWorkerRemovalProposed)
+          .With("worker", incarnation.id)
+          .With("born", incarnation.started_at_ms)
+          .With("cause", cause)
+          .With("runs", worker.runs.size())
+          .With("ended", ended.size())
+          .With("done",
+                std::count_if(ended.begin(), ended.end(), is_uncommitted_done))
+          .With("committed", worker.noted)
+          .With("lease_ms", view == views_.end()
+                                ? 0
+                                : ToMillis(view->second.lease_deadline - now)));
+  out_.proposals.emplace_back(MakeDropWorker(incarnation, std::move(cause)));
+}
+
 DropWorker GraphLeader::MakeDropWorker(const WorkerIncarnation& incarnation,
                                        std::string cause) const {
   DropWorker drop{incarnation, std::move(cause), {}};
@@ -130,8 +155,7 @@
   if (sync.gone) {
     if (worker != nullptr && !views_[incarnation.id].drop_proposed) {
       views_[incarnation.id].drop_proposed = true;
-      out_.proposals.emplace_back(
-          MakeDropWorker(incarnation, "the worker left"));
+      ProposeRemoval(now, *worker, sync.ended, "the worker left");
     }
     return;
   }
@@ -206,8 +230,7 @@
     for (const auto& [id, other] : table.workers()) {
       if (other.agent == agent &&
           other.info.life.started_at_ms < info.life.started_at_ms) {
-        out_.proposals.emplace_back(
-            MakeDropWorker(other.info.life, "a later life came"));
+        ProposeRemoval(now, other, {}, "a later life came");
       }
     }
     ViewFor(info.life).drop_proposed = false;
@@ -554,8 +577,7 @@
     }
     if (view.lease_deadline <= now && !view.drop_proposed) {
       view.drop_proposed = true;
-      out_.proposals.emplace_back(
-          MakeDropWorker(worker.info.life, "the lease ran out"));
+      ProposeRemoval(now, worker, {}, "the lease ran out");
     }
   }
 }
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -355,7 +355,15 @@
                         WallMillis now,
                         GraphApplyResult& applied) {
   const auto graph = graphs_.find(row.run.task.graph);
-  if (worker.runs.erase(row.run) == 0 || graph == graphs_.end()) {
+  if (worker.runs.erase(row.run) == 0) {
+    applied.events.push_back(
+        RunEvent(EventId::kRunEndIgnored, row.run, worker.info.life.id)
+            .With("occurrence", row.run.task.occurrence)
+            .With("number", row.number)
+            .With("ending", ToString(row.reason)));
+    return;
+  }
+  if (graph == graphs_.end()) {
     return;
   }
   const StepSpec& step = *FindStep(row.run.task);
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -49,6 +49,14 @@
       return;
     }
     if (!is_same) {
+      out_.events.push_back(Event(EventId::kWorkerReplaced)
+                                .With("worker", incarnation.id)
+                                .With("born", incarnation.started_at_ms)
+                                .With("earlier", info_->life.id)
+                                .With("earlier_born", info_->life.started_at_ms)
+                                .With("running", running_.size())
+                                .With("ended", ended_.size())
+                                .With("committed", last_committed_end_));
       *this = WorkerAgent(std::move(*this).NextIncarnation());
     }
   }
@@ -79,6 +87,15 @@
     return;
   }
   has_left_ = true;
+  out_.events.push_back(
+      Event(EventId::kWorkerLeaving)
+          .With("worker", worker)
+          .With("born", info_->life.started_at_ms)
+          .With("running", running_.size())
+          .With("ended", ended_.size())
+          .With("committed", last_committed_end_)
+          .With("lists", list_count_)
+          .With("list_in_flight", is_list_in_flight_ ? 1 : 0));
   SendSync(now);
 }
 
