--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -127,6 +127,60 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, fixture.RunsOn("w2").begin()->run);
 }
 
+// Returns the last sync of an agent whose worker has left, with its ended runs.
+WorkerSync FinalSync(const std::string& worker, std::vector<EndedRun> ended) {
+  WorkerSync sync;
+  sync.info = SampleWorker(worker);
+  sync.gone = true;
+  sync.ended = std::move(ended);
+  return sync;
+}
+
+// Guards against starting a task again that was done just before its worker
+// left: the last sync of the worker carries the end.
+void EndsOfLeavingWorkerAreCounted() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(2)}));
+  fixture.AdvanceTime(kTimeStep);
+  fixture.Join(SampleWorker("w2"));
+  fixture.Sync(
+      FinalSync("w1", {{1, RunOf("g", 0, 0), RunEndReason::kDone, ""}}));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_MESSAGE("the worker that left is removed",
+                         !fixture.table().workers().contains("w1"));
+  CPPUNIT_ASSERT_MESSAGE("the task that was done is not started again",
+                         !fixture.RunsOn("w2").contains(RunOf("g", 0, 0, 2)));
+  CPPUNIT_ASSERT_MESSAGE("the task that was lost is started again",
+                         fixture.RunsOn("w2").contains(RunOf("g", 0, 1, 2)));
+}
+
+// Guards against losing the ends that exceed one log entry when a worker
+// leaves.
+void ManyEndsOfLeavingWorkerAreCounted() {
+  constexpr std::int64_t kTasks = 700;
+  LeaderHarness fixture;
+  WorkerInfo large = SampleWorker("w1");
+  large.capacity = {kTasks, kTasks, 0};
+  fixture.Join(large);
+  StepSpec step = SampleStep(kTasks, 1);
+  step.needs.memory_mib = 1;
+  fixture.Commit(SampleGraph("g", {step}));
+  // A batch of placements is limited.
+  for (int i = 0; i < 3; ++i) {
+    fixture.AdvanceTime(kTimeStep);
+  }
+  CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(kTasks),
+                       fixture.RunsOn("w1").size());
+  std::vector<EndedRun> ended;
+  for (std::int64_t i = 0; i < kTasks; ++i) {
+    ended.push_back({i + 1, RunOf("g", 0, i), RunEndReason::kDone, ""});
+  }
+  fixture.Sync(FinalSync("w1", std::move(ended)));
+  CPPUNIT_ASSERT(fixture.table().FindGraph("g")->state ==
+                 GraphState::kCompleted);
+}
+
 void UnplacedRunIsStopped() {
   LeaderHarness fixture;
   fixture.Join(SampleWorker("w1"));
@@ -340,6 +394,10 @@
       .With(Section("a worker")
                 .Then("that is silent keeps its runs until its lease expires",
                       SilentWorkerIsReplacedOnlyAfterItsLease)
+                .Then("that left has its reported ends counted",
+                      EndsOfLeavingWorkerAreCounted)
+                .Then("that left has its ends beyond one log entry counted",
+                      ManyEndsOfLeavingWorkerAreCounted)
                 .Then("must stop a run that is not placed on it",
                       UnplacedRunIsStopped)
                 .Then("gets a lost start command again", LostStartIsResent)
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -39,6 +39,19 @@
     Collect();
   }
 
+  void Leave() {
+    agent_.OnLeave(now_, "w1");
+    Collect();
+  }
+
+  // The list call in flight gets no answer.
+  void FailList() {
+    RunCallReply reply;
+    reply.op = RunCallOp::kListRuns;
+    reply.sent_at = now_;
+    Reply(std::move(reply));
+  }
+
   void Reply(RunCallReply reply) {
     reply.incarnation = {"w1", last_sync_.info.life.started_at_ms};
     reply.received_at = now_;
@@ -91,6 +104,10 @@
   }
 
   [[nodiscard]] const WorkerSync& last_sync() const { return last_sync_; }
+  // Returns the syncs sent since the last call.
+  [[nodiscard]] std::vector<WorkerSync> TakeSyncs() {
+    return std::exchange(syncs_, {});
+  }
   [[nodiscard]] bool IsReportedRefused(const RunRef& run) {
     Advance(Millis(600));
     return std::any_of(last_sync_.ended.begin(), last_sync_.ended.end(),
@@ -122,6 +139,7 @@
     }
     for (Message& message : outputs.to_control) {
       last_sync_ = std::get<WorkerSync>(message);
+      syncs_.push_back(last_sync_);
     }
   }
 
@@ -129,6 +147,7 @@
   Time now_ = Time(std::chrono::seconds(100));
   std::vector<RunCall> calls_;
   WorkerSync last_sync_;
+  std::vector<WorkerSync> syncs_;
 };
 
 WorkerOrders StartOrder(const RunRef& run) {
@@ -309,6 +328,79 @@
   CPPUNIT_ASSERT(!fixture.IsReportedRefused(SampleRun()));
 }
 
+// Guards against starting a task again that was done: the worker's announcement
+// of its shutdown overtakes the list with its last end.
+void LeaveWaitsForListInFlight() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Leave();
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT_MESSAGE("the list may still bring an end",
+                         !fixture.last_sync().gone);
+  fixture.ReplyToList({}, {{1, SampleRun(), RunEndReason::kDone, ""}});
+  fixture.Advance(Millis(300));
+  fixture.FailList();
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.last_sync().ended.size());
+}
+
+// Guards against giving up a run that is still active: a worker whose
+// announcement was not acknowledged goes on for some seconds.
+void AnsweringWorkerHasNotLeft() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Leave();
+  RunStatus row;
+  row.run = SampleRun();
+  for (int i = 0; i < 5; ++i) {
+    fixture.ReplyToList({row}, {});
+    fixture.Advance(Millis(300));
+    CPPUNIT_ASSERT(!fixture.last_sync().gone);
+  }
+  const std::vector<RunCall> calls = fixture.TakeCalls(RunCallOp::kListRuns);
+  CPPUNIT_ASSERT(!calls.empty());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, calls.back().wait_ms);
+}
+
+// Guards against admitting an incarnation again whose runs were placed
+// elsewhere when it left: a delayed report arrives after the announcement.
+void ReportAfterLeaveDoesNotReadmit() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Leave();
+  fixture.FailList();
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.Report(1, 2);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.Advance(Millis(4000));
+  fixture.Report(1, 3);
+  CPPUNIT_ASSERT_MESSAGE("nothing of it is active once its lease has expired",
+                         !fixture.last_sync().gone);
+}
+
+// Guards against starting a task again that was done before its worker
+// restarted: the agent knows the end, and the log does not.
+void EndsOfEarlierIncarnationAreReported() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.ReplyToList({}, {{5, SampleRun(), RunEndReason::kDone, ""}});
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Report(8, 1);
+  const auto is_final = [](const std::vector<WorkerSync>& syncs) {
+    return syncs.size() == 2 && syncs[0].gone &&
+           syncs[0].info.life.started_at_ms == 1 &&
+           syncs[0].ended.size() == 1 && !syncs[1].gone;
+  };
+  CPPUNIT_ASSERT(is_final(fixture.TakeSyncs()));
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT_MESSAGE("the report may have been lost",
+                         is_final(fixture.TakeSyncs()));
+  fixture.Grant();
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.TakeSyncs().size());
+}
+
 }  // namespace
 
 Section WorkerAgentStory() {
@@ -337,9 +429,16 @@
               .Then("is retried until it is answered", UnansweredStopIsRetried)
               .Then("whose run has already ended is no refusal",
                     EndBeforeStopReplyIsNoRefusal))
-      .With(
-          Section("a restarted worker")
-              .Then("starts with an empty state", RestartedWorkerStartsEmpty));
+      .With(Section("a worker that leaves")
+                .Then("is gone only after its list in flight",
+                      LeaveWaitsForListInFlight)
+                .Then("is not gone while it answers", AnsweringWorkerHasNotLeft)
+                .Then("is not admitted again by a delayed report",
+                      ReportAfterLeaveDoesNotReadmit))
+      .With(Section("a restarted worker")
+                .Then("starts with an empty state", RestartedWorkerStartsEmpty)
+                .Then("leaves its earlier ends to be committed",
+                      EndsOfEarlierIncarnationAreReported));
   return story;
 }
 
