Graphs: commit the last ends of a worker before it is removed

Callers saw a task run a second time right after it was done (reported: 192 ms after the end). A worker that leaves ends its last runs, the agent reports these ends together with the worker's departure, and the leader ignored them: it proposed only the removal, which makes every run of the worker lost and its task ready. The same holds for any end that was not committed when the worker left: the connection to the cell was down, or the leader that had proposed the end was replaced.

The leader now proposes the reported ends, in as many entries as they need, and the removal after them. The log keeps that order, and a leader change that loses the ends loses the removal too, so the agent's next report repeats both. Proposing ends twice has no effect, since the table skips numbers that it has seen.

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -83,6 +83,10 @@
                         const GraphTable& table,
                         const std::string& agent,
                         const WorkerSync& sync);
+  // Proposes the ended runs of a worker that has left, then its removal.
+  void OnLeave(Time now,
+               const GraphWorker& worker,
+               std::span<const EndedRun> ended);
   void ProposeRunEnds(Time now,
                       const GraphWorker& worker,
                       const WorkerSync& sync);
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -153,9 +153,8 @@
   const WorkerIncarnation& incarnation = sync.info.life;
   const GraphWorker* worker = table.FindWorker(incarnation);
   if (sync.gone) {
-    if (worker != nullptr && !views_[incarnation.id].drop_proposed) {
-      views_[incarnation.id].drop_proposed = true;
-      ProposeRemoval(now, *worker, sync.ended, "the worker left");
+    if (worker != nullptr) {
+      OnLeave(now, *worker, sync.ended);
     }
     return;
   }
@@ -204,6 +203,34 @@
   out_.orders.push_back({agent, std::move(orders)});
 }
 
+void GraphLeader::OnLeave(Time now,
+                          const GraphWorker& worker,
+                          std::span<const EndedRun> ended) {
+  GraphWorkerView& view = views_[worker.info.life.id];
+  const bool is_viewed = view.life == worker.info.life;
+  if (is_viewed && view.drop_proposed) {
+    return;
+  }
+  view.drop_proposed = view.drop_proposed || is_viewed;
+  // The ends go into the log before the removal, which makes the remaining
+  // runs ready to be placed again.
+  EndRuns ends{worker.info.life, {}};
+  for (const EndedRun& row : ended) {
+    if (row.number <= worker.noted) {
+      continue;
+    }
+    ends.rows.push_back(row);
+    if (ends.rows.size() == kMaxEndsPerEntry) {
+      out_.proposals.emplace_back(
+          std::exchange(ends, EndRuns{worker.info.life, {}}));
+    }
+  }
+  if (!ends.rows.empty()) {
+    out_.proposals.emplace_back(std::move(ends));
+  }
+  ProposeRemoval(now, worker, ended, "the worker left");
+}
+
 void GraphLeader::ProposeAdmission(Time now,
                                    const GraphTable& table,
                                    const std::string& agent,
