Agent: a worker has left once it no longer answers

Callers saw a task run a second time right after it was done. A draining worker announces its shutdown as its last run ends. The announcement and the answer to the held list call reach the agent on two connections. If the announcement was handled first, the agent reported the worker as gone without the end, the leader removed it, and the task was placed again.

Two neighbours of the same fault: a worker whose announcement was not acknowledged goes on for seconds, yet its active runs were given up at once; and a report that was overtaken by the announcement admitted the same incarnation again, whose old ends were then acknowledged without being counted, while their tasks ran elsewhere.

The agent now keeps calling the list after the announcement and reports the worker as gone only when a call gets no answer, or an answer of another incarnation. The list in flight is thus always settled first, and its ends are part of the last report. A report of an incarnation that has left is ignored until its lease has expired: from then on none of its runs is active and no end of it can be acknowledged as current. A report after an answered list withdraws the announcement, so that one of an earlier incarnation under the same id does no harm.

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -33,7 +33,9 @@
   // reports that arrive out of order.
   void OnReport(Time now, const WorkerReport& report);
 
-  // Processes a worker's announcement of its shutdown.
+  // Processes a worker's announcement of its shutdown. The worker counts as
+  // gone once it no longer answers list calls, so that its last ends are
+  // reported.
   void OnLeave(Time now, const std::string& worker);
 
   // Processes the reply to a call.
@@ -78,6 +80,7 @@
   // Returns the initial state for a later incarnation of the worker.
   [[nodiscard]] WorkerAgent NextIncarnation() &&;
   void OnRunList(Time now, const RunCallReply& reply);
+  void OnListFailure(Time now, const RunCallReply& reply);
   void OnStarted(Time now, const RunCallReply& reply);
   void OnStopped(Time now, const RunCallReply& reply);
   // Reports to the leader that a fenced run will never start here.
@@ -99,6 +102,10 @@
 
   std::optional<WorkerInfo> info_;
   std::int64_t report_sequence_ = 0;
+  // Number of lists received when the worker announced its shutdown; empty if
+  // it has not announced it.
+  std::optional<std::uint64_t> lists_at_leave_;
+  // Whether the worker no longer answers after its announcement.
   bool has_left_ = false;
   std::optional<ClockSample> clock_;
   std::uint64_t fencing_token_ = 0;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -19,6 +19,9 @@
 constexpr Duration kEndCommitWait = Millis(250);
 // Delay before a failed list call is retried.
 constexpr Duration kListRetryDelay = Millis(200);
+// Interval between the list calls that find out whether a worker that announced
+// its shutdown is gone.
+constexpr Duration kLeaveProbeInterval = Millis(100);
 // Delay before an unanswered start or stop is retried.
 constexpr Duration kOrderRetryDelay = Millis(50);
 // Unanswered calls after which a start is abandoned.
@@ -48,6 +51,11 @@
     if (is_older || (is_same && report.sequence <= report_sequence_)) {
       return;
     }
+    // The leader has placed the runs of this incarnation elsewhere. Until its
+    // lease has expired, they may still be active or end as done.
+    if (is_same && has_left_ && now < lease_deadline_) {
+      return;
+    }
     if (!is_same) {
       out_.events.push_back(Event(EventId::kWorkerReplaced)
                                 .With("worker", incarnation.id)
@@ -64,11 +72,15 @@
   const bool is_new = !info_;
   info_ = report.info;
   report_sequence_ = report.sequence;
-  has_left_ = false;
+  const bool had_left = std::exchange(has_left_, false);
+  // A worker that answered a list since its announcement is still active.
+  if (had_left || (lists_at_leave_ && list_count_ > *lists_at_leave_)) {
+    lists_at_leave_.reset();
+  }
   if (is_new && report.clock_ms) {
     clock_ = ClockSample{*report.clock_ms, now};
   }
-  if (is_new || was_draining != report.info.draining) {
+  if (is_new || had_left || was_draining != report.info.draining) {
     SendSync(now);
   }
   RequestRunList(now);
@@ -83,10 +95,10 @@
 }
 
 void WorkerAgent::OnLeave(Time now, const std::string& worker) {
-  if (!info_ || info_->life.id != worker) {
+  if (!info_ || info_->life.id != worker || lists_at_leave_) {
     return;
   }
-  has_left_ = true;
+  lists_at_leave_ = list_count_;
   out_.events.push_back(
       Event(EventId::kWorkerLeaving)
           .With("worker", worker)
@@ -96,7 +108,8 @@
           .With("committed", last_committed_end_)
           .With("lists", list_count_)
           .With("list_in_flight", is_list_in_flight_ ? 1 : 0));
-  SendSync(now);
+  next_list_at_ = now;
+  RequestRunList(now);
 }
 
 std::optional<std::int64_t> WorkerAgent::LeaseOnWorkerClock() const {
@@ -240,7 +253,7 @@
   }
   RunCall call = MakeCall(RunCallOp::kListRuns, RunRef{});
   const bool is_waiting_for_log = !ended_.empty();
-  if (!is_waiting_for_log && is_reachable_) {
+  if (!is_waiting_for_log && is_reachable_ && !lists_at_leave_) {
     call.wait_ms = running_.empty() && pending_starts_.empty()
                        ? kIdleListWaitMs
                        : kBusyListWaitMs;
@@ -296,12 +309,23 @@
   SendSync(now);
 }
 
+void WorkerAgent::OnListFailure(Time now, const RunCallReply& reply) {
+  next_list_at_ = now + kListRetryDelay;
+  const bool was_reachable = is_reachable_;
+  has_left_ =
+      lists_at_leave_ &&
+      (!reply.answered || reply.refusal == RunRefusal::kOtherIncarnation);
+  SetReachable(now, false,
+               reply.answered ? ToString(reply.refusal) : reply.text);
+  if (has_left_ && !was_reachable) {
+    SendSync(now);
+  }
+}
+
 void WorkerAgent::OnRunList(Time now, const RunCallReply& reply) {
   is_list_in_flight_ = false;
   if (!reply.answered || reply.refusal != RunRefusal::kNone) {
-    next_list_at_ = now + kListRetryDelay;
-    SetReachable(now, false,
-                 reply.answered ? ToString(reply.refusal) : reply.text);
+    OnListFailure(now, reply);
     return;
   }
   ++list_count_;
@@ -338,6 +362,9 @@
   }
   SetReachable(now, true, "it answered");
   next_list_at_ = ended_.empty() ? now : now + kEndCommitWait;
+  if (lists_at_leave_) {
+    next_list_at_ = now + kLeaveProbeInterval;
+  }
   if (has_new_end) {
     SendSync(now);
   }
