Agent: report the ends of an earlier incarnation until they are committed

Callers may see a task run twice that was done just before its worker restarted. The agent learns of the later incarnation and starts afresh; the ends that it knew of the earlier one and that were not committed yet (the connection was down, no leader) were discarded with its state. The leader then removes the earlier incarnation and places all of its runs again.

The agent now keeps the final state of such an incarnation and sends it before each of its syncs, as the last report of a worker that left, until the leader answers a sync of the later incarnation. Messages keep their order, so the leader has proposed these ends before it admits the later incarnation. At most eight are kept; a discarded one is logged.

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -96,6 +96,7 @@
   void SendStarts(Time now);
   void SendStops(Time now);
   void SendSync(Time now);
+  [[nodiscard]] WorkerSync MakeSync();
   [[nodiscard]] RunCall MakeCall(RunCallOp op, const RunRef& run) const;
   [[nodiscard]] std::optional<std::int64_t> LeaseOnWorkerClock() const;
   [[nodiscard]] bool IsListed(const RunRef& run) const;
@@ -126,6 +127,9 @@
   // Refused runs, and until when each refusal is reported.
   std::map<RunRef, Time> refusals_;
 
+  // Final states of earlier incarnations with uncommitted ends, oldest first.
+  // They are sent before each sync until the leader answers one.
+  std::deque<WorkerSync> final_syncs_;
   std::uint64_t next_seq_ = 1;
   Time next_sync_at_;
   // Unanswered syncs by sequence number, with the time of sending.
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -32,6 +32,9 @@
 constexpr Duration kMinRemainingLease = Millis(100);
 // How long a refusal is reported; several times the latency of a log commit.
 constexpr Duration kRefusalRepeatPeriod = Millis(3000);
+// Maximum number of earlier incarnations whose ends are kept; more restarts
+// than this without an answer of the leader mean an outage of many seconds.
+constexpr std::size_t kMaxFinalSyncs = 8;
 // Maximum number of unanswered syncs whose send times are kept.
 constexpr std::size_t kMaxTrackedSyncs = 64;
 
@@ -88,6 +91,18 @@
 
 WorkerAgent WorkerAgent::NextIncarnation() && {
   WorkerAgent next;
+  if (!ended_.empty()) {
+    has_left_ = true;
+    final_syncs_.push_back(MakeSync());
+    if (final_syncs_.size() > kMaxFinalSyncs) {
+      out_.events.push_back(
+          Event(EventId::kWorkerReplaced)
+              .With("worker", final_syncs_.front().info.life.id)
+              .With("discarded", final_syncs_.front().ended.size()));
+      final_syncs_.pop_front();
+    }
+  }
+  next.final_syncs_ = std::move(final_syncs_);
   next.fencing_token_ = fencing_token_;
   next.next_seq_ = next_seq_;
   next.out_ = std::move(out_);
@@ -145,6 +160,10 @@
   if (!info_ || orders.worker != info_->life) {
     return is_answer;
   }
+  if (is_answer) {
+    // The leader has processed what was sent before the answered sync.
+    final_syncs_.clear();
+  }
   if (is_answer && orders.lease_ms > 0) {
     for (const auto& [seq, at] : sent_syncs_) {
       if (seq == orders.seq) {
@@ -427,11 +446,7 @@
   }
 }
 
-void WorkerAgent::SendSync(Time now) {
-  if (!info_) {
-    return;
-  }
-  next_sync_at_ = now + kSyncInterval;
+WorkerSync WorkerAgent::MakeSync() {
   WorkerSync sync;
   sync.seq = next_seq_++;
   sync.info = *info_;
@@ -458,6 +473,18 @@
       sync.starting.push_back(run);
     }
   }
+  return sync;
+}
+
+void WorkerAgent::SendSync(Time now) {
+  if (!info_) {
+    return;
+  }
+  next_sync_at_ = now + kSyncInterval;
+  for (const WorkerSync& sync : final_syncs_) {
+    out_.to_control.emplace_back(sync);
+  }
+  WorkerSync sync = MakeSync();
   sent_syncs_.emplace_back(sync.seq, now);
   if (sent_syncs_.size() > kMaxTrackedSyncs) {
     sent_syncs_.pop_front();
