Graphs: failing test for a refusal while the list of ends is full

What callers would see, by the code: a task that was done is started again.

The path: a worker lists at most 500 ends that are not acknowledged. A run that ended after these is neither in the list's running nor in its ended rows. If a stop of it is confirmed, or a repeated start is answered with 'old' and fenced, OnRunList takes its absence for a run that never was and reports a refusal without a number. The leader commits that before the next list brings the end, which is then acknowledged without being counted.

--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -401,6 +401,31 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.TakeSyncs().size());
 }
 
+// Guards against starting a task again that was done: a list shows at most
+// 500 ends, and the run that is to be stopped ended after these.
+void EndBeyondFullListIsNoRefusal() {
+  constexpr std::int64_t kEndsPerList = 500;
+  AgentFixture fixture;
+  fixture.Grant();
+  std::vector<EndedRun> ended;
+  for (std::int64_t i = 1; i <= kEndsPerList; ++i) {
+    ended.push_back({i, RunOf("other", 0, i), RunEndReason::kDone, ""});
+  }
+  WorkerOrders stop;
+  stop.stops = {SampleRun()};
+  fixture.Grant(stop);
+  fixture.Answer(RunCallOp::kStop, SampleRun(), true);
+  fixture.ReplyToList({}, ended);
+  CPPUNIT_ASSERT_MESSAGE("its end may come with the next list",
+                         !fixture.IsReportedRefused(SampleRun()));
+  WorkerOrders acknowledgement;
+  acknowledgement.noted = kEndsPerList;
+  fixture.Grant(acknowledgement);
+  fixture.ReplyToList(
+      {}, {{kEndsPerList + 1, SampleRun(), RunEndReason::kDone, ""}});
+  CPPUNIT_ASSERT(!fixture.IsReportedRefused(SampleRun()));
+}
+
 // Guards against two runs of a task at once: a start was sent when the worker
 // restarted under its id. A call names the id alone, so the next incarnation
 // may carry it out late, while the task is placed elsewhere.
@@ -444,7 +469,9 @@
           Section("a stop")
               .Then("is retried until it is answered", UnansweredStopIsRetried)
               .Then("whose run has already ended is no refusal",
-                    EndBeforeStopReplyIsNoRefusal))
+                    EndBeforeStopReplyIsNoRefusal)
+              .Then("whose run ended beyond a full list is no refusal",
+                    EndBeyondFullListIsNoRefusal))
       .With(Section("a worker that leaves")
                 .Then("is gone only after its list in flight",
                       LeaveWaitsForListInFlight)
