Control: failing test for an end acknowledged by a deposed leader

What callers would see, by the code: a job that is done stays placed and is never shown as finished. The agent has forgotten the end, ignores the starts that the leader repeats for the attempt, and runs it again after half an hour.

The path: a leader is cut off from the cell and has not stepped down yet. Another one is elected and places a job; the worker's agent switches to the earlier leader and reports the end there. HandleAsLeader(TaskReport) checks that it leads but not that it holds its lease, as the heartbeat's and the query's handlers do; it doesn't know the attempt and acknowledges the report as stale.

failure: ../tests/unit/control_core_test.cc:222 assertion failed - Expression: !cell.has_acknowledged_end() FAILED acknowledges no end of a task

--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -1,9 +1,14 @@
 #include "banyan/control/control_core.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <iterator>
+#include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "tests/support/graph_samples.h"
@@ -73,13 +78,165 @@
       CountEvents(second_run_events, EventId::kEvacuationChanged));
 }
 
+// A cell of three replicas whose messages arrive at once, unless they are cut,
+// and a worker that sends to any of them.
+class Cell {
+ public:
+  Cell() {
+    ControlOptions options;
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      options.raft.configured_ids.push_back(IdOf(i));
+    }
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      options.raft.self = {IdOf(i), i + 1};
+      options.raft.seed = kSeeds[i];
+      replicas_.emplace_back(options, RestoredLog{}, now_);
+    }
+  }
+
+  // Runs until the condition holds. Returns whether it did within 5 s.
+  bool RunUntil(const std::function<bool()>& condition) {
+    constexpr int kMaxSteps = 500;
+    for (int i = 0; i < kMaxSteps && !condition(); ++i) {
+      now_ += Millis(10);
+      for (std::size_t k = 0; k < kReplicas; ++k) {
+        replicas_[k].Tick(now_, kGraphStart);
+      }
+      DeliverAll();
+    }
+    return condition();
+  }
+
+  // Returns the replica that holds a leader's lease; kReplicas without one.
+  [[nodiscard]] std::size_t Leader() const {
+    std::size_t i = 0;
+    while (i < kReplicas && !replicas_[i].raft().HoldsLease(now_)) {
+      ++i;
+    }
+    return i;
+  }
+
+  // Separates a replica from the others.
+  void Isolate(std::size_t replica) { isolated_ = replica; }
+
+  // Delivers a message of the worker to a replica.
+  void Send(std::size_t replica, const Message& message) {
+    replicas_[replica].Receive(now_, kGraphStart, {"w1", 1}, message);
+    DeliverAll();
+  }
+
+  void Submit(std::size_t replica, const Command& command) {
+    LoggedCommand logged;
+    logged.command = command;
+    replicas_[replica].Submit(now_, kGraphStart, 1, logged);
+    DeliverAll();
+  }
+
+  // Returns whether any replica has acknowledged the end of a task.
+  [[nodiscard]] bool has_acknowledged_end() const {
+    return has_acknowledged_end_;
+  }
+  [[nodiscard]] const ControlCore& replica(std::size_t i) const {
+    return replicas_[i];
+  }
+
+  static constexpr std::size_t kReplicas = 3;
+  static constexpr std::array<std::uint64_t, kReplicas> kSeeds = {10, 20, 30};
+
+ private:
+  static std::string IdOf(std::size_t i) {
+    return "control-" + std::to_string(i);
+  }
+
+  void DeliverAll() {
+    bool is_idle = false;
+    while (!is_idle) {
+      is_idle = true;
+      for (std::size_t i = 0; i < kReplicas; ++i) {
+        const ControlOutputs out = replicas_[i].TakeOutputs(now_, kGraphStart);
+        for (const PersistBatch& batch : out.persists) {
+          replicas_[i].OnPersisted(now_, batch.seq);
+          is_idle = false;
+        }
+        for (const Outbound& outbound : out.messages) {
+          is_idle = false;
+          Deliver(i, outbound);
+        }
+      }
+    }
+  }
+
+  void Deliver(std::size_t from, const Outbound& outbound) {
+    has_acknowledged_end_ =
+        has_acknowledged_end_ ||
+        std::holds_alternative<TaskReportAck>(outbound.message);
+    for (std::size_t to = 0; to < kReplicas; ++to) {
+      const bool is_cut = from == isolated_ || to == isolated_;
+      if (IdOf(to) == outbound.to && !is_cut) {
+        replicas_[to].Receive(now_, kGraphStart, {IdOf(from), from + 1},
+                              outbound.message);
+      }
+    }
+  }
+
+  Time now_{std::chrono::seconds(1000)};
+  std::vector<ControlCore> replicas_;
+  std::size_t isolated_ = kReplicas;
+  bool has_acknowledged_end_ = false;
+};
+
+// Guards against losing a task that is done: a leader that is cut off, and does
+// not know that another one has placed the task, acknowledges its end. The
+// agent forgets the end then, and the job stays placed.
+void DeposedLeaderAcknowledgesNoEnd() {
+  Cell cell;
+  CPPUNIT_ASSERT(
+      cell.RunUntil([&] { return cell.Leader() < Cell::kReplicas; }));
+  const std::size_t earlier = cell.Leader();
+  AgentHello hello;
+  hello.info.id = "w1";
+  hello.info.incarnation = 1;
+  hello.info.role = InstanceRole::kWorker;
+  hello.info.data_centre = "dc-a";
+  hello.info.capacity = {4000, 4096, 0};
+  cell.Send(earlier, hello);
+  cell.Isolate(earlier);
+  CPPUNIT_ASSERT(cell.RunUntil([&] {
+    return cell.Leader() < Cell::kReplicas && cell.Leader() != earlier;
+  }));
+  const std::size_t leader = cell.Leader();
+  SubmitJob submit;
+  submit.key = "j";
+  submit.spec.team = "minutes";
+  submit.spec.needs = {1000, 512, 0};
+  cell.Submit(leader, submit);
+  const auto is_placed = [&] {
+    const Job* job = cell.replica(leader).state().FindJob("j");
+    return job != nullptr && job->state == JobState::kPlaced;
+  };
+  CPPUNIT_ASSERT(cell.RunUntil(is_placed));
+  CPPUNIT_ASSERT_MESSAGE(
+      "the earlier leader must not have stepped down yet",
+      cell.replica(earlier).raft().role() == RaftRole::kLeader);
+  cell.Send(earlier, TaskReport{{"j", 1}, TaskEnd::kFinished, "", ""});
+  CPPUNIT_ASSERT(!cell.has_acknowledged_end());
+  cell.Send(leader, TaskReport{{"j", 1}, TaskEnd::kFinished, "", ""});
+  CPPUNIT_ASSERT_MESSAGE("the end counts at the leader", cell.RunUntil([&] {
+    return cell.has_acknowledged_end() && !is_placed();
+  }));
+}
+
 }  // namespace
 
 Section ControlCoreStory() {
   Section story("The control core");
-  story.With(Section("after a restart")
-                 .Then("does not repeat events of entries restored from disk",
-                       RestartRepeatsNoEvents));
+  story
+      .With(Section("after a restart")
+                .Then("does not repeat events of entries restored from disk",
+                      RestartRepeatsNoEvents))
+      .With(Section("cut off from the cell")
+                .Then("acknowledges no end of a task",
+                      DeposedLeaderAcknowledgesNoEnd));
   return story;
 }
 
