Agents: failing test for a finished task of an earlier agent process

What callers would see, by the code: a job that is done is run again.

The path: an agent process ends with a start on its way. The next one lists the worker's tasks 300 ms after it began, before the start takes effect, which it may for up to 2 s after the acknowledgement that it was based on. The cell requeues the job, as the hello doesn't list it. OnList tells the worker to forget a finished task without a record, so its end is never reported, though the cell accepts a late finish before the next placement.

--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -1,4 +1,7 @@
 #include "banyan/agent/agent_core.h"
+
+#include <algorithm>
+
 #include "tests/unit/story.h"
 
 namespace banyan {
@@ -353,6 +356,71 @@
   CPPUNIT_ASSERT(agent.has_dropped_connections);
 }
 
+// Guards against doing work again that is done: a start of an earlier agent
+// process took effect after the list that this one began with.
+void UnknownFinishedTaskIsReported() {
+  AgentHarness agent(InstanceRole::kWorker);
+  agent.AckHeartbeat();
+  WorkerReply list;
+  list.ok = true;
+  WorkerTask finished;
+  finished.task = {"j", 1};
+  finished.state = WorkerTaskState::kFinished;
+  list.tasks.push_back(finished);
+  agent.core.OnWorkerReply(agent.now, list);
+  agent.CollectOutputs();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, agent.reports.size());
+  CPPUNIT_ASSERT(agent.reports[0].end == TaskEnd::kFinished);
+  const bool is_forgotten = std::any_of(
+      agent.worker_calls.begin(), agent.worker_calls.end(),
+      [](const WorkerCall& call) { return call.op == WorkerOp::kForget; });
+  CPPUNIT_ASSERT_MESSAGE("the worker keeps it until the report is acknowledged",
+                         !is_forgotten);
+}
+
+// Guards against running a request again that must run once: its entry broke
+// off, and its claim is still open when the agent has forgotten the attempt.
+// Claims are kept for a day.
+void ForgottenAttemptGrantsNoTombstone() {
+  AgentHarness agent(InstanceRole::kEndpoint);
+  const auto run = [&](std::uint64_t seq, const std::string& claim) {
+    agent.Deliver(MakeDispatch(seq, claim));
+    EndpointReply endpoint_reply;
+    endpoint_reply.id = agent.endpoint_calls.back().id;
+    endpoint_reply.outcome = RequestOutcome::kRan;
+    agent.core.OnEndpointReply(agent.now, endpoint_reply);
+    agent.CollectOutputs();
+  };
+  run(1, "k");
+  agent.Advance(std::chrono::minutes(11));
+  run(2, "other");
+  agent.Deliver(TombstoneRequest{5, 1, "k", 1});
+  CPPUNIT_ASSERT_MESSAGE(
+      "an attempt that ran must not be reported as one that never will",
+      std::get<TombstoneReply>(agent.sent_messages.back()).verdict !=
+          TombstoneVerdict::kGranted);
+}
+
+// Guards against running a request again that must run once: later attempts
+// pushed the record of its attempt out.
+void DisplacedAttemptGrantsNoTombstone() {
+  constexpr std::uint64_t kOtherRequests = 20000;
+  AgentHarness agent(InstanceRole::kEndpoint);
+  for (std::uint64_t seq = 1; seq <= kOtherRequests + 1; ++seq) {
+    agent.Deliver(MakeDispatch(seq, "k" + std::to_string(seq)));
+    EndpointReply endpoint_reply;
+    endpoint_reply.id = agent.endpoint_calls.back().id;
+    endpoint_reply.outcome = RequestOutcome::kRan;
+    agent.core.OnEndpointReply(agent.now, endpoint_reply);
+    agent.CollectOutputs();
+  }
+  agent.Deliver(TombstoneRequest{5, 1, "k1", 1});
+  CPPUNIT_ASSERT_MESSAGE(
+      "an attempt that ran must not be reported as one that never will",
+      std::get<TombstoneReply>(agent.sent_messages.back()).verdict !=
+          TombstoneVerdict::kGranted);
+}
+
 }  // namespace
 
 Section AgentStory() {
@@ -379,6 +447,8 @@
                       StopsTasksWhenLeaseExpires)
                 .Then("takes a checkpoint before an eviction",
                       CheckpointsBeforeEviction)
+                .Then("reports a finished task of an earlier agent process",
+                      UnknownFinishedTaskIsReported)
                 .Then("keeps running tasks when drained before adoption",
                       DrainBeforeAdoptionKeepsRunningTasks))
       .With(
