State: failing test for a late registration of an earlier incarnation

What callers would see, by the code: a job that is active on a worker is placed on another one as well, so two workers run it at once until the first one's next heartbeat is refused and its tasks are stopped. The work done by then is lost.

The path: an agent's hello is held up, for instance in a replica that is paused, or is relayed late. Meanwhile the agent restarts, or begins a new incarnation after its removal, registers through another replica and is given a job. The hello names the incarnation of its own message, so the leader proposes it, and ApplyCommand(RegisterInstance) takes any incarnation that differs from the known one for a restart: it requeues what the hello doesn't list. Incarnations are random numbers and have no order.

failure: ../tests/unit/control_state_test.cc:266 assertion failed - Expression: state.FindJob("j")->state == JobState::kPlaced - the task that is active must not be placed again FAILED stay when an earlier incarnation registers late

--- a/tests/unit/control_state_test.cc
+++ b/tests/unit/control_state_test.cc
@@ -252,6 +252,23 @@
   CPPUNIT_ASSERT(copy->Encode() == state.Encode());
 }
 
+// Guards against two workers at a job at once: an announcement of an agent's
+// earlier incarnation was held up in a replica that was paused, and arrives
+// after the next one was given a job.
+void LateRegistrationKeepsTasksOfNextIncarnation() {
+  ControlState state;
+  const RegisterInstance earlier{MakeWorker("w1", 1), {}};
+  ApplyCommand(state, earlier);
+  ApplyCommand(state, RegisterInstance{MakeWorker("w1", 2), {}});
+  ApplyCommand(state, MakeSubmitJob("j"));
+  ApplyCommand(state, PlaceTask{{"j", 1}, "w1", 2});
+  ApplyCommand(state, earlier);
+  CPPUNIT_ASSERT_MESSAGE("the task that is active must not be placed again",
+                         state.FindJob("j")->state == JobState::kPlaced);
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                       state.FindInstance("w1")->info.incarnation);
+}
+
 }  // namespace
 
 Section ControlStateStory() {
@@ -278,6 +295,8 @@
                       LateFinishBeforeNextPlacementIsAccepted)
                 .Then("stay on a restarted agent that reports them",
                       RestartedAgentKeepsReportedTasks)
+                .Then("stay when an earlier incarnation registers late",
+                      LateRegistrationKeepsTasksOfNextIncarnation)
                 .Then("are cancelled while queued and while placed",
                       CancelsQueuedAndPlacedJobs)
                 .Then("larger than any worker are refused",
