Routing: failing test for a late answer to a claimed request

A caller that sends it again has to wait for the agent's word, gets an unknown outcome once that agent has restarted, and has the request run again once the agent has forgotten the attempt.

The path: Expire erases the dispatch, so the reply that says that the request ran finds nothing and is dropped. No EndClaim is sent, then or later.

--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -207,6 +207,23 @@
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, claim.expected_attempt);
 }
 
+// Guards against losing an outcome that the entry is told: it comes after the
+// caller's deadline, and nothing but the agent's record of the attempt, which
+// is kept for minutes, can settle the claim from then on.
+void LateAnswerEndsItsClaim() {
+  RouterHarness entry;
+  entry.Send("k", false);
+  entry.GrantClaim(1);
+  const auto dispatch = entry.Dispatches().front();
+  entry.Advance(seconds(2));
+  CPPUNIT_ASSERT(entry.answers[0].outcome == RequestOutcome::kUnknown);
+  entry.Reply(dispatch, RequestOutcome::kRan);
+  const auto* end =
+      std::get_if<EndClaim>(&entry.commands.back().command.command);
+  CPPUNIT_ASSERT_MESSAGE("the claim must not stay open",
+                         end != nullptr && end->end == ClaimEnd::kFinished);
+}
+
 void FailingEndpointIsEjectedAndProbed() {
   RouterHarness entry;
   const auto send_with_e1_failing = [&] {
@@ -289,7 +306,9 @@
               .Then("that may have run is not reported as not-run",
                     DispatchedKeyIsNotReportedAsNotRun)
               .Then("under an open claim requests a tombstone",
-                    OpenClaimRequestsTombstone))
+                    OpenClaimRequestsTombstone)
+              .Then("that is answered late has its claim ended",
+                    LateAnswerEndsItsClaim))
       .With(Section("endpoints")
                 .Then("that keep failing are ejected and probed",
                       FailingEndpointIsEjectedAndProbed)
