--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -1,5 +1,7 @@
 #include "banyan/agent/agent_core.h"
 
+#include <algorithm>
+
 #include "tests/unit/story.h"
 
 namespace banyan {
@@ -354,6 +356,28 @@
   CPPUNIT_ASSERT(agent.has_dropped_connections);
 }
 
+// Guards against doing work again that is done: a start of an earlier agent
+// process took effect after the list that this one began with.
+void UnknownFinishedTaskIsReported() {
+  AgentHarness agent(InstanceRole::kWorker);
+  agent.AckHeartbeat();
+  WorkerReply list;
+  list.ok = true;
+  WorkerTask finished;
+  finished.task = {"j", 1};
+  finished.state = WorkerTaskState::kFinished;
+  list.tasks.push_back(finished);
+  agent.core.OnWorkerReply(agent.now, list);
+  agent.CollectOutputs();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, agent.reports.size());
+  CPPUNIT_ASSERT(agent.reports[0].end == TaskEnd::kFinished);
+  const bool is_forgotten = std::any_of(
+      agent.worker_calls.begin(), agent.worker_calls.end(),
+      [](const WorkerCall& call) { return call.op == WorkerOp::kForget; });
+  CPPUNIT_ASSERT_MESSAGE("the worker keeps it until the report is acknowledged",
+                         !is_forgotten);
+}
+
 // Guards against running a request again that must run once: its entry broke
 // off, and its claim is still open when the agent has forgotten the attempt.
 // Claims are kept for a day.
