Control: a leader without its lease acknowledges no end of a task

Callers may see a job that never ends. A leader that was cut off, and has not stepped down yet, is told the end of an attempt that its successor placed. It doesn't know the attempt, takes the report for an old one and acknowledges it; the agent forgets the end, and the job stays placed until its worker's lease ends, then runs again.

A report now counts only while the leader holds its lease, as for worker syncs and queries. The agent repeats the report until it is acknowledged.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -432,7 +432,8 @@
                                  WallMillis wall,
                                  const Origin& origin,
                                  const TaskReport& report) {
-  if (!is_leading_) {
+  // Without its lease the leader may not know the attempt that has ended.
+  if (!is_leading_ || !raft_.HoldsLease(now)) {
     return;
   }
   const Job* job = state_.FindJob(report.task.job);
