Agent: a full list of ends proves no refusal

Callers may see a task run again that was done, or stopped with its work saved. A worker lists at most 500 ends. The agent takes a run that a confirmed stop's next list doesn't show for one that never began, also where the list is full and the end of the run follows with the next one; the refusal makes the task ready at once.

A full list now settles no stop.

--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_GRAPH_RUN_CALL_H_
 #define BANYAN_GRAPH_RUN_CALL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -82,6 +83,10 @@
   return "unknown";
 }
 
+// Maximum number of ended runs in one list, as workers limit it. The rest
+// follow once these are acknowledged.
+inline constexpr std::size_t kMaxListedEnds = 500;
+
 // The outcome of a call.
 struct RunCallReply {
   RunCallOp op = RunCallOp::kListRuns;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -365,10 +365,13 @@
   for (const EndedRun& row : reply.ended) {
     pending_stops_.erase(row.run);
   }
+  // A full list may leave out the end of a run.
+  const bool is_full = reply.ended.size() >= kMaxListedEnds;
   std::vector<RunRef> absent;
   std::erase_if(pending_stops_, [&](const auto& item) {
     const std::optional<Time>& at = item.second.confirmed_at;
-    if (!at || *at > reply.sent_at || running_.contains(item.first)) {
+    if (is_full || !at || *at > reply.sent_at ||
+        running_.contains(item.first)) {
       return false;
     }
     if (!IsListed(item.first)) {
