Agent: fence the starts of an earlier incarnation before the next is reported

Callers may see two runs of a task at once. A worker restarts under its id. Calls name the worker by the id alone, so a start that the agent sent to the earlier incarnation, or repeated, can be carried out by the next one. The agent forgot such starts when it learned of the restart, and the leader, told of the next incarnation, placed the tasks elsewhere while the run was active.

The agent now turns starts that were sent, starts that were confirmed but not listed, and stops that were not settled into stops for the next incarnation, and reports that incarnation only once its lists have settled them. The stops are calls on one machine, so this takes milliseconds; if the worker doesn't answer, the leader removes the earlier incarnation when its lease has expired, as for a silent worker.

Evidence: worker_agent_test.cc 'has the starts in flight to it fenced' (no stop was sent) and 'is reported only once these starts are fenced' fail before and pass after.

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -77,8 +77,9 @@
     Time at;
   };
 
-  // Returns the initial state for a later incarnation of the worker.
-  [[nodiscard]] WorkerAgent NextIncarnation() &&;
+  // Returns the initial state for a later incarnation, which has the id
+  // `successor`.
+  [[nodiscard]] WorkerAgent NextIncarnation(const std::string& successor) &&;
   void OnRunList(Time now, const RunCallReply& reply);
   void OnListFailure(Time now, const RunCallReply& reply);
   void OnStarted(Time now, const RunCallReply& reply);
@@ -124,6 +125,9 @@
   // Confirmed starts that no run list shows yet, with the time of the answer.
   std::map<RunRef, Time> confirmed_starts_;
   std::map<RunRef, PendingStop> pending_stops_;
+  // Whether the leader learns of this incarnation only after `pending_stops_`
+  // are settled.
+  bool must_settle_stops_ = false;
   // Refused runs, and until when each refusal is reported.
   std::map<RunRef, Time> refusals_;
 
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -68,7 +68,7 @@
                                 .With("running", running_.size())
                                 .With("ended", ended_.size())
                                 .With("committed", last_committed_end_));
-      *this = WorkerAgent(std::move(*this).NextIncarnation());
+      *this = WorkerAgent(std::move(*this).NextIncarnation(incarnation.id));
     }
   }
   const bool was_draining = info_ && info_->draining;
@@ -86,11 +86,28 @@
   if (is_new || had_left || was_draining != report.info.draining) {
     SendSync(now);
   }
+  SendStops(now);
   RequestRunList(now);
 }
 
-WorkerAgent WorkerAgent::NextIncarnation() && {
+WorkerAgent WorkerAgent::NextIncarnation(const std::string& successor) && {
   WorkerAgent next;
+  if (successor == info_->life.id) {
+    // Calls name the worker by its id alone, so a start that was sent to this
+    // incarnation may have been carried out by the next one.
+    for (const auto& [run, pending_start] : pending_starts_) {
+      if (pending_start.is_in_flight || pending_start.unanswered_calls > 0) {
+        next.pending_stops_.try_emplace(run);
+      }
+    }
+    for (const auto& [run, at] : confirmed_starts_) {
+      next.pending_stops_.try_emplace(run);
+    }
+    for (const auto& [run, pending_stop] : pending_stops_) {
+      next.pending_stops_.try_emplace(run);
+    }
+    next.must_settle_stops_ = !next.pending_stops_.empty();
+  }
   if (!ended_.empty()) {
     has_left_ = true;
     final_syncs_.push_back(MakeSync());
@@ -277,6 +294,9 @@
                        ? kIdleListWaitMs
                        : kBusyListWaitMs;
   }
+  if (must_settle_stops_) {
+    call.wait_ms = 0;
+  }
   // The next list settles a confirmed stop, so it must not be delayed.
   for (const auto& [run, pending_stop] : pending_stops_) {
     if (pending_stop.confirmed_at) {
@@ -386,6 +406,8 @@
   next_list_at_ = ended_.empty() ? now : now + kEndCommitWait;
   if (lists_at_leave_) {
     next_list_at_ = now + kLeaveProbeInterval;
+  } else if (must_settle_stops_) {
+    next_list_at_ = now + kOrderRetryDelay;
   }
   if (has_new_end) {
     SendSync(now);
@@ -483,6 +505,12 @@
   if (!info_) {
     return;
   }
+  // Once the leader knows of this incarnation, it places the runs of the
+  // earlier one elsewhere.
+  must_settle_stops_ = must_settle_stops_ && !pending_stops_.empty();
+  if (must_settle_stops_) {
+    return;
+  }
   next_sync_at_ = now + kSyncInterval;
   for (const WorkerSync& sync : final_syncs_) {
     out_.to_control.emplace_back(sync);
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -25,6 +25,7 @@
     report.info.draining = draining;
     report.sequence = sequence;
     report.clock_ms = kWorkerClockMs;
+    started_at_ms_ = std::max(started_at_ms_, started_at_ms);
     agent_.OnReport(now_, report);
     Collect();
   }
@@ -53,7 +54,7 @@
   }
 
   void Reply(RunCallReply reply) {
-    reply.incarnation = {"w1", last_sync_.info.life.started_at_ms};
+    reply.incarnation = {"w1", started_at_ms_};
     reply.received_at = now_;
     agent_.OnReply(now_, reply);
     Collect();
@@ -145,6 +146,7 @@
 
   WorkerAgent agent_;
   Time now_ = Time(std::chrono::seconds(100));
+  std::int64_t started_at_ms_ = 0;
   std::vector<RunCall> calls_;
   WorkerSync last_sync_;
   std::vector<WorkerSync> syncs_;
@@ -442,6 +444,29 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, stops[0].incarnation.started_at_ms);
 }
 
+// Guards against two runs of a task at once: the next incarnation has carried
+// out a start that was meant for the earlier one, and the leader places the
+// task elsewhere as soon as it learns of the restart.
+void RestartIsReportedOnceStartsAreFenced() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  fixture.Answer(RunCallOp::kStart, SampleRun(), true);
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Report(8, 1);
+  RunStatus row;
+  row.run = SampleRun();
+  fixture.ReplyToList({row}, {});
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT_MESSAGE("the run may be active", fixture.TakeSyncs().empty());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStop).size());
+  fixture.Answer(RunCallOp::kStop, SampleRun(), true);
+  fixture.ReplyToList({}, {{1, SampleRun(), RunEndReason::kStopped, ""}});
+  const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
+  CPPUNIT_ASSERT(!syncs.empty());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, syncs[0].info.life.started_at_ms);
+}
+
 }  // namespace
 
 Section WorkerAgentStory() {
@@ -482,6 +507,8 @@
                 .Then("starts with an empty state", RestartedWorkerStartsEmpty)
                 .Then("has the starts in flight to it fenced",
                       StartInFlightIsFencedAtNextIncarnation)
+                .Then("is reported only once these starts are fenced",
+                      RestartIsReportedOnceStartsAreFenced)
                 .Then("leaves its earlier ends to be committed",
                       EndsOfEarlierIncarnationAreReported));
   return story;
