Graphs: a world of the graph path under virtual time

Joins the real table, leader and agents with stand-in workers, a log that commits late or loses its end, and series of faults. Judges by what workers see: two runs of a task at once, a start after an end that was noted, more reserved than the capacity, and what isn't completed after a calm time.

Fails on the code as it is, seeds 1 to 20 each: 'is not run twice', '... while the leader changes', '... while agents lose their connection', '... while workers restart', '... while agents restart'. An end is lost with the incarnation of a worker that leaves, and its task is started again.

--- /dev/null
+++ b/tests/unit/graph_world_test.cc
@@ -0,0 +1,89 @@
+#include "tests/support/graph_world.h"
+
+#include "tests/unit/story.h"
+
+namespace banyan {
+namespace {
+
+constexpr std::uint64_t kSeeds = 20;
+// Far fewer would mean that a world stands still.
+constexpr int kMinStarts = 40;
+constexpr int kMinFaults = 2;
+
+// Plays each seed and fails with the first violation of each.
+void Play(const GraphFaults& faults) {
+  std::string text;
+  std::uint64_t failed = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    GraphWorld world(faults, seed);
+    world.Run();
+    CPPUNIT_ASSERT(world.starts() >= kMinStarts);
+    CPPUNIT_ASSERT(world.faults() >= kMinFaults);
+    if (!world.violations().empty()) {
+      ++failed;
+      text += "\nseed " + std::to_string(seed) + ", " +
+              std::to_string(world.violations().size()) +
+              " violations, the first: " + world.violations().front();
+    }
+  }
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(failed) + " seeds failed" + text,
+                         failed == 0);
+}
+
+// Guards against a task that is started again after it was done: its end is
+// lost with the incarnation of a worker that leaves.
+void Leaves() {
+  Play({.leaves = true});
+}
+
+// Guards against ends that only the earlier leader was told of.
+void LeavesAndLeaderChanges() {
+  Play({.leaves = true, .leader_changes = true});
+}
+
+// Guards against ends that are not reported since the connection is down.
+void LeavesAndCuts() {
+  Play({.leaves = true, .cuts = true});
+}
+
+// Guards against ends of an earlier incarnation with the same id.
+void LeavesAndWorkerRestarts() {
+  Play({.leaves = true, .worker_restarts = true, .late_reports = true});
+}
+
+// Guards against an agent that reports on runs of before its start.
+void LeavesAndAgentRestarts() {
+  Play({.leaves = true, .agent_restarts = true});
+}
+
+// Guards against what only a combination of faults brings about.
+void AllTogether() {
+  Play({true, true, true, true, true, true, true});
+}
+
+// Guards against a violation that can't be played again.
+void SameSeedSameHistory() {
+  const auto play = [] {
+    GraphWorld world({true, true, true, true, true, true, true}, 1);
+    world.Run();
+    return world.HistoryText();
+  };
+  CPPUNIT_ASSERT(play() == play());
+}
+
+}  // namespace
+
+Section GraphWorldStory() {
+  Section story("A task whose worker leaves as it ends");
+  story.Then("is not run twice", Leaves)
+      .Then("is not run twice while the leader changes", LeavesAndLeaderChanges)
+      .Then("is not run twice while agents lose their connection",
+            LeavesAndCuts)
+      .Then("is not run twice while workers restart", LeavesAndWorkerRestarts)
+      .Then("is not run twice while agents restart", LeavesAndAgentRestarts)
+      .Then("is not run twice with all faults together", AllTogether)
+      .Then("meets the same fate from the same seed", SameSeedSameHistory);
+  return story;
+}
+
+}  // namespace banyan
