--- a/tests/support/graph_world.cc
+++ b/tests/support/graph_world.cc
@@ -32,10 +32,13 @@
 constexpr Duration kNotedAfter = Millis(100);
 // Time is calm again so long after a fault.
 constexpr Duration kCalmAfter = Millis(3000);
+// The longest lease that a worker takes, on its own clock.
 constexpr std::int64_t kMaxLeaseMs = 6000;
 constexpr double kMaxClockLag = 0.02;
-constexpr int kSparsest = 2;
-constexpr std::size_t kHistoryLines = 40;
+// By this factor, for each kind of fault, a series may be sparser.
+constexpr std::uint64_t kSparsest = 2;
+// Lines of a violation's history that don't concern its task.
+constexpr int kOtherLines = 25;
 
 std::string NameOf(const TaskRef& task) {
   return task.graph + "." + std::to_string(task.step) + "." +
@@ -112,6 +115,7 @@
   Worker worker;
 };
 
+// One world with its event queue. It is played once.
 class GraphWorld {
  public:
   GraphWorld(const GraphFaults& faults, std::uint64_t seed)
@@ -626,12 +630,13 @@
   // Begins a series of faults. The more kinds there are, the more of them are
   // sparse, so that every world has calm times.
   void Plan(bool is_on, std::int64_t longest_pause_ms, const Work& fault) {
-    const int kinds = faults_.leader_changes + faults_.cuts +
-                      faults_.worker_restarts + faults_.agent_restarts +
-                      faults_.late_orders;
+    const std::vector<bool> kinds = {
+        faults_.leader_changes, faults_.cuts, faults_.worker_restarts,
+        faults_.agent_restarts, faults_.late_orders};
+    const auto count = static_cast<std::uint64_t>(
+        std::count(kinds.begin(), kinds.end(), true));
     if (is_on) {
-      const auto factor =
-          1 + random_.NextBelow(static_cast<std::uint64_t>(kSparsest * kinds));
+      const std::uint64_t factor = 1 + random_.NextBelow(kSparsest * count);
       Repeat(static_cast<std::int64_t>(factor) * longest_pause_ms, fault);
     }
   }
@@ -739,15 +744,16 @@
     }
   }
 
+  // Records a violation with all lines of its task and the last other ones.
   void Complain(const std::string& task, const std::string& what) {
+    const auto is_other = [](const Line& line) { return line.task.empty(); };
+    auto others = std::count_if(history_.begin(), history_.end(), is_other);
     std::string lines;
-    std::size_t count = 0;
-    for (auto line = history_.rbegin();
-         line != history_.rend() && count < kHistoryLines; ++line) {
-      if (line->task.empty() || line->task == task ||
-          line->task.starts_with(task + ".")) {
-        lines.insert(0, TextOf(*line));
-        ++count;
+    for (const Line& line : history_) {
+      const bool is_own =
+          line.task == task || line.task.starts_with(task + ".");
+      if (is_own || (is_other(line) && others-- <= kOtherLines)) {
+        lines += TextOf(line);
       }
     }
     result_.violations.push_back(task + ": " + what + "\n" + lines);
