--- /dev/null
+++ b/tests/support/graph_world.cc
@@ -0,0 +1,819 @@
+#include "tests/support/graph_world.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <tuple>
+#include <utility>
+
+#include "banyan/base/random.h"
+#include "banyan/graph/worker_agent.h"
+#include "tests/support/graph_samples.h"
+
+namespace banyan {
+namespace {
+
+using Work = std::function<void()>;
+
+constexpr Time kStart{std::chrono::seconds(100)};
+constexpr Time kLoadEnd = kStart + std::chrono::seconds(20);
+constexpr Time kFaultsEnd = kStart + std::chrono::seconds(24);
+// The last late order is carried out within 14 s; several leases follow.
+constexpr Time kEnd = kStart + std::chrono::seconds(60);
+constexpr Duration kAgentTick = Millis(25);
+constexpr Duration kBusyDecision = Millis(10);
+constexpr Duration kIdleDecision = Millis(100);
+constexpr Duration kBeat = Millis(1000);
+constexpr Duration kOrderTimeout = Millis(500);
+constexpr Duration kSubmitRetry = Millis(500);
+// An end that was listed in calm time counts as noted after this time.
+constexpr Duration kNotedAfter = Millis(100);
+// Time is calm again so long after a fault.
+constexpr Duration kCalmAfter = Millis(3000);
+// The longest lease that a worker takes, on its own clock.
+constexpr std::int64_t kMaxLeaseMs = 6000;
+constexpr double kMaxClockLag = 0.02;
+// By this factor, for each kind of fault, a series may be sparser.
+constexpr std::uint64_t kSparsest = 2;
+// Lines of a violation's history that don't concern its task.
+constexpr int kOtherLines = 25;
+
+std::string NameOf(const TaskRef& task) {
+  return task.graph + "." + std::to_string(task.step) + "." +
+         std::to_string(task.index);
+}
+
+std::string NameOf(const WorkerIncarnation& worker) {
+  return worker.id + "@" + std::to_string(worker.started_at_ms);
+}
+
+// A call that a worker has received, with the life of the agent that sent it.
+struct Call {
+  RunCall body;
+  Time sent_at;
+  std::uint64_t agent_life = 0;
+  std::uint64_t number = 0;
+};
+
+// A run that ended as done, as its worker knows it.
+struct DoneEnd {
+  std::uint64_t worker_life = 0;
+  std::int64_t number = 0;
+  Time at;
+  // How it was taken note of; empty if it wasn't.
+  std::string noted;
+};
+
+// What workers saw of one task.
+struct TaskRecord {
+  Time last_start;
+  std::vector<DoneEnd> done;
+};
+
+// One incarnation of a stand-in worker.
+struct Worker {
+  WorkerInfo info;
+  std::uint64_t life = 0;
+  bool is_up = false;
+  bool is_departing = false;
+  bool has_announced = false;
+  Time booted_at;
+  double clock_rate = 1;
+  std::int64_t sequence = 0;
+  std::uint64_t fencing_token = 0;
+  std::int64_t lease_until_ms = 0;
+  // Since when it has held its lease without a gap.
+  Time lease_since;
+  std::int64_t last_end = 0;
+  // Active runs with their starts and lengths.
+  std::map<RunRef, std::pair<Time, Duration>> runs;
+  // Ends that are not acknowledged, with their times.
+  std::vector<std::pair<EndedRun, Time>> ended;
+  // The highest run of each task that was stopped or ended here.
+  std::map<TaskRef, std::int64_t> barred;
+  // List calls that wait for an end.
+  std::vector<Call> polls;
+
+  [[nodiscard]] std::int64_t ClockMs(Time now) const {
+    return static_cast<std::int64_t>(
+        clock_rate * static_cast<double>(ToMillis(now - booted_at)));
+  }
+};
+
+// A machine with an agent, null while it is down, and at most one worker. Lives
+// and connections are numbered; what belongs to an earlier one is lost.
+struct Machine {
+  std::string name;
+  std::unique_ptr<WorkerAgent> agent;
+  std::uint64_t agent_life = 0;
+  Time cut_until;
+  std::uint64_t connection = 0;
+  Time last_to_leader;
+  Time last_to_agent;
+  Worker worker;
+};
+
+// One world with its event queue. It is played once.
+class GraphWorld {
+ public:
+  GraphWorld(const GraphFaults& faults, std::uint64_t seed)
+      : faults_(faults), random_(seed) {}
+
+  GraphWorldResult Run() {
+    Apply(InstallPlan{SamplePlan()});
+    StartLeader();
+    const std::uint64_t count = 3 + random_.NextBelow(4);
+    for (std::uint64_t i = 0; i < count; ++i) {
+      Machine& m = machines_.emplace_back();
+      m.name = "side-" + std::to_string(i);
+      m.agent = std::make_unique<WorkerAgent>();
+      Boot(m, NextId());
+    }
+    TickLeader();
+    TickAgents();
+    PlanLoad();
+    PlanFaults();
+    while (actions_.top().at <= kEnd) {
+      const Action action = actions_.top();
+      actions_.pop();
+      now_ = action.at;
+      action.run();
+    }
+    CheckSettled();
+    for (const Line& line : history_) {
+      result_.history += TextOf(line);
+    }
+    return std::move(result_);
+  }
+
+ private:
+  struct Action {
+    Time at;
+    std::uint64_t order = 0;
+    Work run;
+
+    friend bool operator>(const Action& a, const Action& b) {
+      return std::tie(a.at, a.order) > std::tie(b.at, b.order);
+    }
+  };
+
+  // A line of the history; without a task it concerns all of them.
+  struct Line {
+    Time at;
+    std::string task;
+    std::string text;
+  };
+
+  void At(Duration delay, Work run) {
+    actions_.push({now_ + delay, next_order_++, std::move(run)});
+  }
+
+  // Does something unless the worker's incarnation has ended by then.
+  void AtWorker(Machine& m, Duration delay, Work run) {
+    At(delay, [&m, life = m.worker.life, run = std::move(run)] {
+      if (m.worker.life == life && m.worker.is_up) {
+        run();
+      }
+    });
+  }
+
+  Duration Between(std::int64_t low_ms, std::int64_t high_ms) {
+    return Millis(low_ms) +
+           Duration(random_.NextBelow(
+               static_cast<std::uint64_t>(1000 * (high_ms - low_ms) + 1)));
+  }
+  bool Chance(std::uint64_t percent) {
+    return random_.NextBelow(100) < percent;
+  }
+  // The delay of a message that keeps its place on its connection.
+  Duration InOrder(Time& last) {
+    last = std::max(last, now_ + Between(1, 10));
+    return last - now_;
+  }
+  [[nodiscard]] WallMillis Wall() const {
+    return kGraphStart + ToMillis(now_ - kStart);
+  }
+
+  // --- The log and the leader ---
+
+  void Propose(Command command) {
+    log_.emplace_back(next_order_, std::move(command));
+    last_commit_at_ = std::max(last_commit_at_, now_ + Between(2, 40));
+    At(last_commit_at_ - now_, [this, number = next_order_] {
+      // A proposal that was lost is not in the log any more.
+      if (!log_.empty() && log_.front().first == number) {
+        const Command committed = std::move(log_.front().second);
+        log_.pop_front();
+        Apply(committed);
+      }
+    });
+  }
+
+  void Apply(const Command& command) {
+    const GraphApplyResult applied = std::visit(
+        [&](const auto& body) {
+          if constexpr (requires { table_.Apply(body, kGraphStart); }) {
+            return table_.Apply(body, Wall());
+          } else {
+            return GraphApplyResult{};
+          }
+        },
+        command);
+    WriteEvents(applied.events);
+    if (leader_) {
+      leader_->OnApplied(now_, table_, command, applied);
+      FlushLeader();
+    }
+  }
+
+  void StartLeader() {
+    leader_ = std::make_unique<GraphLeader>(GraphLeaderOptions{});
+    leader_->Reset(now_, table_, ++fencing_token_);
+    Write("", "leader " + std::to_string(fencing_token_));
+  }
+
+  void TickLeader() {
+    if (leader_ && now_ >= next_decision_) {
+      next_decision_ = now_ + (table_.ready_graphs().empty() ? kIdleDecision
+                                                             : kBusyDecision);
+      leader_->Decide(now_, Wall(), table_);
+      FlushLeader();
+    }
+    At(kBusyDecision, [this] { TickLeader(); });
+  }
+
+  void FlushLeader() {
+    GraphLeaderOutputs outputs = leader_->TakeOutputs();
+    WriteEvents(outputs.events);
+    for (Command& command : outputs.proposals) {
+      Propose(std::move(command));
+    }
+    for (const Outbound& order : outputs.orders) {
+      Machine& m =
+          *std::find_if(machines_.begin(), machines_.end(),
+                        [&](const auto& it) { return it.name == order.to; });
+      if (m.cut_until > now_) {
+        continue;
+      }
+      TellAgent(m, InOrder(m.last_to_agent), m.agent_life,
+                [this, &m, connection = m.connection,
+                 orders = std::get<WorkerOrders>(order.message)] {
+                  if (m.connection == connection) {
+                    static_cast<void>(m.agent->OnOrders(now_, orders));
+                  }
+                });
+    }
+  }
+
+  void Submit(const SubmitGraph& graph) {
+    if (table_.FindGraph(graph.id) == nullptr) {
+      if (leader_) {
+        Propose(graph);
+      }
+      At(kSubmitRetry, [this, graph] { Submit(graph); });
+    }
+  }
+
+  void PlanLoad() {
+    const auto draw = [&](std::uint64_t most) {
+      return 1 + static_cast<std::int64_t>(random_.NextBelow(most));
+    };
+    for (Time at = kStart; at < kLoadEnd; at += Between(200, 900)) {
+      std::vector<StepSpec> steps{SampleStep(draw(4), 500 * draw(4))};
+      if (Chance(50)) {
+        steps.push_back(SampleStep(draw(4), 500 * draw(4)));
+        steps.back().depends_on = {0};
+      }
+      const std::string id = "g" + std::to_string(graphs_.size());
+      graphs_.push_back(SampleGraph(id, std::move(steps)));
+      At(at - kStart, [this, graph = graphs_.back()] { Submit(graph); });
+    }
+  }
+
+  // --- Agents ---
+
+  void TickAgents() {
+    for (Machine& m : machines_) {
+      if (m.agent) {
+        m.agent->Tick(now_);
+        FlushAgent(m);
+      }
+    }
+    At(kAgentTick, [this] { TickAgents(); });
+  }
+
+  // Tells an agent something unless it was restarted since.
+  void TellAgent(Machine& m, Duration delay, std::uint64_t life, Work tell) {
+    At(delay, [this, &m, life, tell = std::move(tell)] {
+      if (m.agent && m.agent_life == life) {
+        tell();
+        FlushAgent(m);
+      }
+    });
+  }
+
+  void FlushAgent(Machine& m) {
+    const WorkerAgentOutputs outputs = m.agent->TakeOutputs();
+    WriteEvents(outputs.events);
+    for (const Message& message : outputs.to_control) {
+      if (m.cut_until > now_) {
+        break;
+      }
+      At(InOrder(m.last_to_leader), [this, &m, connection = m.connection,
+                                     sync = std::get<WorkerSync>(message)] {
+        if (leader_ && m.connection == connection) {
+          leader_->OnSync(now_, table_, m.name, sync, true);
+          FlushLeader();
+        }
+      });
+    }
+    for (const RunCall& call : outputs.calls) {
+      CallWorker(m, {call, now_, m.agent_life, next_order_});
+    }
+  }
+
+  // --- Workers ---
+
+  std::string NextId() { return "w" + std::to_string(++ids_); }
+
+  void Boot(Machine& m, const std::string& id) {
+    m.worker = Worker{};
+    m.worker.info = SampleWorker(id, Wall());
+    m.worker.life = ++lives_;
+    m.worker.is_up = true;
+    m.worker.booted_at = now_ - Between(0, 5000);
+    m.worker.clock_rate = 1 - kMaxClockLag * random_.NextDouble();
+    Write("", "boot of " + NameOf(m.worker.info.life) + " on " + m.name);
+    Beat(m);
+  }
+
+  void EndLife(Machine& m, Duration pause, const std::string& next_id) {
+    Write("", "end of " + NameOf(m.worker.info.life));
+    m.worker.is_up = false;
+    m.worker.runs.clear();
+    for (const Call& call : std::exchange(m.worker.polls, {})) {
+      Answer(m, call, MakeUnansweredReply(call.body));
+    }
+    At(pause, [this, &m, next_id] { Boot(m, next_id); });
+  }
+
+  void Report(Machine& m) {
+    const bool is_late =
+        faults_.late_reports && now_ < kFaultsEnd && Chance(10);
+    const WorkerReport report{m.worker.info, ++m.worker.sequence,
+                              m.worker.ClockMs(now_)};
+    TellAgent(m, is_late ? Between(200, 3000) : Between(1, 10), m.agent_life,
+              [this, &m, report] { m.agent->OnReport(now_, report); });
+  }
+
+  void Beat(Machine& m) {
+    Report(m);
+    AtWorker(m, kBeat, [this, &m] { Beat(m); });
+  }
+
+  void Renew(Machine& m, std::optional<std::int64_t> asked_ms) {
+    Worker& worker = m.worker;
+    const std::int64_t clock_ms = worker.ClockMs(now_);
+    const std::int64_t until_ms =
+        std::min(asked_ms.value_or(0), clock_ms + kMaxLeaseMs);
+    if (until_ms <= std::max(clock_ms, worker.lease_until_ms)) {
+      return;
+    }
+    if (worker.lease_until_ms <= clock_ms) {
+      worker.lease_since = now_;
+    }
+    worker.lease_until_ms = until_ms;
+    const auto wait = static_cast<double>(until_ms - clock_ms + 2);
+    AtWorker(m, Millis(static_cast<std::int64_t>(wait / worker.clock_rate)),
+             [this, &m] {
+               while (!m.worker.runs.empty() &&
+                      m.worker.lease_until_ms <= m.worker.ClockMs(now_)) {
+                 EndRun(m, m.worker.runs.begin()->first,
+                        RunEndReason::kLeaseExpired);
+               }
+             });
+  }
+
+  void CallWorker(Machine& m, const Call& call) {
+    const bool is_list = call.body.op == RunCallOp::kListRuns;
+    if (!is_list && storm_until_ > now_ && Chance(40)) {
+      Write(NameOf(call.body.run.task), "an order gets no answer");
+      AtWorker(m, Chance(70) ? Between(2000, 12000) : Between(1, 5),
+               [this, &m, call] { static_cast<void>(CarryOut(m, call.body)); });
+      At(kOrderTimeout,
+         [this, &m, call] { Answer(m, call, MakeUnansweredReply(call.body)); });
+      return;
+    }
+    At(Between(1, 5), [this, &m, call, is_list] {
+      if (!m.worker.is_up) {
+        Answer(m, call, MakeUnansweredReply(call.body));
+      } else if (is_list) {
+        List(m, call);
+      } else {
+        Answer(m, call, CarryOut(m, call.body));
+      }
+    });
+  }
+
+  // Answers a call to the agent that sent it. Answers may overtake each other.
+  void Answer(Machine& m, const Call& call, RunCallReply reply) {
+    reply.sent_at = call.sent_at;
+    TellAgent(m, Between(1, Chance(20) ? 30 : 3), call.agent_life,
+              [this, &m, reply, life = m.worker.life]() mutable {
+                reply.received_at = now_;
+                for (const EndedRun& row : reply.ended) {
+                  Write(NameOf(row.run.task), "end is listed");
+                  At(kNotedAfter, [this, row, life] {
+                    if (row.reason == RunEndReason::kDone && now_ >= calm_at_) {
+                      NoteEnd(row, life, "listed in calm time");
+                    }
+                  });
+                }
+                m.agent->OnReply(now_, reply);
+              });
+  }
+
+  // Returns the answer to a call, with a refusal if it is not for this worker:
+  // the id is checked, the time of the start isn't.
+  RunCallReply Accept(Machine& m, const RunCall& call) {
+    RunCallReply reply = MakeUnansweredReply(call);
+    reply.answered = true;
+    reply.clock_ms = m.worker.ClockMs(now_);
+    if (call.incarnation.id != m.worker.info.life.id) {
+      reply.refusal = RunRefusal::kOtherIncarnation;
+    } else if (call.fencing_token < m.worker.fencing_token) {
+      reply.refusal = RunRefusal::kFenced;
+    } else {
+      m.worker.fencing_token = call.fencing_token;
+    }
+    return reply;
+  }
+
+  // Carries out a start or a stop.
+  RunCallReply CarryOut(Machine& m, const RunCall& call) {
+    RunCallReply reply = Accept(m, call);
+    Worker& worker = m.worker;
+    if (reply.refusal != RunRefusal::kNone) {
+      return reply;
+    }
+    std::int64_t& barred = worker.barred[call.run.task];
+    if (call.op == RunCallOp::kStop) {
+      WriteRun(m, call.run, "is stopped");
+      barred = std::max(barred, call.run.run);
+      AtWorker(m, Between(5, 200), [this, &m, run = call.run] {
+        EndRun(m, run, RunEndReason::kStopped);
+      });
+    } else if (call.op == RunCallOp::kStart &&
+               !worker.runs.contains(call.run)) {
+      if (barred >= call.run.run) {
+        reply.refusal = RunRefusal::kStaleRun;
+      } else if (call.lease_until_ms.value_or(0) <= worker.ClockMs(now_)) {
+        reply.refusal = RunRefusal::kLeaseExpired;
+      } else {
+        BeginRun(m, call.run);
+      }
+      Renew(m, call.lease_until_ms);
+    }
+    return reply;
+  }
+
+  void List(Machine& m, const Call& call) {
+    const RunCallReply reply = Accept(m, call.body);
+    if (reply.refusal != RunRefusal::kNone) {
+      Answer(m, call, reply);
+      return;
+    }
+    Worker& worker = m.worker;
+    const bool has_lease = worker.lease_until_ms > worker.ClockMs(now_);
+    std::erase_if(worker.ended, [&](const auto& end) {
+      if (end.first.number > call.body.last_committed_end) {
+        return false;
+      }
+      Write(NameOf(end.first.run.task), "end is acknowledged");
+      // A lease that lapsed in between stands for good.
+      if (end.first.reason == RunEndReason::kDone && has_lease &&
+          worker.lease_since <= end.second) {
+        NoteEnd(end.first, worker.life, "acknowledged");
+      }
+      return true;
+    });
+    Renew(m, call.body.lease_until_ms);
+    worker.polls.push_back(call);
+    if (!worker.ended.empty()) {
+      AnswerPolls(m);
+      return;
+    }
+    AtWorker(m, Millis(call.body.wait_ms), [this, &m, number = call.number] {
+      if (std::any_of(m.worker.polls.begin(), m.worker.polls.end(),
+                      [&](const Call& it) { return it.number == number; })) {
+        AnswerPolls(m);
+      }
+    });
+  }
+
+  void AnswerPolls(Machine& m) {
+    for (const Call& call : std::exchange(m.worker.polls, {})) {
+      RunCallReply reply = Accept(m, call.body);
+      // The call was accepted as it came. The lists name the worker's start.
+      reply.refusal = RunRefusal::kNone;
+      if (call.body.incarnation != m.worker.info.life) {
+        reply.refusal = RunRefusal::kOtherIncarnation;
+      } else {
+        for (const auto& [run, times] : m.worker.runs) {
+          const auto percent = 100 * (now_ - times.first) / times.second;
+          reply.running.push_back({run, "", percent, 0});
+        }
+        for (const auto& [row, at] : m.worker.ended) {
+          reply.ended.push_back(row);
+        }
+      }
+      Answer(m, call, std::move(reply));
+    }
+  }
+
+  void BeginRun(Machine& m, const RunRef& run) {
+    ++result_.starts;
+    WriteRun(m, run, "starts");
+    CheckStart(m, run);
+    const Duration length = Between(200, 3000);
+    m.worker.runs[run] = {now_, length};
+    AtWorker(m, length,
+             [this, &m, run] { EndRun(m, run, RunEndReason::kDone); });
+  }
+
+  void EndRun(Machine& m, const RunRef& run, RunEndReason reason) {
+    Worker& worker = m.worker;
+    if (worker.runs.erase(run) == 0) {
+      return;
+    }
+    WriteRun(m, run, std::string("ends as ") + ToString(reason));
+    std::int64_t& barred = worker.barred[run.task];
+    barred = std::max(barred, run.run);
+    worker.ended.push_back({{++worker.last_end, run, reason, ""}, now_});
+    if (reason == RunEndReason::kDone) {
+      tasks_[run.task].done.push_back({worker.life, worker.last_end, now_, ""});
+    }
+    AnswerPolls(m);
+    if (worker.is_departing && worker.runs.empty()) {
+      Depart(m);
+    }
+  }
+
+  // Drains a worker, which leaves as its last run ends or, at last, with runs.
+  void Leave(Machine& m) {
+    if (!m.worker.is_up || m.worker.info.draining) {
+      return;
+    }
+    ++result_.faults;
+    Write("", "drain of " + NameOf(m.worker.info.life));
+    m.worker.info.draining = true;
+    Report(m);
+    AtWorker(m, Between(2000, 2300), [this, &m] {
+      m.worker.is_departing = true;
+      if (m.worker.runs.empty()) {
+        Depart(m);
+      }
+    });
+    AtWorker(m, Between(2050, 3500), [this, &m] { Depart(m); });
+  }
+
+  // Announces the shutdown. Without an acknowledgement the worker goes on for a
+  // while.
+  void Depart(Machine& m) {
+    if (std::exchange(m.worker.has_announced, true)) {
+      return;
+    }
+    const std::string id = m.worker.info.life.id;
+    TellAgent(m, Between(1, Chance(20) ? 30 : 3), m.agent_life,
+              [this, &m, id] { m.agent->OnLeave(now_, id); });
+    const bool is_acknowledged = m.agent && Chance(75);
+    Write("", "leave of " + NameOf(m.worker.info.life) +
+                  (is_acknowledged ? "" : ", not acknowledged"));
+    AtWorker(m, is_acknowledged ? Between(0, 10) : Between(200, 3000),
+             [this, &m, id] {
+               EndLife(m, Between(500, 4000), Chance(50) ? id : NextId());
+             });
+  }
+
+  // --- Faults ---
+
+  void PlanFaults() {
+    if (faults_.leaves) {
+      Repeat(2500, [this] { Leave(AnyMachine()); });
+    }
+    Plan(faults_.leader_changes, 7000, [this] { ChangeLeader(); });
+    Plan(faults_.cuts, 5000, [this] {
+      Machine& m = AnyMachine();
+      ++m.connection;
+      const Duration span = Between(100, Chance(30) ? 6000 : 1000);
+      m.cut_until = std::max(m.cut_until, now_ + span);
+      Disturb(span, "cut of " + m.name);
+    });
+    Plan(faults_.worker_restarts, 7000, [this] {
+      Machine& m = AnyMachine();
+      if (m.worker.is_up) {
+        const Duration pause = Between(300, 3000);
+        Disturb(pause, "crash of " + NameOf(m.worker.info.life));
+        EndLife(m, pause, m.worker.info.life.id);
+      }
+    });
+    Plan(faults_.agent_restarts, 6000, [this] { RestartAgent(AnyMachine()); });
+    Plan(faults_.late_orders, 5000, [this] {
+      const Duration span = Between(300, 1500);
+      storm_until_ = now_ + span;
+      Disturb(span, "late orders");
+    });
+  }
+
+  // Begins a series of faults. The more kinds there are, the more of them are
+  // sparse, so that every world has calm times.
+  void Plan(bool is_on, std::int64_t longest_pause_ms, const Work& fault) {
+    const std::vector<bool> kinds = {
+        faults_.leader_changes, faults_.cuts, faults_.worker_restarts,
+        faults_.agent_restarts, faults_.late_orders};
+    const auto count = static_cast<std::uint64_t>(
+        std::count(kinds.begin(), kinds.end(), true));
+    if (is_on) {
+      const std::uint64_t factor = 1 + random_.NextBelow(kSparsest * count);
+      Repeat(static_cast<std::int64_t>(factor) * longest_pause_ms, fault);
+    }
+  }
+
+  void Repeat(std::int64_t longest_pause_ms, const Work& fault) {
+    At(Between(500, longest_pause_ms), [this, longest_pause_ms, fault] {
+      if (now_ < kFaultsEnd) {
+        fault();
+        Repeat(longest_pause_ms, fault);
+      }
+    });
+  }
+
+  // Keeps the time of a fault from counting as calm. A leave is none.
+  void Disturb(Duration span, const std::string& what) {
+    ++result_.faults;
+    calm_at_ = std::max(calm_at_, now_ + span + kCalmAfter);
+    Write("", what + " for " + std::to_string(ToMillis(span)) + " ms");
+  }
+
+  void ChangeLeader() {
+    if (leader_) {
+      leader_.reset();
+      log_.resize(random_.NextBelow(log_.size() + 1));
+      const Duration outage = Between(200, 3000);
+      Disturb(outage, "no leader");
+      At(outage, [this] { StartLeader(); });
+    }
+  }
+
+  void RestartAgent(Machine& m) {
+    if (m.agent) {
+      m.agent.reset();
+      ++m.connection;
+      const Duration outage = Between(100, 2000);
+      Disturb(outage, "no agent on " + m.name);
+      At(outage, [&m] {
+        m.agent = std::make_unique<WorkerAgent>();
+        ++m.agent_life;
+      });
+    }
+  }
+
+  Machine& AnyMachine() {
+    return machines_[random_.NextBelow(machines_.size())];
+  }
+
+  // --- Checks ---
+
+  void CheckStart(const Machine& m, const RunRef& run) {
+    Resources reserved = table_.FindStep(run.task)->needs;
+    for (const Machine& other : machines_) {
+      for (const auto& [active, times] : other.worker.runs) {
+        if (active.task == run.task) {
+          Complain(NameOf(run.task), "two runs at once");
+        }
+        if (&other == &m) {
+          reserved += table_.FindStep(active.task)->needs;
+        }
+      }
+    }
+    if (!Fits(reserved, m.worker.info.capacity)) {
+      Complain(NameOf(run.task), "more reserved than the capacity");
+    }
+    TaskRecord& record = tasks_[run.task];
+    record.last_start = now_;
+    for (const DoneEnd& end : record.done) {
+      if (!end.noted.empty()) {
+        Complain(NameOf(run.task),
+                 "a start after an end that was " + end.noted);
+      }
+    }
+  }
+
+  // Records that a worker's end was taken note of, which holds from its time.
+  void NoteEnd(const EndedRun& row, std::uint64_t life, const char* how) {
+    TaskRecord& record = tasks_[row.run.task];
+    for (DoneEnd& end : record.done) {
+      if (end.worker_life == life && end.number == row.number &&
+          end.noted.empty()) {
+        end.noted = how;
+        if (record.last_start >= end.at) {
+          Complain(NameOf(row.run.task),
+                   "a start after an end that was later " + end.noted);
+        }
+      }
+    }
+  }
+
+  void CheckSettled() {
+    for (const SubmitGraph& submit : graphs_) {
+      const Graph* graph = table_.FindGraph(submit.id);
+      if (graph == nullptr || graph->state != GraphState::kCompleted) {
+        Complain(submit.id, "not completed");
+        continue;
+      }
+      for (std::size_t s = 0; s < submit.spec.steps.size(); ++s) {
+        for (std::int64_t i = 0; i < submit.spec.steps[s].count; ++i) {
+          const TaskRef task{submit.id, 0, static_cast<std::int64_t>(s), i};
+          if (tasks_[task].done.empty()) {
+            Complain(NameOf(task), "completed without an end as done");
+          }
+        }
+      }
+    }
+  }
+
+  // Records a violation with all lines of its task and the last other ones.
+  void Complain(const std::string& task, const std::string& what) {
+    const auto is_other = [](const Line& line) { return line.task.empty(); };
+    auto others = std::count_if(history_.begin(), history_.end(), is_other);
+    std::string lines;
+    for (const Line& line : history_) {
+      const bool is_own =
+          line.task == task || line.task.starts_with(task + ".");
+      if (is_own || (is_other(line) && others-- <= kOtherLines)) {
+        lines += TextOf(line);
+      }
+    }
+    result_.violations.push_back(task + ": " + what + "\n" + lines);
+  }
+
+  static std::string TextOf(const Line& line) {
+    return "  " + std::to_string(ToMillis(line.at - kStart)) + " ms " +
+           line.task + " " + line.text + "\n";
+  }
+
+  void Write(const std::string& task, std::string text) {
+    history_.push_back({now_, task, std::move(text)});
+  }
+
+  void WriteRun(const Machine& m, const RunRef& run, const std::string& what) {
+    Write(NameOf(run.task), "run " + std::to_string(run.run) + " " + what +
+                                " at " + NameOf(m.worker.info.life));
+  }
+
+  // Records the product's events about runs and workers.
+  void WriteEvents(const Events& events) {
+    for (const Event& event : events) {
+      const std::string graph = event.Field("request");
+      if (graph.empty() || !event.Field("run").empty()) {
+        Write(graph.empty() ? ""
+                            : graph + "." + event.Field("step") + "." +
+                                  event.Field("task"),
+              event.text());
+      }
+    }
+  }
+
+  GraphFaults faults_;
+  Random random_;
+  Time now_ = kStart;
+  std::uint64_t next_order_ = 0;
+  std::priority_queue<Action, std::vector<Action>, std::greater<>> actions_;
+  GraphTable table_;
+  std::deque<std::pair<std::uint64_t, Command>> log_;
+  Time last_commit_at_;
+  std::unique_ptr<GraphLeader> leader_;
+  std::uint64_t fencing_token_ = 6;
+  Time next_decision_;
+  std::deque<Machine> machines_;
+  std::uint64_t lives_ = 0;
+  std::uint64_t ids_ = 0;
+  // Until when orders may get no answer.
+  Time storm_until_;
+  // No time before this one is calm.
+  Time calm_at_;
+  std::vector<SubmitGraph> graphs_;
+  std::map<TaskRef, TaskRecord> tasks_;
+  std::vector<Line> history_;
+  GraphWorldResult result_;
+};
+
+}  // namespace
+
+GraphWorldResult PlayGraphWorld(const GraphFaults& faults, std::uint64_t seed) {
+  return GraphWorld(faults, seed).Run();
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/tests/support/graph_world.h
@@ -0,0 +1,50 @@
+#ifndef BANYAN_TESTS_SUPPORT_GRAPH_WORLD_H_
+#define BANYAN_TESTS_SUPPORT_GRAPH_WORLD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace banyan {
+
+// The kinds of faults that a world has; each occurs in a series of its own.
+struct GraphFaults {
+  // Workers drain, announce their shutdown and are gone.
+  bool leaves = false;
+  // The leader is lost with the end of its log, and another one follows.
+  bool leader_changes = false;
+  // Agents lose their connection to the leader.
+  bool cuts = false;
+  // Workers crash and start again under the same id.
+  bool worker_restarts = false;
+  // Agents start again and know nothing of before.
+  bool agent_restarts = false;
+  // Starts and stops get no answer and may be carried out seconds late.
+  bool late_orders = false;
+  // Reports of workers arrive seconds late.
+  bool late_reports = false;
+};
+
+// What became of a world.
+struct GraphWorldResult {
+  // Each violation with the history of its task.
+  std::vector<std::string> violations;
+  // The number of runs that workers started.
+  int starts = 0;
+  // The number of faults that occurred.
+  int faults = 0;
+  // All that was recorded, one line each.
+  std::string history;
+};
+
+// Plays the graph path under virtual time: a log with one table, the leader,
+// and an agent with a stand-in worker on each machine. The load and the faults
+// last 24 s, the calm time after them 36 s. Judges by what the workers see, not
+// by the table: two runs of a task at once, a start after an end that was taken
+// note of, more reserved than the capacity, and graphs that aren't completed.
+[[nodiscard]] GraphWorldResult PlayGraphWorld(const GraphFaults& faults,
+                                              std::uint64_t seed);
+
+}  // namespace banyan
+
+#endif  // BANYAN_TESTS_SUPPORT_GRAPH_WORLD_H_
