Agents: failing tests for a worker that leaves or restarts

The tests fail and are not listed as known; the logic is unchanged.

A list that was sent before the announcement of a shutdown, or one that breaks after it, removes a worker that goes on: with seed 920 a world with broken list calls shows two runs of a task at once. A worker that left is still sent a repeated start, which the next incarnation under its id would carry out. An incarnation that left is admitted again at once by an agent without a lease, and before a clock that is slow by 2% has ended the lease. Starts without an answer are not fenced at the next incarnation once a repetition was listed, or once the earlier incarnation has fenced them. Ends of the earlier incarnation wait for the fences.

--- a/tests/support/graph_world.cc
+++ b/tests/support/graph_world.cc
@@ -27,6 +27,7 @@
 constexpr Duration kIdleDecision = Millis(100);
 constexpr Duration kBeat = Millis(1000);
 constexpr Duration kOrderTimeout = Millis(500);
+constexpr Duration kListTimeout = Millis(1000);
 constexpr Duration kSubmitRetry = Millis(500);
 // An end that was listed in calm time counts as noted after this time.
 constexpr Duration kNotedAfter = Millis(100);
@@ -398,6 +399,12 @@
 
   void CallWorker(Machine& m, const Call& call) {
     const bool is_list = call.body.op == RunCallOp::kListRuns;
+    if (is_list && silent_until_ > now_ && Chance(40)) {
+      // The connection breaks, or the agent gives the call up.
+      At(Chance(50) ? Between(1, 5) : kListTimeout + Millis(call.body.wait_ms),
+         [this, &m, call] { Answer(m, call, MakeUnansweredReply(call.body)); });
+      return;
+    }
     if (!is_list && storm_until_ > now_ && Chance(40)) {
       Write(NameOf(call.body.run.task), "an order gets no answer");
       AtWorker(m, Chance(70) ? Between(2000, 12000) : Between(1, 5),
@@ -625,14 +632,19 @@
       storm_until_ = now_ + span;
       Disturb(span, "late orders");
     });
+    Plan(faults_.silent_lists, 5000, [this] {
+      const Duration span = Between(300, 1500);
+      silent_until_ = now_ + span;
+      Disturb(span, "silent lists");
+    });
   }
 
   // Begins a series of faults. The more kinds there are, the more of them are
   // sparse, so that every world has calm times.
   void Plan(bool is_on, std::int64_t longest_pause_ms, const Work& fault) {
     const std::vector<bool> kinds = {
-        faults_.leader_changes, faults_.cuts, faults_.worker_restarts,
-        faults_.agent_restarts, faults_.late_orders};
+        faults_.leader_changes, faults_.cuts,        faults_.worker_restarts,
+        faults_.agent_restarts, faults_.late_orders, faults_.silent_lists};
     const auto count = static_cast<std::uint64_t>(
         std::count(kinds.begin(), kinds.end(), true));
     if (is_on) {
@@ -802,6 +814,8 @@
   std::uint64_t ids_ = 0;
   // Until when orders may get no answer.
   Time storm_until_;
+  // Until when lists may get no answer.
+  Time silent_until_;
   // No time before this one is calm.
   Time calm_at_;
   std::vector<SubmitGraph> graphs_;
--- a/tests/support/graph_world.h
+++ b/tests/support/graph_world.h
@@ -23,6 +23,8 @@
   bool late_orders = false;
   // Reports of workers arrive seconds late.
   bool late_reports = false;
+  // List calls get no answer while the worker works on.
+  bool silent_lists = false;
 };
 
 // What became of a world.
--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -55,6 +55,18 @@
   Play({.leaves = true, .agent_restarts = true});
 }
 
+// Guards against a worker that is given up for one list without an answer: it
+// has announced its shutdown and works on.
+void LeavesAndSilentLists() {
+  constexpr std::uint64_t kRareSeed = 920;
+  const GraphFaults faults{.leaves = true, .silent_lists = true};
+  Play(faults);
+  const GraphWorldResult result = PlayGraphWorld(faults, kRareSeed);
+  CPPUNIT_ASSERT_MESSAGE(
+      result.violations.empty() ? "" : result.violations.front(),
+      result.violations.empty());
+}
+
 // Guards against what only a combination of faults brings about.
 void AllTogether() {
   Play({true, true, true, true, true, true, true});
@@ -79,6 +91,7 @@
             LeavesAndCuts)
       .Then("is not run twice while workers restart", LeavesAndWorkerRestarts)
       .Then("is not run twice while agents restart", LeavesAndAgentRestarts)
+      .Then("is not run twice while lists get no answer", LeavesAndSilentLists)
       .Then("is not run twice with all faults together", AllTogether)
       .Then("meets the same fate from the same seed", SameSeedSameHistory);
   return story;
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -45,11 +45,11 @@
     Collect();
   }
 
-  // The list call in flight gets no answer.
-  void FailList() {
+  // The list call in flight, sent so long ago, gets no answer.
+  void FailList(Duration age = Duration{}) {
     RunCallReply reply;
     reply.op = RunCallOp::kListRuns;
-    reply.sent_at = now_;
+    reply.sent_at = now_ - age;
     Reply(std::move(reply));
   }
 
@@ -381,6 +381,67 @@
                          !fixture.last_sync().gone);
 }
 
+// Guards against giving up a run that is still active, and against losing the
+// end that the next list would show: a call that was sent before the
+// announcement gets no answer, which says nothing of the worker after it.
+void ListSentBeforeLeaveProvesNothing() {
+  AgentFixture fixture;
+  fixture.Grant();
+  static_cast<void>(fixture.TakeCalls(RunCallOp::kListRuns));
+  fixture.Advance(Millis(400));
+  fixture.Leave();
+  fixture.FailList(Millis(400));
+  CPPUNIT_ASSERT_MESSAGE("the worker may still answer",
+                         !fixture.last_sync().gone);
+  fixture.Advance(Millis(300));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kListRuns).size());
+  fixture.FailList();
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+}
+
+// Guards against two runs of a task at once: the worker has left, its runs are
+// placed elsewhere, and the repeated start reaches the next incarnation, which
+// has the same id.
+void WorkerThatLeftGetsNoStart() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStart).size());
+  fixture.Leave();
+  fixture.FailList();
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.Advance(Millis(60));
+  CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kStart).empty());
+}
+
+// Guards against admitting an incarnation again whose runs may be active: an
+// agent that has restarted holds no lease, but the one before it did.
+void ReportAfterLeaveDoesNotReadmitWithoutLease() {
+  AgentFixture fixture;
+  fixture.Leave();
+  fixture.FailList();
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.Report(1, 2);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+}
+
+// Guards against renewing the lease of an incarnation whose runs were placed
+// elsewhere without a gap: its clock may be slow by 2%.
+void ReportAfterLeaveWaitsForSlowClock() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Leave();
+  fixture.FailList();
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.Advance(Millis(4010));
+  fixture.Report(1, 2);
+  fixture.Advance(Millis(10));
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
+}
+
 // Guards against starting a task again that was done before its worker
 // restarted: the agent knows the end, and the log does not.
 void EndsOfEarlierIncarnationAreReported() {
@@ -467,6 +528,57 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, syncs[0].info.life.started_at_ms);
 }
 
+// Guards against two runs of a task at once: the first call of a start got no
+// answer, the second one was confirmed and its run listed. The next incarnation
+// may carry out the first call late.
+void LateCallOfListedRunIsFencedAtNextIncarnation() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.Advance(Millis(60));
+  fixture.Answer(RunCallOp::kStart, SampleRun(), true);
+  fixture.Advance(Millis(10));
+  RunStatus row;
+  row.run = SampleRun();
+  fixture.ReplyToList({row}, {});
+  fixture.Report(8, 1);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStop).size());
+}
+
+// Guards against two runs of a task at once: a start without an answer was
+// fenced and reported as refused, but only the incarnation that has ended since
+// knows of the fence.
+void FenceIsRepeatedAtNextIncarnation() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  for (int i = 0; i < 3; ++i) {
+    fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+    fixture.Advance(Millis(60));
+  }
+  CPPUNIT_ASSERT(fixture.IsRefusedOnceFenced(SampleRun()));
+  fixture.Report(8, 1);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStop).size());
+}
+
+// Guards against running a task again that was done before its worker
+// restarted: the ends wait for starts that the next incarnation has yet to
+// fence, and meanwhile the lease of the earlier one expires at the leader.
+void EndsOfEarlierIncarnationDoNotWaitForFences() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  fixture.ReplyToList({}, {{5, RunOf("g", 0, 1), RunEndReason::kDone, ""}});
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Report(8, 1);
+  fixture.Advance(Millis(600));
+  const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
+  CPPUNIT_ASSERT(!syncs.empty());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, syncs[0].info.life.started_at_ms);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, syncs[0].ended.size());
+  CPPUNIT_ASSERT_MESSAGE("the start may yet be carried out", !syncs[0].gone);
+}
+
 }  // namespace
 
 Section WorkerAgentStory() {
@@ -501,16 +613,29 @@
                 .Then("is gone only after its list in flight",
                       LeaveWaitsForListInFlight)
                 .Then("is not gone while it answers", AnsweringWorkerHasNotLeft)
+                .Then("is not gone by a list that was sent before",
+                      ListSentBeforeLeaveProvesNothing)
+                .Then("gets no start", WorkerThatLeftGetsNoStart)
                 .Then("is not admitted again by a delayed report",
-                      ReportAfterLeaveDoesNotReadmit))
+                      ReportAfterLeaveDoesNotReadmit)
+                .Then("is not admitted again by an agent without a lease",
+                      ReportAfterLeaveDoesNotReadmitWithoutLease)
+                .Then("is not admitted again while its slow clock runs",
+                      ReportAfterLeaveWaitsForSlowClock))
       .With(Section("a restarted worker")
                 .Then("starts with an empty state", RestartedWorkerStartsEmpty)
                 .Then("has the starts in flight to it fenced",
                       StartInFlightIsFencedAtNextIncarnation)
                 .Then("is reported only once these starts are fenced",
                       RestartIsReportedOnceStartsAreFenced)
+                .Then("has a late call of a listed run fenced",
+                      LateCallOfListedRunIsFencedAtNextIncarnation)
+                .Then("has the fences of before repeated",
+                      FenceIsRepeatedAtNextIncarnation)
                 .Then("leaves its earlier ends to be committed",
-                      EndsOfEarlierIncarnationAreReported));
+                      EndsOfEarlierIncarnationAreReported)
+                .Then("leaves its earlier ends before the starts are fenced",
+                      EndsOfEarlierIncarnationDoNotWaitForFences));
   return story;
 }
 
