--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -70,6 +70,14 @@
     std::optional<Time> confirmed_at;
   };
 
+  // An announced shutdown. Only list calls sent after it tell whether the
+  // worker is gone.
+  struct Departure {
+    Time announced_at;
+    int unanswered_lists = 0;
+    bool has_answered = false;
+  };
+
   // A reading of the worker's clock and the agent's time of its receipt. The
   // reading is older than the receipt, so derived deadlines are never too late.
   struct ClockSample {
@@ -104,10 +112,10 @@
 
   std::optional<WorkerInfo> info_;
   std::int64_t report_sequence_ = 0;
-  // Number of lists received when the worker announced its shutdown; empty if
-  // it has not announced it.
-  std::optional<std::uint64_t> lists_at_leave_;
-  // Whether the worker no longer answers after its announcement.
+  // The worker's announcement of its shutdown, if there was one.
+  std::optional<Departure> departure_;
+  // Whether the worker no longer answers after its announcement. Final for this
+  // incarnation.
   bool has_left_ = false;
   std::optional<ClockSample> clock_;
   std::uint64_t fencing_token_ = 0;
@@ -128,6 +136,9 @@
   // Whether the leader learns of this incarnation only after `pending_stops_`
   // are settled.
   bool must_settle_stops_ = false;
+  // Runs with a start call without an answer, and until when it may still be
+  // carried out.
+  std::map<RunRef, Time> unanswered_starts_;
   // Refused runs, and until when each refusal is reported.
   std::map<RunRef, Time> refusals_;
 
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -22,8 +22,13 @@
 // Interval between the list calls that find out whether a worker that announced
 // its shutdown is gone.
 constexpr Duration kLeaveProbeInterval = Millis(100);
+// Number of such calls in a row without an answer after which it is gone.
+constexpr int kMaxUnansweredLists = 3;
 // Delay before an unanswered start or stop is retried.
 constexpr Duration kOrderRetryDelay = Millis(50);
+// How long after its sending a call without an answer may be carried out, as
+// the platform specifies it.
+constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
 // Unanswered calls after which a start is abandoned.
 constexpr int kMaxUnansweredStarts = 3;
 // How long a start waits for the agent to hold a lease.
@@ -54,9 +59,8 @@
     if (is_older || (is_same && report.sequence <= report_sequence_)) {
       return;
     }
-    // The leader has placed the runs of this incarnation elsewhere. Until its
-    // lease has expired, they may still be active or end as done.
-    if (is_same && has_left_ && now < lease_deadline_) {
+    // The leader has placed the runs of this incarnation elsewhere.
+    if (is_same && has_left_) {
       return;
     }
     if (!is_same) {
@@ -75,15 +79,14 @@
   const bool is_new = !info_;
   info_ = report.info;
   report_sequence_ = report.sequence;
-  const bool had_left = std::exchange(has_left_, false);
-  // A worker that answered a list since its announcement is still active.
-  if (had_left || (lists_at_leave_ && list_count_ > *lists_at_leave_)) {
-    lists_at_leave_.reset();
+  // A worker that answers and reports after its announcement is still active.
+  if (departure_ && departure_->has_answered) {
+    departure_.reset();
   }
   if (is_new && report.clock_ms) {
     clock_ = ClockSample{*report.clock_ms, now};
   }
-  if (is_new || had_left || was_draining != report.info.draining) {
+  if (is_new || was_draining != report.info.draining) {
     SendSync(now);
   }
   SendStops(now);
@@ -94,22 +97,23 @@
   WorkerAgent next;
   if (successor == info_->life.id) {
     // Calls name the worker by its id alone, so a start that was sent to this
-    // incarnation may have been carried out by the next one.
+    // incarnation may be carried out by the next one.
     for (const auto& [run, pending_start] : pending_starts_) {
-      if (pending_start.is_in_flight || pending_start.unanswered_calls > 0) {
+      if (pending_start.is_in_flight) {
         next.pending_stops_.try_emplace(run);
       }
     }
     for (const auto& [run, at] : confirmed_starts_) {
       next.pending_stops_.try_emplace(run);
     }
-    for (const auto& [run, pending_stop] : pending_stops_) {
+    for (const auto& [run, until] : unanswered_starts_) {
       next.pending_stops_.try_emplace(run);
     }
+    next.unanswered_starts_ = std::move(unanswered_starts_);
     next.must_settle_stops_ = !next.pending_stops_.empty();
   }
   if (!ended_.empty()) {
-    has_left_ = true;
+    is_reachable_ = false;
     final_syncs_.push_back(MakeSync());
     if (final_syncs_.size() > kMaxFinalSyncs) {
       out_.events.push_back(
@@ -127,10 +131,10 @@
 }
 
 void WorkerAgent::OnLeave(Time now, const std::string& worker) {
-  if (!info_ || info_->life.id != worker || lists_at_leave_) {
+  if (!info_ || info_->life.id != worker || departure_) {
     return;
   }
-  lists_at_leave_ = list_count_;
+  departure_ = Departure{now};
   out_.events.push_back(
       Event(EventId::kWorkerLeaving)
           .With("worker", worker)
@@ -249,6 +253,9 @@
 }
 
 void WorkerAgent::SendStarts(Time now) {
+  if (has_left_) {
+    return;
+  }
   std::vector<RunRef> expired;
   for (auto& [run, pending_start] : pending_starts_) {
     if (pending_start.is_in_flight || pending_start.retry_at > now) {
@@ -289,7 +296,7 @@
   }
   RunCall call = MakeCall(RunCallOp::kListRuns, RunRef{});
   const bool is_waiting_for_log = !ended_.empty();
-  if (!is_waiting_for_log && is_reachable_ && !lists_at_leave_) {
+  if (!is_waiting_for_log && is_reachable_ && !departure_) {
     call.wait_ms = running_.empty() && pending_starts_.empty()
                        ? kIdleListWaitMs
                        : kBusyListWaitMs;
@@ -349,11 +356,14 @@
 }
 
 void WorkerAgent::OnListFailure(Time now, const RunCallReply& reply) {
-  next_list_at_ = now + kListRetryDelay;
+  next_list_at_ = now + (departure_ ? kLeaveProbeInterval : kListRetryDelay);
   const bool was_reachable = is_reachable_;
-  has_left_ =
-      lists_at_leave_ &&
-      (!reply.answered || reply.refusal == RunRefusal::kOtherIncarnation);
+  if (departure_ && reply.sent_at >= departure_->announced_at) {
+    const bool is_replaced = reply.refusal == RunRefusal::kOtherIncarnation;
+    departure_->unanswered_lists += reply.answered ? 0 : 1;
+    has_left_ =
+        is_replaced || departure_->unanswered_lists >= kMaxUnansweredLists;
+  }
   SetReachable(now, false,
                reply.answered ? ToString(reply.refusal) : reply.text);
   if (has_left_ && !was_reachable) {
@@ -404,12 +414,16 @@
   }
   SetReachable(now, true, "it answered");
   next_list_at_ = ended_.empty() ? now : now + kEndCommitWait;
-  if (lists_at_leave_) {
+  if (departure_) {
     next_list_at_ = now + kLeaveProbeInterval;
+    if (reply.sent_at >= departure_->announced_at) {
+      departure_->has_answered = true;
+      departure_->unanswered_lists = 0;
+    }
   } else if (must_settle_stops_) {
     next_list_at_ = now + kOrderRetryDelay;
   }
-  if (has_new_end) {
+  if (has_new_end || (must_settle_stops_ && pending_stops_.empty())) {
     SendSync(now);
   }
 }
@@ -423,6 +437,9 @@
             .With("outcome", OutcomeName(reply))
             .With("reason", reply.text));
   }
+  if (!reply.answered) {
+    unanswered_starts_[reply.run] = now + kMaxCallDelay;
+  }
   if (found == pending_starts_.end()) {
     return;
   }
@@ -505,16 +522,17 @@
   if (!info_) {
     return;
   }
-  // Once the leader knows of this incarnation, it places the runs of the
-  // earlier one elsewhere.
+  next_sync_at_ = now + kSyncInterval;
   must_settle_stops_ = must_settle_stops_ && !pending_stops_.empty();
+  // Once the leader knows of this incarnation, or that the earlier one is gone,
+  // it places the runs of the earlier one elsewhere.
+  for (WorkerSync sync : final_syncs_) {
+    sync.gone = !must_settle_stops_;
+    out_.to_control.emplace_back(std::move(sync));
+  }
   if (must_settle_stops_) {
     return;
   }
-  next_sync_at_ = now + kSyncInterval;
-  for (const WorkerSync& sync : final_syncs_) {
-    out_.to_control.emplace_back(sync);
-  }
   WorkerSync sync = MakeSync();
   sent_syncs_.emplace_back(sync.seq, now);
   if (sent_syncs_.size() > kMaxTrackedSyncs) {
@@ -526,6 +544,8 @@
 void WorkerAgent::Tick(Time now) {
   std::erase_if(refusals_,
                 [&](const auto& item) { return item.second <= now; });
+  std::erase_if(unanswered_starts_,
+                [&](const auto& item) { return item.second <= now; });
   if (!info_) {
     return;
   }
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -45,6 +45,14 @@
     Collect();
   }
 
+  // The worker is gone: list calls get no answer.
+  void FailLists() {
+    for (int i = 0; i < 3; ++i) {
+      FailList();
+      Advance(Millis(100));
+    }
+  }
+
   // The list call in flight, sent so long ago, gets no answer.
   void FailList(Duration age = Duration{}) {
     RunCallReply reply;
@@ -341,7 +349,7 @@
                          !fixture.last_sync().gone);
   fixture.ReplyToList({}, {{1, SampleRun(), RunEndReason::kDone, ""}});
   fixture.Advance(Millis(300));
-  fixture.FailList();
+  fixture.FailLists();
   CPPUNIT_ASSERT(fixture.last_sync().gone);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.last_sync().ended.size());
 }
@@ -370,15 +378,15 @@
   AgentFixture fixture;
   fixture.Grant();
   fixture.Leave();
-  fixture.FailList();
+  fixture.FailLists();
   CPPUNIT_ASSERT(fixture.last_sync().gone);
   fixture.Report(1, 2);
   fixture.Advance(Millis(600));
   CPPUNIT_ASSERT(fixture.last_sync().gone);
-  fixture.Advance(Millis(4000));
+  fixture.Advance(Millis(6000));
   fixture.Report(1, 3);
-  CPPUNIT_ASSERT_MESSAGE("nothing of it is active once its lease has expired",
-                         !fixture.last_sync().gone);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(fixture.last_sync().gone);
 }
 
 // Guards against giving up a run that is still active, and against losing the
@@ -396,7 +404,7 @@
   fixture.Advance(Millis(300));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kListRuns).size());
-  fixture.FailList();
+  fixture.FailLists();
   CPPUNIT_ASSERT(fixture.last_sync().gone);
 }
 
@@ -409,7 +417,7 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kStart).size());
   fixture.Leave();
-  fixture.FailList();
+  fixture.FailLists();
   CPPUNIT_ASSERT(fixture.last_sync().gone);
   fixture.Answer(RunCallOp::kStart, SampleRun(), false);
   fixture.Advance(Millis(60));
@@ -421,7 +429,7 @@
 void ReportAfterLeaveDoesNotReadmitWithoutLease() {
   AgentFixture fixture;
   fixture.Leave();
-  fixture.FailList();
+  fixture.FailLists();
   CPPUNIT_ASSERT(fixture.last_sync().gone);
   fixture.Report(1, 2);
   fixture.Advance(Millis(600));
@@ -434,7 +442,7 @@
   AgentFixture fixture;
   fixture.Grant();
   fixture.Leave();
-  fixture.FailList();
+  fixture.FailLists();
   CPPUNIT_ASSERT(fixture.last_sync().gone);
   fixture.Advance(Millis(4010));
   fixture.Report(1, 2);
@@ -442,6 +450,21 @@
   CPPUNIT_ASSERT(fixture.last_sync().gone);
 }
 
+// Guards against giving up a run that is still active: single list calls get no
+// answer while the worker goes on.
+void SingleUnansweredListsProveNothing() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Leave();
+  for (int i = 0; i < 10; ++i) {
+    fixture.FailList();
+    fixture.Advance(Millis(100));
+    fixture.ReplyToList({}, {});
+    fixture.Advance(Millis(100));
+    CPPUNIT_ASSERT(!fixture.last_sync().gone);
+  }
+}
+
 // Guards against starting a task again that was done before its worker
 // restarted: the agent knows the end, and the log does not.
 void EndsOfEarlierIncarnationAreReported() {
@@ -621,7 +644,9 @@
                 .Then("is not admitted again by an agent without a lease",
                       ReportAfterLeaveDoesNotReadmitWithoutLease)
                 .Then("is not admitted again while its slow clock runs",
-                      ReportAfterLeaveWaitsForSlowClock))
+                      ReportAfterLeaveWaitsForSlowClock)
+                .Then("is not gone by single lists without an answer",
+                      SingleUnansweredListsProveNothing))
       .With(Section("a restarted worker")
                 .Then("starts with an empty state", RestartedWorkerStartsEmpty)
                 .Then("has the starts in flight to it fenced",
