HTTP server: failing tests for requests that are cut by a planned stop

HttpServer::Stop ends the acceptor first, which takes up to 250 ms, and then aborts every connection. Requests that arrive in between are read and handled, and their answers are lost. Connections that wait for a thread are dropped.

--- /dev/null
+++ b/tests/unit/gateway_process_test.cc
@@ -0,0 +1,148 @@
+#include "banyan/process/gateway_process.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "banyan/net/http.h"
+#include "tests/unit/story.h"
+
+namespace banyan {
+namespace {
+
+// When the gateway expects no further caller, after its stop has begun.
+constexpr Duration kBalancerDetectionTime = Millis(2400);
+// How long a caller may wait for the end of a connection whose request is not
+// read.
+constexpr Duration kMaxUnreadWait = Millis(200);
+constexpr Duration kDrainTimeout = Millis(5500);
+constexpr Duration kExchangeTimeout = Millis(5000);
+
+// Returns a loopback address that nothing listens on.
+std::string FreeAddress() {
+  const Poco::Net::ServerSocket socket{
+      Poco::Net::SocketAddress("127.0.0.1", 0)};
+  return socket.address().toString();
+}
+
+// Answers "/quick" at once, and any other path with what the cell says. Notes
+// the paths that it was asked for.
+class Probe {
+ public:
+  HttpReply Serve(const HttpCall& call, const CellCallFunction& cell) {
+    {
+      const std::lock_guard lock(mutex_);
+      read_paths_.insert(call.path);
+    }
+    if (call.path == "/quick") {
+      return JsonReply();
+    }
+    const CommandResult result =
+        cell(CellQuery{}, MonotonicClock::now() + kExchangeTimeout);
+    return result.ok ? JsonReply() : ErrorReply(result.error, result.text);
+  }
+
+  [[nodiscard]] bool HasRead(const std::string& path) const {
+    const std::lock_guard lock(mutex_);
+    return read_paths_.contains(path);
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::set<std::string> read_paths_;
+};
+
+CellSettings SettingsOf(const std::string& address) {
+  CellSettings settings;
+  settings.id = "entry-0";
+  settings.seeds = {FreeAddress()};
+  settings.caller_address = address;
+  settings.threads = 32;
+  settings.drain_timeout = kDrainTimeout;
+  return settings;
+}
+
+HttpExchange Send(HttpClient& client, const std::string& path) {
+  HttpCall call;
+  call.method = "GET";
+  call.path = path;
+  return client.Exchange(call, "", MonotonicClock::now() + kExchangeTimeout);
+}
+
+// Guards against requests that are read while the gateway closes its
+// connections, wait for a cell that has no leader, and get no answer.
+void AnswersRequestsThatComeAsItCloses() {
+  constexpr int kCallers = 12;
+  constexpr Duration kSendInterval = Millis(20);
+  constexpr Duration kFirstSend = kBalancerDetectionTime + Millis(25);
+  const std::string address = FreeAddress();
+  Probe probe;
+  GatewayProcess gateway(
+      SettingsOf(address),
+      GatewayApis{[&probe](const HttpCall& call, const CellCallFunction& cell,
+                           const ServicePlan* /*plan*/) {
+                    return probe.Serve(call, cell);
+                  },
+                  nullptr});
+  Reason reason;
+  CPPUNIT_ASSERT(gateway.Start(reason));
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  for (int i = 0; i < kCallers; ++i) {
+    clients.push_back(std::make_unique<HttpClient>(address));
+    CPPUNIT_ASSERT(Send(*clients.back(), "/quick").outcome ==
+                   RequestOutcome::kRan);
+  }
+  const Time stop_start = MonotonicClock::now();
+  std::vector<HttpExchange> exchanges(kCallers);
+  std::vector<Duration> took(kCallers);
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      std::this_thread::sleep_until(stop_start + kFirstSend +
+                                    i * kSendInterval);
+      const Time start = MonotonicClock::now();
+      exchanges[i] = Send(*clients[i], "/" + std::to_string(i));
+      took[i] = MonotonicClock::now() - start;
+    });
+  }
+  static_cast<void>(gateway.Stop());
+  const Duration stop_took = MonotonicClock::now() - stop_start;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (int i = 0; i < kCallers; ++i) {
+    if (exchanges[i].outcome == RequestOutcome::kRan) {
+      continue;
+    }
+    const std::string caller = "caller " + std::to_string(i);
+    CPPUNIT_ASSERT_MESSAGE(caller + " was read and, after " +
+                               std::to_string(ToMillis(took[i])) +
+                               " ms, got no whole answer: " + exchanges[i].text,
+                           !probe.HasRead("/" + std::to_string(i)));
+    CPPUNIT_ASSERT_MESSAGE(caller +
+                               " was not read, and its connection stayed open "
+                               "for " +
+                               std::to_string(ToMillis(took[i])) + " ms",
+                           took[i] <= kMaxUnreadWait);
+  }
+  CPPUNIT_ASSERT(stop_took < kDrainTimeout);
+}
+
+}  // namespace
+
+Section GatewayProcessStory() {
+  Section story("Gateway");
+  story.With(Section("that stops while the cell has no leader")
+                 .Then("answers the requests that come as it closes",
+                       AnswersRequestsThatComeAsItCloses));
+  return story;
+}
+
+}  // namespace banyan
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -82,6 +82,8 @@
       .With(PacerStory())
       .With(CellClientStory())
       .With(HttpClientStory())
+      .With(HttpServerStory())
+      .With(GatewayProcessStory())
       .With(PlatformCodecStory())
       .With(ServingRankStory())
       .With(UrgencyStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -80,6 +80,8 @@
 Section PacerStory();
 Section CellClientStory();
 Section HttpClientStory();
+Section HttpServerStory();
+Section GatewayProcessStory();
 Section PlatformCodecStory();
 Section ServingRankStory();
 Section UrgencyStory();
