HTTP server: a stop answers the requests that it has read

Callers of a process under a planned stop had connections closed without an answer although their requests had been read and handled, and connections that waited for a thread were reset.

Cause: HttpServer::Stop used Poco's HTTPServer::stopAll(true). It ends the acceptor first, whose poll takes up to 250 ms, and then shuts down every socket, also those with a request in progress. Its TCPServer::stop() drops the connections in the queue. The other mode, stopAll(false), waits for each request without a time limit.

Change: Stop takes a deadline. From its start new connections are refused and each answer says "Connection: close". Connections without a request are closed, which frees threads for those in the queue; requests that have arrived are answered; what is open at the deadline is aborted, and Stop returns whether a request lost its answer by that. A connection is closed under the lock under which it turns to the next request, so a stop can't come between the reading of a request and its answer. Poco's connection class has no such hook, so the server has its own, on Poco's session and parser. A request whose header is cut by the abort isn't handled any more: the parser takes the end of the connection for the end of the header.

--- a/include/banyan/net/http.h
+++ b/include/banyan/net/http.h
@@ -62,6 +62,9 @@
  public:
   using Handler = std::function<HttpReply(const HttpCall&)>;
 
+  // Time that a stop without a deadline leaves for answers.
+  static constexpr Duration kDefaultStopTimeout = Millis(2000);
+
   // Resource limits of the server.
   struct Limits {
     int threads = 16;
@@ -80,8 +83,14 @@
                            Handler handler,
                            Reason& reason);
 
-  // Stops accepting connections and aborts the open ones.
-  void Stop();
+  // Stops gracefully: refuses new connections, closes those without a request,
+  // and answers the requests that have arrived, each with "Connection: close".
+  // Aborts what is still open at `deadline`. Returns whether every request that
+  // was handled got its answer. Waits for handlers that overrun the deadline.
+  bool Stop(Time deadline);
+
+  // As above, with a deadline of kDefaultStopTimeout from now.
+  bool Stop();
 
   // Returns the number of requests in progress, up to the writing of the reply,
   // plus that of accepted connections that wait for a free thread.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,19 +1,26 @@
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/String.h>
 #include <Poco/ThreadPool.h>
+#include <Poco/Timestamp.h>
 #include <Poco/URI.h>
 
 #include <algorithm>
 #include <atomic>
+#include <concepts>
 #include <istream>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
 #include <utility>
 
 #include "banyan/net/http.h"
@@ -32,6 +39,8 @@
 constexpr std::size_t kReadChunkBytes = 16384;
 // Bytes of an oversized body that are read and discarded before replying.
 constexpr std::streamsize kMaxDiscardedBytes = 32 << 20;
+// Interval at which a stopping server checks its connections.
+constexpr Duration kStopCheckInterval = Millis(5);
 
 // Reads a body; false if it is longer than `limit` bytes.
 bool ReadBody(std::istream& in, std::int64_t limit, std::string& body) {
@@ -80,92 +89,284 @@
   return found == fields.end() ? std::string_view() : found->value;
 }
 
-class RequestHandler : public Poco::Net::HTTPRequestHandler {
+class Connection;
+
+// The open connections of a server, and how far its stop has come. Thread-safe.
+class OpenConnections {
  public:
-  RequestHandler(HttpServer::Limits limits,
-                 const HttpServer::Handler& handler,
-                 std::atomic<int>& active)
-      : limits_(limits), handler_(handler), active_(active) {}
-
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override {
-    const ActiveRequest active(active_);
-    HttpCall call;
-    call.method = request.getMethod();
-    call.content_type = request.getContentType();
-    for (const auto& [name, value] : request) {
-      call.fields.push_back({name, value});
+  // Adds a connection. Returns whether it may read requests.
+  [[nodiscard]] bool Add(Connection* connection);
+  void Remove(Connection* connection);
+
+  // Makes each further answer the last one of its connection.
+  void StartStop() noexcept { is_stopping_ = true; }
+  [[nodiscard]] bool is_stopping() const noexcept { return is_stopping_; }
+
+  // Closes the connections on which no request has arrived.
+  void CloseIdle();
+  // Closes all connections, and each one that is added later.
+  void AbortAll();
+  [[nodiscard]] bool empty() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::set<Connection*> connections_;
+  bool is_aborted_ = false;
+  std::atomic<bool> is_stopping_{false};
+};
+
+// What the connections of one server share.
+struct ServerState {
+  HttpServer::Limits limits;
+  HttpServer::Handler handler;
+  Poco::Net::HTTPServerParams::Ptr params;
+  std::atomic<int> active_count{0};
+  OpenConnections connections;
+};
+
+// Serves one request.
+void Serve(ServerState& state,
+           Poco::Net::HTTPServerRequest& request,
+           Poco::Net::HTTPServerResponse& response) {
+  const ActiveRequest active(state.active_count);
+  HttpCall call;
+  call.method = request.getMethod();
+  call.content_type = request.getContentType();
+  for (const auto& [name, value] : request) {
+    call.fields.push_back({name, value});
+  }
+  try {
+    const Poco::URI uri(request.getURI());
+    call.path = uri.getPath();
+    call.query = uri.getRawQuery();
+  } catch (const Poco::Exception&) {
+    response.setKeepAlive(false);
+    WriteReply(response, ErrorReply(ErrorKind::kBadRequest, "bad URI"));
+    return;
+  }
+  if (!call.path.starts_with('/')) {
+    response.setKeepAlive(false);
+    WriteReply(response, ErrorReply(ErrorKind::kBadRequest,
+                                    "the path must begin with '/'"));
+    return;
+  }
+  // A request with neither a content length nor chunked encoding has no body.
+  const bool has_body =
+      request.hasContentLength() || request.getChunkedTransferEncoding();
+  const bool is_declared_too_large =
+      request.hasContentLength() &&
+      request.getContentLength64() > state.limits.max_body_bytes;
+  if (is_declared_too_large ||
+      (has_body &&
+       !ReadBody(request.stream(), state.limits.max_body_bytes, call.body))) {
+    // Closing the connection while the caller is still sending would reset
+    // it and could lose the reply, so up to kMaxDiscardedBytes of the rest
+    // are read and discarded first.
+    request.stream().ignore(kMaxDiscardedBytes);
+    response.setKeepAlive(false);
+    WriteReply(
+        response,
+        ErrorReply(ErrorKind::kTooLarge,
+                   "the body is larger than " +
+                       std::to_string(state.limits.max_body_bytes) + " bytes"));
+    return;
+  }
+  const bool is_truncated = request.hasContentLength() &&
+                            request.getContentLength64() !=
+                                static_cast<Poco::Int64>(call.body.size());
+  if (is_truncated) {
+    response.setKeepAlive(false);
+    WriteReply(response,
+               ErrorReply(ErrorKind::kBadRequest, "the body is cut short"));
+    return;
+  }
+  const HttpReply reply = state.handler(call);
+  if (state.connections.is_stopping()) {
+    response.setKeepAlive(false);
+  }
+  WriteReply(response, reply);
+}
+
+// Answers a request that can't be served, as the last one of its connection.
+void SendFailure(Poco::Net::HTTPServerSession& session,
+                 Poco::Net::HTTPResponse::HTTPStatus status) {
+  Poco::Net::HTTPServerResponseImpl response(session);
+  response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+  response.setStatusAndReason(status);
+  response.setKeepAlive(false);
+  response.send();
+}
+
+// A connection that is never closed by a stop between the reading of a request
+// and its answer. The one of Poco is, unless the stop waits for each request
+// without a time limit.
+class Connection : public Poco::Net::TCPServerConnection {
+ public:
+  Connection(const Poco::Net::StreamSocket& socket, ServerState& state)
+      : TCPServerConnection(socket), state_(state) {
+    if (!state_.connections.Add(this)) {
+      Abort();
     }
-    try {
-      const Poco::URI uri(request.getURI());
-      call.path = uri.getPath();
-      call.query = uri.getRawQuery();
-    } catch (const Poco::Exception&) {
-      response.setKeepAlive(false);
-      WriteReply(response, ErrorReply(ErrorKind::kBadRequest, "bad URI"));
-      return;
+  }
+  ~Connection() override { state_.connections.Remove(this); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void run() override {
+    Poco::Net::HTTPServerSession session(socket(), state_.params);
+    bool is_usable = true;
+    while (is_usable && session.hasMoreRequests() && StartRequest()) {
+      is_usable = ServeNext(session);
+      EndRequest();
     }
-    if (!call.path.starts_with('/')) {
-      response.setKeepAlive(false);
-      WriteReply(response, ErrorReply(ErrorKind::kBadRequest,
-                                      "the path must begin with '/'"));
-      return;
+  }
+
+  // Closes the connection unless a request is in progress or has arrived.
+  void CloseIfIdle() {
+    const std::lock_guard lock(mutex_);
+    if (!is_serving_ && !is_closed_ && !HasInput()) {
+      Shutdown();
     }
-    // A request with neither a content length nor chunked encoding has no body.
-    const bool has_body =
-        request.hasContentLength() || request.getChunkedTransferEncoding();
-    const bool is_declared_too_large =
-        request.hasContentLength() &&
-        request.getContentLength64() > limits_.max_body_bytes;
-    if (is_declared_too_large ||
-        (has_body &&
-         !ReadBody(request.stream(), limits_.max_body_bytes, call.body))) {
-      // Closing the connection while the caller is still sending would reset
-      // it and could lose the reply, so up to kMaxDiscardedBytes of the rest
-      // are read and discarded first.
-      request.stream().ignore(kMaxDiscardedBytes);
-      response.setKeepAlive(false);
-      WriteReply(
-          response,
-          ErrorReply(ErrorKind::kTooLarge,
-                     "the body is larger than " +
-                         std::to_string(limits_.max_body_bytes) + " bytes"));
-      return;
+  }
+
+  void Abort() {
+    const std::lock_guard lock(mutex_);
+    Shutdown();
+  }
+
+ private:
+  // Returns whether the next request may be read.
+  bool StartRequest() {
+    const std::lock_guard lock(mutex_);
+    is_serving_ = !is_closed_;
+    return is_serving_;
+  }
+
+  [[nodiscard]] bool is_closed() {
+    const std::lock_guard lock(mutex_);
+    return is_closed_;
+  }
+
+  void EndRequest() {
+    const std::lock_guard lock(mutex_);
+    is_serving_ = false;
+  }
+
+  // Reads and answers one request. Returns whether the connection may be used
+  // for another one.
+  bool ServeNext(Poco::Net::HTTPServerSession& session) {
+    try {
+      Poco::Net::HTTPServerResponseImpl response(session);
+      Poco::Net::HTTPServerRequestImpl request(response, session,
+                                               state_.params);
+      // The parser takes the end of the connection for the end of the header.
+      if (is_closed()) {
+        return false;
+      }
+      response.setDate(Poco::Timestamp());
+      response.setVersion(request.getVersion());
+      response.setKeepAlive(request.getKeepAlive() && session.canKeepAlive());
+      if (request.getExpectContinue()) {
+        response.sendContinue();
+      }
+      try {
+        Serve(state_, request, response);
+      } catch (const Poco::Exception&) {
+        if (!response.sent()) {
+          SendFailure(session,
+                      Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
+        }
+        return false;
+      }
+      session.setKeepAlive(response.getKeepAlive());
+      return response.getKeepAlive();
+    } catch (const Poco::Net::NoMessageException&) {
+      return false;
+    } catch (const Poco::Net::MessageException&) {
+      SendFailure(session, Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+      return false;
     }
-    const bool is_truncated = request.hasContentLength() &&
-                              request.getContentLength64() !=
-                                  static_cast<Poco::Int64>(call.body.size());
-    if (is_truncated) {
-      response.setKeepAlive(false);
-      WriteReply(response,
-                 ErrorReply(ErrorKind::kBadRequest, "the body is cut short"));
-      return;
+  }
+
+  // Returns whether there are bytes to be read, or the end of the connection.
+  [[nodiscard]] bool HasInput() {
+    try {
+      return socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    } catch (const Poco::Exception&) {
+      return false;
     }
-    WriteReply(response, handler_(call));
+  }
+
+  void Shutdown() {
+    is_closed_ = true;
+    try {
+      socket().shutdown();
+    } catch (const Poco::Exception&) {
+      // The peer has closed the connection already.
+    }
+  }
+
+  ServerState& state_;
+  std::mutex mutex_;
+  bool is_serving_ = false;
+  bool is_closed_ = false;
+};
+
+bool OpenConnections::Add(Connection* connection) {
+  const std::lock_guard lock(mutex_);
+  connections_.insert(connection);
+  return !is_aborted_;
+}
+
+void OpenConnections::Remove(Connection* connection) {
+  const std::lock_guard lock(mutex_);
+  connections_.erase(connection);
+}
+
+void OpenConnections::CloseIdle() {
+  const std::lock_guard lock(mutex_);
+  for (Connection* connection : connections_) {
+    connection->CloseIfIdle();
+  }
+}
+
+void OpenConnections::AbortAll() {
+  const std::lock_guard lock(mutex_);
+  is_aborted_ = true;
+  for (Connection* connection : connections_) {
+    connection->Abort();
+  }
+}
+
+bool OpenConnections::empty() const {
+  const std::lock_guard lock(mutex_);
+  return connections_.empty();
+}
+
+class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory {
+ public:
+  explicit ConnectionFactory(ServerState& state) : state_(state) {}
+
+  Poco::Net::TCPServerConnection* createConnection(
+      const Poco::Net::StreamSocket& socket) override {
+    return new Connection(socket, state_);
   }
 
  private:
-  HttpServer::Limits limits_;
-  const HttpServer::Handler& handler_;
-  std::atomic<int>& active_;
+  ServerState& state_;
 };
 
-class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
+// Refuses connections once the server stops.
+class ConnectionFilter : public Poco::Net::TCPServerConnectionFilter {
  public:
-  HandlerFactory(HttpServer::Limits limits,
-                 HttpServer::Handler handler,
-                 std::atomic<int>& active)
-      : limits_(limits), handler_(std::move(handler)), active_(active) {}
-
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const Poco::Net::HTTPServerRequest& /*request*/) override {
-    return new RequestHandler(limits_, handler_, active_);
+  explicit ConnectionFilter(const ServerState& state) : state_(state) {}
+
+  bool accept(const Poco::Net::StreamSocket& /*socket*/) override {
+    return !state_.connections.is_stopping();
   }
 
  private:
-  HttpServer::Limits limits_;
-  HttpServer::Handler handler_;
-  std::atomic<int>& active_;
+  const ServerState& state_;
 };
 
 }  // namespace
@@ -216,32 +417,55 @@
  public:
   Impl(const std::string& address, Limits limits, Handler handler)
       : pool_(2, limits.threads) {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(address), true, false);
-    socket.listen(kListenBacklog);
-    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-    params->setMaxThreads(limits.threads);
-    params->setMaxQueued(kMaxQueuedConnections);
-    params->setKeepAlive(true);
-    params->setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
-    params->setMaxKeepAliveRequests(kMaxKeepAliveRequests);
-    params->setTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
-    server_ = std::make_unique<Poco::Net::HTTPServer>(
-        new HandlerFactory(limits, std::move(handler), active_), pool_, socket,
-        params);
+    state_.limits = limits;
+    state_.handler = std::move(handler);
+    listener_.bind(Poco::Net::SocketAddress(address), true, false);
+    listener_.listen(kListenBacklog);
+    state_.params = new Poco::Net::HTTPServerParams;
+    state_.params->setMaxThreads(limits.threads);
+    state_.params->setMaxQueued(kMaxQueuedConnections);
+    state_.params->setKeepAlive(true);
+    state_.params->setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
+    state_.params->setMaxKeepAliveRequests(kMaxKeepAliveRequests);
+    state_.params->setTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
+    server_ = std::make_unique<Poco::Net::TCPServer>(
+        new ConnectionFactory(state_), pool_, listener_, state_.params);
+    server_->setConnectionFilter(new ConnectionFilter(state_));
     server_->start();
   }
 
-  void Stop() { server_->stopAll(true); }
+  bool Stop(Time deadline) {
+    state_.connections.StartStop();
+    // TCPServer::stop() drops connections that wait for a thread. They get the
+    // threads that idle connections occupied.
+    CloseIdleUntil(deadline, [this] {
+      return server_->queuedConnections() == 0 && state_.connections.empty();
+    });
+    server_->stop();
+    listener_.close();
+    CloseIdleUntil(deadline, [this] { return state_.connections.empty(); });
+    const bool was_clean = state_.active_count == 0;
+    state_.connections.AbortAll();
+    return was_clean;
+  }
 
   [[nodiscard]] int active() const {
-    return active_ + server_->queuedConnections();
+    return state_.active_count + server_->queuedConnections();
   }
 
  private:
-  std::atomic<int> active_{0};
+  template <std::predicate Done>
+  void CloseIdleUntil(Time deadline, Done is_done) {
+    while (!is_done() && MonotonicClock::now() < deadline) {
+      state_.connections.CloseIdle();
+      std::this_thread::sleep_for(kStopCheckInterval);
+    }
+  }
+
+  ServerState state_;
   Poco::ThreadPool pool_;
-  std::unique_ptr<Poco::Net::HTTPServer> server_;
+  Poco::Net::ServerSocket listener_;
+  std::unique_ptr<Poco::Net::TCPServer> server_;
 };
 
 HttpServer::HttpServer() = default;
@@ -269,11 +493,17 @@
   return impl_ ? impl_->active() : 0;
 }
 
-void HttpServer::Stop() {
-  if (impl_) {
-    impl_->Stop();
-    impl_.reset();
+bool HttpServer::Stop(Time deadline) {
+  if (!impl_) {
+    return true;
   }
+  const bool was_clean = impl_->Stop(deadline);
+  impl_.reset();
+  return was_clean;
+}
+
+bool HttpServer::Stop() {
+  return Stop(MonotonicClock::now() + kDefaultStopTimeout);
 }
 
 }  // namespace banyan
--- a/tests/unit/http_server_test.cc
+++ b/tests/unit/http_server_test.cc
@@ -1,5 +1,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
 
 #include <atomic>
 #include <memory>
@@ -68,6 +70,27 @@
   HttpServer server_;
 };
 
+// Sends bytes on a new connection.
+Poco::Net::StreamSocket SendBytes(const std::string& address,
+                                  const std::string& bytes) {
+  Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(address)};
+  socket.setReceiveTimeout(Poco::Timespan(kExchangeTimeout.count()));
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  return socket;
+}
+
+// Receives what the server sends until it closes the connection.
+std::string ReceiveAll(Poco::Net::StreamSocket& socket) {
+  std::string received;
+  std::string chunk(4096, '\0');
+  int size = 0;
+  while ((size = socket.receiveBytes(chunk.data(),
+                                     static_cast<int>(chunk.size()))) > 0) {
+    received.append(chunk, 0, static_cast<std::size_t>(size));
+  }
+  return received;
+}
+
 // A request with what its caller saw.
 struct Observation {
   std::string path;
@@ -164,20 +187,122 @@
   CPPUNIT_ASSERT(MonotonicClock::now() - start < Millis(1000));
 }
 
+// Guards against a connection that stays open after its last answer, on which a
+// caller would send a request that is never read.
+void SaysThatConnectionEnds() {
+  NotingServer server(4);
+  Poco::Net::StreamSocket socket =
+      SendBytes(server.address(), "GET /last HTTP/1.1\r\nHost: a\r\n\r\n");
+  while (!server.HasRead("/last")) {
+    std::this_thread::sleep_for(Millis(1));
+  }
+  server.server().Stop();
+  const std::string received = ReceiveAll(socket);
+  CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 200"));
+  CPPUNIT_ASSERT_MESSAGE(
+      received, received.find("Connection: Close") != std::string::npos);
+}
+
+// Guards against a stop that waits for the rest of a request beyond its
+// deadline.
+void DropsHalfSentRequest() {
+  constexpr Duration kStopTimeout = Millis(300);
+  NotingServer server(4);
+  Poco::Net::StreamSocket socket =
+      SendBytes(server.address(), "GET /half HTTP/1.1\r\nHost:");
+  std::this_thread::sleep_for(Millis(100));
+  const Time start = MonotonicClock::now();
+  CPPUNIT_ASSERT(server.server().Stop(start + kStopTimeout));
+  CPPUNIT_ASSERT(MonotonicClock::now() - start < Millis(1500));
+  CPPUNIT_ASSERT(!server.HasRead("/half"));
+}
+
+// Guards against a stop that outlasts its deadline because of one request, and
+// that then passes for a clean one.
+void AbortsRequestsAtDeadline() {
+  constexpr Duration kStopTimeout = Millis(300);
+  constexpr Duration kLongDelay = Millis(1000);
+  HttpServer server;
+  const std::string address = FreeAddress();
+  Reason reason;
+  std::atomic<bool> is_read = false;
+  CPPUNIT_ASSERT(server.Start(
+      address, {},
+      [&](const HttpCall& /*call*/) {
+        is_read = true;
+        std::this_thread::sleep_for(kLongDelay);
+        return JsonReply();
+      },
+      reason));
+  Observation seen;
+  std::thread caller([&] {
+    HttpClient client(address);
+    seen = Observe(client, "/long");
+  });
+  while (!is_read) {
+    std::this_thread::sleep_for(Millis(1));
+  }
+  const bool was_clean = server.Stop(MonotonicClock::now() + kStopTimeout);
+  caller.join();
+  CPPUNIT_ASSERT(!was_clean);
+  CPPUNIT_ASSERT(seen.exchange.outcome == RequestOutcome::kUnknown);
+  CPPUNIT_ASSERT(seen.took < kLongDelay);
+}
+
+// Guards against connections that are closed without an answer because of what
+// a caller sent.
+void AnswersBytesThatAreNoRequest() {
+  NotingServer server(4);
+  const std::string overlong_method(64, 'A');
+  Poco::Net::StreamSocket socket =
+      SendBytes(server.address(), overlong_method + " / HTTP/1.1\r\n\r\n");
+  const std::string received = ReceiveAll(socket);
+  CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 400"));
+}
+
+// Guards against requests on one connection that are mixed up or left unread.
+void AnswersRequestsThatComeTogether() {
+  NotingServer server(4);
+  Poco::Net::StreamSocket socket =
+      SendBytes(server.address(),
+                "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+                "GET /second HTTP/1.1\r\nHost: a\r\n"
+                "Connection: close\r\n\r\n");
+  const std::string received = ReceiveAll(socket);
+  const std::size_t first = received.find("HTTP/1.1 200");
+  CPPUNIT_ASSERT_MESSAGE(received, first == 0);
+  CPPUNIT_ASSERT_MESSAGE(received,
+                         received.find("HTTP/1.1 200", 1) != std::string::npos);
+  CPPUNIT_ASSERT(server.HasRead("/first") && server.HasRead("/second"));
+}
+
 }  // namespace
 
 Section HttpServerStory() {
   Section story("HTTP server");
-  story.With(
-      Section("that stops")
-          .With(Section("while callers send on open connections")
-                    .Then("answers each request that it has read",
-                          AnswersEachRequestThatItHasRead))
-          .With(Section("while all its threads are occupied")
-                    .Then("answers a request that waits for a thread",
-                          AnswersRequestThatWaitsForThread))
-          .With(Section("while its callers are idle")
-                    .Then("closes their connections", ClosesIdleConnections)));
+  story
+      .With(Section("on one connection")
+                .Then("answers requests that come together",
+                      AnswersRequestsThatComeTogether)
+                .Then("answers bytes that are no request",
+                      AnswersBytesThatAreNoRequest))
+      .With(
+          Section("that stops")
+              .With(Section("while callers send on open connections")
+                        .Then("answers each request that it has read",
+                              AnswersEachRequestThatItHasRead)
+                        .Then("says that the connection ends",
+                              SaysThatConnectionEnds))
+              .With(Section("while all its threads are occupied")
+                        .Then("answers a request that waits for a thread",
+                              AnswersRequestThatWaitsForThread))
+              .With(
+                  Section("while its callers are idle")
+                      .Then("closes their connections", ClosesIdleConnections))
+              .With(Section("at its deadline")
+                        .Then("drops a half-sent request", DropsHalfSentRequest)
+                        .Then("aborts requests and says so",
+                              AbortsRequestsAtDeadline)));
   return story;
 }
 
