Gateway: a stop answers the calls that the cell has not answered

A caller of a gateway whose call still waited for the control cell when the drain time of a planned stop was over had its connection closed without an answer, and the process outlasted its drain time by the rest of the call.

Cause: nothing told the calls of the end.

Change: the cell client takes a time by which all calls are answered. A request that was sent then has an unknown outcome (504), a query or a command that was not sent is refused (503 with Retry-After). The gateway sets it to the drain deadline, gives its servers 200 ms more for these answers, stops them at the same time, and ends its core thread after them, since their handlers wait for it.

--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -47,6 +47,10 @@
   // Starts a call, which is answered under `ticket` by its deadline.
   void Open(Time now, std::uint64_t ticket, CellCall call, Time deadline);
 
+  // Answers all calls by `deadline`, also those that are opened later. Calls
+  // that are opened after it are not sent.
+  void EndBy(Time deadline) noexcept { end_ = deadline; }
+
   // Process network events about a replica.
   void OnUp(Time now, const std::string& id);
   void OnDown(Time now, const std::string& id);
@@ -91,6 +95,8 @@
   std::uint64_t plan_version_ = 0;
   Time next_status_at_;
   Time fresh_until_;
+  // When the last call has to be answered.
+  Time end_ = Time::max();
   CellClientOutputs out_;
 };
 
--- a/include/banyan/process/gateway_process.h
+++ b/include/banyan/process/gateway_process.h
@@ -53,8 +53,9 @@
   [[nodiscard]] bool Start(Reason& reason);
 
   // Shuts down gracefully: fails the readiness check so that the load balancer
-  // stops sending calls, answers the calls in flight, then stops. Returns
-  // whether all calls were answered before the drain deadline.
+  // stops sending calls, answers the calls in flight, then stops. A call that
+  // the cell has not answered by then is answered with what is known of it.
+  // Returns whether all calls were answered before the drain deadline.
   bool Stop();
 
   // Adds the seed addresses of reloaded settings; other settings are ignored.
@@ -69,7 +70,11 @@
   struct SeedsInput {
     std::vector<std::string> seeds;
   };
-  using Input = std::variant<PeerEvent, CallInput, SeedsInput>;
+  // Requests that every call is answered by the deadline.
+  struct EndInput {
+    Time deadline;
+  };
+  using Input = std::variant<PeerEvent, CallInput, SeedsInput, EndInput>;
 
   HttpReply ServeQueues(const HttpCall& call);
   HttpReply ServeOperators(const HttpCall& call);
@@ -77,6 +82,9 @@
   [[nodiscard]] CellCallFunction MakeCellCallFunction();
   CommandResult CallCell(CellCall call, Time deadline);
   [[nodiscard]] std::shared_ptr<const ServicePlan> plan() const;
+  // Stops all servers at the same time. Returns whether every call that was
+  // handled got its answer.
+  bool StopServers(Time deadline);
   void RunCore();
   void HandleInput(Time now, Input input);
   void ApplyOutputs(CellClientOutputs outputs);
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -1,5 +1,6 @@
 #include "banyan/graph/cell_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace banyan {
@@ -28,7 +29,7 @@
   entry.deadline = deadline;
   entry.unreachable_at = now + kUnreachableTimeout;
   entry.retry_at = now;
-  if (link_.connected()) {
+  if (link_.connected() && now < end_) {
     Send(now, ticket, entry);
   }
 }
@@ -143,7 +144,8 @@
     // it early, so that the caller can retry before its own deadline.
     const bool is_unreachable =
         it->second.unreachable_at <= now && !IsFresh(now);
-    if (it->second.deadline <= now || is_unreachable) {
+    const Time deadline = std::min(it->second.deadline, end_);
+    if (deadline <= now || is_unreachable) {
       FailCall(it->first, it->second);
       it = calls_.erase(it);
       continue;
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -1,7 +1,9 @@
 #include "banyan/process/gateway_process.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include "banyan/base/random.h"
 #include "banyan/events/event.h"
@@ -27,6 +29,8 @@
 constexpr Duration kIdleCheckInterval = Millis(20);
 // Part of the drain time reserved for closing servers and threads.
 constexpr Duration kShutdownReserve = Millis(700);
+// Part of that reserve for answers to the calls that the cell left unanswered.
+constexpr Duration kLastAnswersTime = Millis(200);
 // Time-out of the query for the current plan version.
 constexpr Duration kPlanVersionTimeout = Millis(900);
 constexpr int kReadyThreads = 4;
@@ -95,6 +99,7 @@
       start +
       (settings_.caller_address.empty() ? kIdlePeriod : kBalancerDetectionTime);
   const Time deadline = start + settings_.drain_timeout - kShutdownReserve;
+  PushOrLog(inputs_, EndInput{deadline}, kRingName);
   Time last_busy_at = start;
   Time now = start;
   while (now < deadline &&
@@ -105,17 +110,31 @@
       last_busy_at = now;
     }
   }
-  const bool was_clean = front_.active() + control_.active() == 0;
-  front_.Stop();
-  control_.Stop();
-  ready_.Stop();
-  metrics_server_.Stop();
+  // Handlers wait for the core thread, so it runs until the servers have
+  // stopped.
+  const bool was_clean = StopServers(deadline + kLastAnswersTime);
   must_end_ = true;
   core_thread_.join();
   network_.Stop();
   return was_clean;
 }
 
+bool GatewayProcess::StopServers(Time deadline) {
+  std::atomic<bool> was_clean = true;
+  std::vector<std::thread> threads;
+  for (HttpServer* server : {&front_, &control_, &ready_, &metrics_server_}) {
+    threads.emplace_back([&was_clean, server, deadline] {
+      if (!server->Stop(deadline)) {
+        was_clean = false;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  return was_clean;
+}
+
 void GatewayProcess::Reload(const CellSettings& settings) {
   PushOrLog(inputs_, SeedsInput{settings.seeds}, kRingName);
 }
@@ -217,6 +236,10 @@
     client_.link().AddSeeds(seeds->seeds);
     return;
   }
+  if (const auto* end = std::get_if<EndInput>(&input)) {
+    client_.EndBy(end->deadline);
+    return;
+  }
   const auto& event = std::get<PeerEvent>(input);
   switch (event.kind) {
     case PeerEvent::Kind::kUp: {
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -24,6 +24,8 @@
     Collect();
   }
 
+  void EndAfter(Duration span) { client_.EndBy(now_ + span); }
+
   void Advance(Duration span) {
     const Time until = now_ + span;
     while (now_ < until) {
@@ -133,6 +135,38 @@
   CPPUNIT_ASSERT(fixture.answers()[0].result.error == ErrorKind::kNoQuorum);
 }
 
+// Guards against calls that outlast the process that made them, and against a
+// request that was sent being called not run.
+void CallThatWasSentHasUnknownOutcomeAtEnd() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(100));
+  fixture.Open(Command(CancelGraph{"g"}), Millis(3000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+  fixture.EndAfter(Millis(400));
+  fixture.Advance(Millis(350));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.answers().size());
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+  CPPUNIT_ASSERT(fixture.answers()[0].result.error ==
+                 ErrorKind::kUnknownOutcome);
+}
+
+// Guards against requests that are sent with no time left for their answer.
+void CallAfterEndIsNotSent() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.EndAfter(Millis(100));
+  fixture.Advance(Millis(100));
+  fixture.Open(Command(CancelGraph{"g"}), Millis(3000));
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.requests());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+  CPPUNIT_ASSERT(fixture.answers()[0].result.error == ErrorKind::kNoQuorum);
+}
+
 void LateRefusalDoesNotSettleEarlierRequest() {
   ClientFixture fixture;
   fixture.Connect();
@@ -179,7 +213,11 @@
                 .Then("fails early while no replica is reachable",
                       CallFailsEarlyWithoutReplica)
                 .Then("is not refused while an earlier request may succeed",
-                      LateRefusalDoesNotSettleEarlierRequest));
+                      LateRefusalDoesNotSettleEarlierRequest))
+      .With(Section("at the end of its process")
+                .Then("fails a call that was sent with an unknown outcome",
+                      CallThatWasSentHasUnknownOutcomeAtEnd)
+                .Then("does not send a call", CallAfterEndIsNotSent));
   return story;
 }
 
--- a/tests/unit/gateway_process_test.cc
+++ b/tests/unit/gateway_process_test.cc
@@ -3,6 +3,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -11,11 +12,13 @@
 #include <vector>
 
 #include "banyan/net/http.h"
+#include "banyan/net/peer_network.h"
 #include "tests/unit/story.h"
 
 namespace banyan {
 namespace {
 
+constexpr const char* kGatewayId = "entry-0";
 // When the gateway expects no further caller, after its stop has begun.
 constexpr Duration kBalancerDetectionTime = Millis(2400);
 // How long a caller may wait for the end of a connection whose request is not
@@ -60,7 +63,7 @@
 
 CellSettings SettingsOf(const std::string& address) {
   CellSettings settings;
-  settings.id = "entry-0";
+  settings.id = kGatewayId;
   settings.seeds = {FreeAddress()};
   settings.caller_address = address;
   settings.threads = 32;
@@ -68,6 +71,34 @@
   return settings;
 }
 
+// A replica that says that its leader is live, and answers no call.
+class SilentReplica {
+ public:
+  explicit SilentReplica(const std::string& address)
+      : network_(address, 1, [](PeerEvent&& /*event*/) {}) {
+    CPPUNIT_ASSERT(network_.Listen(address));
+    network_.Start();
+    thread_ = std::thread([this] {
+      while (!must_end_) {
+        network_.Send(kGatewayId, EntryStatusAck{0, true});
+        std::this_thread::sleep_for(Millis(20));
+      }
+    });
+  }
+  ~SilentReplica() {
+    must_end_ = true;
+    thread_.join();
+    network_.Stop();
+  }
+  SilentReplica(const SilentReplica&) = delete;
+  SilentReplica& operator=(const SilentReplica&) = delete;
+
+ private:
+  PeerNetwork network_;
+  std::atomic<bool> must_end_{false};
+  std::thread thread_;
+};
+
 HttpExchange Send(HttpClient& client, const std::string& path) {
   HttpCall call;
   call.method = "GET";
@@ -135,13 +166,61 @@
   CPPUNIT_ASSERT(stop_took < kDrainTimeout);
 }
 
+// Guards against calls that wait for the cell beyond the drain time of the
+// gateway: their callers got no answer, and the gateway outlasted its time.
+void AnswersCallThatTheCellDoesNot() {
+  constexpr Duration kShortDrainTimeout = Millis(2000);
+  const std::string address = FreeAddress();
+  CellSettings settings = SettingsOf(address);
+  settings.drain_timeout = kShortDrainTimeout;
+  const SilentReplica replica(settings.seeds.front());
+  Probe probe;
+  GatewayProcess gateway(
+      settings,
+      GatewayApis{[&probe](const HttpCall& call, const CellCallFunction& cell,
+                           const ServicePlan* /*plan*/) {
+                    return probe.Serve(call, cell);
+                  },
+                  nullptr});
+  Reason reason;
+  CPPUNIT_ASSERT(gateway.Start(reason));
+  // The gateway connects to the replica and hears of its leader.
+  std::this_thread::sleep_for(Millis(500));
+  HttpExchange exchange;
+  std::thread caller([&] {
+    HttpClient client(address);
+    exchange = Send(client, "/waits");
+  });
+  while (!probe.HasRead("/waits")) {
+    std::this_thread::sleep_for(Millis(1));
+  }
+  const Time stop_start = MonotonicClock::now();
+  const bool was_clean = gateway.Stop();
+  const Duration stop_took = MonotonicClock::now() - stop_start;
+  caller.join();
+  CPPUNIT_ASSERT_MESSAGE(exchange.text,
+                         exchange.outcome == RequestOutcome::kRan);
+  CPPUNIT_ASSERT_EQUAL(503, exchange.reply.status);
+  CPPUNIT_ASSERT(!exchange.reply.Field("Retry-After").empty());
+  CPPUNIT_ASSERT(was_clean);
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(ToMillis(stop_took)) + " ms",
+                         stop_took > Millis(1000));
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(ToMillis(stop_took)) + " ms",
+                         stop_took < kShortDrainTimeout);
+}
+
 }  // namespace
 
 Section GatewayProcessStory() {
   Section story("Gateway");
-  story.With(Section("that stops while the cell has no leader")
-                 .Then("answers the requests that come as it closes",
-                       AnswersRequestsThatComeAsItCloses));
+  story.With(
+      Section("that stops")
+          .With(Section("while the cell has no leader")
+                    .Then("answers the requests that come as it closes",
+                          AnswersRequestsThatComeAsItCloses))
+          .With(Section("while the cell is silent")
+                    .Then("answers a call that waits, within its drain time",
+                          AnswersCallThatTheCellDoesNot)));
   return story;
 }
 
