Processes: the servers of a stop keep to its drain deadline

Since HttpServer::Stop waits for answers, the stops of an entry, an agent and a control replica would have given their servers two seconds beyond their drain deadline. They now pass that deadline. An entry and a replica count as cut short also if a request that came after their last check lost its answer.

Their tests with real processes were not run for this commit.

--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -97,7 +97,7 @@
   for (std::thread& thread : call_threads_) {
     thread.join();
   }
-  server_.Stop();
+  server_.Stop(deadline);
   network_.Stop();
   return was_clean;
 }
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -123,8 +123,8 @@
          MonotonicClock::now() < deadline) {
     std::this_thread::sleep_for(kTickInterval);
   }
-  const bool was_clean = !must_transfer_leadership_ && server_.active() == 0;
-  server_.Stop();
+  const bool was_drained = !must_transfer_leadership_ && server_.active() == 0;
+  const bool was_clean = server_.Stop(deadline) && was_drained;
   must_end_ = true;
   core_thread_.join();
   persist_ring_.Close();
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -93,8 +93,8 @@
   while (!is_idle() && MonotonicClock::now() < deadline) {
     std::this_thread::sleep_for(kTickInterval);
   }
-  const bool was_clean = is_idle();
-  server_.Stop();
+  const bool was_drained = is_idle();
+  const bool was_clean = server_.Stop(deadline) && was_drained;
   must_end_ = true;
   core_thread_.join();
   network_.Stop();
