Graphs: failing tests for the repeated ends of an earlier incarnation

An agent sends the last ends of an earlier incarnation before each sync. Once the next incarnation has synced under the same id, the leader proposes the ends and the removal again with each sync until they are applied, since the view no longer belongs to the earlier one. Such a repetition is applied after the next incarnation was admitted; the table refuses it, but the leader still counts its failed runs against the next incarnation, which then gets no work. Both fail now and are not listed as known; the logic is unchanged.

--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -1,5 +1,7 @@
 #include "banyan/graph/graph_leader.h"
 
+#include <algorithm>
+
 #include "tests/support/graph_samples.h"
 #include "tests/unit/story.h"
 
@@ -181,6 +183,45 @@
                  GraphState::kCompleted);
 }
 
+// Guards against one proposal per sync while the log is slow: an agent sends
+// the last ends of an earlier incarnation before each sync of the next one.
+void EndsOfEarlierIncarnationAreProposedOnce() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(1)}));
+  fixture.AdvanceTime(kTimeStep);
+  WorkerSync next;
+  next.info = SampleWorker("w1", 2);
+  for (int i = 0; i < 2; ++i) {
+    fixture.leader().OnSync(
+        fixture.now(), fixture.table(), "agent-w1",
+        FinalSync("w1", {{1, RunOf("g", 0, 0), RunEndReason::kDone, ""}}),
+        true);
+    fixture.leader().OnSync(fixture.now(), fixture.table(), "agent-w1", next,
+                            true);
+  }
+  const GraphLeaderOutputs outputs = fixture.leader().TakeOutputs();
+  CPPUNIT_ASSERT_EQUAL(
+      std::ptrdiff_t{1},
+      std::count_if(outputs.proposals.begin(), outputs.proposals.end(),
+                    [](const Command& command) {
+                      return std::holds_alternative<EndRuns>(command);
+                    }));
+}
+
+// Guards against a sound worker that gets no work: ends that failed on an
+// earlier incarnation, applied after the next one was admitted.
+void FailuresOfEarlierIncarnationCastNoSuspicion() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1", 2));
+  fixture.Commit(EndRuns{{"w1", 1},
+                         {{1, RunOf("g", 0, 0), RunEndReason::kFailed, ""},
+                          {2, RunOf("h", 0, 0), RunEndReason::kFailed, ""}}});
+  fixture.Commit(SampleGraph("k", {SampleStep(1)}));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.RunsOn("w1").size());
+}
+
 void UnplacedRunIsStopped() {
   LeaderHarness fixture;
   fixture.Join(SampleWorker("w1"));
@@ -398,6 +439,10 @@
                       EndsOfLeavingWorkerAreCounted)
                 .Then("that left has its ends beyond one log entry counted",
                       ManyEndsOfLeavingWorkerAreCounted)
+                .Then("that restarted has its earlier ends proposed once",
+                      EndsOfEarlierIncarnationAreProposedOnce)
+                .Then("that restarted is not suspected for earlier failures",
+                      FailuresOfEarlierIncarnationCastNoSuspicion)
                 .Then("must stop a run that is not placed on it",
                       UnplacedRunIsStopped)
                 .Then("gets a lost start command again", LostStartIsResent)
