Graphs: ends of an earlier incarnation are proposed once and cast no suspicion

An agent sends the last ends of an earlier incarnation before each sync until it is answered. Once the next incarnation had synced, the leader's view under the id was that of the next one, so each repetition was proposed again; and the failed ends in such a repetition, which the table refuses, were counted against the next incarnation, which then got no work.

A last report now counts only while the view is of the incarnation that it is for: otherwise its removal was proposed with the admission of the next one. Ends change suspicion only of the incarnation that they are for. Discarded ends have their own event.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -78,6 +78,7 @@
   kWorkerLeaving = 1335,
   kWorkerReplaced = 1336,
   kWorkerRemovalProposed = 1337,
+  kWorkerEndsDiscarded = 1338,
   kRunOrdered = 1340,
   kRunRefused = 1341,
   kRunStopped = 1342,
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -143,7 +143,8 @@
   std::map<RunRef, Time> refusals_;
 
   // Final states of earlier incarnations with uncommitted ends, oldest first.
-  // They are sent before each sync until the leader answers one.
+  // They are sent before each sync until the leader answers a sync of the
+  // current incarnation.
   std::deque<WorkerSync> final_syncs_;
   std::uint64_t next_seq_ = 1;
   Time next_sync_at_;
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -143,6 +143,9 @@
     {EventId::kWorkerRemovalProposed, "worker-removal-proposed",
      "Decision to remove an incarnation of a worker, with its runs, the "
      "uncommitted ends that its agent reported, and the rest of its lease."},
+    {EventId::kWorkerEndsDiscarded, "worker-ends-discarded",
+     "The agent gave up the uncommitted ends of an earlier incarnation, since "
+     "too many incarnations followed without an answer of the leader."},
     {EventId::kRunOrdered, "run-ordered",
      "The agent ordered its worker to start a run, with the outcome; `barred` "
      "if the run must not start and the worker has to confirm that."},
@@ -151,8 +154,8 @@
     {EventId::kRunStopped, "run-stopped",
      "The agent ordered its worker to stop a run, with the outcome."},
     {EventId::kRunEndIgnored, "run-end-ignored",
-     "The end of a run was acknowledged without effect, because the run was "
-     "not placed on this incarnation of the worker."},
+     "A reported end had no effect, because the run was not placed on this "
+     "incarnation of the worker; with a number, it was acknowledged."},
     {EventId::kCallAnswered, "call-answered",
      "A caller of a queue or an operator received a final answer."},
     {EventId::kConfigInForce, "config-in-force",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -96,9 +96,10 @@
           .With("done",
                 std::count_if(ended.begin(), ended.end(), is_uncommitted_done))
           .With("committed", worker.noted)
-          .With("lease_ms", view == views_.end()
-                                ? 0
-                                : ToMillis(view->second.lease_deadline - now)));
+          .With("lease_ms",
+                view == views_.end() || view->second.life != incarnation
+                    ? 0
+                    : ToMillis(view->second.lease_deadline - now)));
   out_.proposals.emplace_back(MakeDropWorker(incarnation, std::move(cause)));
 }
 
@@ -207,11 +208,12 @@
                           const GraphWorker& worker,
                           std::span<const EndedRun> ended) {
   GraphWorkerView& view = views_[worker.info.life.id];
-  const bool is_viewed = view.life == worker.info.life;
-  if (is_viewed && view.drop_proposed) {
+  // The view of a later incarnation means that the removal of this one was
+  // proposed with the admission of that one.
+  if (view.life != worker.info.life || view.drop_proposed) {
     return;
   }
-  view.drop_proposed = view.drop_proposed || is_viewed;
+  view.drop_proposed = true;
   // The ends go into the log before the removal, which makes the remaining
   // runs ready to be placed again.
   EndRuns ends{worker.info.life, {}};
@@ -518,8 +520,11 @@
       }
     }
   }
-  if (const auto* ends = std::get_if<EndRuns>(&command)) {
-    GraphWorkerView& view = views_[ends->worker.id];
+  const auto* ends = std::get_if<EndRuns>(&command);
+  const auto ended_view =
+      ends == nullptr ? views_.end() : views_.find(ends->worker.id);
+  if (ended_view != views_.end() && ended_view->second.life == ends->worker) {
+    GraphWorkerView& view = ended_view->second;
     for (const EndedRun& row : ends->rows) {
       if (row.reason == RunEndReason::kDone) {
         view.failed_graphs.clear();
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -117,9 +117,10 @@
     final_syncs_.push_back(MakeSync());
     if (final_syncs_.size() > kMaxFinalSyncs) {
       out_.events.push_back(
-          Event(EventId::kWorkerReplaced)
+          Event(EventId::kWorkerEndsDiscarded)
               .With("worker", final_syncs_.front().info.life.id)
-              .With("discarded", final_syncs_.front().ended.size()));
+              .With("born", final_syncs_.front().info.life.started_at_ms)
+              .With("ended", final_syncs_.front().ended.size()));
       final_syncs_.pop_front();
     }
   }
