--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -10,6 +10,17 @@
 constexpr int kMinStarts = 40;
 constexpr int kMinFaults = 2;
 
+constexpr GraphFaults kAllFaults{
+    .leaves = true,
+    .leader_changes = true,
+    .cuts = true,
+    .worker_restarts = true,
+    .agent_restarts = true,
+    .late_orders = true,
+    .late_reports = true,
+    .silent_lists = true,
+};
+
 // Plays each seed and fails with the first violation of each.
 void Play(const GraphFaults& faults) {
   std::string text;
@@ -69,15 +80,12 @@
 
 // Guards against what only a combination of faults brings about.
 void AllTogether() {
-  Play({true, true, true, true, true, true, true});
+  Play(kAllFaults);
 }
 
 // Guards against a violation that can't be played again.
 void SameSeedSameHistory() {
-  const auto play = [] {
-    return PlayGraphWorld({true, true, true, true, true, true, true}, 1)
-        .history;
-  };
+  const auto play = [] { return PlayGraphWorld(kAllFaults, 1).history; };
   CPPUNIT_ASSERT(play() == play());
 }
 
