Tests: one free address, one worker that left

The tests of the HTTP server and of the gateway each had a copy of FreeAddress(); it is now in tests/support. Four tests of the worker agent repeated the steps by which a worker leaves; the fixture has them as one, with the same expectation. Two declarations of the agent got their comments. No check, bound or behaviour changes.

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -89,6 +89,8 @@
   // `successor`.
   [[nodiscard]] WorkerAgent NextIncarnation(const std::string& successor) &&;
   void OnRunList(Time now, const RunCallReply& reply);
+  // Counts a list call without lists against a worker that announced its
+  // shutdown.
   void OnListFailure(Time now, const RunCallReply& reply);
   void OnStarted(Time now, const RunCallReply& reply);
   void OnStopped(Time now, const RunCallReply& reply);
@@ -105,6 +107,7 @@
   void SendStarts(Time now);
   void SendStops(Time now);
   void SendSync(Time now);
+  // Returns this incarnation's state under the next sequence number.
   [[nodiscard]] WorkerSync MakeSync();
   [[nodiscard]] RunCall MakeCall(RunCallOp op, const RunRef& run) const;
   [[nodiscard]] std::optional<std::int64_t> LeaseOnWorkerClock() const;
--- a/tests/unit/gateway_process_test.cc
+++ b/tests/unit/gateway_process_test.cc
@@ -1,8 +1,5 @@
 #include "banyan/process/gateway_process.h"
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
-
 #include <atomic>
 #include <memory>
 #include <mutex>
@@ -13,6 +10,7 @@
 
 #include "banyan/net/http.h"
 #include "banyan/net/peer_network.h"
+#include "tests/support/free_address.h"
 #include "tests/unit/story.h"
 
 namespace banyan {
@@ -27,13 +25,6 @@
 constexpr Duration kDrainTimeout = Millis(5500);
 constexpr Duration kExchangeTimeout = Millis(5000);
 
-// Returns a loopback address that nothing listens on.
-std::string FreeAddress() {
-  const Poco::Net::ServerSocket socket{
-      Poco::Net::SocketAddress("127.0.0.1", 0)};
-  return socket.address().toString();
-}
-
 // Answers "/quick" at once, and any other path with what the cell says. Notes
 // the paths that it was asked for.
 class Probe {
--- a/tests/unit/http_server_test.cc
+++ b/tests/unit/http_server_test.cc
@@ -1,4 +1,3 @@
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "banyan/net/http.h"
+#include "tests/support/free_address.h"
 #include "tests/unit/story.h"
 
 namespace banyan {
@@ -24,13 +24,6 @@
 constexpr Duration kHandlerDelay = Millis(40);
 constexpr Duration kExchangeTimeout = Millis(5000);
 
-// Returns a loopback address that nothing listens on.
-std::string FreeAddress() {
-  const Poco::Net::ServerSocket socket{
-      Poco::Net::SocketAddress("127.0.0.1", 0)};
-  return socket.address().toString();
-}
-
 HttpCall CallOf(std::string path) {
   HttpCall call;
   call.method = "GET";
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -45,6 +45,13 @@
     Collect();
   }
 
+  // The worker announces its shutdown and is gone.
+  void LeaveForGood() {
+    Leave();
+    FailLists();
+    CPPUNIT_ASSERT(last_sync_.gone);
+  }
+
   // The worker is gone: list calls get no answer.
   void FailLists() {
     for (int i = 0; i < 3; ++i) {
@@ -377,9 +384,7 @@
 void ReportAfterLeaveDoesNotReadmit() {
   AgentFixture fixture;
   fixture.Grant();
-  fixture.Leave();
-  fixture.FailLists();
-  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.LeaveForGood();
   fixture.Report(1, 2);
   fixture.Advance(Millis(600));
   CPPUNIT_ASSERT(fixture.last_sync().gone);
@@ -416,9 +421,7 @@
   fixture.Grant(StartOrder(SampleRun()));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kStart).size());
-  fixture.Leave();
-  fixture.FailLists();
-  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.LeaveForGood();
   fixture.Answer(RunCallOp::kStart, SampleRun(), false);
   fixture.Advance(Millis(60));
   CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kStart).empty());
@@ -428,9 +431,7 @@
 // agent that has restarted holds no lease, but the one before it did.
 void ReportAfterLeaveDoesNotReadmitWithoutLease() {
   AgentFixture fixture;
-  fixture.Leave();
-  fixture.FailLists();
-  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.LeaveForGood();
   fixture.Report(1, 2);
   fixture.Advance(Millis(600));
   CPPUNIT_ASSERT(fixture.last_sync().gone);
@@ -441,9 +442,7 @@
 void ReportAfterLeaveWaitsForSlowClock() {
   AgentFixture fixture;
   fixture.Grant();
-  fixture.Leave();
-  fixture.FailLists();
-  CPPUNIT_ASSERT(fixture.last_sync().gone);
+  fixture.LeaveForGood();
   fixture.Advance(Millis(4010));
   fixture.Report(1, 2);
   fixture.Advance(Millis(10));
