Agent: log what connects each run to a crash of its worker

An agent now records the starts, the lists and how its calls failed (CrashObserver), and logs one line a run when a later incarnation reports that nobody announced: at-start, unclear or at-work, with the age of the run.

No logic changed. Event run-crash-observed (E1344). Calls to a worker now tell a call that was not sent from one that broke off and one that timed out.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -83,6 +83,7 @@
   kRunRefused = 1341,
   kRunStopped = 1342,
   kRunEndIgnored = 1343,
+  kRunCrashObserved = 1344,
   kCallAnswered = 1350,
   kConfigInForce = 1401,
   kCommandAccepted = 1402,
--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -7,6 +7,7 @@
 #include "banyan/graph/candidate_worker.h"
 #include "banyan/graph/cell_client.h"
 #include "banyan/graph/cell_link.h"
+#include "banyan/graph/crash_observer.h"
 #include "banyan/graph/graph_leader.h"
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -83,6 +83,16 @@
   return "unknown";
 }
 
+// How a call failed that got no answer.
+enum class CallFailure : std::uint8_t {
+  kNone,
+  // No connection, so the worker has not received the call.
+  kNotSent,
+  // The connection broke off while the call waited for its answer.
+  kBrokenOff,
+  kTimedOut,
+};
+
 // Maximum number of ended runs in one list, as workers limit it. The rest
 // follow once these are acknowledged.
 inline constexpr std::size_t kMaxListedEnds = 500;
@@ -94,6 +104,7 @@
   RunRef run;
   // Without an answer the call may have been carried out or may still be.
   bool answered = false;
+  CallFailure failure = CallFailure::kNone;
   RunRefusal refusal = RunRefusal::kNone;
   std::string text;
   // The worker's own clock when it answered.
@@ -111,6 +122,7 @@
   reply.op = call.op;
   reply.incarnation = call.incarnation;
   reply.run = call.run;
+  reply.failure = CallFailure::kTimedOut;
   return reply;
 }
 
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -11,6 +11,7 @@
 
 #include "banyan/base/time.h"
 #include "banyan/events/event.h"
+#include "banyan/graph/crash_observer.h"
 #include "banyan/graph/run_call.h"
 #include "banyan/wire/graph.h"
 #include "banyan/wire/message.h"
@@ -88,6 +89,8 @@
   // Returns the initial state for a later incarnation, which has the id
   // `successor`.
   [[nodiscard]] WorkerAgent NextIncarnation(const std::string& successor) &&;
+  // Logs what connects a run to the crash of the worker.
+  void LogCrash(const RunCrash& crash);
   void OnRunList(Time now, const RunCallReply& reply);
   // Counts a list call without lists against a worker that announced its
   // shutdown.
@@ -145,6 +148,8 @@
   // Refused runs, and until when each refusal is reported.
   std::map<RunRef, Time> refusals_;
 
+  CrashObserver crash_observer_;
+
   // Final states of earlier incarnations with uncommitted ends, oldest first.
   // They are sent before each sync until the leader answers a sync of the
   // current incarnation.
--- a/include/banyan/net/http.h
+++ b/include/banyan/net/http.h
@@ -106,6 +106,8 @@
   // kRan after a complete response with any status; kNotRun only if no byte of
   // the request can have reached the server.
   RequestOutcome outcome = RequestOutcome::kUnknown;
+  // Whether the exchange ended at its deadline.
+  bool is_timeout = false;
   // The error message; empty on kRan.
   std::string text;
   HttpReply reply;
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -173,6 +173,37 @@
   std::string checkpoint;
 };
 
+// How a run is connected to a crash of its worker.
+enum class CrashEvidence : std::uint8_t {
+  // The worker crashed as it started the run, or with this run alone before the
+  // run was at work.
+  kAtStart,
+  // As kAtStart, but another cause is about as likely: the moment of the crash
+  // is not known, or other workers crashed at the same time.
+  kUnclear,
+  // The run was on the worker and had started before.
+  kAtWork,
+};
+
+// Returns the name of a connection as written to the event log.
+[[nodiscard]] constexpr const char* ToString(CrashEvidence evidence) noexcept {
+  switch (evidence) {
+    case CrashEvidence::kAtStart:
+      return "at-start";
+    case CrashEvidence::kUnclear:
+      return "unclear";
+    case CrashEvidence::kAtWork:
+      return "at-work";
+  }
+  return "unknown";
+}
+
+// A run that was on a worker when the worker crashed.
+struct RunCrash {
+  RunRef run;
+  CrashEvidence evidence = CrashEvidence::kAtWork;
+};
+
 // A queue of jobs, defined by a route of the operator's plan.
 struct QueueSpec {
   std::string name;
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -156,6 +156,9 @@
     {EventId::kRunEndIgnored, "run-end-ignored",
      "A reported end had no effect, because the run was not placed on this "
      "incarnation of the worker; with a number, it was acknowledged."},
+    {EventId::kRunCrashObserved, "run-crash-observed",
+     "A run was on a worker that crashed: at-start, unclear or at-work, with "
+     "its age at the worker's last answer; -1 if the start was not seen."},
     {EventId::kCallAnswered, "call-answered",
      "A caller of a queue or an operator received a final answer."},
     {EventId::kConfigInForce, "config-in-force",
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -93,7 +93,21 @@
   RequestRunList(now);
 }
 
+void WorkerAgent::LogCrash(const RunCrash& crash) {
+  const std::optional<Duration> age = crash_observer_.AgeOf(crash.run);
+  out_.events.push_back(
+      RunEvent(EventId::kRunCrashObserved, crash.run, info_->life.id)
+          .With("occurrence", crash.run.task.occurrence)
+          .With("evidence", ToString(crash.evidence))
+          .With("age_ms", age ? ToMillis(*age) : -1));
+}
+
 WorkerAgent WorkerAgent::NextIncarnation(const std::string& successor) && {
+  if (!departure_ && !info_->draining) {
+    for (const RunCrash& crash : crash_observer_.Evidence()) {
+      LogCrash(crash);
+    }
+  }
   WorkerAgent next;
   if (successor == info_->life.id) {
     // Calls name the worker by its id alone, so a start that was sent to this
@@ -244,6 +258,7 @@
 }
 
 void WorkerAgent::ReportRefusal(Time now, const RunRef& run) {
+  crash_observer_.OnFenced(run);
   refusals_[run] = now + kRefusalRepeatPeriod;
   out_.events.push_back(
       RunEvent(EventId::kRunRefused, run, info_->life.id)
@@ -359,6 +374,9 @@
 void WorkerAgent::OnListFailure(Time now, const RunCallReply& reply) {
   next_list_at_ = now + (departure_ ? kLeaveProbeInterval : kListRetryDelay);
   const bool was_reachable = is_reachable_;
+  if (was_reachable) {
+    crash_observer_.OnContactLost(reply.failure);
+  }
   if (departure_ && reply.sent_at >= departure_->announced_at) {
     const bool is_replaced = reply.refusal == RunRefusal::kOtherIncarnation;
     departure_->unanswered_lists += reply.answered ? 0 : 1;
@@ -379,6 +397,7 @@
     return;
   }
   ++list_count_;
+  crash_observer_.OnList(reply);
   running_.clear();
   for (const RunStatus& row : reply.running) {
     running_.emplace(row.run, row);
@@ -440,6 +459,10 @@
   }
   if (!reply.answered) {
     unanswered_starts_[reply.run] = now + kMaxCallDelay;
+    crash_observer_.OnStartUnanswered(reply.run, reply.sent_at, reply.failure);
+  }
+  if (is_ok) {
+    crash_observer_.OnStarted(reply.run, reply.received_at);
   }
   if (found == pending_starts_.end()) {
     return;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -40,6 +40,10 @@
     try {
       Send(call, request_id, deadline);
       Receive(request_id, exchange);
+    } catch (const Poco::TimeoutException& error) {
+      exchange.outcome = RequestOutcome::kUnknown;
+      exchange.is_timeout = true;
+      exchange.text = error.displayText();
     } catch (const Poco::Exception& error) {
       exchange.outcome = RequestOutcome::kUnknown;
       exchange.text = error.displayText();
