Graphs: failing tests for tasks that crash their workers and capacities that shrink

The simulation of leader, agents and stand-in workers gets tasks that crash each worker that starts them and capacities that shrink and grow again; its judge counts starts after the third crash and reservations beyond a capacity that is in force, and expects a graph with such a task to fail and every other one to complete.

Unit tests that fail: the leader repeats starts that a reported capacity no longer holds; the agent repeats a start to a worker that has not answered since, and goes on with pending starts as the capacity shrinks.

The two tests that expected a repeated start 50 ms after a call without an answer now let the worker list its runs first: a worker that is gone gets no start twice, which the new test asserts, and one that answers gets it as before.

--- a/tests/support/graph_world.cc
+++ b/tests/support/graph_world.cc
@@ -33,6 +33,13 @@
 constexpr Duration kNotedAfter = Millis(100);
 // Time is calm again so long after a fault.
 constexpr Duration kCalmAfter = Millis(3000);
+// A capacity that has shrunk is in force so long after the change: the time in
+// which a machine counts as out of touch, and one report.
+constexpr Duration kCapacityInForceAfter = kCalmAfter + kBeat;
+// A task that crashes its workers may be started so often after so many
+// crashes.
+constexpr std::size_t kCrashesUntilBudget = 3;
+constexpr int kMaxStartsAfterCrashes = 2;
 // The longest lease that a worker takes, on its own clock.
 constexpr std::int64_t kMaxLeaseMs = 6000;
 constexpr double kMaxClockLag = 0.02;
@@ -70,6 +77,11 @@
 // What workers saw of one task.
 struct TaskRecord {
   Time last_start;
+  // Whether it crashes each worker that starts it.
+  bool is_deadly = false;
+  std::size_t crashes = 0;
+  // Starts since it has crashed kCrashesUntilBudget workers.
+  int starts_after_crashes = 0;
   std::vector<DoneEnd> done;
 };
 
@@ -88,6 +100,8 @@
   // Since when it has held its lease without a gap.
   Time lease_since;
   std::int64_t last_end = 0;
+  // Earlier capacities, each with the time until which it is in force.
+  std::vector<std::pair<Resources, Time>> shrunk;
   // Active runs with their starts and lengths.
   std::map<RunRef, std::pair<Time, Duration>> runs;
   // Ends that are not acknowledged, with their times.
@@ -289,10 +303,27 @@
       }
       const std::string id = "g" + std::to_string(graphs_.size());
       graphs_.push_back(SampleGraph(id, std::move(steps)));
+      if (faults_.deadly_tasks && Chance(15)) {
+        MakeDeadly(graphs_.back());
+      }
       At(at - kStart, [this, graph = graphs_.back()] { Submit(graph); });
     }
   }
 
+  // Makes some tasks of one step crash their workers.
+  void MakeDeadly(const SubmitGraph& graph) {
+    ++result_.deadly_graphs;
+    const std::size_t step = random_.NextBelow(graph.spec.steps.size());
+    const auto count = static_cast<std::uint64_t>(graph.spec.steps[step].count);
+    const std::uint64_t deadly = Chance(70) ? 1 : 1 + random_.NextBelow(count);
+    for (std::uint64_t i = 0; i < deadly; ++i) {
+      tasks_[{graph.id, 0, static_cast<std::int64_t>(step),
+              static_cast<std::int64_t>(random_.NextBelow(count))}]
+          .is_deadly = true;
+    }
+    Write(graph.id, "has a deadly task");
+  }
+
   // --- Agents ---
 
   void TickAgents() {
@@ -355,11 +386,50 @@
     m.worker.is_up = false;
     m.worker.runs.clear();
     for (const Call& call : std::exchange(m.worker.polls, {})) {
-      Answer(m, call, MakeUnansweredReply(call.body));
+      Answer(m, call, BrokenOff(call.body));
     }
     At(pause, [this, &m, next_id] { Boot(m, next_id); });
   }
 
+  static RunCallReply BrokenOff(const RunCall& call) {
+    RunCallReply reply = MakeUnansweredReply(call);
+    reply.failure = CallFailure::kBrokenOff;
+    return reply;
+  }
+
+  // Ends a worker some milliseconds after it has started a deadly task.
+  void CrashBy(Machine& m, const TaskRef& task) {
+    ++result_.crashes_by_tasks;
+    ++tasks_[task].crashes;
+    const Duration pause = Between(1500, 4000);
+    Disturb(pause, NameOf(task) + " crashes " + NameOf(m.worker.info.life));
+    EndLife(m, pause, Chance(50) ? m.worker.info.life.id : NextId());
+  }
+
+  // Changes a worker's capacity for some seconds.
+  void ChangeCapacity(Machine& m) {
+    if (!m.worker.is_up || !m.worker.shrunk.empty()) {
+      return;
+    }
+    const Resources before = m.worker.info.capacity;
+    m.worker.info.capacity = {before.cpu_millis * Percent(100) / 100,
+                              before.memory_mib * Percent(100) / 100, 0};
+    m.worker.shrunk.emplace_back(before, now_ + kCapacityInForceAfter);
+    ++result_.faults;
+    Write("", "capacity of " + NameOf(m.worker.info.life) + " shrinks to " +
+                  std::to_string(m.worker.info.capacity.cpu_millis) + " and " +
+                  std::to_string(m.worker.info.capacity.memory_mib));
+    AtWorker(m, Between(1000, 9000), [this, &m, before] {
+      m.worker.info.capacity = before;
+      m.worker.shrunk.clear();
+      Write("", "capacity of " + NameOf(m.worker.info.life) + " grows again");
+    });
+  }
+
+  std::int64_t Percent(std::uint64_t below) {
+    return Chance(20) ? 0 : static_cast<std::int64_t>(random_.NextBelow(below));
+  }
+
   void Report(Machine& m) {
     const bool is_late =
         faults_.late_reports && now_ < kFaultsEnd && Chance(10);
@@ -408,18 +478,26 @@
     if (!is_list && storm_until_ > now_ && Chance(40)) {
       Write(NameOf(call.body.run.task), "an order gets no answer");
       AtWorker(m, Chance(70) ? Between(2000, 12000) : Between(1, 5),
-               [this, &m, call] { static_cast<void>(CarryOut(m, call.body)); });
+               [this, &m, call] {
+                 static_cast<void>(CarryOut(m, call.body, true));
+               });
       At(kOrderTimeout,
          [this, &m, call] { Answer(m, call, MakeUnansweredReply(call.body)); });
       return;
     }
     At(Between(1, 5), [this, &m, call, is_list] {
       if (!m.worker.is_up) {
-        Answer(m, call, MakeUnansweredReply(call.body));
+        RunCallReply reply = MakeUnansweredReply(call.body);
+        reply.failure = CallFailure::kNotSent;
+        Answer(m, call, reply);
       } else if (is_list) {
         List(m, call);
       } else {
-        Answer(m, call, CarryOut(m, call.body));
+        const RunCallReply reply = CarryOut(m, call.body);
+        const bool is_cut_short = tasks_[call.body.run.task].is_deadly &&
+                                  call.body.op == RunCallOp::kStart &&
+                                  Chance(20);
+        Answer(m, call, is_cut_short ? BrokenOff(call.body) : reply);
       }
     });
   }
@@ -458,8 +536,9 @@
     return reply;
   }
 
-  // Carries out a start or a stop.
-  RunCallReply CarryOut(Machine& m, const RunCall& call) {
+  // Carries out a start or a stop. Bounds on the time of a start hold unless
+  // the worker was late.
+  RunCallReply CarryOut(Machine& m, const RunCall& call, bool is_late = false) {
     RunCallReply reply = Accept(m, call);
     Worker& worker = m.worker;
     if (reply.refusal != RunRefusal::kNone) {
@@ -479,7 +558,7 @@
       } else if (call.lease_until_ms.value_or(0) <= worker.ClockMs(now_)) {
         reply.refusal = RunRefusal::kLeaseExpired;
       } else {
-        BeginRun(m, call.run);
+        BeginRun(m, call.run, is_late);
       }
       Renew(m, call.lease_until_ms);
     }
@@ -540,10 +619,16 @@
     }
   }
 
-  void BeginRun(Machine& m, const RunRef& run) {
+  void BeginRun(Machine& m, const RunRef& run, bool is_late) {
     ++result_.starts;
     WriteRun(m, run, "starts");
-    CheckStart(m, run);
+    CheckStart(m, run, is_late);
+    if (tasks_[run.task].is_deadly) {
+      AtWorker(m, Between(2, 20),
+               [this, &m, task = run.task] { CrashBy(m, task); });
+      m.worker.runs[run] = {now_, Millis(1000)};
+      return;
+    }
     const Duration length = Between(200, 3000);
     m.worker.runs[run] = {now_, length};
     AtWorker(m, length,
@@ -632,6 +717,8 @@
       storm_until_ = now_ + span;
       Disturb(span, "late orders");
     });
+    Plan(faults_.capacity_changes, 2500,
+         [this] { ChangeCapacity(AnyMachine()); });
     Plan(faults_.silent_lists, 5000, [this] {
       const Duration span = Between(300, 1500);
       silent_until_ = now_ + span;
@@ -643,8 +730,9 @@
   // sparse, so that every world has calm times.
   void Plan(bool is_on, std::int64_t longest_pause_ms, const Work& fault) {
     const std::vector<bool> kinds = {
-        faults_.leader_changes, faults_.cuts,        faults_.worker_restarts,
-        faults_.agent_restarts, faults_.late_orders, faults_.silent_lists};
+        faults_.leader_changes,  faults_.cuts,        faults_.worker_restarts,
+        faults_.agent_restarts,  faults_.late_orders, faults_.silent_lists,
+        faults_.capacity_changes};
     const auto count = static_cast<std::uint64_t>(
         std::count(kinds.begin(), kinds.end(), true));
     if (is_on) {
@@ -698,7 +786,18 @@
 
   // --- Checks ---
 
-  void CheckStart(const Machine& m, const RunRef& run) {
+  // Returns whether the resources fit a capacity that is in force: the present
+  // one or, until a change has to be known, an earlier one.
+  bool FitsInForce(const Machine& m, const Resources& needs, bool is_late) {
+    return Fits(needs, m.worker.info.capacity) ||
+           std::any_of(m.worker.shrunk.begin(), m.worker.shrunk.end(),
+                       [&](const auto& item) {
+                         return (is_late || now_ <= item.second) &&
+                                Fits(needs, item.first);
+                       });
+  }
+
+  void CheckStart(const Machine& m, const RunRef& run, bool is_late) {
     Resources reserved = table_.FindStep(run.task)->needs;
     for (const Machine& other : machines_) {
       for (const auto& [active, times] : other.worker.runs) {
@@ -710,10 +809,14 @@
         }
       }
     }
-    if (!Fits(reserved, m.worker.info.capacity)) {
+    if (!FitsInForce(m, reserved, is_late)) {
       Complain(NameOf(run.task), "more reserved than the capacity");
     }
     TaskRecord& record = tasks_[run.task];
+    if (record.crashes >= kCrashesUntilBudget && !is_late &&
+        ++record.starts_after_crashes > kMaxStartsAfterCrashes) {
+      Complain(NameOf(run.task), "started again after three crashes");
+    }
     record.last_start = now_;
     for (const DoneEnd& end : record.done) {
       if (!end.noted.empty()) {
@@ -741,8 +844,17 @@
   void CheckSettled() {
     for (const SubmitGraph& submit : graphs_) {
       const Graph* graph = table_.FindGraph(submit.id);
-      if (graph == nullptr || graph->state != GraphState::kCompleted) {
-        Complain(submit.id, "not completed");
+      const bool is_deadly =
+          std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& item) {
+            return item.second.is_deadly && item.first.graph == submit.id;
+          });
+      const GraphState expected =
+          is_deadly ? GraphState::kFailed : GraphState::kCompleted;
+      if (graph == nullptr || graph->state != expected) {
+        Complain(submit.id, std::string("not ") + ToString(expected));
+        continue;
+      }
+      if (is_deadly) {
         continue;
       }
       for (std::size_t s = 0; s < submit.spec.steps.size(); ++s) {
--- a/tests/support/graph_world.h
+++ b/tests/support/graph_world.h
@@ -25,6 +25,10 @@
   bool late_reports = false;
   // List calls get no answer while the worker works on.
   bool silent_lists = false;
+  // Some tasks crash each worker that starts them.
+  bool deadly_tasks = false;
+  // Capacities of workers shrink and grow again.
+  bool capacity_changes = false;
 };
 
 // What became of a world.
@@ -35,6 +39,10 @@
   int starts = 0;
   // The number of faults that occurred.
   int faults = 0;
+  // The number of times that tasks crashed their workers.
+  int crashes_by_tasks = 0;
+  // The number of graphs with a task that crashes its workers.
+  int deadly_graphs = 0;
   // All that was recorded, one line each.
   std::string history;
 };
@@ -43,7 +51,9 @@
 // and an agent with a stand-in worker on each machine. The load and the faults
 // last 24 s, the calm time after them 36 s. Judges by what the workers see, not
 // by the table: two runs of a task at once, a start after an end that was taken
-// note of, more reserved than the capacity, and graphs that aren't completed.
+// note of, more reserved than the capacity, a third start of a task after it
+// has crashed three workers, and graphs that aren't completed, or aren't failed
+// if one of their tasks crashes its workers.
 [[nodiscard]] GraphWorldResult PlayGraphWorld(const GraphFaults& faults,
                                               std::uint64_t seed);
 
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -408,6 +408,33 @@
       fixture.table(), SampleGraph("h", {SampleStep(1)})));
 }
 
+// Returns the number of starts that the leader has ordered since the last call.
+std::size_t TakeStarts(LeaderHarness& fixture) {
+  std::size_t starts = 0;
+  for (const WorkerOrders& orders : fixture.TakeOrders()) {
+    starts += orders.starts.size();
+  }
+  return starts;
+}
+
+// Guards against starts beyond the capacity: orders that no run list confirms
+// are repeated to a worker whose capacity has shrunk since.
+void StartsBeyondShrunkCapacityAreWithdrawn() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(3)}));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, TakeStarts(fixture));
+  WorkerSync sync;
+  sync.info = SampleWorker("w1");
+  sync.info.capacity.cpu_millis = 1000;
+  for (int i = 0; i < 3; ++i) {
+    fixture.AdvanceTime(Millis(500));
+    fixture.Sync(sync);
+  }
+  CPPUNIT_ASSERT(TakeStarts(fixture) <= 1);
+}
+
 }  // namespace
 
 Section GraphLeaderStory() {
@@ -446,6 +473,8 @@
                 .Then("must stop a run that is not placed on it",
                       UnplacedRunIsStopped)
                 .Then("gets a lost start command again", LostStartIsResent)
+                .Then("gets no start again that its capacity no longer holds",
+                      StartsBeyondShrunkCapacityAreWithdrawn)
                 .Then("must stop a run without progress", StuckRunIsStopped)
                 .Then("without new run lists has no stuck runs",
                       RunWithoutNewListsIsNotStuck)
--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -83,6 +83,53 @@
   Play(kAllFaults);
 }
 
+// Guards against a task that is started again and again, each time with a crash
+// of its worker, and against sound graphs that are given up for it.
+void DeadlyTasks() {
+  Play({.deadly_tasks = true});
+}
+
+// Guards against crashes that only the earlier leader counted.
+void DeadlyTasksAndLeaderChanges() {
+  Play({.leader_changes = true, .deadly_tasks = true});
+}
+
+// Guards against sound graphs that are given up for crashes of their workers.
+void DeadlyTasksAndWorkerRestarts() {
+  Play({.worker_restarts = true, .deadly_tasks = true});
+}
+
+// Guards against crashes whose starts are carried out late or are repeated.
+void DeadlyTasksAndLateOrders() {
+  Play({.late_orders = true, .late_reports = true, .deadly_tasks = true});
+}
+
+// Guards against crashes that are forgotten while connections are down.
+void DeadlyTasksAndCuts() {
+  Play({.leaves = true, .cuts = true, .deadly_tasks = true});
+}
+
+// Guards against starts beyond a capacity that has shrunk.
+void ShrinkingCapacities() {
+  Play({.capacity_changes = true});
+}
+
+// Guards against starts that are repeated by a later leader or a later agent
+// although the capacity has shrunk.
+void ShrinkingCapacitiesAndFailures() {
+  constexpr std::uint64_t kRareSeed = 33;
+  const GraphWorldResult result = PlayGraphWorld(
+      {.leader_changes = true, .capacity_changes = true}, kRareSeed);
+  CPPUNIT_ASSERT_MESSAGE(
+      result.violations.empty() ? "" : result.violations.front(),
+      result.violations.empty());
+  Play({.leader_changes = true,
+        .cuts = true,
+        .agent_restarts = true,
+        .late_orders = true,
+        .capacity_changes = true});
+}
+
 // Guards against a violation that can't be played again.
 void SameSeedSameHistory() {
   const auto play = [] { return PlayGraphWorld(kAllFaults, 1).history; };
@@ -102,6 +149,21 @@
       .Then("is not run twice while lists get no answer", LeavesAndSilentLists)
       .Then("is not run twice with all faults together", AllTogether)
       .Then("meets the same fate from the same seed", SameSeedSameHistory);
+  story
+      .With(Section("A task that crashes its workers")
+                .Then("is given up", DeadlyTasks)
+                .Then("is given up while the leader changes",
+                      DeadlyTasksAndLeaderChanges)
+                .Then("is given up while workers crash by themselves",
+                      DeadlyTasksAndWorkerRestarts)
+                .Then("is given up while orders are late",
+                      DeadlyTasksAndLateOrders)
+                .Then("is given up while agents lose their connection",
+                      DeadlyTasksAndCuts))
+      .With(Section("A worker whose capacity shrinks")
+                .Then("is not filled beyond it", ShrinkingCapacities)
+                .Then("is not filled beyond it while others fail",
+                      ShrinkingCapacitiesAndFailures));
   return story;
 }
 
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -25,7 +25,11 @@
     report.info.draining = draining;
     report.sequence = sequence;
     report.clock_ms = kWorkerClockMs;
-    started_at_ms_ = std::max(started_at_ms_, started_at_ms);
+    Report(report);
+  }
+
+  void Report(const WorkerReport& report) {
+    started_at_ms_ = std::max(started_at_ms_, report.info.life.started_at_ms);
     agent_.OnReport(now_, report);
     Collect();
   }
@@ -199,12 +203,47 @@
   CPPUNIT_ASSERT(fixture.IsRefusedOnceFenced(SampleRun()));
 }
 
+// Guards against repeating a start that has crashed its worker to the worker's
+// next incarnation.
+void UnansweredStartIsNotRepeatedBlindly() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStart).size());
+  fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.FailList();
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kStart).empty());
+}
+
+// Guards against starting runs on capacity that the worker has withdrawn.
+void ShrunkCapacityFencesPendingStarts() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStart).size());
+  WorkerReport report;
+  report.info = SampleWorker("w1");
+  report.info.capacity.cpu_millis = 500;
+  report.sequence = 2;
+  fixture.Report(report);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE("the leader learns of it at once",
+                               std::int64_t{500},
+                               fixture.last_sync().info.capacity.cpu_millis);
+  fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.ReplyToList({}, {});
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kStart).empty());
+  CPPUNIT_ASSERT(fixture.IsRefusedOnceFenced(SampleRun()));
+}
+
 void UnansweredStartIsRetried() {
   AgentFixture fixture;
   fixture.Grant(StartOrder(SampleRun()));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kStart).size());
   fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.ReplyToList({}, {});
   fixture.Advance(Millis(60));
   const std::vector<RunCall> again = fixture.TakeCalls(RunCallOp::kStart);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
@@ -215,6 +254,7 @@
   AgentFixture fixture;
   fixture.Grant(StartOrder(SampleRun()));
   fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.ReplyToList({}, {});
   fixture.Advance(Millis(60));
   fixture.Answer(RunCallOp::kStart, SampleRun(), true, RunRefusal::kNoCapacity);
   CPPUNIT_ASSERT(!fixture.IsReportedRefused(SampleRun()));
@@ -611,6 +651,10 @@
                       StartCarriesLease)
                 .Then("is not sent without a lease", NoStartWithoutLease)
                 .Then("without an answer is retried", UnansweredStartIsRetried)
+                .Then("without an answer is not repeated to a silent worker",
+                      UnansweredStartIsNotRepeatedBlindly)
+                .Then("is fenced when the capacity shrinks",
+                      ShrunkCapacityFencesPendingStarts)
                 .Then("that may arrive late is fenced before it is refused",
                       LateStartIsFencedBeforeRefusal)
                 .Then("that the worker refused is fenced too",
