Agent: repeat a start only to a worker that has answered since

A start without an answer was sent again after 50 ms, up to three times. A call names its worker by the id alone, so a worker that a task has crashed and that is back at once would be crashed by the same run again, and the crash would not show in the run numbers that the table counts by. A run list after the failed call proves that the incarnation is the same; without one the start is fenced after 1.5 s, as without a lease.

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -61,6 +61,8 @@
     bool is_in_flight = false;
     // Calls without an answer; the worker may still carry them out.
     int unanswered_calls = 0;
+    // When the last of them ended; repeated only after a later run list.
+    std::optional<Time> unanswered_since;
   };
 
   // A run that the worker must stop or never start.
@@ -132,6 +134,8 @@
   bool is_list_in_flight_ = false;
   Time next_list_at_;
   std::uint64_t list_count_ = 0;
+  // When the worker's last run list arrived.
+  Time listed_at_;
   // The worker's last run list.
   std::map<RunRef, RunStatus> running_;
   std::map<std::int64_t, EndedRun> ended_;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -31,7 +31,8 @@
 constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
 // Unanswered calls after which a start is abandoned.
 constexpr int kMaxUnansweredStarts = 3;
-// How long a start waits for the agent to hold a lease.
+// How long a start waits for the agent to hold a lease and the worker to
+// answer.
 constexpr Duration kLeaseWaitTimeout = Millis(1500);
 // Minimum remaining lease for sending a start.
 constexpr Duration kMinRemainingLease = Millis(100);
@@ -227,7 +228,8 @@
       FenceRun(now, start.run, "draining");
       continue;
     }
-    pending_starts_[start.run] = PendingStart{start, now, now, false, 0};
+    pending_starts_[start.run] =
+        PendingStart{start, now, now, false, 0, std::nullopt};
   }
   for (const RunRef& run : orders.stops) {
     if (!pending_stops_.contains(run)) {
@@ -279,7 +281,11 @@
     }
     const bool has_lease =
         lease_deadline_ > now + kMinRemainingLease && LeaseOnWorkerClock();
-    if (!has_lease) {
+    // The worker may have ended since the call; calls name it by its id alone,
+    // so its next incarnation would carry out the start again.
+    const bool is_silent = pending_start.unanswered_since &&
+                           listed_at_ <= *pending_start.unanswered_since;
+    if (!has_lease || is_silent) {
       if (pending_start.ordered_at + kLeaseWaitTimeout < now) {
         expired.push_back(run);
       }
@@ -292,7 +298,7 @@
     out_.calls.push_back(std::move(call));
   }
   for (const RunRef& run : expired) {
-    FenceRun(now, run, "no lease");
+    FenceRun(now, run, "no lease or no answer");
   }
 }
 
@@ -397,6 +403,7 @@
     return;
   }
   ++list_count_;
+  listed_at_ = now;
   crash_observer_.OnList(reply);
   running_.clear();
   for (const RunStatus& row : reply.running) {
@@ -481,6 +488,7 @@
   }
   if (!reply.answered) {
     ++pending_start.unanswered_calls;
+    pending_start.unanswered_since = now;
     pending_start.retry_at = now + kOrderRetryDelay;
     if (pending_start.unanswered_calls >= kMaxUnansweredStarts) {
       FenceRun(now, reply.run, "no answer to its start");
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -243,6 +243,7 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kStart).size());
   fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.Advance(Millis(10));
   fixture.ReplyToList({}, {});
   fixture.Advance(Millis(60));
   const std::vector<RunCall> again = fixture.TakeCalls(RunCallOp::kStart);
@@ -254,6 +255,7 @@
   AgentFixture fixture;
   fixture.Grant(StartOrder(SampleRun()));
   fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.Advance(Millis(10));
   fixture.ReplyToList({}, {});
   fixture.Advance(Millis(60));
   fixture.Answer(RunCallOp::kStart, SampleRun(), true, RunRefusal::kNoCapacity);
