Graphs: count crashes for the tasks connected to them and give a deadly task up

Cause: a run that ends with its worker makes its task ready again and counts for nobody.

An agent now reports, with the end of an incarnation that nobody announced, which runs had just started, alone or among others, and which were at work. The leader puts that into the log before the removal that makes the runs ready (RecordCrashes); where workers were lost together, or that isn't known, the evidence is unclear. The table counts by task and run number, so a report may be repeated, by any agent and to any leader. A task that may be to blame starts on an empty worker and nothing else beside it until it is at work; if none gets empty within 1.5 s, on the one with the fewest runs. It is given up after two crashes as it started, alone at one of them, after three of any kind as it started, and after five in all; its graph fails with a reason for the caller.

Why it works: a start and a crash within 50 ms of it, with everything else at work, is no accident twice.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -84,6 +84,8 @@
   kRunStopped = 1342,
   kRunEndIgnored = 1343,
   kRunCrashObserved = 1344,
+  kCrashRecorded = 1345,
+  kTaskGivenUp = 1346,
   kCallAnswered = 1350,
   kConfigInForce = 1401,
   kCommandAccepted = 1402,
--- a/include/banyan/graph/crash_observer.h
+++ b/include/banyan/graph/crash_observer.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "banyan/base/time.h"
+#include "banyan/graph/crash_record.h"
 #include "banyan/graph/run_call.h"
 #include "banyan/wire/graph.h"
 
@@ -19,7 +20,10 @@
   void OnStarted(const RunRef& run, Time answered_at);
 
   // Records a start call without an answer, which may have been carried out.
-  void OnStartUnanswered(const RunRef& run, Time sent_at, CallFailure failure);
+  void OnStartUnanswered(Time now,
+                         const RunRef& run,
+                         Time sent_at,
+                         CallFailure failure);
 
   // Records the worker's run lists.
   void OnList(const RunCallReply& reply);
@@ -27,13 +31,11 @@
   // Drops a run that the worker has confirmed never to start.
   void OnFenced(const RunRef& run) { runs_.erase(run); }
 
-  // Records how the first call without an answer failed.
-  void OnContactLost(CallFailure failure) noexcept {
-    is_loss_precise_ = failure != CallFailure::kTimedOut;
-  }
+  // Records how the first list call without an answer failed.
+  void OnContactLost(Time now, CallFailure failure);
 
-  // Returns the time from the start of a run to the worker's last answer;
-  // nothing if the start was not seen.
+  // Returns the time from the start of a run to the worker's crash, as far as
+  // it is known, or else to its last answer; nothing if the start was not seen.
   [[nodiscard]] std::optional<Duration> AgeOf(const RunRef& run) const;
 
   // Returns the runs that were on the worker at its last answer, each with its
@@ -51,14 +53,21 @@
     std::int64_t percent = 0;
   };
 
+  void OnBrokenOff(Time now);
+  // Returns the time of the crash if it is known, or else of the last answer.
+  [[nodiscard]] Time crashed_at() const noexcept {
+    return broken_off_at_.value_or(last_answer_at_);
+  }
   [[nodiscard]] CrashEvidence EvidenceOf(const ObservedRun& observed) const;
 
   std::map<RunRef, ObservedRun> runs_;
   Time last_list_at_;
   Time last_answer_at_;
-  // Whether the loss of contact was noticed when it happened, and not by a
-  // timeout.
-  bool is_loss_precise_ = true;
+  // When a call that was under way first broke off since the last list, which
+  // is the time of the crash.
+  std::optional<Time> broken_off_at_;
+  // Whether a list call timed out, so that the crash may be long past.
+  bool has_timed_out_ = false;
 };
 
 }  // namespace banyan
--- /dev/null
+++ b/include/banyan/graph/crash_record.h
@@ -0,0 +1,58 @@
+#ifndef BANYAN_GRAPH_CRASH_RECORD_H_
+#define BANYAN_GRAPH_CRASH_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "banyan/wire/graph.h"
+
+namespace banyan {
+
+// Time that a run must have been listed, with progress, to count as at work.
+inline constexpr Duration kMinListedTime = Millis(200);
+
+// The crashes of workers that a task was connected to. Part of the replicated
+// state.
+struct CrashRecord {
+  // Number of crashes with the task on the worker, of any evidence.
+  std::int64_t crashes = 0;
+  // Number of them as the task started, alone or among others.
+  std::int64_t at_start = 0;
+  // Number of them as the task started alone.
+  std::int64_t alone = 0;
+  // Number of them with unclear evidence.
+  std::int64_t unclear = 0;
+  // The last run that was counted; each run counts once.
+  std::int64_t last_run = 0;
+  // Ids of the workers that crashed, oldest first.
+  std::vector<std::string> workers;
+
+  // Counts the crash of a worker.
+  void Add(const RunCrash& crash, const std::string& worker);
+
+  // Whether the next run of the task must be kept away from other tasks until
+  // it is at work.
+  [[nodiscard]] bool is_suspect() const noexcept {
+    return at_start > 0 || crashes >= kSuspectCrashes;
+  }
+
+  // Whether the task must not be started again. Two crashes suffice if the task
+  // started alone at one of them.
+  [[nodiscard]] bool is_given_up() const noexcept {
+    const std::int64_t starting = at_start + unclear;
+    return starting >= kMaxStartingCrashes ||
+           (alone > 0 && starting >= kMaxStartingCrashes - 1) ||
+           crashes >= kMaxCrashes;
+  }
+
+  static constexpr std::int64_t kSuspectCrashes = 2;
+  static constexpr std::int64_t kMaxStartingCrashes = 3;
+  // At most two starts may follow the third crash of a worker under a task.
+  static constexpr std::int64_t kMaxCrashes = 5;
+};
+
+}  // namespace banyan
+
+#endif  // BANYAN_GRAPH_CRASH_RECORD_H_
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -83,10 +83,17 @@
                         const GraphTable& table,
                         const std::string& agent,
                         const WorkerSync& sync);
-  // Proposes the ended runs of a worker that has left, then its removal.
+  // Proposes the ended runs of a worker's incarnation that has ended and what
+  // is known of its crash, then its removal.
   void OnLeave(Time now,
+               const GraphTable& table,
                const GraphWorker& worker,
-               std::span<const EndedRun> ended);
+               const WorkerSync& sync);
+  // Proposes to count a worker's crash for the tasks connected to it.
+  void ProposeCrashes(const GraphTable& table, const WorkerSync& sync);
+  // Whether other workers were lost together with this one, or whether this
+  // leader can't tell.
+  [[nodiscard]] bool HasCommonCause(const WorkerIncarnation& incarnation) const;
   void ProposeRunEnds(Time now,
                       const GraphWorker& worker,
                       const WorkerSync& sync);
@@ -134,6 +141,8 @@
   std::map<std::string, GraphWorkerView> views_;
   GraphPlacement placement_{options_.scheduling};
   Pacer pacer_;
+  // Workers that stopped answering, with the time of the report of it.
+  std::vector<std::pair<WorkerIncarnation, Time>> losses_;
   // When the pending batch of placements was proposed; empty if none is.
   std::optional<Time> placement_proposed_at_;
   GraphLeaderOutputs out_;
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -65,6 +65,21 @@
     std::string rack;
   };
 
+  // Where a task may be placed. A suspect gets a worker of its own until it is
+  // at work; after a wait it takes the worker that was reserved for it.
+  enum class Isolation : std::uint8_t { kNone, kEmptyWorker, kReservedWorker };
+
+  // Places the suspects that are ready and reserves a worker of each pool for
+  // those that wait.
+  void PlaceSuspects(WallMillis wall,
+                     const GraphTable& table,
+                     std::vector<RunPlacement>& placements);
+  // Reserves the worker with the fewest runs for suspects. It gets other runs
+  // only if it is the last one of its pool.
+  void ReserveWorker(const std::string& service);
+  // Returns the isolation of a task's next run.
+  [[nodiscard]] Isolation IsolationOf(const TaskRef& ref,
+                                      const TaskProgress& task);
   [[nodiscard]] StepDistribution DistributionOf(
       const StepProgress& progress) const;
   void PlaceGraph(WallMillis wall,
@@ -87,6 +102,7 @@
       const TaskRef& task,
       const StepSpec& step,
       std::int64_t run,
+      Isolation isolation,
       StepDistribution& distribution);
   // Returns the preferred worker for a task, or null, with the reasons counted
   // in `wait`.
@@ -94,8 +110,12 @@
       const Graph& graph,
       const TaskRef& task,
       const StepSpec& step,
+      Isolation isolation,
       const StepDistribution& distribution,
       PlacementWait& wait);
+  // Returns whether a task may be placed on a worker as far as suspects go.
+  [[nodiscard]] static bool IsAllowed(const CandidateWorker& candidate,
+                                      Isolation isolation);
   void RecordWait(PlacementWait wait);
   // Adds a task on the worker to the co-located tasks that interference is
   // estimated for.
@@ -124,6 +144,8 @@
   std::map<TaskRef, std::set<std::string>> avoided_;
   // Since when a graph has had unplaced tasks.
   std::map<std::string, Time> waiting_since_;
+  // Since when a suspect has had no worker of its own.
+  std::map<TaskRef, Time> suspect_waiting_since_;
   std::vector<PlacementWait> waits_;
   // When a graph's wait was last recorded.
   std::map<std::string, Time> wait_recorded_at_;
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "banyan/events/event.h"
+#include "banyan/graph/crash_record.h"
 #include "banyan/wire/command.h"
 #include "banyan/wire/graph.h"
 
@@ -30,6 +31,7 @@
   WorkerIncarnation worker;
   // The latest checkpoint committed to the log; empty to start from scratch.
   std::string checkpoint;
+  CrashRecord crashes;
 };
 
 // Progress of one step in one occurrence.
@@ -64,6 +66,8 @@
   std::uint64_t order = 0;
   WallMillis submitted_at = 0;
   WallMillis changed_at = 0;
+  // Why the graph has failed; empty if it has not.
+  std::string failure;
 };
 
 // A worker's current incarnation with the runs placed on it.
@@ -104,6 +108,7 @@
   GraphApplyResult Apply(const DropWorker& command, WallMillis now);
   GraphApplyResult Apply(const PlaceRuns& command, WallMillis now);
   GraphApplyResult Apply(const EndRuns& command, WallMillis now);
+  GraphApplyResult Apply(const RecordCrashes& command, WallMillis now);
 
   // Removes graphs whose retention period has passed at the log's wall time.
   void RemoveExpiredGraphs(WallMillis now);
@@ -127,6 +132,11 @@
     return ready_graphs_;
   }
 
+  // Tasks of graphs in progress that may crash the worker that starts them.
+  [[nodiscard]] const std::set<TaskRef>& suspects() const noexcept {
+    return suspects_;
+  }
+
   [[nodiscard]] const Graph* FindGraph(std::string_view id) const;
   [[nodiscard]] const GraphWorker* FindWorker(
       const WorkerIncarnation& incarnation) const;
@@ -169,6 +179,11 @@
                      TaskProgress& task,
                      WallMillis now,
                      GraphApplyResult& applied);
+  // Records a crash for one task and gives the task up if it is to blame.
+  void RecordCrash(const RunCrash& crash,
+                   const std::string& worker,
+                   WallMillis now,
+                   GraphApplyResult& applied);
   void Finish(const std::string& id,
               Graph& graph,
               GraphState state,
@@ -179,6 +194,8 @@
                       WallMillis now,
                       GraphApplyResult& applied);
   void MarkRunning(Graph& graph);
+  // Adds the suspects among a graph's tasks to their index.
+  void AddSuspects(const std::string& id, const Graph& graph);
 
   ServicePlan plan_;
   std::set<std::string> evacuated_;
@@ -188,6 +205,7 @@
 
   // Indexes derived from the fields above.
   std::set<std::string> ready_graphs_;
+  std::set<TaskRef> suspects_;
   std::map<std::string, std::int64_t> pending_counts_;
   std::set<std::pair<WallMillis, std::string>> expiry_;
 };
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -154,7 +154,8 @@
 
   CrashObserver crash_observer_;
 
-  // Final states of earlier incarnations with uncommitted ends, oldest first.
+  // Final states of earlier incarnations with uncommitted ends or a crash,
+  // oldest first.
   // They are sent before each sync until the leader answers a sync of the
   // current incarnation.
   std::deque<WorkerSync> final_syncs_;
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "banyan/base/time.h"
+#include "banyan/graph/crash_record.h"
 #include "banyan/wire/graph.h"
 
 namespace banyan {
@@ -16,6 +17,8 @@
 struct RunView {
   // Last report of the run.
   RunStatus row;
+  // When the run was first listed.
+  Time listed_at;
   // When the reported percentage last changed.
   Time progressed_at;
   // Lists received since then.
@@ -24,6 +27,11 @@
   std::int64_t share_percent = kFullPercent;
   // Since when the share has been too low for useful progress.
   std::optional<Time> starved_since;
+
+  // Whether the run has started without a crash of its worker.
+  [[nodiscard]] bool is_at_work(Time now) const noexcept {
+    return row.percent > 0 && listed_at + kMinListedTime <= now;
+  }
 };
 
 // The leader's view of one incarnation of a worker, from its agent's reports.
--- a/include/banyan/wire/command.h
+++ b/include/banyan/wire/command.h
@@ -147,7 +147,8 @@
                              AdmitWorker,
                              DropWorker,
                              PlaceRuns,
-                             EndRuns>;
+                             EndRuns,
+                             RecordCrashes>;
 
 // A command as stored in the replicated log.
 struct LoggedCommand {
@@ -191,6 +192,8 @@
   // Delay before a rejected caller may retry, in milliseconds; 0 if
   // unspecified.
   std::int64_t retry_after_ms = 0;
+  // Why the graph that was asked for has failed; empty for other results.
+  std::string failure;
 };
 
 }  // namespace banyan
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -175,11 +175,13 @@
 
 // How a run is connected to a crash of its worker.
 enum class CrashEvidence : std::uint8_t {
-  // The worker crashed as it started the run, or with this run alone before the
-  // run was at work.
+  // The worker crashed as it started this run alone; others were at work.
+  kAlone,
+  // The worker crashed as it started the run among others, or with nothing else
+  // there before the run was at work.
   kAtStart,
-  // As kAtStart, but another cause is about as likely: the moment of the crash
-  // is not known, or other workers crashed at the same time.
+  // As kAlone or kAtStart, but another cause is about as likely: the moment of
+  // the crash is not known, or other workers crashed at the same time.
   kUnclear,
   // The run was on the worker and had started before.
   kAtWork,
@@ -188,6 +190,8 @@
 // Returns the name of a connection as written to the event log.
 [[nodiscard]] constexpr const char* ToString(CrashEvidence evidence) noexcept {
   switch (evidence) {
+    case CrashEvidence::kAlone:
+      return "alone";
     case CrashEvidence::kAtStart:
       return "at-start";
     case CrashEvidence::kUnclear:
@@ -345,6 +349,13 @@
   std::vector<EndedRun> rows;
 };
 
+// Records which runs were on a worker when it crashed.
+struct RecordCrashes {
+  static constexpr const char* kType = "record-crashes";
+  WorkerIncarnation worker;
+  std::vector<RunCrash> rows;
+};
+
 // A worker's state as its agent reports it; renews the worker's lease.
 struct WorkerSync {
   static constexpr const char* kType = "worker-sync";
@@ -352,7 +363,7 @@
   WorkerInfo info;
   // Whether the worker answers calls; the lease is renewed only then.
   bool reachable = false;
-  // Whether the worker announced its shutdown.
+  // Whether this incarnation has ended.
   bool gone = false;
   // Run lists received in this incarnation; `running` is the last one.
   std::uint64_t lists = 0;
@@ -361,6 +372,8 @@
   std::vector<EndedRun> ended;
   // Runs with a pending start or stop that no run list shows yet.
   std::vector<RunRef> starting;
+  // The runs that were on the worker if the incarnation ended in a crash.
+  std::vector<RunCrash> crashed;
 };
 
 // A run to start.
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -323,6 +323,7 @@
         break;
       }
       result.text = ToString(graph->state);
+      result.failure = graph->failure;
       break;
     }
     case CellQueryKind::kPending:
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -157,8 +157,15 @@
      "A reported end had no effect, because the run was not placed on this "
      "incarnation of the worker; with a number, it was acknowledged."},
     {EventId::kRunCrashObserved, "run-crash-observed",
-     "A run was on a worker that crashed: at-start, unclear or at-work, with "
+     "A run was on a worker that crashed: alone, at-start, unclear or at-work, "
+     "with "
      "its age at the worker's last answer; -1 if the start was not seen."},
+    {EventId::kCrashRecorded, "crash-recorded",
+     "A crash of a worker was counted for a task, with the evidence and the "
+     "numbers of crashes so far."},
+    {EventId::kTaskGivenUp, "task-given-up",
+     "Decision not to start a task again, since it crashed the workers named; "
+     "its graph fails."},
     {EventId::kCallAnswered, "call-answered",
      "A caller of a queue or an operator received a final answer."},
     {EventId::kConfigInForce, "config-in-force",
--- a/src/graph/crash_observer.cc
+++ b/src/graph/crash_observer.cc
@@ -8,8 +8,6 @@
 // A run whose start is this close to the worker's last answer may have crashed
 // the worker by starting.
 constexpr Duration kStartWindow = Millis(50);
-// Time that a run must have been listed to count as at work.
-constexpr Duration kMinListedTime = Millis(200);
 
 }  // namespace
 
@@ -20,9 +18,24 @@
   last_answer_at_ = std::max(last_answer_at_, answered_at);
 }
 
-void CrashObserver::OnStartUnanswered(const RunRef& run,
+void CrashObserver::OnBrokenOff(Time now) {
+  broken_off_at_ = std::min(now, broken_off_at_.value_or(now));
+}
+
+void CrashObserver::OnContactLost(Time now, CallFailure failure) {
+  if (failure == CallFailure::kBrokenOff) {
+    OnBrokenOff(now);
+  }
+  has_timed_out_ = failure == CallFailure::kTimedOut;
+}
+
+void CrashObserver::OnStartUnanswered(Time now,
+                                      const RunRef& run,
                                       Time sent_at,
                                       CallFailure failure) {
+  if (failure == CallFailure::kBrokenOff) {
+    OnBrokenOff(now);
+  }
   if (failure == CallFailure::kNotSent || runs_.contains(run)) {
     return;
   }
@@ -31,6 +44,8 @@
 
 void CrashObserver::OnList(const RunCallReply& reply) {
   last_list_at_ = std::max(last_list_at_, reply.received_at);
+  broken_off_at_.reset();
+  has_timed_out_ = false;
   last_answer_at_ = std::max(last_answer_at_, reply.received_at);
   for (const RunStatus& row : reply.running) {
     ObservedRun& observed = runs_[row.run];
@@ -61,7 +76,7 @@
   if (found == runs_.end() || !found->second.started_at) {
     return std::nullopt;
   }
-  return last_answer_at_ - *found->second.started_at;
+  return crashed_at() - *found->second.started_at;
 }
 
 std::vector<RunCrash> CrashObserver::Evidence() const {
@@ -69,22 +84,36 @@
   for (const auto& [run, observed] : runs_) {
     evidence.push_back({run, EvidenceOf(observed)});
   }
+  const auto is_starting = [](const RunCrash& crash) {
+    return crash.evidence != CrashEvidence::kAtWork;
+  };
+  const auto first =
+      std::find_if(evidence.begin(), evidence.end(), is_starting);
+  if (first != evidence.end() && first->evidence == CrashEvidence::kAtStart &&
+      AgeOf(first->run).value_or(Duration::max()) <= kStartWindow &&
+      std::none_of(first + 1, evidence.end(), is_starting)) {
+    first->evidence = CrashEvidence::kAlone;
+  }
   return evidence;
 }
 
 CrashEvidence CrashObserver::EvidenceOf(const ObservedRun& observed) const {
-  const bool is_at_work =
+  const bool is_listed_long =
       observed.percent > 0 && observed.first_listed_at &&
       last_list_at_ - *observed.first_listed_at >= kMinListedTime;
+  const bool is_old = observed.start_failure == CallFailure::kNone &&
+                      broken_off_at_ && observed.started_at &&
+                      *broken_off_at_ - *observed.started_at >= kMinListedTime;
   const bool is_recent = observed.started_at &&
-                         *observed.started_at + kStartWindow >= last_answer_at_;
+                         crashed_at() - *observed.started_at <= kStartWindow;
   const bool is_alone = runs_.size() == 1;
-  if (is_at_work || (!is_recent && !is_alone)) {
+  if (is_listed_long || is_old || (!is_recent && !is_alone)) {
     return CrashEvidence::kAtWork;
   }
-  return is_loss_precise_ && observed.start_failure != CallFailure::kTimedOut
-             ? CrashEvidence::kAtStart
-             : CrashEvidence::kUnclear;
+  if (has_timed_out_ || observed.start_failure == CallFailure::kTimedOut) {
+    return CrashEvidence::kUnclear;
+  }
+  return CrashEvidence::kAtStart;
 }
 
 }  // namespace banyan
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -37,6 +37,11 @@
 // Retry delay for a job that exceeds the capacity of every worker. Workers of
 // another kind take seconds to join.
 constexpr std::int64_t kOversizedRetryAfterMs = 5000;
+// Workers that are lost within this time of each other are likely to have been
+// lost to a common cause.
+constexpr Duration kCommonCauseWindow = Millis(100);
+// How long the loss of a worker is remembered: several leases.
+constexpr Duration kLossRetention = std::chrono::seconds(30);
 // Maximum number of ended runs in one log entry.
 constexpr std::size_t kMaxEndsPerEntry = 500;
 
@@ -60,6 +65,7 @@
   views_.clear();
   placement_ = GraphPlacement(options_.scheduling);
   placement_proposed_at_.reset();
+  losses_.clear();
   out_ = GraphLeaderOutputs{};
   for (const auto& [id, worker] : table.workers()) {
     GraphWorkerView& view = views_[id];
@@ -155,7 +161,9 @@
   const GraphWorker* worker = table.FindWorker(incarnation);
   if (sync.gone) {
     if (worker != nullptr) {
-      OnLeave(now, *worker, sync.ended);
+      OnLeave(now, table, *worker, sync);
+    } else {
+      ProposeCrashes(table, sync);
     }
     return;
   }
@@ -168,6 +176,12 @@
     // The removal has been proposed, so the lease must not be renewed.
     return;
   }
+  if (view.reachable && !sync.reachable) {
+    std::erase_if(losses_, [&](const auto& loss) {
+      return loss.second + kLossRetention < now;
+    });
+    losses_.emplace_back(incarnation, now);
+  }
   view.reachable = sync.reachable;
   view.is_new_list = sync.lists != view.lists;
   view.lists = sync.lists;
@@ -176,6 +190,7 @@
     const auto known = view.runs.find(row.run);
     RunView seen = known == view.runs.end() ? RunView{} : known->second;
     if (known == view.runs.end()) {
+      seen.listed_at = now;
       seen.progressed_at = now;
       const auto starting_share = view.starting_percent.find(row.run);
       if (starting_share != view.starting_percent.end()) {
@@ -204,9 +219,54 @@
   out_.orders.push_back({agent, std::move(orders)});
 }
 
+bool GraphLeader::HasCommonCause(const WorkerIncarnation& incarnation) const {
+  const auto own =
+      std::find_if(losses_.begin(), losses_.end(),
+                   [&](const auto& loss) { return loss.first == incarnation; });
+  return own == losses_.end() ||
+         std::any_of(losses_.begin(), losses_.end(), [&](const auto& loss) {
+           return loss.first != incarnation &&
+                  std::chrono::abs(loss.second - own->second) <=
+                      kCommonCauseWindow;
+         });
+}
+
+void GraphLeader::ProposeCrashes(const GraphTable& table,
+                                 const WorkerSync& sync) {
+  RecordCrashes record{sync.info.life, {}};
+  const bool has_common_cause = HasCommonCause(sync.info.life);
+  // A run that was just starting explains the crash better than those at work.
+  const bool has_starting = std::any_of(
+      sync.crashed.begin(), sync.crashed.end(), [](const RunCrash& crash) {
+        return crash.evidence != CrashEvidence::kAtWork;
+      });
+  for (RunCrash crash : sync.crashed) {
+    const TaskProgress* task = table.FindTask(crash.run.task);
+    if (task == nullptr || crash.run.run <= task->crashes.last_run) {
+      continue;
+    }
+    const bool is_at_work = crash.evidence == CrashEvidence::kAtWork;
+    const bool clears =
+        is_at_work && table.FindStep(crash.run.task)->long_running;
+    if (clears ? task->crashes.crashes == 0
+               : is_at_work && (has_common_cause || has_starting ||
+                                !table.IsCurrent(crash.run, sync.info.life))) {
+      continue;
+    }
+    if (has_common_cause && !is_at_work) {
+      crash.evidence = CrashEvidence::kUnclear;
+    }
+    record.rows.push_back(std::move(crash));
+  }
+  if (!record.rows.empty()) {
+    out_.proposals.emplace_back(std::move(record));
+  }
+}
+
 void GraphLeader::OnLeave(Time now,
+                          const GraphTable& table,
                           const GraphWorker& worker,
-                          std::span<const EndedRun> ended) {
+                          const WorkerSync& sync) {
   GraphWorkerView& view = views_[worker.info.life.id];
   // The view of a later incarnation means that the removal of this one was
   // proposed with the admission of that one.
@@ -214,10 +274,10 @@
     return;
   }
   view.drop_proposed = true;
-  // The ends go into the log before the removal, which makes the remaining
-  // runs ready to be placed again.
+  // The ends and the crashes go into the log before the removal, which makes
+  // the remaining runs ready to be placed again.
   EndRuns ends{worker.info.life, {}};
-  for (const EndedRun& row : ended) {
+  for (const EndedRun& row : sync.ended) {
     if (row.number <= worker.noted) {
       continue;
     }
@@ -230,7 +290,10 @@
   if (!ends.rows.empty()) {
     out_.proposals.emplace_back(std::move(ends));
   }
-  ProposeRemoval(now, worker, ended, "the worker left");
+  ProposeCrashes(table, sync);
+  ProposeRemoval(
+      now, worker, sync.ended,
+      sync.crashed.empty() ? "the worker left" : "the worker crashed");
 }
 
 void GraphLeader::ProposeAdmission(Time now,
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -41,6 +41,9 @@
 // After this wait one best-effort task is placed on any worker with enough
 // memory. A graph must not be idle for 3 s while its pool is not busy.
 constexpr Duration kRelaxAfter = Millis(2000);
+// After this wait a suspect is placed beside other tasks. A graph must not be
+// idle for 3 s while its pool is not busy.
+constexpr Duration kMaxIsolationWait = Millis(1500);
 // Lower bound of the expected CPU utilisation of a latency-sensitive task, as a
 // fraction of its committed CPU time.
 constexpr double kMinServingUtilisation = 0.35;
@@ -73,6 +76,28 @@
   }
 };
 
+// Whether an occurrence of a graph may start.
+bool IsDue(const Graph& graph, std::int64_t occurrence, WallMillis wall) {
+  return graph.spec.occurrences == 0 ||
+         wall >= graph.spec.first_due_at + occurrence * graph.spec.interval_ms;
+}
+
+// Whether a worker runs a suspect that is not at work yet.
+bool HasTrial(const GraphTable& table,
+              const GraphWorker& worker,
+              const GraphWorkerView& view,
+              Time now) {
+  return !table.suspects().empty() &&
+         std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [&](const RunRef& run) {
+                       const auto seen = view.runs.find(run);
+                       return table.suspects().contains(run.task) &&
+                              table.IsCurrent(run, worker.info.life) &&
+                              (seen == view.runs.end() ||
+                               !seen->second.is_at_work(now));
+                     });
+}
+
 bool HasRunningTask(const Graph& graph) {
   for (const OccurrenceProgress& occurrence : graph.occurrences) {
     for (const StepProgress& step : occurrence) {
@@ -207,6 +232,8 @@
         continue;
       }
     }
+    candidate.is_empty = worker.runs.empty();
+    candidate.has_trial = HasTrial(table, worker, view->second, now);
     for (const RunRef& run : worker.runs) {
       const StepSpec* step = table.FindStep(run.task);
       if (step != nullptr) {
@@ -219,6 +246,7 @@
     }
     candidates_.emplace(id, std::move(candidate));
   }
+  PlaceSuspects(wall, table, placements);
   for (const auto& [urgency, id, graph] :
        PlacementOrder(table, pools, policy_.backlog_forecast, wall)) {
     if (placements.size() >= kMaxBatch) {
@@ -253,10 +281,7 @@
                                 std::vector<RunPlacement>& placements) {
   for (std::size_t k = 0; k < graph.occurrences.size(); ++k) {
     const auto occurrence = static_cast<std::int64_t>(k);
-    const bool is_due =
-        graph.spec.occurrences == 0 ||
-        wall >= graph.spec.first_due_at + occurrence * graph.spec.interval_ms;
-    if (!is_due) {
+    if (!IsDue(graph, occurrence, wall)) {
       break;
     }
     for (std::size_t s = 0; s < graph.occurrences[k].size(); ++s) {
@@ -273,6 +298,77 @@
   }
 }
 
+void GraphPlacement::PlaceSuspects(WallMillis wall,
+                                   const GraphTable& table,
+                                   std::vector<RunPlacement>& placements) {
+  std::erase_if(suspect_waiting_since_, [&](const auto& item) {
+    const TaskProgress* task = table.FindTask(item.first);
+    return task == nullptr || task->phase != TaskPhase::kReady;
+  });
+  for (const TaskRef& ref : table.suspects()) {
+    const TaskProgress& task = *table.FindTask(ref);
+    const Graph& graph = *table.FindGraph(ref.graph);
+    const StepSpec& step = *table.FindStep(ref);
+    if (task.phase != TaskPhase::kReady ||
+        !IsDue(graph, ref.occurrence, wall)) {
+      continue;
+    }
+    // The members of a gang are placed together.
+    if (step.gang) {
+      ReserveWorker(graph.queue.service);
+      continue;
+    }
+    const Isolation isolation = IsolationOf(ref, task);
+    is_relaxed_ = isolation == Isolation::kReservedWorker;
+    if (is_relaxed_) {
+      ReserveWorker(graph.queue.service);
+    }
+    StepDistribution distribution = DistributionOf(
+        graph.occurrences[static_cast<std::size_t>(ref.occurrence)]
+                         [static_cast<std::size_t>(ref.step)]);
+    if (auto placed = PlaceTask(graph, ref, step, task.run + 1, isolation,
+                                distribution)) {
+      placements.push_back(*std::move(placed));
+    } else {
+      ReserveWorker(graph.queue.service);
+    }
+  }
+}
+
+void GraphPlacement::ReserveWorker(const std::string& service) {
+  std::size_t others = 0;
+  CandidateWorker* fewest = nullptr;
+  for (auto& [id, candidate] : candidates_) {
+    if (candidate.worker->info.service != service || candidate.has_trial) {
+      continue;
+    }
+    if (candidate.is_reserved) {
+      return;
+    }
+    ++others;
+    if (fewest == nullptr ||
+        candidate.worker->runs.size() < fewest->worker->runs.size()) {
+      fewest = &candidate;
+    }
+  }
+  if (fewest != nullptr) {
+    fewest->is_reserved = true;
+    fewest->is_last = others == 1;
+  }
+}
+
+GraphPlacement::Isolation GraphPlacement::IsolationOf(
+    const TaskRef& ref,
+    const TaskProgress& task) {
+  if (!task.crashes.is_suspect()) {
+    return Isolation::kNone;
+  }
+  const Time since =
+      suspect_waiting_since_.try_emplace(ref, now_).first->second;
+  return since + kMaxIsolationWait <= now_ ? Isolation::kReservedWorker
+                                           : Isolation::kEmptyWorker;
+}
+
 GraphPlacement::StepDistribution GraphPlacement::DistributionOf(
     const StepProgress& progress) const {
   StepDistribution distribution;
@@ -302,11 +398,12 @@
   int miss_count = 0;
   for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
     const TaskProgress& task = progress.tasks[i];
-    if (task.phase != TaskPhase::kReady) {
+    if (task.phase != TaskPhase::kReady || task.crashes.is_suspect()) {
       continue;
     }
     ref.index = static_cast<std::int64_t>(i);
-    const auto placed = PlaceTask(graph, ref, step, task.run + 1, distribution);
+    const auto placed = PlaceTask(graph, ref, step, task.run + 1,
+                                  Isolation::kNone, distribution);
     if (!placed) {
       if (++miss_count >= kMaxMissesPerStep) {
         return;
@@ -342,7 +439,9 @@
   TaskRef ref = first;
   for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
     ref.index = static_cast<std::int64_t>(i);
-    const auto placed = PlaceTask(graph, ref, step, run + 1, distribution);
+    const auto placed =
+        PlaceTask(graph, ref, step, run + 1,
+                  IsolationOf(ref, progress.tasks[i]), distribution);
     if (!placed) {
       candidates_ = saved_candidates;
       return;
@@ -357,10 +456,11 @@
     const TaskRef& task,
     const StepSpec& step,
     std::int64_t run,
+    Isolation isolation,
     StepDistribution& distribution) {
   PlacementWait wait;
   CandidateWorker* candidate =
-      BestCandidate(graph, task, step, distribution, wait);
+      BestCandidate(graph, task, step, isolation, distribution, wait);
   if (candidate == nullptr) {
     wait.graph = task.graph;
     wait.image = step.image;
@@ -368,6 +468,8 @@
     return std::nullopt;
   }
   Reserve(*candidate, task, step);
+  candidate->is_empty = false;
+  candidate->has_trial = isolation != Isolation::kNone;
   const WorkerInfo& info = candidate->worker->info;
   ++distribution.tasks[info.life.id];
   if (distribution.rack.empty()) {
@@ -380,6 +482,7 @@
     const Graph& graph,
     const TaskRef& task,
     const StepSpec& step,
+    Isolation isolation,
     const StepDistribution& distribution,
     PlacementWait& wait) {
   const auto avoided_workers = avoided_.find(task);
@@ -390,6 +493,10 @@
     if (info.service != graph.queue.service) {
       continue;
     }
+    if (candidate.has_trial || !IsAllowed(candidate, isolation)) {
+      ++wait.excluded;
+      continue;
+    }
     if (!Fits(ReservedResources(step), candidate.free)) {
       ++wait.unfit;
       continue;
@@ -442,6 +549,19 @@
   return best;
 }
 
+bool GraphPlacement::IsAllowed(const CandidateWorker& candidate,
+                               Isolation isolation) {
+  switch (isolation) {
+    case Isolation::kNone:
+      return !candidate.is_reserved || candidate.is_last;
+    case Isolation::kEmptyWorker:
+      return candidate.is_empty;
+    case Isolation::kReservedWorker:
+      return candidate.is_empty || candidate.is_reserved;
+  }
+  return false;
+}
+
 void GraphPlacement::RecordWait(PlacementWait wait) {
   const auto [recorded, is_new] =
       wait_recorded_at_.try_emplace(wait.graph, now_);
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -350,6 +350,70 @@
   return applied;
 }
 
+GraphApplyResult GraphTable::Apply(const RecordCrashes& command,
+                                   WallMillis now) {
+  GraphApplyResult applied;
+  applied.result.ok = true;
+  for (const RunCrash& crash : command.rows) {
+    RecordCrash(crash, command.worker.id, now, applied);
+  }
+  return applied;
+}
+
+void GraphTable::RecordCrash(const RunCrash& crash,
+                             const std::string& worker,
+                             WallMillis now,
+                             GraphApplyResult& applied) {
+  const TaskRef& ref = crash.run.task;
+  TaskProgress* task = MutableTask(ref);
+  const bool is_counted = task == nullptr || task->phase == TaskPhase::kDone ||
+                          crash.run.run <= task->crashes.last_run;
+  if (is_counted || crash.run.run > task->run) {
+    return;
+  }
+  // A long-running task that got to work was not to blame for earlier crashes.
+  if (crash.evidence == CrashEvidence::kAtWork && FindStep(ref)->long_running) {
+    task->crashes = CrashRecord{};
+    task->crashes.last_run = crash.run.run;
+    suspects_.erase(ref);
+    return;
+  }
+  CrashRecord& record = task->crashes;
+  record.Add(crash, worker);
+  applied.events.push_back(RunEvent(EventId::kCrashRecorded, crash.run, worker)
+                               .With("occurrence", ref.occurrence)
+                               .With("evidence", ToString(crash.evidence))
+                               .With("crashes", record.crashes)
+                               .With("at_start", record.at_start)
+                               .With("alone", record.alone)
+                               .With("unclear", record.unclear));
+  if (record.is_suspect()) {
+    suspects_.insert(ref);
+  }
+  if (!record.is_given_up()) {
+    return;
+  }
+  std::string workers;
+  for (const std::string& id : record.workers) {
+    workers += (workers.empty() ? "" : ",") + id;
+  }
+  applied.events.push_back(Event(EventId::kTaskGivenUp)
+                               .With("request", ref.graph)
+                               .With("occurrence", ref.occurrence)
+                               .With("step", ref.step)
+                               .With("task", ref.index)
+                               .With("crashes", record.crashes)
+                               .With("at_start", record.at_start)
+                               .With("alone", record.alone)
+                               .With("unclear", record.unclear)
+                               .With("workers", workers));
+  Graph& graph = graphs_.at(ref.graph);
+  graph.failure = "task " + std::to_string(ref.index) + " of step " +
+                  std::to_string(ref.step) + " crashed its worker " +
+                  std::to_string(record.crashes) + " times";
+  Finish(ref.graph, graph, GraphState::kFailed, now, applied);
+}
+
 void GraphTable::EndRun(GraphWorker& worker,
                         const EndedRun& row,
                         WallMillis now,
@@ -405,6 +469,8 @@
     const bool is_done = graph.spec.steps[index].gang ||
                          static_cast<std::int64_t>(i) == ref.index;
     if (is_done && step.tasks[i].phase != TaskPhase::kDone) {
+      suspects_.erase(
+          {ref.graph, ref.occurrence, ref.step, static_cast<std::int64_t>(i)});
       SetPhase(id, graph, step.tasks[i], TaskPhase::kDone);
       ++step.done;
     }
@@ -439,6 +505,9 @@
     failures = step.gang_failures;
   }
   if (failures >= graph.queue.max_attempts) {
+    graph.failure = "task " + std::to_string(run.task.index) + " of step " +
+                    std::to_string(run.task.step) + " failed " +
+                    std::to_string(failures) + " times";
     Finish(id, graph, GraphState::kFailed, now, applied);
   }
 }
@@ -465,6 +534,7 @@
   graph.occurrences.clear();
   graph.spec.payload.clear();
   ready_graphs_.erase(id);
+  std::erase_if(suspects_, [&](const TaskRef& ref) { return ref.graph == id; });
   expiry_.emplace(now + kGraphRetentionMs, id);
   applied.events.push_back(Event(EventId::kGraphEnded)
                                .With("request", id)
@@ -484,6 +554,7 @@
 
 void GraphTable::RebuildIndexes() {
   ready_graphs_.clear();
+  suspects_.clear();
   pending_counts_.clear();
   expiry_.clear();
   for (auto& [id, graph] : graphs_) {
@@ -497,6 +568,25 @@
     if (graph.ready > 0) {
       ready_graphs_.insert(id);
     }
+    AddSuspects(id, graph);
+  }
+}
+
+void GraphTable::AddSuspects(const std::string& id, const Graph& graph) {
+  TaskRef ref{id, 0, 0, 0};
+  for (const OccurrenceProgress& steps : graph.occurrences) {
+    ref.step = 0;
+    for (const StepProgress& step : steps) {
+      ref.index = 0;
+      for (const TaskProgress& task : step.tasks) {
+        if (task.phase != TaskPhase::kDone && task.crashes.is_suspect()) {
+          suspects_.insert(ref);
+        }
+        ++ref.index;
+      }
+      ++ref.step;
+    }
+    ++ref.occurrence;
   }
 }
 
--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -10,8 +10,19 @@
 
 namespace banyan {
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashRecord,
+                                   crashes,
+                                   at_start,
+                                   alone,
+                                   unclear,
+                                   last_run,
+                                   workers)
 inline void to_json(nlohmann::json& json, const TaskProgress& task) {
   json = {task.phase, task.run, task.failures, task.worker, task.checkpoint};
+  // Few tasks were ever on a worker that crashed.
+  if (task.crashes.last_run > 0) {
+    json.push_back(task.crashes);
+  }
 }
 inline void from_json(const nlohmann::json& json, TaskProgress& task) {
   json.at(0).get_to(task.phase);
@@ -19,6 +30,9 @@
   json.at(2).get_to(task.failures);
   json.at(3).get_to(task.worker);
   json.at(4).get_to(task.checkpoint);
+  if (json.size() > 5) {
+    json.at(5).get_to(task.crashes);
+  }
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StepProgress,
@@ -26,15 +40,30 @@
                                    gang_failures,
                                    last_failed_run,
                                    tasks)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Graph,
-                                   spec,
-                                   queue,
-                                   state,
-                                   occurrences,
-                                   ready,
-                                   order,
-                                   submitted_at,
-                                   changed_at)
+inline void to_json(nlohmann::json& json, const Graph& graph) {
+  json = {{"spec", graph.spec},
+          {"queue", graph.queue},
+          {"state", graph.state},
+          {"occurrences", graph.occurrences},
+          {"ready", graph.ready},
+          {"order", graph.order},
+          {"submitted_at", graph.submitted_at},
+          {"changed_at", graph.changed_at}};
+  if (!graph.failure.empty()) {
+    json["failure"] = graph.failure;
+  }
+}
+inline void from_json(const nlohmann::json& json, Graph& graph) {
+  json.at("spec").get_to(graph.spec);
+  json.at("queue").get_to(graph.queue);
+  json.at("state").get_to(graph.state);
+  json.at("occurrences").get_to(graph.occurrences);
+  json.at("ready").get_to(graph.ready);
+  json.at("order").get_to(graph.order);
+  json.at("submitted_at").get_to(graph.submitted_at);
+  json.at("changed_at").get_to(graph.changed_at);
+  graph.failure = json.value("failure", "");
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GraphWorker,
                                    info,
                                    agent,
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -104,10 +104,13 @@
 }
 
 WorkerAgent WorkerAgent::NextIncarnation(const std::string& successor) && {
+  // A worker that announced its end has not crashed.
+  std::vector<RunCrash> crashed;
   if (!departure_ && !info_->draining) {
-    for (const RunCrash& crash : crash_observer_.Evidence()) {
-      LogCrash(crash);
-    }
+    crashed = crash_observer_.Evidence();
+  }
+  for (const RunCrash& crash : crashed) {
+    LogCrash(crash);
   }
   WorkerAgent next;
   if (successor == info_->life.id) {
@@ -127,9 +130,10 @@
     next.unanswered_starts_ = std::move(unanswered_starts_);
     next.must_settle_stops_ = !next.pending_stops_.empty();
   }
-  if (!ended_.empty()) {
+  if (!ended_.empty() || !crashed.empty()) {
     is_reachable_ = false;
     final_syncs_.push_back(MakeSync());
+    final_syncs_.back().crashed = std::move(crashed);
     if (final_syncs_.size() > kMaxFinalSyncs) {
       out_.events.push_back(
           Event(EventId::kWorkerEndsDiscarded)
@@ -381,7 +385,7 @@
   next_list_at_ = now + (departure_ ? kLeaveProbeInterval : kListRetryDelay);
   const bool was_reachable = is_reachable_;
   if (was_reachable) {
-    crash_observer_.OnContactLost(reply.failure);
+    crash_observer_.OnContactLost(now, reply.failure);
   }
   if (departure_ && reply.sent_at >= departure_->announced_at) {
     const bool is_replaced = reply.refusal == RunRefusal::kOtherIncarnation;
@@ -466,7 +470,8 @@
   }
   if (!reply.answered) {
     unanswered_starts_[reply.run] = now + kMaxCallDelay;
-    crash_observer_.OnStartUnanswered(reply.run, reply.sent_at, reply.failure);
+    crash_observer_.OnStartUnanswered(now, reply.run, reply.sent_at,
+                                      reply.failure);
   }
   if (is_ok) {
     crash_observer_.OnStarted(reply.run, reply.received_at);
@@ -559,6 +564,9 @@
   // Once the leader knows of this incarnation, or that the earlier one is gone,
   // it places the runs of the earlier one elsewhere.
   for (WorkerSync sync : final_syncs_) {
+    if (must_settle_stops_ && sync.ended.empty()) {
+      continue;
+    }
     sync.gone = !must_settle_stops_;
     out_.to_control.emplace_back(std::move(sync));
   }
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -113,6 +113,13 @@
   json.at(2).get_to(row.reason);
   json.at(3).get_to(row.checkpoint);
 }
+inline void to_json(nlohmann::json& json, const RunCrash& crash) {
+  json = {crash.run, crash.evidence};
+}
+inline void from_json(const nlohmann::json& json, RunCrash& crash) {
+  json.at(0).get_to(crash.run);
+  json.at(1).get_to(crash.evidence);
+}
 inline void to_json(nlohmann::json& json, const RunPlacement& placement) {
   json = {placement.run, placement.worker};
 }
@@ -176,15 +183,31 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DropWorker, life, cause, last_seen)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRuns, runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndRuns, worker, rows)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerSync,
-                                   seq,
-                                   info,
-                                   reachable,
-                                   gone,
-                                   lists,
-                                   running,
-                                   ended,
-                                   starting)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordCrashes, worker, rows)
+inline void to_json(nlohmann::json& json, const WorkerSync& sync) {
+  json = {{"seq", sync.seq},
+          {"info", sync.info},
+          {"reachable", sync.reachable},
+          {"gone", sync.gone},
+          {"lists", sync.lists},
+          {"running", sync.running},
+          {"ended", sync.ended},
+          {"starting", sync.starting}};
+  if (!sync.crashed.empty()) {
+    json["crashed"] = sync.crashed;
+  }
+}
+inline void from_json(const nlohmann::json& json, WorkerSync& sync) {
+  json.at("seq").get_to(sync.seq);
+  json.at("info").get_to(sync.info);
+  json.at("reachable").get_to(sync.reachable);
+  json.at("gone").get_to(sync.gone);
+  json.at("lists").get_to(sync.lists);
+  json.at("running").get_to(sync.running);
+  json.at("ended").get_to(sync.ended);
+  json.at("starting").get_to(sync.starting);
+  sync.crashed = json.value("crashed", std::vector<RunCrash>{});
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders,
                                    seq,
                                    worker,
--- a/src/wire/json_types.h
+++ b/src/wire/json_types.h
@@ -99,13 +99,23 @@
                                    status,
                                    content_type,
                                    body)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CommandResult,
-                                   ok,
-                                   error,
-                                   text,
-                                   version,
-                                   claim,
-                                   retry_after_ms)
+inline void to_json(nlohmann::json& json, const CommandResult& result) {
+  json = {{"ok", result.ok},       {"error", result.error},
+          {"text", result.text},   {"version", result.version},
+          {"claim", result.claim}, {"retry_after_ms", result.retry_after_ms}};
+  if (!result.failure.empty()) {
+    json["failure"] = result.failure;
+  }
+}
+inline void from_json(const nlohmann::json& json, CommandResult& result) {
+  json.at("ok").get_to(result.ok);
+  json.at("error").get_to(result.error);
+  json.at("text").get_to(result.text);
+  json.at("version").get_to(result.version);
+  json.at("claim").get_to(result.claim);
+  json.at("retry_after_ms").get_to(result.retry_after_ms);
+  result.failure = json.value("failure", "");
+}
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MemberId, id, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Membership, voters, learners)
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -130,6 +130,15 @@
     DrainOutputs();
   }
 
+  // Reports that a worker no longer answers its agent.
+  void Lose(const std::string& worker) {
+    WorkerSync sync;
+    sync.info = table_.workers().at(worker).info;
+    sync.seq = ++seq_;
+    leader_.OnSync(now_, table_, "agent-" + worker, sync, true);
+    DrainOutputs();
+  }
+
   // Admits a worker and grants it a lease.
   void Join(const WorkerInfo& info) {
     for (int i = 0; i < 2; ++i) {
--- a/tests/support/graph_world.h
+++ b/tests/support/graph_world.h
@@ -49,11 +49,11 @@
 
 // Plays the graph path under virtual time: a log with one table, the leader,
 // and an agent with a stand-in worker on each machine. The load and the faults
-// last 24 s, the calm time after them 36 s. Judges by what the workers see, not
-// by the table: two runs of a task at once, a start after an end that was taken
-// note of, more reserved than the capacity, a third start of a task after it
-// has crashed three workers, and graphs that aren't completed, or aren't failed
-// if one of their tasks crashes its workers.
+// last 24 s, the calm time after them 36 s, or 96 s with deadly tasks. Judges
+// by what the workers see, not by the table: two runs of a task at once, a
+// start after an end that was taken note of, more reserved than the capacity, a
+// third start of a task after it has crashed three workers, and graphs that
+// aren't completed, or aren't failed if one of their tasks crashes its workers.
 [[nodiscard]] GraphWorldResult PlayGraphWorld(const GraphFaults& faults,
                                               std::uint64_t seed);
 
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -78,6 +78,7 @@
       .With(GraphTableStory())
       .With(GraphLeaderStory())
       .With(WorkerAgentStory())
+      .With(CrashStory())
       .With(GraphWorldStory())
       .With(InterferenceStory())
       .With(PacerStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -74,6 +74,7 @@
 Section AgentStory();
 Section GraphPlacementStory();
 Section GraphTableStory();
+Section CrashStory();
 Section GraphWorldStory();
 Section GraphLeaderStory();
 Section WorkerAgentStory();
