Graphs: blame a task alone only for a crash within 25 ms of its start

A run counts as alone if it is the only one that had just started, whatever is at work beside it, and no more than 25 ms before. A run that is alone on its worker without being at work or just started is unclear, and unclear evidence no longer joins a crash alone to give a task up at the second crash. The time of the crash is when the call broke off, not when the agent got to it.

--- a/include/banyan/graph/crash_observer.h
+++ b/include/banyan/graph/crash_observer.h
@@ -20,7 +20,7 @@
   void OnStarted(const RunRef& run, Time answered_at);
 
   // Records a start call without an answer, which may have been carried out.
-  void OnStartUnanswered(Time now,
+  void OnStartUnanswered(Time at,
                          const RunRef& run,
                          Time sent_at,
                          CallFailure failure);
@@ -32,7 +32,7 @@
   void OnFenced(const RunRef& run) { runs_.erase(run); }
 
   // Records how the first list call without an answer failed.
-  void OnContactLost(Time now, CallFailure failure);
+  void OnContactLost(Time at, CallFailure failure);
 
   // Returns the time from the start of a run to the worker's crash, as far as
   // it is known, or else to its last answer; nothing if the start was not seen.
@@ -53,7 +53,7 @@
     std::int64_t percent = 0;
   };
 
-  void OnBrokenOff(Time now);
+  void OnBrokenOff(Time at);
   // Returns the time of the crash if it is known, or else of the last answer.
   [[nodiscard]] Time crashed_at() const noexcept {
     return broken_off_at_.value_or(last_answer_at_);
--- a/include/banyan/graph/crash_record.h
+++ b/include/banyan/graph/crash_record.h
@@ -41,13 +41,12 @@
   // Whether the task must not be started again. Two crashes suffice if the task
   // started alone at one of them.
   [[nodiscard]] bool is_given_up() const noexcept {
-    const std::int64_t starting = at_start + unclear;
-    return starting >= kMaxStartingCrashes ||
-           (alone > 0 && starting >= kMaxStartingCrashes - 1) ||
-           crashes >= kMaxCrashes;
+    return (alone > 0 && at_start >= kMaxCrashesIfAlone) ||
+           at_start + unclear >= kMaxStartingCrashes || crashes >= kMaxCrashes;
   }
 
   static constexpr std::int64_t kSuspectCrashes = 2;
+  static constexpr std::int64_t kMaxCrashesIfAlone = 2;
   static constexpr std::int64_t kMaxStartingCrashes = 3;
   // At most two starts may follow the third crash of a worker under a task.
   static constexpr std::int64_t kMaxCrashes = 5;
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -177,11 +177,13 @@
 enum class CrashEvidence : std::uint8_t {
   // The worker crashed as it started this run alone; others were at work.
   kAlone,
-  // The worker crashed as it started the run among others, or with nothing else
-  // there before the run was at work.
+  // The worker crashed as it started the run among others.
   kAtStart,
-  // As kAlone or kAtStart, but another cause is about as likely: the moment of
-  // the crash is not known, or other workers crashed at the same time.
+  // Another cause is about as likely: the moment of the crash is not known,
+  // other
+  // workers crashed at the same time, or the run was alone there but neither
+  // just
+  // started nor at work.
   kUnclear,
   // The run was on the worker and had started before.
   kAtWork,
--- a/src/graph/crash_observer.cc
+++ b/src/graph/crash_observer.cc
@@ -8,6 +8,8 @@
 // A run whose start is this close to the worker's last answer may have crashed
 // the worker by starting.
 constexpr Duration kStartWindow = Millis(50);
+// The same for a run that is to be blamed alone.
+constexpr Duration kAloneWindow = Millis(25);
 
 }  // namespace
 
@@ -18,23 +20,23 @@
   last_answer_at_ = std::max(last_answer_at_, answered_at);
 }
 
-void CrashObserver::OnBrokenOff(Time now) {
-  broken_off_at_ = std::min(now, broken_off_at_.value_or(now));
+void CrashObserver::OnBrokenOff(Time at) {
+  broken_off_at_ = std::min(at, broken_off_at_.value_or(at));
 }
 
-void CrashObserver::OnContactLost(Time now, CallFailure failure) {
+void CrashObserver::OnContactLost(Time at, CallFailure failure) {
   if (failure == CallFailure::kBrokenOff) {
-    OnBrokenOff(now);
+    OnBrokenOff(at);
   }
   has_timed_out_ = failure == CallFailure::kTimedOut;
 }
 
-void CrashObserver::OnStartUnanswered(Time now,
+void CrashObserver::OnStartUnanswered(Time at,
                                       const RunRef& run,
                                       Time sent_at,
                                       CallFailure failure) {
   if (failure == CallFailure::kBrokenOff) {
-    OnBrokenOff(now);
+    OnBrokenOff(at);
   }
   if (failure == CallFailure::kNotSent || runs_.contains(run)) {
     return;
@@ -90,7 +92,7 @@
   const auto first =
       std::find_if(evidence.begin(), evidence.end(), is_starting);
   if (first != evidence.end() && first->evidence == CrashEvidence::kAtStart &&
-      AgeOf(first->run).value_or(Duration::max()) <= kStartWindow &&
+      AgeOf(first->run).value_or(Duration::max()) <= kAloneWindow &&
       std::none_of(first + 1, evidence.end(), is_starting)) {
     first->evidence = CrashEvidence::kAlone;
   }
@@ -110,7 +112,8 @@
   if (is_listed_long || is_old || (!is_recent && !is_alone)) {
     return CrashEvidence::kAtWork;
   }
-  if (has_timed_out_ || observed.start_failure == CallFailure::kTimedOut) {
+  if (!is_recent || has_timed_out_ ||
+      observed.start_failure == CallFailure::kTimedOut) {
     return CrashEvidence::kUnclear;
   }
   return CrashEvidence::kAtStart;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -385,7 +385,7 @@
   next_list_at_ = now + (departure_ ? kLeaveProbeInterval : kListRetryDelay);
   const bool was_reachable = is_reachable_;
   if (was_reachable) {
-    crash_observer_.OnContactLost(now, reply.failure);
+    crash_observer_.OnContactLost(reply.received_at, reply.failure);
   }
   if (departure_ && reply.sent_at >= departure_->announced_at) {
     const bool is_replaced = reply.refusal == RunRefusal::kOtherIncarnation;
@@ -470,8 +470,8 @@
   }
   if (!reply.answered) {
     unanswered_starts_[reply.run] = now + kMaxCallDelay;
-    crash_observer_.OnStartUnanswered(now, reply.run, reply.sent_at,
-                                      reply.failure);
+    crash_observer_.OnStartUnanswered(reply.received_at, reply.run,
+                                      reply.sent_at, reply.failure);
   }
   if (is_ok) {
     crash_observer_.OnStarted(reply.run, reply.received_at);
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -166,6 +166,7 @@
   }
   for (RunCall& call : outputs.calls) {
     RunCallReply refusal = MakeUnansweredReply(call);
+    refusal.failure = CallFailure::kNotSent;
     refusal.text = "the ring of calls is full";
     BoundedRing<RunCall>& ring =
         call.op == RunCallOp::kListRuns ? list_calls_ : order_calls_;
