Graphs: start nothing beyond a capacity that has shrunk

A worker may report less capacity while it runs. The agent passed that on with its next periodic sync, its pending starts went on for up to 3 s, the leader repeated starts that no run list confirmed whatever the capacity, and placements proposed before the report were started after it.

The agent reports a changed capacity at once and fences the starts that the worker has not confirmed if it shrank. The leader keeps the last reported capacity beside the one in the table and uses the smaller: placement, starts after a commit, repeated starts. A run that no longer fits is withdrawn with a stop, which the worker confirms, and is placed again (run-withdrawn). What is being stopped counts until its end is committed. A job is not refused as too large for a worker that had enough before.

Why it works: a start reaches the worker only within the capacity that the agent and the leader know last, and both know it within one report. A replica's log is applied as before.

--- a/include/banyan/base/resources.h
+++ b/include/banyan/base/resources.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_BASE_RESOURCES_H_
 #define BANYAN_BASE_RESOURCES_H_
 
+#include <algorithm>
 #include <cstdint>
 
 namespace banyan {
@@ -50,6 +51,22 @@
          need.accelerators <= free.accelerators;
 }
 
+// Returns the smaller amount in each dimension.
+[[nodiscard]] constexpr Resources Min(const Resources& a,
+                                      const Resources& b) noexcept {
+  return {std::min(a.cpu_millis, b.cpu_millis),
+          std::min(a.memory_mib, b.memory_mib),
+          std::min(a.accelerators, b.accelerators)};
+}
+
+// Returns the larger amount in each dimension.
+[[nodiscard]] constexpr Resources Max(const Resources& a,
+                                      const Resources& b) noexcept {
+  return {std::max(a.cpu_millis, b.cpu_millis),
+          std::max(a.memory_mib, b.memory_mib),
+          std::max(a.accelerators, b.accelerators)};
+}
+
 // Returns whether no dimension is negative.
 [[nodiscard]] constexpr bool IsNonNegative(const Resources& r) noexcept {
   return r.cpu_millis >= 0 && r.memory_mib >= 0 && r.accelerators >= 0;
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -86,6 +86,7 @@
   kRunCrashObserved = 1344,
   kCrashRecorded = 1345,
   kTaskGivenUp = 1346,
+  kRunWithdrawn = 1347,
   kCallAnswered = 1350,
   kConfigInForce = 1401,
   kCommandAccepted = 1402,
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -102,6 +102,8 @@
                  const GraphWorker& worker,
                  const WorkerSync& sync,
                  WorkerOrders& orders);
+  // Logs that a run must not start since its worker's capacity has shrunk.
+  void LogWithdrawn(const RunRef& run, const GraphWorker& worker);
   void Throttle(Time now,
                 const GraphTable& table,
                 const GraphWorker& worker,
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -107,6 +107,8 @@
   // can guarantee this: an earlier agent, or a call without an answer, may have
   // started the run.
   void FenceRun(Time now, const RunRef& run, const char* why);
+  // Fences the starts that the worker has not confirmed.
+  void FencePendingStarts(Time now);
   void SetReachable(Time now, bool reachable, const std::string& why);
   void RequestRunList(Time now);
   void SendStarts(Time now);
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "banyan/base/resources.h"
 #include "banyan/base/time.h"
 #include "banyan/graph/crash_record.h"
 #include "banyan/wire/graph.h"
@@ -40,6 +41,10 @@
   // When the leader may consider the worker's lease expired.
   Time lease_deadline;
   bool reachable = false;
+  // The capacity last reported; empty before the first report.
+  std::optional<Resources> capacity;
+  // The largest capacity that was reported.
+  Resources largest_capacity;
   // Number of the worker's list that `runs` comes from.
   std::uint64_t lists = 0;
   // Whether the last sync brought a new list.
@@ -68,6 +73,12 @@
   Time quarantined_until;
   // The last run placed here while the worker was suspected.
   std::optional<RunRef> probe;
+
+  // Returns what may be placed on the worker: its capacity in the table, or
+  // less if it has reported less since.
+  [[nodiscard]] Resources UsableCapacity(const Resources& committed) const {
+    return capacity ? Min(*capacity, committed) : committed;
+  }
 };
 
 }  // namespace banyan
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -166,6 +166,9 @@
     {EventId::kTaskGivenUp, "task-given-up",
      "Decision not to start a task again, since it crashed the workers named; "
      "its graph fails."},
+    {EventId::kRunWithdrawn, "run-withdrawn",
+     "A run that is not confirmed must not start, since its worker's capacity "
+     "no longer holds it; with what is committed there and the capacity."},
     {EventId::kCallAnswered, "call-answered",
      "A caller of a queue or an operator received a final answer."},
     {EventId::kConfigInForce, "config-in-force",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -183,6 +183,8 @@
     losses_.emplace_back(incarnation, now);
   }
   view.reachable = sync.reachable;
+  view.capacity = sync.info.capacity;
+  view.largest_capacity = Max(view.largest_capacity, sync.info.capacity);
   view.is_new_list = sync.lists != view.lists;
   view.lists = sync.lists;
   std::map<RunRef, RunView> runs;
@@ -396,16 +398,32 @@
   for (const RunRef& run : sync.starting) {
     check(run);
   }
+  const auto is_unconfirmed = [&](const RunRef& run) {
+    return !known.contains(run) && table.IsCurrent(run, worker.info.life);
+  };
+  // What is being stopped takes up capacity until its end is committed.
+  Resources held = worker.committed;
+  for (const RunRef& run : worker.runs) {
+    if (is_unconfirmed(run)) {
+      held -= ReservedResources(*table.FindStep(run.task));
+    }
+  }
   for (const RunRef& run : worker.runs) {
     if (known.contains(run)) {
       continue;
     }
-    if (!table.IsCurrent(run, worker.info.life)) {
-      if (is_due(view.stop_sent_at, run)) {
-        orders.stops.push_back(run);
+    bool must_stop = !is_unconfirmed(run) || view.stop_sent_at.contains(run);
+    if (is_unconfirmed(run)) {
+      held += ReservedResources(*table.FindStep(run.task));
+      if (!must_stop && !Fits(held, sync.info.capacity)) {
+        must_stop = true;
+        LogWithdrawn(run, worker);
       }
-    } else if (is_due(view.start_sent_at, run)) {
+    }
+    if (!must_stop && is_due(view.start_sent_at, run)) {
       orders.starts.push_back(MakeStart(table, worker, run));
+    } else if (must_stop && is_due(view.stop_sent_at, run)) {
+      orders.stops.push_back(run);
     }
   }
   std::erase_if(view.start_sent_at, [&](const auto& item) {
@@ -419,6 +437,18 @@
   });
 }
 
+void GraphLeader::LogWithdrawn(const RunRef& run, const GraphWorker& worker) {
+  const GraphWorkerView& view = views_[worker.info.life.id];
+  const Resources capacity = view.UsableCapacity(worker.info.capacity);
+  out_.events.push_back(
+      RunEvent(EventId::kRunWithdrawn, run, worker.info.life.id)
+          .With("occurrence", run.task.occurrence)
+          .With("committed_millis", worker.committed.cpu_millis)
+          .With("committed_mib", worker.committed.memory_mib)
+          .With("capacity_millis", capacity.cpu_millis)
+          .With("capacity_mib", capacity.memory_mib));
+}
+
 void GraphLeader::Throttle(Time now,
                            const GraphTable& table,
                            const GraphWorker& worker,
@@ -548,8 +578,16 @@
   for (const RunPlacement& placement : applied.placed) {
     const GraphWorker* worker = table.FindWorker(placement.worker);
     if (worker != nullptr) {
-      RunStart start = MakeStart(table, *worker, placement.run);
       GraphWorkerView& view = views_[placement.worker.id];
+      // The capacity may have shrunk since the placement was proposed.
+      if (!Fits(worker->committed,
+                view.UsableCapacity(worker->info.capacity))) {
+        view.stop_sent_at[placement.run] = now;
+        orders_for(*worker).stops.push_back(placement.run);
+        LogWithdrawn(placement.run, *worker);
+        continue;
+      }
+      RunStart start = MakeStart(table, *worker, placement.run);
       view.start_sent_at[placement.run] = now;
       if (start.percent < kFullPercent) {
         view.starting_percent[placement.run] = start.percent;
@@ -621,9 +659,15 @@
       continue;
     }
     has_worker = true;
+    // A capacity that has shrunk may grow again.
+    const auto view = views_.find(id);
+    const Resources capacity =
+        view == views_.end() || view->second.life != worker.info.life
+            ? worker.info.capacity
+            : Max(worker.info.capacity, view->second.largest_capacity);
     for (std::size_t s = 0; s < fits.size(); ++s) {
-      fits[s] = fits[s] || Fits(ReservedResources(submit.spec.steps[s]),
-                                worker.info.capacity);
+      fits[s] =
+          fits[s] || Fits(ReservedResources(submit.spec.steps[s]), capacity);
     }
   }
   // Without any worker the capacity of future workers is unknown.
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -221,7 +221,8 @@
     }
     CandidateWorker candidate;
     candidate.worker = &worker;
-    candidate.free = worker.info.capacity - worker.committed;
+    candidate.free =
+        view->second.UsableCapacity(worker.info.capacity) - worker.committed;
     candidate.idle_cpu_millis =
         candidate.free.cpu_millis - worker.fill_cpu_millis;
     candidate.needs_probe = view->second.is_suspected;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -78,6 +78,9 @@
   }
   const bool was_draining = info_ && info_->draining;
   const bool is_new = !info_;
+  const bool has_shrunk = info_ && !Fits(info_->capacity, report.info.capacity);
+  const bool has_changed = is_new || was_draining != report.info.draining ||
+                           info_->capacity != report.info.capacity;
   info_ = report.info;
   report_sequence_ = report.sequence;
   // A worker that answers and reports after its announcement is still active.
@@ -87,7 +90,10 @@
   if (is_new && report.clock_ms) {
     clock_ = ClockSample{*report.clock_ms, now};
   }
-  if (is_new || was_draining != report.info.draining) {
+  if (has_shrunk) {
+    FencePendingStarts(now);
+  }
+  if (has_changed) {
     SendSync(now);
   }
   SendStops(now);
@@ -263,6 +269,16 @@
                             .With("reason", why));
 }
 
+void WorkerAgent::FencePendingStarts(Time now) {
+  std::vector<RunRef> runs;
+  for (const auto& [run, pending_start] : pending_starts_) {
+    runs.push_back(run);
+  }
+  for (const RunRef& run : runs) {
+    FenceRun(now, run, "the capacity has shrunk");
+  }
+}
+
 void WorkerAgent::ReportRefusal(Time now, const RunRef& run) {
   crash_observer_.OnFenced(run);
   refusals_[run] = now + kRefusalRepeatPeriod;
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -408,11 +408,13 @@
       fixture.table(), SampleGraph("h", {SampleStep(1)})));
 }
 
-// Returns the number of starts that the leader has ordered since the last call.
-std::size_t TakeStarts(LeaderHarness& fixture) {
-  std::size_t starts = 0;
+// Returns the runs whose start the leader has ordered since the last call.
+std::set<RunRef> TakeStarts(LeaderHarness& fixture) {
+  std::set<RunRef> starts;
   for (const WorkerOrders& orders : fixture.TakeOrders()) {
-    starts += orders.starts.size();
+    for (const RunStart& start : orders.starts) {
+      starts.insert(start.run);
+    }
   }
   return starts;
 }
@@ -424,7 +426,7 @@
   fixture.Join(SampleWorker("w1"));
   fixture.Commit(SampleGraph("g", {SampleStep(3)}));
   fixture.AdvanceTime(kTimeStep);
-  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, TakeStarts(fixture));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, TakeStarts(fixture).size());
   WorkerSync sync;
   sync.info = SampleWorker("w1");
   sync.info.capacity.cpu_millis = 1000;
@@ -432,7 +434,29 @@
     fixture.AdvanceTime(Millis(500));
     fixture.Sync(sync);
   }
-  CPPUNIT_ASSERT(TakeStarts(fixture) <= 1);
+  CPPUNIT_ASSERT(TakeStarts(fixture).size() <= 1);
+}
+
+// Guards against a job that is refused as too large for a worker whose capacity
+// has shrunk for a while.
+void ShrunkCapacityRefusesNoJob() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  WorkerSync sync;
+  sync.info = SampleWorker("w1");
+  sync.info.capacity = {};
+  fixture.Sync(sync);
+  const SubmitGraph graph = SampleGraph("g", {SampleStep(1, 4000)});
+  CPPUNIT_ASSERT(!fixture.leader().CheckAdmission(fixture.table(), graph));
+  fixture.Commit(graph);
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT(fixture.RunsOn("w1").empty());
+  fixture.Join(SampleWorker("w1"));
+  fixture.AdvanceTime(Millis(2000));
+  fixture.Join(SampleWorker("w1"));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE("it starts once the capacity is back",
+                               std::size_t{1}, fixture.RunsOn("w1").size());
 }
 
 }  // namespace
@@ -458,7 +482,9 @@
                     BestEffortTasksAreNotStarved))
       .With(Section("admission")
                 .Then("refuses at once a job that exceeds every worker",
-                      OversizedJobIsRefusedAtOnce))
+                      OversizedJobIsRefusedAtOnce)
+                .Then("accepts a job for a capacity that may grow again",
+                      ShrunkCapacityRefusesNoJob))
       .With(Section("a worker")
                 .Then("that is silent keeps its runs until its lease expires",
                       SilentWorkerIsReplacedOnlyAfterItsLease)
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -87,6 +87,21 @@
   CPPUNIT_ASSERT(!ReadReport(odd, "w1", reason));
 }
 
+// Guards against an earlier capacity that stays in force: amounts of 0 are left
+// out.
+void ReadsACapacityOfNothing() {
+  for (const std::string shrunk :
+       {"{}", R"({"mem-mb":0})", R"({"cpu":0,"gpu":0})"}) {
+    std::string text = kReport;
+    const std::size_t begin = text.find('{', text.find("\"capacity\""));
+    text.replace(begin, text.find('}', begin) + 1 - begin, shrunk);
+    Reason reason;
+    const auto report = ReadReport(text, "w1", reason);
+    CPPUNIT_ASSERT(report.has_value());
+    CPPUNIT_ASSERT(report->info.capacity == Resources{});
+  }
+}
+
 void SkipsRowsThatCantBeRead() {
   RunCallReply reply;
   reply.incarnation = {"w1", 17};
@@ -187,6 +202,8 @@
       .With(Section("a job").Then("is read with its steps", p::ReadsAGraph))
       .With(Section("a worker")
                 .Then("is read from its heartbeat", p::ReadsAReport)
+                .Then("may have a capacity of nothing",
+                      p::ReadsACapacityOfNothing)
                 .Then("has rows skipped that can't be read",
                       p::SkipsRowsThatCantBeRead)
                 .Then("is not mixed up with its other lives",
