Agent: report a listed task that ended and has no record

A start by an earlier agent process may take effect after the list that its successor begins with. Once that task had finished, the agent told the worker to forget it and nobody learned of the result, so the job ran again. The end is now recorded and reported like any other, and forgotten once the report is acknowledged; an end that was acknowledged before is forgotten at once.

--- a/include/banyan/agent/task_runner.h
+++ b/include/banyan/agent/task_runner.h
@@ -166,6 +166,9 @@
             TaskRecord& record,
             TaskEnd end,
             std::string cause);
+  // Stops a listed task that has no record, or reports its end unless that was
+  // acknowledged before.
+  void OnUnknownTask(Time now, const WorkerTask& item);
   // Releases the task's resources and reports its end.
   void End(Time now,
            const TaskId& task,
--- a/src/agent/task_runner.cc
+++ b/src/agent/task_runner.cc
@@ -260,9 +260,7 @@
     listed.insert(item.task);
     const auto found = records_.find(item.task);
     if (found == records_.end()) {
-      // A call by a previous agent process took effect after adoption.
-      const bool is_running = item.state == WorkerTaskState::kRunning;
-      CallWorker(is_running ? WorkerOp::kStop : WorkerOp::kForget, item.task);
+      OnUnknownTask(now, item);
       continue;
     }
     TaskRecord& record = found->second;
@@ -286,6 +284,21 @@
   }
 }
 
+void TaskRunner::OnUnknownTask(Time now, const WorkerTask& item) {
+  // A call by a previous agent process took effect after adoption.
+  if (item.state == WorkerTaskState::kRunning) {
+    CallWorker(WorkerOp::kStop, item.task);
+  } else if (acknowledged_.contains(item.task)) {
+    CallWorker(WorkerOp::kForget, item.task);
+  } else {
+    const bool has_finished = item.state == WorkerTaskState::kFinished;
+    TaskRecord& record = records_[item.task];
+    record.checkpoint = item.checkpoint;
+    End(now, item.task, record,
+        has_finished ? TaskEnd::kFinished : TaskEnd::kFailed, item.cause);
+  }
+}
+
 void TaskRunner::OnLeaseLost(Time now) {
   for (auto& [task, record] : records_) {
     if (record.phase != Phase::kEnded && record.phase != Phase::kStopping) {
