Entries: end a claim whose answer comes after the caller's deadline

The dispatch of a non-idempotent request was forgotten as its deadline passed. The entry now keeps the claim of an expired dispatch, bounded at 20,000, and ends it with the late answer.

--- a/include/banyan/routing/router_core.h
+++ b/include/banyan/routing/router_core.h
@@ -219,8 +219,16 @@
     Time sent;
   };
 
+  // A claimed dispatch whose caller's deadline passed before its reply. The
+  // reply still ends the claim.
+  struct ExpiredClaim {
+    std::string key;
+    std::uint64_t attempt = 0;
+  };
+
   // Handlers of received messages.
   void On(Time now, WallMillis wall, const DispatchReply& reply);
+  void OnLateReply(const DispatchReply& reply);
   void On(Time now, WallMillis wall, const TombstoneReply& reply);
   void On(Time now, WallMillis wall, const CommandReply& reply);
   void On(Time now, WallMillis wall, const ConfigUpdate& update);
@@ -251,6 +259,10 @@
   void SendEndClaim(const PendingRequest& pending,
                     ClaimEnd end,
                     const CallerAnswer& answer);
+  void SendEndClaim(const std::string& key,
+                    std::uint64_t claim_attempt,
+                    ClaimEnd end,
+                    const CallerAnswer& answer);
   // Handles the loss of all attempts in flight with their agent's connection.
   void OnAttemptsLost(Time now, WallMillis wall, PendingRequest& pending);
   // Starts another attempt if rounds, deadline and retry budget permit.
@@ -297,6 +309,7 @@
   std::map<std::uint64_t, PendingReply> pending_replies_;
   // Unanswered dispatches by sequence number.
   std::map<std::uint64_t, InFlightDispatch> in_flight_dispatches_;
+  std::map<std::uint64_t, ExpiredClaim> expired_claims_;
   // Claim keys that this entry has dispatched.
   std::set<std::string> dispatched_keys_;
   // The same keys, oldest first.
--- a/src/routing/router_core.cc
+++ b/src/routing/router_core.cc
@@ -17,6 +17,8 @@
 constexpr Duration kReplyMargin = Millis(10);
 // Maximum number of dispatched claim keys that an entry keeps.
 constexpr std::size_t kMaxDispatchedKeys = 50000;
+// Maximum number of claims without a reply that an entry keeps.
+constexpr std::size_t kMaxExpiredClaims = 20000;
 // Largest answer body that is stored with a claim (256 KiB).
 constexpr std::size_t kMaxStoredBodyBytes = 256U << 10U;
 // HTTP status stored with a claim in place of an answer body that is too large.
@@ -334,13 +336,40 @@
   }
 }
 
+template <RoutingPolicy Policy>
+void BasicRouterCore<Policy>::OnLateReply(const DispatchReply& reply) {
+  const auto found = expired_claims_.find(reply.seq);
+  if (found == expired_claims_.end()) {
+    return;
+  }
+  const ExpiredClaim claim = std::move(found->second);
+  expired_claims_.erase(found);
+  CallerAnswer answer;
+  answer.status = reply.status;
+  answer.content_type = reply.content_type;
+  answer.body = reply.body;
+  const ClaimEnd end =
+      reply.outcome == RequestOutcome::kRan      ? ClaimEnd::kFinished
+      : reply.outcome == RequestOutcome::kNotRun ? ClaimEnd::kReleased
+                                                 : ClaimEnd::kUnknown;
+  SendEndClaim(claim.key, claim.attempt, end, answer);
+}
+
 template <RoutingPolicy Policy>
 void BasicRouterCore<Policy>::SendEndClaim(const PendingRequest& pending,
                                            ClaimEnd end,
                                            const CallerAnswer& answer) {
+  SendEndClaim(ClaimKeyOf(pending), pending.claim_attempt, end, answer);
+}
+
+template <RoutingPolicy Policy>
+void BasicRouterCore<Policy>::SendEndClaim(const std::string& key,
+                                           std::uint64_t claim_attempt,
+                                           ClaimEnd end,
+                                           const CallerAnswer& answer) {
   EndClaim command;
-  command.key = ClaimKeyOf(pending);
-  command.attempt = pending.claim_attempt;
+  command.key = key;
+  command.attempt = claim_attempt;
   command.end = end;
   command.status = answer.status;
   command.content_type = answer.content_type;
@@ -360,6 +389,7 @@
                                  const DispatchReply& reply) {
   const auto open_dispatch = in_flight_dispatches_.find(reply.seq);
   if (open_dispatch == in_flight_dispatches_.end()) {
+    OnLateReply(reply);
     return;
   }
   const InFlightDispatch dispatch = open_dispatch->second;
@@ -541,6 +571,14 @@
     pending.may_have_run = true;
     in_flight_dispatches_.erase(attempt.seq);
     pool_.OnFailure(now, attempt.endpoint, config_.preset, outputs_.events);
+    if (NeedsClaim(pending)) {
+      expired_claims_[attempt.seq] = {ClaimKeyOf(pending),
+                                      pending.claim_attempt};
+    }
+  }
+  // Dispatches are numbered in ascending order, so the oldest come first.
+  while (expired_claims_.size() > kMaxExpiredClaims) {
+    expired_claims_.erase(expired_claims_.begin());
   }
   Fail(pending, ErrorKind::kDeadline, "the deadline passed");
 }
