Control: refuse the registration of an incarnation that was replaced

An agent's announcement may be held up in a paused replica and arrive after its next incarnation has registered and was given a job. It counted as a restart: the job was requeued and placed on another worker while it ran. Incarnations are random numbers, so order says nothing.

--- a/include/banyan/control/control_state.h
+++ b/include/banyan/control/control_state.h
@@ -50,6 +50,8 @@
   Resources committed;
   // Keys of the jobs placed here.
   std::set<std::string> jobs;
+  // Earlier incarnations, oldest first; none of them may register again.
+  std::vector<std::uint64_t> replaced;
 };
 
 // Quota and current usage of a team.
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -13,6 +13,8 @@
 constexpr WallMillis kCommandRetentionMs = 24LL * 3600 * 1000;
 // Maximum number of expired items of each type that one command removes.
 constexpr int kMaxExpiredPerCommand = 32;
+// Maximum number of earlier incarnations that an instance is known by.
+constexpr std::size_t kMaxReplacedIncarnations = 8;
 // A job ends as failed once it has failed on this many different workers.
 constexpr std::size_t kMaxFailedWorkers = 3;
 // A job ends as failed once it has failed this many times in total.
@@ -350,11 +352,23 @@
   Accept(applied);
   const auto found = instances_.find(info.id);
   const bool is_endpoint = info.role == InstanceRole::kEndpoint;
+  if (found != instances_.end() &&
+      std::count(found->second.replaced.begin(), found->second.replaced.end(),
+                 info.incarnation) > 0) {
+    Refuse(applied, ErrorKind::kStale, "a later incarnation has registered");
+    return;
+  }
   if (found != instances_.end() && found->second.info == info) {
     return;
   }
   Instance& instance = instances_[info.id];
   const bool is_restarted = instance.info.incarnation != info.incarnation;
+  if (is_restarted && found != instances_.end()) {
+    instance.replaced.push_back(instance.info.incarnation);
+    if (instance.replaced.size() > kMaxReplacedIncarnations) {
+      instance.replaced.erase(instance.replaced.begin());
+    }
+  }
   instance.info = info;
   if (is_restarted) {
     const std::set<TaskId> running(command.running.begin(),
--- a/src/control/control_state_codec.cc
+++ b/src/control/control_state_codec.cc
@@ -35,8 +35,12 @@
 
 std::string ControlState::Encode() const {
   json instances = json::array();
+  json replaced = json::object();
   for (const auto& [id, instance] : instances_) {
     instances.push_back(instance.info);
+    if (!instance.replaced.empty()) {
+      replaced[id] = instance.replaced;
+    }
   }
   json quotas = json::object();
   for (const auto& [name, team] : teams_) {
@@ -51,6 +55,7 @@
   const json value = {{"config", config_},
                       {"jobs", jobs_},
                       {"instances", std::move(instances)},
+                      {"replaced", std::move(replaced)},
                       {"quotas", std::move(quotas)},
                       {"claims", claims_},
                       {"remembered", std::move(remembered)},
@@ -83,6 +88,15 @@
       info.get_to(instance.info);
       state.instances_.emplace(instance.info.id, instance);
     }
+    // Snapshots of earlier builds lack this field.
+    if (value.contains("replaced")) {
+      for (const auto& [id, incarnations] : value.at("replaced").items()) {
+        const auto found = state.instances_.find(id);
+        if (found != state.instances_.end()) {
+          incarnations.get_to(found->second.replaced);
+        }
+      }
+    }
     for (const auto& [name, quota] : value.at("quotas").items()) {
       state.teams_[name].quota = quota.get<Resources>();
     }
--- a/tests/unit/control_state_test.cc
+++ b/tests/unit/control_state_test.cc
@@ -267,6 +267,13 @@
                          state.FindJob("j")->state == JobState::kPlaced);
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
                        state.FindInstance("w1")->info.incarnation);
+  Reason reason;
+  auto copy = ControlState::Decode(state.Encode(), reason);
+  CPPUNIT_ASSERT_MESSAGE(reason.text, copy.has_value());
+  ApplyCommand(*copy, earlier);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE("a snapshot keeps what was replaced",
+                               std::uint64_t{2},
+                               copy->FindInstance("w1")->info.incarnation);
 }
 
 }  // namespace
