Agent: grant no tombstone for an attempt whose record was dropped

An agent that had run an attempt and forgotten it promised that it never would run, so a request that must run once ran again. An attempt that was never seen is granted as before; that is a test, too. Tried in thought and dropped: unknown for every attempt once any record is gone, which ends all promises after ten minutes.

--- a/include/banyan/agent.h
+++ b/include/banyan/agent.h
@@ -5,6 +5,7 @@
 
 #include "banyan/agent/agent_core.h"
 #include "banyan/agent/endpoint_guard.h"
+#include "banyan/agent/forgotten_attempts.h"
 #include "banyan/agent/task_runner.h"
 
 #endif  // BANYAN_AGENT_H_
--- a/include/banyan/agent/endpoint_guard.h
+++ b/include/banyan/agent/endpoint_guard.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "banyan/agent/forgotten_attempts.h"
 #include "banyan/base/time.h"
 #include "banyan/events/event.h"
 #include "banyan/wire/message.h"
@@ -160,6 +161,8 @@
   // Keyed by the id of the endpoint call.
   std::map<std::uint64_t, Request> running_;
   std::map<AttemptKey, AttemptRecord> attempt_records_;
+  // Attempts whose records were dropped, about which no promise can be made.
+  ForgottenAttempts forgotten_attempts_;
   std::deque<std::pair<Time, AttemptKey>> attempt_expiry_order_;
   std::uint64_t next_call_id_ = 1;
   Duration latency_{0};
--- a/src/agent/endpoint_guard.cc
+++ b/src/agent/endpoint_guard.cc
@@ -277,6 +277,11 @@
              "attempt was withdrawn");
     }
   }
+  if (forgotten_attempts_.MayContain(request.claim_key, request.attempt)) {
+    endpoint_reply.outcome = RequestOutcome::kUnknown;
+    SendReply(waiter, endpoint_reply);
+    return;
+  }
   out_.events.push_back(Event(EventId::kTombstoneGranted)
                             .With("claim", request.claim_key)
                             .With("attempt", request.attempt)
@@ -297,7 +302,10 @@
   while (attempt_expiry_order_.size() > kMaxAttemptRecords ||
          (!attempt_expiry_order_.empty() &&
           attempt_expiry_order_.front().first <= now)) {
-    attempt_records_.erase(attempt_expiry_order_.front().second);
+    const AttemptKey& oldest = attempt_expiry_order_.front().second;
+    if (attempt_records_.erase(oldest) > 0) {
+      forgotten_attempts_.Add(now, oldest.first, oldest.second);
+    }
     attempt_expiry_order_.pop_front();
   }
 }
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -421,6 +421,20 @@
           TombstoneVerdict::kGranted);
 }
 
+// Guards against a promise that is withheld once any record has been dropped.
+void UnknownAttemptIsStillGrantedATombstone() {
+  AgentHarness agent(InstanceRole::kEndpoint);
+  agent.Deliver(MakeDispatch(1, "k"));
+  EndpointReply endpoint_reply;
+  endpoint_reply.id = agent.endpoint_calls.back().id;
+  endpoint_reply.outcome = RequestOutcome::kRan;
+  agent.core.OnEndpointReply(agent.now, endpoint_reply);
+  agent.Advance(std::chrono::minutes(11));
+  agent.Deliver(TombstoneRequest{5, 1, "never sent", 1});
+  CPPUNIT_ASSERT(std::get<TombstoneReply>(agent.sent_messages.back()).verdict ==
+                 TombstoneVerdict::kGranted);
+}
+
 }  // namespace
 
 Section AgentStory() {
@@ -466,6 +480,8 @@
                     TombstoneForOtherIncarnationIsUnknown)
               .Then("grants no tombstone for an attempt that it forgot",
                     ForgottenAttemptGrantsNoTombstone)
+              .Then("grants a tombstone for an attempt that it never had",
+                    UnknownAttemptIsStillGrantedATombstone)
               .Then("grants no tombstone for an attempt that others displaced",
                     DisplacedAttemptGrantsNoTombstone)
               .Then("refuses new dispatches and finishes the rest on drain",
