Graphs: start suspects one after the other, each for as long as its start takes

A suspect kept its worker to itself until it had been listed for 200 ms, which may take a second, and others waited.

A task with unclear evidence is a suspect, too, and is given up when it then starts alone and its worker crashes. A start is marked as a trial; the agent reports after 75 ms without a crash that it was survived, and the next suspect starts there. Nothing else does while suspects wait.

--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -38,11 +38,11 @@
   bool needs_probe = false;
   // Whether it has got that run.
   bool has_probe = false;
-  // Whether no run is placed on it.
-  bool is_empty = true;
+  // Whether it has no runs but those of suspects.
+  bool has_only_suspects = true;
   // Whether it runs a suspect that is not at work yet; it gets no other run.
   bool has_trial = false;
-  // Whether it is kept free for suspects that wait for an empty worker.
+  // Whether it is kept free for suspects that wait for such a worker.
   bool is_reserved = false;
   // Whether its pool has no other worker that gets runs.
   bool is_last = false;
--- a/include/banyan/graph/crash_record.h
+++ b/include/banyan/graph/crash_record.h
@@ -24,6 +24,9 @@
   std::int64_t alone = 0;
   // Number of them with unclear evidence.
   std::int64_t unclear = 0;
+  // Whether the task started alone at one of them and had been connected to the
+  // start of another one before.
+  bool is_trial_failed = false;
   // The last run that was counted; each run counts once.
   std::int64_t last_run = 0;
   // Ids of the workers that crashed, oldest first.
@@ -35,13 +38,14 @@
   // Whether the next run of the task must be kept away from other tasks until
   // it is at work.
   [[nodiscard]] bool is_suspect() const noexcept {
-    return at_start > 0 || crashes >= kSuspectCrashes;
+    return at_start + unclear > 0 || crashes >= kSuspectCrashes;
   }
 
   // Whether the task must not be started again. Two crashes suffice if the task
-  // started alone at one of them.
+  // started alone at the second one, as a suspect does, or at the first one and
+  // among others at the second.
   [[nodiscard]] bool is_given_up() const noexcept {
-    return (alone > 0 && at_start >= kMaxCrashesIfAlone) ||
+    return is_trial_failed || (alone > 0 && at_start >= kMaxCrashesIfAlone) ||
            at_start + unclear >= kMaxStartingCrashes || crashes >= kMaxCrashes;
   }
 
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -65,9 +65,9 @@
     std::string rack;
   };
 
-  // Where a task may be placed. A suspect gets a worker of its own until it is
-  // at work; after a wait it takes the worker that was reserved for it.
-  enum class Isolation : std::uint8_t { kNone, kEmptyWorker, kReservedWorker };
+  // Where a task may be placed. Suspects start one after the other on workers
+  // of their own; after a wait they take the worker that was reserved for them.
+  enum class Isolation : std::uint8_t { kNone, kOwnWorker, kReservedWorker };
 
   // Places the suspects that are ready and reserves a worker of each pool for
   // those that wait.
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -73,6 +73,13 @@
     std::optional<Time> confirmed_at;
   };
 
+  // A run that was started as a trial.
+  struct Trial {
+    // When its start counts as survived.
+    Time ends_at;
+    bool has_survived = false;
+  };
+
   // An announced shutdown. Only list calls sent after it tell whether the
   // worker is gone.
   struct Departure {
@@ -144,6 +151,8 @@
   std::map<RunRef, PendingStart> pending_starts_;
   // Confirmed starts that no run list shows yet, with the time of the answer.
   std::map<RunRef, Time> confirmed_starts_;
+  // Trial runs until a list that was sent after the trial.
+  std::map<RunRef, Trial> trials_;
   std::map<RunRef, PendingStop> pending_stops_;
   // Whether the leader learns of this incarnation only after `pending_stops_`
   // are settled.
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -52,6 +52,8 @@
   // When the CPU shares were last decided.
   Time paced_at;
   std::map<RunRef, RunView> runs;
+  // Trial runs whose start the worker has survived.
+  std::set<RunRef> survived;
   // CPU shares, in percent, ordered with starts that no list shows yet.
   std::map<RunRef, std::int64_t> starting_percent;
   // When a start was last ordered, by run.
@@ -74,6 +76,13 @@
   // The last run placed here while the worker was suspected.
   std::optional<RunRef> probe;
 
+  // Returns whether a run has started without a crash of the worker.
+  [[nodiscard]] bool HasSurvived(const RunRef& run, Time now) const {
+    const auto seen = runs.find(run);
+    return survived.contains(run) ||
+           (seen != runs.end() && seen->second.is_at_work(now));
+  }
+
   // Returns what may be placed on the worker: its capacity in the table, or
   // less if it has reported less since.
   [[nodiscard]] Resources UsableCapacity(const Resources& committed) const {
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -374,6 +374,9 @@
   std::vector<EndedRun> ended;
   // Runs with a pending start or stop that no run list shows yet.
   std::vector<RunRef> starting;
+  // Trial runs whose start the worker has survived, until a run list shows
+  // them.
+  std::vector<RunRef> survived;
   // The runs that were on the worker if the incarnation ended in a crash.
   std::vector<RunCrash> crashed;
 };
@@ -385,6 +388,9 @@
   std::string checkpoint;
   // Initial share of its CPU request, in percent.
   std::int64_t percent = kFullPercent;
+  // Whether the run may crash its worker as it starts; nothing else starts
+  // there until the agent reports that it has not.
+  bool is_trial = false;
 };
 
 // The share of its CPU request that a run may use, in percent.
--- a/src/graph/crash_record.cc
+++ b/src/graph/crash_record.cc
@@ -8,6 +8,7 @@
   ++crashes;
   switch (crash.evidence) {
     case CrashEvidence::kAlone:
+      is_trial_failed = is_trial_failed || at_start + unclear > 0;
       ++alone;
       ++at_start;
       break;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -128,6 +128,7 @@
                                 const RunRef& run) const {
   RunStart start{run, table.FindGraph(run.task.graph)->spec.payload,
                  table.FindTask(run.task)->checkpoint};
+  start.is_trial = table.suspects().contains(run.task);
   const StepSpec& step = *table.FindStep(run.task);
   if (!step.best_effort || !options_.scheduling.careful_starts) {
     return start;
@@ -209,6 +210,7 @@
     runs.emplace(row.run, std::move(seen));
   }
   view.runs = std::move(runs);
+  view.survived.insert(sync.survived.begin(), sync.survived.end());
   ProposeRunEnds(now, *worker, sync);
   WorkerOrders orders = MakeOrders(*worker);
   orders.seq = sync.seq;
@@ -432,6 +434,8 @@
   std::erase_if(view.starting_percent, [&](const auto& item) {
     return !worker.runs.contains(item.first);
   });
+  std::erase_if(view.survived,
+                [&](const RunRef& run) { return !worker.runs.contains(run); });
   std::erase_if(view.stop_sent_at, [&](const auto& item) {
     return !worker.runs.contains(item.first) && !known.contains(item.first);
   });
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -90,11 +90,9 @@
   return !table.suspects().empty() &&
          std::any_of(worker.runs.begin(), worker.runs.end(),
                      [&](const RunRef& run) {
-                       const auto seen = view.runs.find(run);
                        return table.suspects().contains(run.task) &&
                               table.IsCurrent(run, worker.info.life) &&
-                              (seen == view.runs.end() ||
-                               !seen->second.is_at_work(now));
+                              !view.HasSurvived(run, now);
                      });
 }
 
@@ -233,7 +231,9 @@
         continue;
       }
     }
-    candidate.is_empty = worker.runs.empty();
+    candidate.has_only_suspects = std::all_of(
+        worker.runs.begin(), worker.runs.end(),
+        [&](const RunRef& run) { return table.suspects().contains(run.task); });
     candidate.has_trial = HasTrial(table, worker, view->second, now);
     for (const RunRef& run : worker.runs) {
       const StepSpec* step = table.FindStep(run.task);
@@ -367,7 +367,7 @@
   const Time since =
       suspect_waiting_since_.try_emplace(ref, now_).first->second;
   return since + kMaxIsolationWait <= now_ ? Isolation::kReservedWorker
-                                           : Isolation::kEmptyWorker;
+                                           : Isolation::kOwnWorker;
 }
 
 GraphPlacement::StepDistribution GraphPlacement::DistributionOf(
@@ -469,8 +469,9 @@
     return std::nullopt;
   }
   Reserve(*candidate, task, step);
-  candidate->is_empty = false;
   candidate->has_trial = isolation != Isolation::kNone;
+  candidate->has_only_suspects =
+      candidate->has_only_suspects && candidate->has_trial;
   const WorkerInfo& info = candidate->worker->info;
   ++distribution.tasks[info.life.id];
   if (distribution.rack.empty()) {
@@ -555,10 +556,10 @@
   switch (isolation) {
     case Isolation::kNone:
       return !candidate.is_reserved || candidate.is_last;
-    case Isolation::kEmptyWorker:
-      return candidate.is_empty;
+    case Isolation::kOwnWorker:
+      return candidate.has_only_suspects;
     case Isolation::kReservedWorker:
-      return candidate.is_empty || candidate.is_reserved;
+      return candidate.has_only_suspects || candidate.is_reserved;
   }
   return false;
 }
--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -15,6 +15,7 @@
                                    at_start,
                                    alone,
                                    unclear,
+                                   is_trial_failed,
                                    last_run,
                                    workers)
 inline void to_json(nlohmann::json& json, const TaskProgress& task) {
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -36,6 +36,9 @@
 constexpr Duration kLeaseWaitTimeout = Millis(1500);
 // Minimum remaining lease for sending a start.
 constexpr Duration kMinRemainingLease = Millis(100);
+// Time after the answer to its start after which a trial run counts as
+// survived; a crash would have broken off the list call that waits for an end.
+constexpr Duration kTrialTime = Millis(75);
 // How long a refusal is reported; several times the latency of a log commit.
 constexpr Duration kRefusalRepeatPeriod = Millis(3000);
 // Maximum number of earlier incarnations whose ends are kept; more restarts
@@ -429,6 +432,9 @@
   for (const RunStatus& row : reply.running) {
     running_.emplace(row.run, row);
   }
+  std::erase_if(trials_, [&](const auto& item) {
+    return reply.sent_at >= item.second.ends_at;
+  });
   bool has_new_end = false;
   for (const EndedRun& row : reply.ended) {
     if (row.number > last_committed_end_ &&
@@ -499,6 +505,9 @@
   pending_start.is_in_flight = false;
   if (is_ok) {
     confirmed_starts_[reply.run] = reply.received_at;
+    if (pending_start.start.is_trial) {
+      trials_[reply.run] = Trial{reply.received_at + kTrialTime, false};
+    }
     if (pending_start.start.percent < kFullPercent) {
       RunCall call = MakeCall(RunCallOp::kThrottle, reply.run);
       call.percent = pending_start.start.percent;
@@ -557,6 +566,11 @@
   for (const auto& [run, until] : refusals_) {
     sync.ended.push_back({0, run, RunEndReason::kRefused, ""});
   }
+  for (const auto& [run, trial] : trials_) {
+    if (trial.has_survived) {
+      sync.survived.push_back(run);
+    }
+  }
   for (const auto& [run, pending_start] : pending_starts_) {
     sync.starting.push_back(run);
   }
@@ -608,7 +622,14 @@
   SendStarts(now);
   SendStops(now);
   RequestRunList(now);
-  if (next_sync_at_ <= now) {
+  bool has_survivor = false;
+  for (auto& [run, trial] : trials_) {
+    if (!trial.has_survived && trial.ends_at <= now && is_reachable_) {
+      trial.has_survived = true;
+      has_survivor = true;
+    }
+  }
+  if (has_survivor || next_sync_at_ <= now) {
     SendSync(now);
   }
 }
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -129,12 +129,16 @@
 }
 inline void to_json(nlohmann::json& json, const RunStart& start) {
   json = {start.run, start.payload, start.checkpoint, start.percent};
+  if (start.is_trial) {
+    json.push_back(true);
+  }
 }
 inline void from_json(const nlohmann::json& json, RunStart& start) {
   json.at(0).get_to(start.run);
   json.at(1).get_to(start.payload);
   json.at(2).get_to(start.checkpoint);
   json.at(3).get_to(start.percent);
+  start.is_trial = json.size() > 4 && json.at(4).get<bool>();
 }
 inline void to_json(nlohmann::json& json, const RunThrottle& pace) {
   json = {pace.run, pace.percent};
@@ -193,6 +197,9 @@
           {"running", sync.running},
           {"ended", sync.ended},
           {"starting", sync.starting}};
+  if (!sync.survived.empty()) {
+    json["survived"] = sync.survived;
+  }
   if (!sync.crashed.empty()) {
     json["crashed"] = sync.crashed;
   }
@@ -206,6 +213,7 @@
   json.at("running").get_to(sync.running);
   json.at("ended").get_to(sync.ended);
   json.at("starting").get_to(sync.starting);
+  sync.survived = json.value("survived", std::vector<RunRef>{});
   sync.crashed = json.value("crashed", std::vector<RunCrash>{});
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders,
--- a/tests/unit/crash_test.cc
+++ b/tests/unit/crash_test.cc
@@ -153,6 +153,24 @@
   CPPUNIT_ASSERT(fixture.state() == GraphState::kFailed);
 }
 
+// Guards against a third crash where a suspect has had its trial: the first one
+// coincided with the loss of other workers or of the leader.
+void FailedTrialDecidesAfterUnclearCrash() {
+  CrashFixture fixture;
+  fixture.Crash(CrashEvidence::kUnclear);
+  CPPUNIT_ASSERT(fixture.is_suspect());
+  fixture.Crash(CrashEvidence::kAlone);
+  CPPUNIT_ASSERT(fixture.state() == GraphState::kFailed);
+}
+
+// Guards against giving a task up for a second crash that others share.
+void UnclearCrashDecidesNothing() {
+  CrashFixture fixture;
+  fixture.Crash(CrashEvidence::kAlone);
+  fixture.Crash(CrashEvidence::kUnclear);
+  CPPUNIT_ASSERT(fixture.state() == GraphState::kRunning);
+}
+
 // Guards against more than two starts after the third crash, whatever is known
 // of them.
 void TaskThatIsAtWorkIsGivenUpAtLast() {
@@ -278,6 +296,36 @@
   CPPUNIT_ASSERT(harness.RunsOn("w3").size() > 1);
 }
 
+// Guards against suspects that wait for each other's work instead of for each
+// other's start.
+void SuspectsStartOneAfterTheOther() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(2)}));
+  fixture.AdvanceTime(kTimeStep);
+  fixture.Lose("w1");
+  fixture.Sync(CrashSync("w1", {{RunOf("g", 0, 0), CrashEvidence::kAtStart},
+                                {RunOf("g", 0, 1), CrashEvidence::kAtStart}}));
+  fixture.Join(SampleWorker("w2"));
+  static_cast<void>(fixture.TakeOrders());
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.RunsOn("w2").size());
+  bool is_trial = false;
+  for (const WorkerOrders& orders : fixture.TakeOrders()) {
+    for (const RunStart& start : orders.starts) {
+      is_trial = start.is_trial;
+    }
+  }
+  CPPUNIT_ASSERT_MESSAGE("the agent is told", is_trial);
+  WorkerSync sync;
+  sync.info = SampleWorker("w2");
+  sync.starting = {*fixture.RunsOn("w2").begin()};
+  sync.survived = sync.starting;
+  fixture.Sync(std::move(sync));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.RunsOn("w2").size());
+}
+
 // Guards against a suspect that waits for ever: no worker gets empty.
 void SuspectIsNotStarved() {
   SuspectFixture fixture;
@@ -346,6 +394,10 @@
                       TaskIsGivenUpAfterCrashesAtItsStart)
                 .Then("is given up after three crashes among others",
                       CrashesAmongOthersNeedOneMore)
+                .Then("is given up when its trial fails",
+                      FailedTrialDecidesAfterUnclearCrash)
+                .Then("is not given up for a crash that others share",
+                      UnclearCrashDecidesNothing)
                 .Then("is given up after five crashes at work",
                       TaskThatIsAtWorkIsGivenUpAtLast)
                 .Then("is counted once a run", CrashOfOneRunCountsOnce)
@@ -354,6 +406,8 @@
                 .Then("stays counted in a snapshot", CountSurvivesSnapshots))
       .With(Section("as the leader places it")
                 .Then("starts alone", SuspectStartsAlone)
+                .Then("starts after another one has started",
+                      SuspectsStartOneAfterTheOther)
                 .Then("starts at last where no worker is empty",
                       SuspectIsNotStarved)
                 .Then("is not blamed for a common cause", CommonCauseIsUnclear)
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -216,6 +216,29 @@
   CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kStart).empty());
 }
 
+// Guards against a trial that lasts until the next periodic report, or that
+// passes although the worker is gone.
+void SurvivedTrialIsReportedAtOnce() {
+  WorkerOrders orders = StartOrder(SampleRun());
+  orders.starts.front().is_trial = true;
+  const auto starts_trial = [&](AgentFixture& fixture) {
+    fixture.ReplyToList({}, {});
+    fixture.Grant(orders);
+    fixture.Answer(RunCallOp::kStart, SampleRun(), true);
+  };
+  AgentFixture survivor;
+  starts_trial(survivor);
+  survivor.Advance(Millis(50));
+  CPPUNIT_ASSERT(survivor.last_sync().survived.empty());
+  survivor.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, survivor.last_sync().survived.size());
+  AgentFixture victim;
+  starts_trial(victim);
+  victim.FailList();
+  victim.Advance(Millis(600));
+  CPPUNIT_ASSERT(victim.last_sync().survived.empty());
+}
+
 // Guards against starting runs on capacity that the worker has withdrawn.
 void ShrunkCapacityFencesPendingStarts() {
   AgentFixture fixture;
@@ -659,6 +682,8 @@
                 .Then("without an answer is retried", UnansweredStartIsRetried)
                 .Then("without an answer is not repeated to a silent worker",
                       UnansweredStartIsNotRepeatedBlindly)
+                .Then("as a trial is reported as soon as it is survived",
+                      SurvivedTrialIsReportedAtOnce)
                 .Then("is fenced when the capacity shrinks",
                       ShrunkCapacityFencesPendingStarts)
                 .Then("that may arrive late is fenced before it is refused",
