--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -366,6 +366,11 @@
 
 void ControlProcess::ApplyOutputs(ControlOutputs outputs) {
   WriteEvents(outputs.events);
+  for (const Event& event : outputs.events) {
+    if (event.id() == EventId::kTaskGivenUp) {
+      metrics_.Increment("tasks_given_up");
+    }
+  }
   for (PersistBatch& batch : outputs.persists) {
     if (!persist_ring_.TryPush(std::move(batch))) {
       WriteEvent(Event(EventId::kDiskLost)
@@ -398,6 +403,8 @@
   metrics_.SetGauge("term", static_cast<double>(core_->raft().term()));
   metrics_.SetGauge("instances", static_cast<double>(state.instances().size()));
   metrics_.SetGauge("jobs", static_cast<double>(state.jobs().size()));
+  metrics_.SetGauge("suspects",
+                    static_cast<double>(state.graphs().suspects().size()));
   metrics_.SetGauge("sent_bytes", static_cast<double>(network_->sent_bytes()));
 }
 
