Control: fail a batch job after five crashes of its workers

A lost lease, a lost instance and an agent that restarted do not count. The end is a new value, so logs of earlier builds apply as before.

'fail after five crashes of their workers' fails with the end that was reported before.

--- a/include/banyan/control/control_state.h
+++ b/include/banyan/control/control_state.h
@@ -36,6 +36,8 @@
   bool cancelling = false;
   // Workers on which an attempt failed, oldest first; one element per failure.
   std::vector<std::string> failed_on;
+  // Workers that crashed under the job, oldest first.
+  std::vector<std::string> crashed_on;
   std::uint64_t evictions = 0;
   // Submission sequence number; smaller for older jobs.
   std::uint64_t order = 0;
--- a/include/banyan/wire/job.h
+++ b/include/banyan/wire/job.h
@@ -68,6 +68,8 @@
   kEvicted,
   // The instance's lease expired, or the instance no longer has the task.
   kLost,
+  // The worker restarted under the task.
+  kWorkerCrashed,
 };
 
 // Returns the name of an end as shown in logs.
@@ -83,6 +85,8 @@
       return "evicted";
     case TaskEnd::kLost:
       return "lost";
+    case TaskEnd::kWorkerCrashed:
+      return "worker-crashed";
   }
   return "unknown";
 }
--- a/src/agent/task_runner.cc
+++ b/src/agent/task_runner.cc
@@ -279,7 +279,8 @@
         record.phase == Phase::kRunning &&
         record.confirmed_running_at + kRetryInterval < now;
     if (should_be_listed && !listed.contains(task)) {
-      End(now, task, record, TaskEnd::kLost, "the worker knows it no more");
+      End(now, task, record, TaskEnd::kWorkerCrashed,
+          "the worker knows it no more");
     }
   }
 }
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t kMaxFailedWorkers = 3;
 // A job ends as failed once it has failed this many times in total.
 constexpr std::size_t kMaxFailures = 5;
+// Crashes of workers under a job after which it is not placed again.
+constexpr std::size_t kMaxCrashes = 5;
 
 void Refuse(Applied& applied, ErrorKind error, std::string text) {
   applied.result.ok = false;
@@ -498,6 +500,15 @@
     case TaskEnd::kEvicted:
       ++job.evictions;
       break;
+    case TaskEnd::kWorkerCrashed:
+      job.crashed_on.push_back(worker);
+      if (job.crashed_on.size() >= kMaxCrashes) {
+        Finish(key, job, JobState::kFailed,
+               "its workers crashed " + std::to_string(kMaxCrashes) + " times",
+               applied);
+        return;
+      }
+      break;
     case TaskEnd::kRefused:
     case TaskEnd::kLost:
       break;
--- a/src/control/control_state_codec.cc
+++ b/src/control/control_state_codec.cc
@@ -36,6 +36,12 @@
 std::string ControlState::Encode() const {
   json instances = json::array();
   json replaced = json::object();
+  json crashed_on = json::object();
+  for (const auto& [key, job] : jobs_) {
+    if (!job.crashed_on.empty()) {
+      crashed_on[key] = job.crashed_on;
+    }
+  }
   for (const auto& [id, instance] : instances_) {
     instances.push_back(instance.info);
     if (!instance.replaced.empty()) {
@@ -56,6 +62,7 @@
                       {"jobs", jobs_},
                       {"instances", std::move(instances)},
                       {"replaced", std::move(replaced)},
+                      {"crashed_on", std::move(crashed_on)},
                       {"quotas", std::move(quotas)},
                       {"claims", claims_},
                       {"remembered", std::move(remembered)},
@@ -88,7 +95,15 @@
       info.get_to(instance.info);
       state.instances_.emplace(instance.info.id, instance);
     }
-    // Snapshots of earlier builds lack this field.
+    // Snapshots of earlier builds lack the next two fields.
+    if (value.contains("crashed_on")) {
+      for (const auto& [key, workers] : value.at("crashed_on").items()) {
+        const auto found = state.jobs_.find(key);
+        if (found != state.jobs_.end()) {
+          workers.get_to(found->second.crashed_on);
+        }
+      }
+    }
     if (value.contains("replaced")) {
       for (const auto& [id, incarnations] : value.at("replaced").items()) {
         const auto found = state.instances_.find(id);
--- a/src/control/scheduler.cc
+++ b/src/control/scheduler.cc
@@ -219,6 +219,7 @@
       break;
     case TaskEnd::kEvicted:
     case TaskEnd::kLost:
+    case TaskEnd::kWorkerCrashed:
       break;
   }
 }
--- a/tests/unit/control_state_test.cc
+++ b/tests/unit/control_state_test.cc
@@ -208,6 +208,23 @@
       !ApplyCommand(state, MakeOpenClaim("c", 1)).result.claim.granted);
 }
 
+// Guards against a job that is placed again without end, each time with a crash
+// of its worker.
+void JobFailsAfterFiveCrashes() {
+  ControlState state = MakeStateWithQueuedJob();
+  for (std::uint64_t attempt = 1; attempt <= 5; ++attempt) {
+    Reason reason;
+    auto copy = ControlState::Decode(state.Encode(), reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.text, copy.has_value());
+    state = *std::move(copy);
+    CPPUNIT_ASSERT(state.FindJob("j")->state == JobState::kQueued);
+    ApplyCommand(state, PlaceTask{{"j", attempt}, "w1", 1});
+    ApplyCommand(state,
+                 EndTask{{"j", attempt}, TaskEnd::kWorkerCrashed, "", "gone"});
+  }
+  CPPUNIT_ASSERT(state.FindJob("j")->state == JobState::kFailed);
+}
+
 void FinishedClaimReturnsStoredResponse() {
   ControlState state;
   ApplyCommand(state, MakeOpenClaim("a"));
@@ -294,6 +311,8 @@
                 .Then("are not placed in a data centre that is out of service",
                       RejectsPlacementInOutOfServiceDataCentre)
                 .Then("are placed once per attempt", PlacesEachAttemptOnce)
+                .Then("fail after five crashes of their workers",
+                      JobFailsAfterFiveCrashes)
                 .Then("are requeued once for a duplicate eviction",
                       DuplicateEvictionRequeuesOnce)
                 .Then("ignore the result of a stale attempt",
