Graphs: bound the crashes that no agent has seen

An agent that restarts between a crash and the worker's next report knows nothing of the crash. The leader now counts a crash for the runs of a worker that a later incarnation replaces without a report of its end: as at work, so five in all give a task up, and not for long-running tasks.

Lists are evaluated in one pass over their runs instead of one a run; a batch of suspects is limited like any other.

'is counted without evidence of its agent' failed before.

--- a/include/banyan/graph/crash_observer.h
+++ b/include/banyan/graph/crash_observer.h
@@ -19,7 +19,8 @@
   // Records a start that the worker confirmed.
   void OnStarted(const RunRef& run, Time answered_at);
 
-  // Records a start call without an answer, which may have been carried out.
+  // Records a start call that ended without an answer at the time `at` and may
+  // have been carried out.
   void OnStartUnanswered(Time at,
                          const RunRef& run,
                          Time sent_at,
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -91,6 +91,9 @@
                const WorkerSync& sync);
   // Proposes to count a worker's crash for the tasks connected to it.
   void ProposeCrashes(const GraphTable& table, const WorkerSync& sync);
+  // Proposes to count a crash of which the agent knows nothing, since it has
+  // restarted, too: all runs count as at work, which bounds their crashes.
+  void ProposeUnseenCrash(const GraphTable& table, const GraphWorker& worker);
   // Whether other workers were lost together with this one, or whether this
   // leader can't tell.
   [[nodiscard]] bool HasCommonCause(const WorkerIncarnation& incarnation) const;
--- a/src/graph/crash_observer.cc
+++ b/src/graph/crash_observer.cc
@@ -1,6 +1,7 @@
 #include "banyan/graph/crash_observer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyan {
 namespace {
@@ -49,28 +50,30 @@
   broken_off_at_.reset();
   has_timed_out_ = false;
   last_answer_at_ = std::max(last_answer_at_, reply.received_at);
+  for (const EndedRun& row : reply.ended) {
+    runs_.erase(row.run);
+  }
+  std::map<RunRef, ObservedRun> remaining;
   for (const RunStatus& row : reply.running) {
-    ObservedRun& observed = runs_[row.run];
+    ObservedRun& observed = remaining[row.run];
+    if (auto node = runs_.extract(row.run)) {
+      observed = std::move(node.mapped());
+    }
     observed.percent = row.percent;
     if (!observed.first_listed_at) {
       observed.first_listed_at = reply.received_at;
     }
   }
-  for (const EndedRun& row : reply.ended) {
-    runs_.erase(row.run);
-  }
   // A confirmed run that a later list leaves out has ended. A start without an
   // answer may still be carried out.
-  std::erase_if(runs_, [&](const auto& item) {
-    const ObservedRun& observed = item.second;
-    const bool is_listed = std::any_of(
-        reply.running.begin(), reply.running.end(),
-        [&](const RunStatus& row) { return row.run == item.first; });
-    const bool may_be_later = !observed.first_listed_at &&
-                              (observed.start_failure != CallFailure::kNone ||
-                               observed.started_at > reply.sent_at);
-    return !is_listed && !may_be_later;
-  });
+  for (auto& [run, observed] : runs_) {
+    if (!observed.first_listed_at &&
+        (observed.start_failure != CallFailure::kNone ||
+         observed.started_at > reply.sent_at)) {
+      remaining.emplace(run, std::move(observed));
+    }
+  }
+  runs_ = std::move(remaining);
 }
 
 std::optional<Duration> CrashObserver::AgeOf(const RunRef& run) const {
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -267,6 +267,28 @@
   }
 }
 
+void GraphLeader::ProposeUnseenCrash(const GraphTable& table,
+                                     const GraphWorker& worker) {
+  const WorkerIncarnation& incarnation = worker.info.life;
+  const auto view = views_.find(incarnation.id);
+  const bool is_reported = view != views_.end() &&
+                           view->second.life == incarnation &&
+                           view->second.drop_proposed;
+  if (is_reported || worker.info.draining) {
+    return;
+  }
+  RecordCrashes record{incarnation, {}};
+  for (const RunRef& run : worker.runs) {
+    if (table.IsCurrent(run, incarnation) &&
+        !table.FindStep(run.task)->long_running) {
+      record.rows.push_back({run, CrashEvidence::kAtWork});
+    }
+  }
+  if (!record.rows.empty()) {
+    out_.proposals.emplace_back(std::move(record));
+  }
+}
+
 void GraphLeader::OnLeave(Time now,
                           const GraphTable& table,
                           const GraphWorker& worker,
@@ -326,6 +348,7 @@
     for (const auto& [id, other] : table.workers()) {
       if (other.agent == agent &&
           other.info.life.started_at_ms < info.life.started_at_ms) {
+        ProposeUnseenCrash(table, other);
         ProposeRemoval(now, other, {}, "a later life came");
       }
     }
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -310,6 +310,9 @@
     const TaskProgress& task = *table.FindTask(ref);
     const Graph& graph = *table.FindGraph(ref.graph);
     const StepSpec& step = *table.FindStep(ref);
+    if (placements.size() >= kMaxBatch) {
+      return;
+    }
     if (task.phase != TaskPhase::kReady ||
         !IsDue(graph, ref.occurrence, wall)) {
       continue;
--- a/tests/unit/crash_test.cc
+++ b/tests/unit/crash_test.cc
@@ -373,6 +373,21 @@
       fixture.table().FindTask(RunOf("g", 0, 0).task)->crashes.alone);
 }
 
+// Guards against crashes that nobody counts since the agent restarts after each
+// of them.
+void CrashThatTheAgentMissedIsCounted() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(1), ServingStep(1)}));
+  fixture.AdvanceTime(kTimeStep);
+  fixture.Join(SampleWorker("w1", 2));
+  const auto crashes = [&](std::int64_t step) {
+    return fixture.table().FindTask(RunOf("g", step, 0).task)->crashes.crashes;
+  };
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, crashes(0));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, crashes(1));
+}
+
 }  // namespace
 
 Section CrashStory() {
@@ -412,7 +427,9 @@
                       SuspectIsNotStarved)
                 .Then("is not blamed for a common cause", CommonCauseIsUnclear)
                 .Then("is counted after its worker's removal",
-                      CrashIsCountedAfterTheRemoval));
+                      CrashIsCountedAfterTheRemoval)
+                .Then("is counted without evidence of its agent",
+                      CrashThatTheAgentMissedIsCounted));
   return story;
 }
 
