--- a/src/graph/crash_observer.cc
+++ b/src/graph/crash_observer.cc
@@ -57,7 +57,7 @@
   for (const RunStatus& row : reply.running) {
     ObservedRun& observed = remaining[row.run];
     if (auto node = runs_.extract(row.run)) {
-      observed = std::move(node.mapped());
+      observed = node.mapped();
     }
     observed.percent = row.percent;
     if (!observed.first_listed_at) {
@@ -66,11 +66,11 @@
   }
   // A confirmed run that a later list leaves out has ended. A start without an
   // answer may still be carried out.
-  for (auto& [run, observed] : runs_) {
+  for (const auto& [run, observed] : runs_) {
     if (!observed.first_listed_at &&
         (observed.start_failure != CallFailure::kNone ||
          observed.started_at > reply.sent_at)) {
-      remaining.emplace(run, std::move(observed));
+      remaining.emplace(run, observed);
     }
   }
   runs_ = std::move(remaining);
--- a/tests/unit/crash_test.cc
+++ b/tests/unit/crash_test.cc
@@ -287,7 +287,7 @@
     WorkerSync sync;
     sync.info = SampleWorker("w3");
     sync.lists = static_cast<std::uint64_t>(i) + 1;
-    sync.running = {{RunOf("g", 0, 0, 2), "", 10 * (i + 1), 0}};
+    sync.running = {{RunOf("g", 0, 0, 2), "", std::int64_t{10} * (i + 1), 0}};
     harness.Sync(std::move(sync));
     harness.AdvanceTime(Millis(200));
   }
