--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -40,6 +40,14 @@
                          failed == 0);
 }
 
+// Plays a seed that failed once and is too rare for Play().
+void PlayRareSeed(const GraphFaults& faults, std::uint64_t seed) {
+  const GraphWorldResult result = PlayGraphWorld(faults, seed);
+  CPPUNIT_ASSERT_MESSAGE(
+      result.violations.empty() ? "" : result.violations.front(),
+      result.violations.empty());
+}
+
 // Guards against a task that is started again after it was done: its end is
 // lost with the incarnation of a worker that leaves.
 void Leaves() {
@@ -69,13 +77,9 @@
 // Guards against a worker that is given up for one list without an answer: it
 // has announced its shutdown and works on.
 void LeavesAndSilentLists() {
-  constexpr std::uint64_t kRareSeed = 920;
   const GraphFaults faults{.leaves = true, .silent_lists = true};
   Play(faults);
-  const GraphWorldResult result = PlayGraphWorld(faults, kRareSeed);
-  CPPUNIT_ASSERT_MESSAGE(
-      result.violations.empty() ? "" : result.violations.front(),
-      result.violations.empty());
+  PlayRareSeed(faults, 920);
 }
 
 // Guards against what only a combination of faults brings about.
@@ -83,6 +87,15 @@
   Play(kAllFaults);
 }
 
+// Guards against crashes that no agent sees, since each restarts after them.
+void DeadlyTasksAndAllFaults() {
+  GraphFaults faults = kAllFaults;
+  faults.deadly_tasks = true;
+  faults.capacity_changes = true;
+  Play(faults);
+  PlayRareSeed(faults, 469);
+}
+
 // Guards against a task that is started again and again, each time with a crash
 // of its worker, and against sound graphs that are given up for it.
 void DeadlyTasks() {
@@ -117,12 +130,7 @@
 // Guards against starts that are repeated by a later leader or a later agent
 // although the capacity has shrunk.
 void ShrinkingCapacitiesAndFailures() {
-  constexpr std::uint64_t kRareSeed = 33;
-  const GraphWorldResult result = PlayGraphWorld(
-      {.leader_changes = true, .capacity_changes = true}, kRareSeed);
-  CPPUNIT_ASSERT_MESSAGE(
-      result.violations.empty() ? "" : result.violations.front(),
-      result.violations.empty());
+  PlayRareSeed({.leader_changes = true, .capacity_changes = true}, 33);
   Play({.leader_changes = true,
         .cuts = true,
         .agent_restarts = true,
@@ -159,7 +167,9 @@
                 .Then("is given up while orders are late",
                       DeadlyTasksAndLateOrders)
                 .Then("is given up while agents lose their connection",
-                      DeadlyTasksAndCuts))
+                      DeadlyTasksAndCuts)
+                .Then("is given up with all faults together",
+                      DeadlyTasksAndAllFaults))
       .With(Section("A worker whose capacity shrinks")
                 .Then("is not filled beyond it", ShrinkingCapacities)
                 .Then("is not filled beyond it while others fail",
