Graphs: name a parameter for what it holds, and when a suspect is cleared

UsableCapacity() called the capacity in the table committed, which elsewhere means what is reserved. Three comments still said that a suspect stays apart until it is at work; it does until its worker has survived the start.

--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -40,7 +40,8 @@
   bool has_probe = false;
   // Whether it has no runs but those of suspects.
   bool has_only_suspects = true;
-  // Whether it runs a suspect that is not at work yet; it gets no other run.
+  // Whether it runs a suspect whose start it may not have survived yet; it gets
+  // no other run.
   bool has_trial = false;
   // Whether it is kept free for suspects that wait for such a worker.
   bool is_reserved = false;
--- a/include/banyan/graph/crash_record.h
+++ b/include/banyan/graph/crash_record.h
@@ -36,7 +36,7 @@
   void Add(const RunCrash& crash, const std::string& worker);
 
   // Whether the next run of the task must be kept away from other tasks until
-  // it is at work.
+  // its worker has survived the start.
   [[nodiscard]] bool is_suspect() const noexcept {
     return at_start + unclear > 0 || crashes >= kSuspectCrashes;
   }
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -85,8 +85,8 @@
 
   // Returns what may be placed on the worker: its capacity in the table, or
   // less if it has reported less since.
-  [[nodiscard]] Resources UsableCapacity(const Resources& committed) const {
-    return capacity ? Min(*capacity, committed) : committed;
+  [[nodiscard]] Resources UsableCapacity(const Resources& admitted) const {
+    return capacity ? Min(*capacity, admitted) : admitted;
   }
 };
 
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -82,7 +82,7 @@
          wall >= graph.spec.first_due_at + occurrence * graph.spec.interval_ms;
 }
 
-// Whether a worker runs a suspect that is not at work yet.
+// Whether a worker runs a suspect whose start it may not have survived yet.
 bool HasTrial(const GraphTable& table,
               const GraphWorker& worker,
               const GraphWorkerView& view,
