Placement: log and count the waits of long-running tasks

The log named the reasons for a wait as counts of a graph, with a suspicion, a trial and the limit of tasks per worker as one count, and not whether a task was long-running, how long it had waited and whether there was room. It could not tell a worker that is closed for good from a pool that is full.

Each rejection is one of a closed list of exclusions, of which three are binding. long-running-waited (E1351) names the task, its wait, the room and the exclusion of each worker; the metric long_running_starved_seconds adds up the waits in spite of room. Workers in quarantine are candidates that are excluded instead of being left out.

--- a/include/banyan/base/resources.h
+++ b/include/banyan/base/resources.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 
 namespace banyan {
 
@@ -51,6 +52,22 @@
          need.accelerators <= free.accelerators;
 }
 
+// Returns how often `need` fits into `free`; 0 for no need.
+[[nodiscard]] constexpr std::int64_t TimesFitting(
+    const Resources& need,
+    const Resources& free) noexcept {
+  std::int64_t times = std::numeric_limits<std::int64_t>::max();
+  const auto restrict_by = [&](std::int64_t needed, std::int64_t available) {
+    if (needed > 0) {
+      times = std::min(times, std::max<std::int64_t>(available, 0) / needed);
+    }
+  };
+  restrict_by(need.cpu_millis, free.cpu_millis);
+  restrict_by(need.memory_mib, free.memory_mib);
+  restrict_by(need.accelerators, free.accelerators);
+  return times == std::numeric_limits<std::int64_t>::max() ? 0 : times;
+}
+
 // Returns the smaller amount in each dimension.
 [[nodiscard]] constexpr Resources Min(const Resources& a,
                                       const Resources& b) noexcept {
@@ -74,6 +91,7 @@
 
 static_assert(Fits({1, 1, 0}, {1, 2, 0}));
 static_assert(!Fits({1, 1, 1}, {1, 2, 0}));
+static_assert(TimesFitting({2, 1, 0}, {5, 9, 0}) == 2);
 
 }  // namespace banyan
 
--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -114,6 +114,10 @@
 
   [[nodiscard]] const RaftCore& raft() const noexcept { return raft_; }
   [[nodiscard]] const ControlState& state() const noexcept { return state_; }
+  // See GraphLeader::starved_time().
+  [[nodiscard]] Duration starved_time() const noexcept {
+    return graphs_.starved_time();
+  }
   [[nodiscard]] const Scheduler& scheduler() const noexcept {
     return scheduler_;
   }
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -88,6 +88,7 @@
   kTaskGivenUp = 1346,
   kRunWithdrawn = 1347,
   kCallAnswered = 1350,
+  kLongRunningWaited = 1351,
   kConfigInForce = 1401,
   kCommandAccepted = 1402,
   kCommandRefused = 1403,
--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -9,6 +9,7 @@
 #include "banyan/graph/cell_link.h"
 #include "banyan/graph/crash_observer.h"
 #include "banyan/graph/crash_record.h"
+#include "banyan/graph/exclusion.h"
 #include "banyan/graph/graph_leader.h"
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -38,6 +38,8 @@
   bool needs_probe = false;
   // Whether it has got that run.
   bool has_probe = false;
+  // Whether the worker is suspected and gets no run yet.
+  bool is_quarantined = false;
   // Whether it has no runs but those of suspects.
   bool has_only_suspects = true;
   // Whether it runs a suspect whose start it may not have survived yet; it gets
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -74,6 +74,12 @@
   // Expires leases, stops stuck runs and places ready tasks.
   void Decide(Time now, WallMillis wall, const GraphTable& table);
 
+  // Returns the total time of this leadership that long-running tasks have
+  // waited although there was room for them twice over.
+  [[nodiscard]] Duration starved_time() const noexcept {
+    return placement_.starved_time();
+  }
+
   [[nodiscard]] GraphLeaderOutputs TakeOutputs() {
     return std::exchange(out_, GraphLeaderOutputs{});
   }
@@ -119,6 +125,7 @@
                        const GraphWorker& worker,
                        WorkerOrders& orders);
   void SuspectAfterFailure(Time now, GraphWorkerView& view, const RunRef& run);
+  void LogLongRunningWait(Time now, const LongRunningWait& wait);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
   // Returns the view of a worker's incarnation. The view of an earlier
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_GRAPH_GRAPH_PLACEMENT_H_
 #define BANYAN_GRAPH_GRAPH_PLACEMENT_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -12,6 +13,7 @@
 
 #include "banyan/base/time.h"
 #include "banyan/graph/candidate_worker.h"
+#include "banyan/graph/exclusion.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/interference.h"
 #include "banyan/graph/placement_wait.h"
@@ -53,6 +55,16 @@
     return std::exchange(waits_, {});
   }
 
+  // Returns and clears the recorded waits of long-running tasks: those that
+  // last, at limited intervals for each graph, and those that have ended.
+  [[nodiscard]] std::vector<LongRunningWait> TakeLongRunningWaits() {
+    return std::exchange(long_running_waits_, {});
+  }
+
+  // Returns the total time that long-running tasks have waited although there
+  // was room for them twice over.
+  [[nodiscard]] Duration starved_time() const noexcept { return starved_time_; }
+
   // Drops the avoided workers of a task that is done.
   void Forget(const TaskRef& task) { avoided_.erase(task); }
 
@@ -69,6 +81,33 @@
   // of their own; after a wait they take the worker that was reserved for them.
   enum class Isolation : std::uint8_t { kNone, kOwnWorker, kReservedWorker };
 
+  // A task that needs a worker, and what restricts the choice.
+  struct TaskRequest {
+    const Graph& graph;
+    const TaskRef& task;
+    const StepSpec& step;
+    Isolation isolation;
+    const StepDistribution& distribution;
+  };
+
+  // A worker's suitability for a task.
+  struct Assessment {
+    Exclusion exclusion = Exclusion::kNone;
+    // Smaller is better.
+    int colocation_rank = 0;
+  };
+
+  // The outcome of the search for a worker.
+  struct Search {
+    // The preferred worker; null if none is suitable.
+    CandidateWorker* best = nullptr;
+    // Number of rejected workers, by exclusion.
+    std::array<int, kExclusionCount> rejected{};
+    // Number of times that the task fits on the workers without a binding
+    // exclusion.
+    std::int64_t room = 0;
+  };
+
   // Places the suspects that are ready and reserves a worker of each pool for
   // those that wait.
   void PlaceSuspects(WallMillis wall,
@@ -104,19 +143,16 @@
       std::int64_t run,
       Isolation isolation,
       StepDistribution& distribution);
-  // Returns the preferred worker for a task, or null, with the reasons counted
-  // in `wait`.
-  [[nodiscard]] CandidateWorker* BestCandidate(
-      const Graph& graph,
-      const TaskRef& task,
-      const StepSpec& step,
-      Isolation isolation,
-      const StepDistribution& distribution,
-      PlacementWait& wait);
+  [[nodiscard]] Search FindWorker(const TaskRequest& request);
+  [[nodiscard]] Assessment Assess(const TaskRequest& request,
+                                  const CandidateWorker& candidate) const;
   // Returns whether a task may be placed on a worker as far as suspects go.
   [[nodiscard]] static bool IsAllowed(const CandidateWorker& candidate,
                                       Isolation isolation);
-  void RecordWait(PlacementWait wait);
+  void RecordWait(const TaskRequest& request, const Search& search);
+  // Records the wait of a long-running task and counts it as starved if it goes
+  // on in spite of room.
+  void RecordLongRunningWait(const TaskRequest& request, const Search& search);
   // Adds a task on the worker to the co-located tasks that interference is
   // estimated for.
   void AddColocated(CandidateWorker& candidate,
@@ -146,9 +182,17 @@
   std::map<std::string, Time> waiting_since_;
   // Since when a suspect has had no worker of its own.
   std::map<TaskRef, Time> suspect_waiting_since_;
+  // Since when a long-running task has been ready.
+  std::map<TaskRef, Time> long_running_since_;
   std::vector<PlacementWait> waits_;
   // When a graph's wait was last recorded.
   std::map<std::string, Time> wait_recorded_at_;
+  std::vector<LongRunningWait> long_running_waits_;
+  // When the wait of a graph's long-running tasks was last recorded.
+  std::map<std::string, Time> long_wait_recorded_at_;
+  Duration starved_time_{};
+  // When workers were last chosen.
+  Time last_pass_at_;
   // Whether the current graph has waited long enough to be placed without
   // regard to idle CPU time and interference.
   bool is_relaxed_ = false;
--- a/include/banyan/graph/placement_wait.h
+++ b/include/banyan/graph/placement_wait.h
@@ -1,7 +1,13 @@
 #ifndef BANYAN_GRAPH_PLACEMENT_WAIT_H_
 #define BANYAN_GRAPH_PLACEMENT_WAIT_H_
 
+#include <cstdint>
 #include <string>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "banyan/graph/exclusion.h"
+#include "banyan/wire/graph.h"
 
 namespace banyan {
 
@@ -19,9 +25,48 @@
   // The interference of the image is uncertain there, and the load leaves too
   // little headroom to try it.
   int uncertain = 0;
-  // A required label is missing, the limit of the step's tasks per worker is
-  // reached, or the worker is suspected.
+  // Any other exclusion.
   int excluded = 0;
+
+  // Counts workers that were rejected.
+  constexpr void Count(Exclusion exclusion, int workers) noexcept {
+    switch (exclusion) {
+      case Exclusion::kUnfit:
+        unfit += workers;
+        break;
+      case Exclusion::kBusy:
+        busy += workers;
+        break;
+      case Exclusion::kInterference:
+        interference += workers;
+        break;
+      case Exclusion::kUncertain:
+        uncertain += workers;
+        break;
+      default:
+        excluded += workers;
+    }
+  }
+};
+
+// A worker that was rejected for a task.
+struct RejectedWorker {
+  std::string id;
+  Exclusion exclusion = Exclusion::kNone;
+};
+
+// The wait of a long-running task, which must not last while there is room.
+struct LongRunningWait {
+  TaskRef task;
+  // Since when the task has been ready.
+  Time since;
+  // How often the task fits on the workers of its pool.
+  std::int64_t room = 0;
+  // The worker that was chosen; empty if the task goes on waiting.
+  std::string chosen;
+  // The workers of the pool that were rejected; those without room only if none
+  // has any.
+  std::vector<RejectedWorker> rejected;
 };
 
 }  // namespace banyan
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -171,6 +171,10 @@
      "no longer holds it; with what is committed there and the capacity."},
     {EventId::kCallAnswered, "call-answered",
      "A caller of a queue or an operator received a final answer."},
+    {EventId::kLongRunningWaited, "long-running-waited",
+     "A long-running task has been ready for a second or longer: how long, how "
+     "often it fits on the workers of its pool, the worker chosen if it no "
+     "longer waits, and the reason for each worker that was rejected."},
     {EventId::kConfigInForce, "config-in-force",
      "This process now uses a newer configuration version."},
     {EventId::kCommandAccepted, "command-accepted",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -782,6 +782,23 @@
   }
 }
 
+void GraphLeader::LogLongRunningWait(Time now, const LongRunningWait& wait) {
+  std::string rejected;
+  for (const RejectedWorker& worker : wait.rejected) {
+    rejected += (rejected.empty() ? "" : ",") + worker.id + ":" +
+                ToString(worker.exclusion);
+  }
+  out_.events.push_back(Event(EventId::kLongRunningWaited)
+                            .With("request", wait.task.graph)
+                            .With("occurrence", wait.task.occurrence)
+                            .With("step", wait.task.step)
+                            .With("task", wait.task.index)
+                            .With("waited_ms", ToMillis(now - wait.since))
+                            .With("room", wait.room)
+                            .With("chosen", wait.chosen)
+                            .With("rejected", rejected));
+}
+
 void GraphLeader::Decide(Time now, WallMillis wall, const GraphTable& table) {
   ExpireLeases(now, table);
   StopStuckRuns(now, table);
@@ -802,6 +819,9 @@
                               .With("uncertain", wait.uncertain)
                               .With("excluded", wait.excluded));
   }
+  for (const LongRunningWait& wait : placement_.TakeLongRunningWaits()) {
+    LogLongRunningWait(now, wait);
+  }
   if (!placements.empty()) {
     placement_proposed_at_ = now;
     out_.proposals.emplace_back(PlaceRuns{std::move(placements)});
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -12,6 +12,15 @@
 namespace banyan {
 namespace {
 
+// Maximum number of rejected workers in one log line.
+constexpr std::size_t kMaxLoggedWorkers = 16;
+// Wait of a long-running task from which on it is logged.
+constexpr Duration kLongWait = Millis(1000);
+// Longest time between two passes that counts as a wait in between.
+constexpr Duration kMaxPassInterval = Millis(1000);
+// Number of times that a long-running task must fit on workers for its wait to
+// count as one in spite of room.
+constexpr std::int64_t kAmpleRoom = 2;
 // Placements per batch; limits the size of its log entry.
 constexpr std::size_t kMaxBatch = 256;
 // Interval at which the wait of one graph is logged.
@@ -82,6 +91,12 @@
          wall >= graph.spec.first_due_at + occurrence * graph.spec.interval_ms;
 }
 
+// Whether a task waits for its next run.
+bool IsReady(const GraphTable& table, const TaskRef& ref) {
+  const TaskProgress* task = table.FindTask(ref);
+  return task != nullptr && task->phase == TaskPhase::kReady;
+}
+
 // Whether a worker runs a suspect whose start it may not have survived yet.
 bool HasTrial(const GraphTable& table,
               const GraphWorker& worker,
@@ -191,8 +206,11 @@
     const InterferenceModel& model) {
   now_ = now;
   model_ = &model;
+  std::erase_if(long_running_since_,
+                [&](const auto& item) { return !IsReady(table, item.first); });
   std::vector<RunPlacement> placements;
   if (table.ready_graphs().empty()) {
+    last_pass_at_ = now;
     return placements;
   }
   candidates_.clear();
@@ -226,10 +244,8 @@
     candidate.needs_probe = view->second.is_suspected;
     if (candidate.needs_probe) {
       const std::optional<RunRef>& probe = view->second.probe;
-      if (view->second.quarantined_until > now ||
-          (probe && worker.runs.contains(*probe))) {
-        continue;
-      }
+      candidate.is_quarantined = view->second.quarantined_until > now ||
+                                 (probe && worker.runs.contains(*probe));
     }
     candidate.has_only_suspects = std::all_of(
         worker.runs.begin(), worker.runs.end(),
@@ -273,6 +289,8 @@
   };
   std::erase_if(waiting_since_, has_no_ready_tasks);
   std::erase_if(wait_recorded_at_, has_no_ready_tasks);
+  std::erase_if(long_wait_recorded_at_, has_no_ready_tasks);
+  last_pass_at_ = now;
   return placements;
 }
 
@@ -302,10 +320,8 @@
 void GraphPlacement::PlaceSuspects(WallMillis wall,
                                    const GraphTable& table,
                                    std::vector<RunPlacement>& placements) {
-  std::erase_if(suspect_waiting_since_, [&](const auto& item) {
-    const TaskProgress* task = table.FindTask(item.first);
-    return task == nullptr || task->phase != TaskPhase::kReady;
-  });
+  std::erase_if(suspect_waiting_since_,
+                [&](const auto& item) { return !IsReady(table, item.first); });
   for (const TaskRef& ref : table.suspects()) {
     const TaskProgress& task = *table.FindTask(ref);
     const Graph& graph = *table.FindGraph(ref.graph);
@@ -343,7 +359,8 @@
   std::size_t others = 0;
   CandidateWorker* fewest = nullptr;
   for (auto& [id, candidate] : candidates_) {
-    if (candidate.worker->info.service != service || candidate.has_trial) {
+    if (candidate.worker->info.service != service || candidate.has_trial ||
+        candidate.is_quarantined) {
       continue;
     }
     if (candidate.is_reserved) {
@@ -462,13 +479,14 @@
     std::int64_t run,
     Isolation isolation,
     StepDistribution& distribution) {
-  PlacementWait wait;
-  CandidateWorker* candidate =
-      BestCandidate(graph, task, step, isolation, distribution, wait);
+  const TaskRequest request{graph, task, step, isolation, distribution};
+  const Search search = FindWorker(request);
+  if (step.long_running) {
+    RecordLongRunningWait(request, search);
+  }
+  CandidateWorker* candidate = search.best;
   if (candidate == nullptr) {
-    wait.graph = task.graph;
-    wait.image = step.image;
-    RecordWait(std::move(wait));
+    RecordWait(request, search);
     return std::nullopt;
   }
   Reserve(*candidate, task, step);
@@ -483,75 +501,83 @@
   return RunPlacement{{task, run}, info.life};
 }
 
-CandidateWorker* GraphPlacement::BestCandidate(
-    const Graph& graph,
-    const TaskRef& task,
-    const StepSpec& step,
-    Isolation isolation,
-    const StepDistribution& distribution,
-    PlacementWait& wait) {
-  const auto avoided_workers = avoided_.find(task);
-  CandidateWorker* best = nullptr;
+GraphPlacement::Search GraphPlacement::FindWorker(const TaskRequest& request) {
+  const StepSpec& step = request.step;
+  const Resources needs = ReservedResources(step);
+  const auto avoided_workers = avoided_.find(request.task);
+  Search search;
   Preference best_preference;
   for (auto& [id, candidate] : candidates_) {
     const WorkerInfo& info = candidate.worker->info;
-    if (info.service != graph.queue.service) {
-      continue;
-    }
-    if (candidate.has_trial || !IsAllowed(candidate, isolation)) {
-      ++wait.excluded;
-      continue;
-    }
-    if (!Fits(ReservedResources(step), candidate.free)) {
-      ++wait.unfit;
-      continue;
-    }
-    if (step.best_effort && !is_relaxed_ && !candidate.best_effort.empty() &&
-        candidate.idle_cpu_millis < step.needs.cpu_millis) {
-      ++wait.busy;
+    if (info.service != request.graph.queue.service) {
       continue;
     }
-    if (candidate.has_probe) {
-      ++wait.excluded;
-      continue;
-    }
-    // A long-running task takes too long to complete to be used as a probe.
-    if (candidate.needs_probe && step.long_running) {
-      ++wait.excluded;
-      continue;
+    const Assessment assessment = Assess(request, candidate);
+    if (!IsBinding(assessment.exclusion)) {
+      search.room += TimesFitting(needs, candidate.free);
     }
-    if (!step.required_label.empty() &&
-        std::find(info.labels.begin(), info.labels.end(),
-                  step.required_label) == info.labels.end()) {
-      ++wait.excluded;
-      continue;
-    }
-    const auto count = distribution.tasks.find(id);
-    if (step.per_worker_limit > 0 && count != distribution.tasks.end() &&
-        count->second >= step.per_worker_limit) {
-      ++wait.excluded;
+    if (assessment.exclusion != Exclusion::kNone) {
+      ++search.rejected[static_cast<std::size_t>(assessment.exclusion)];
       continue;
     }
     const bool failed_here = avoided_workers != avoided_.end() &&
                              avoided_workers->second.contains(id);
     const bool is_remote =
         (!step.data_rack.empty() && info.rack != step.data_rack) ||
-        (step.rack_local && !distribution.rack.empty() &&
-         info.rack != distribution.rack);
-    const std::optional<int> colocation_rank = ColocationRank(candidate, step);
-    if (!colocation_rank) {
-      ++(IsUncertain(candidate, step.image) ? wait.uncertain
-                                            : wait.interference);
-      continue;
-    }
+        (step.rack_local && !request.distribution.rack.empty() &&
+         info.rack != request.distribution.rack);
     const Preference preference{failed_here, candidate.needs_probe, is_remote,
-                                *colocation_rank, -candidate.idle_cpu_millis};
-    if (best == nullptr || preference < best_preference) {
-      best = &candidate;
+                                assessment.colocation_rank,
+                                -candidate.idle_cpu_millis};
+    if (search.best == nullptr || preference < best_preference) {
+      search.best = &candidate;
       best_preference = preference;
     }
   }
-  return best;
+  return search;
+}
+
+GraphPlacement::Assessment GraphPlacement::Assess(
+    const TaskRequest& request,
+    const CandidateWorker& candidate) const {
+  const StepSpec& step = request.step;
+  const WorkerInfo& info = candidate.worker->info;
+  if (!Fits(ReservedResources(step), candidate.free)) {
+    return {Exclusion::kUnfit};
+  }
+  if (!step.required_label.empty() &&
+      std::find(info.labels.begin(), info.labels.end(), step.required_label) ==
+          info.labels.end()) {
+    return {Exclusion::kLabel};
+  }
+  const auto count = request.distribution.tasks.find(info.life.id);
+  if (step.per_worker_limit > 0 && count != request.distribution.tasks.end() &&
+      count->second >= step.per_worker_limit) {
+    return {Exclusion::kTaskLimit};
+  }
+  if (candidate.is_quarantined) {
+    return {Exclusion::kQuarantine};
+  }
+  // A long-running task takes too long to complete to be used as a probe.
+  if (candidate.has_probe || (candidate.needs_probe && step.long_running)) {
+    return {Exclusion::kProbe};
+  }
+  if (candidate.has_trial) {
+    return {Exclusion::kTrial};
+  }
+  if (!IsAllowed(candidate, request.isolation)) {
+    return {Exclusion::kIsolated};
+  }
+  const std::optional<int> colocation_rank = ColocationRank(candidate, step);
+  if (!colocation_rank) {
+    return {IsUncertain(candidate, step.image) ? Exclusion::kUncertain
+                                               : Exclusion::kInterference};
+  }
+  if (step.best_effort && !is_relaxed_ && !candidate.best_effort.empty() &&
+      candidate.idle_cpu_millis < step.needs.cpu_millis) {
+    return {Exclusion::kBusy};
+  }
+  return {Exclusion::kNone, *colocation_rank};
 }
 
 bool GraphPlacement::IsAllowed(const CandidateWorker& candidate,
@@ -567,13 +593,54 @@
   return false;
 }
 
-void GraphPlacement::RecordWait(PlacementWait wait) {
+void GraphPlacement::RecordWait(const TaskRequest& request,
+                                const Search& search) {
   const auto [recorded, is_new] =
-      wait_recorded_at_.try_emplace(wait.graph, now_);
-  if (is_new || recorded->second + kWaitLogInterval <= now_) {
-    recorded->second = now_;
-    waits_.push_back(std::move(wait));
+      wait_recorded_at_.try_emplace(request.task.graph, now_);
+  if (!is_new && recorded->second + kWaitLogInterval > now_) {
+    return;
+  }
+  recorded->second = now_;
+  PlacementWait wait{request.task.graph, request.step.image};
+  for (std::size_t i = 0; i < search.rejected.size(); ++i) {
+    wait.Count(static_cast<Exclusion>(i), search.rejected[i]);
+  }
+  waits_.push_back(std::move(wait));
+}
+
+void GraphPlacement::RecordLongRunningWait(const TaskRequest& request,
+                                           const Search& search) {
+  const Time since =
+      long_running_since_.try_emplace(request.task, now_).first->second;
+  if (search.best == nullptr && search.room >= kAmpleRoom) {
+    starved_time_ += std::min(now_ - last_pass_at_, kMaxPassInterval);
+  }
+  if (since + kLongWait > now_) {
+    return;
+  }
+  const auto [recorded, is_new] =
+      long_wait_recorded_at_.try_emplace(request.task.graph, now_);
+  const bool is_due = is_new || recorded->second + kWaitLogInterval <= now_;
+  if (!is_due && search.best == nullptr) {
+    return;
+  }
+  recorded->second = now_;
+  LongRunningWait wait{request.task, since, search.room, "", {}};
+  if (search.best != nullptr) {
+    wait.chosen = search.best->worker->info.life.id;
+  }
+  for (const auto& [id, candidate] : candidates_) {
+    if (candidate.worker->info.service != request.graph.queue.service ||
+        wait.rejected.size() >= kMaxLoggedWorkers) {
+      continue;
+    }
+    const Exclusion exclusion = Assess(request, candidate).exclusion;
+    if (exclusion != Exclusion::kNone &&
+        (search.room == 0 || !IsBinding(exclusion))) {
+      wait.rejected.push_back({id, exclusion});
+    }
   }
+  long_running_waits_.push_back(std::move(wait));
 }
 
 std::optional<int> GraphPlacement::ColocationRank(
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -405,6 +405,9 @@
   metrics_.SetGauge("jobs", static_cast<double>(state.jobs().size()));
   metrics_.SetGauge("suspects",
                     static_cast<double>(state.graphs().suspects().size()));
+  metrics_.SetGauge(
+      "long_running_starved_seconds",
+      std::chrono::duration<double>(core_->starved_time()).count());
   metrics_.SetGauge("sent_bytes", static_cast<double>(network_->sent_bytes()));
 }
 
