Tests: long-running tasks that wait without bound, known red

Each of six tests of the leader alone has a long-running task that is ready, a pool with room for it, and agents that report all runs. Suspicion of the only worker, a probe that lasts, neighbours that always fail, a worker reserved for suspects of a crash (suspected itself, or too small) and the choice of neighbours for a best-effort task each keep it out for 9 s (15 s for the neighbours) and, as far as played, for good.

--- /dev/null
+++ b/tests/unit/long_running_test.cc
@@ -0,0 +1,246 @@
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tests/support/graph_samples.h"
+#include "tests/unit/story.h"
+
+namespace banyan {
+namespace {
+
+constexpr Duration kTimeStep = Millis(100);
+// A long-running task must run again so long after the end of its last run if
+// there is room for it twice over.
+constexpr Duration kRestartLimit = std::chrono::seconds(9);
+// A sound worker that is suspected takes long-running tasks again within this
+// time, whatever its other tasks do.
+constexpr Duration kSuspicionLimit = std::chrono::seconds(15);
+
+// Workers whose agents list all runs that are placed on them, with long-running
+// runs at work.
+class Pool {
+ public:
+  explicit Pool(const std::vector<WorkerInfo>& workers) : workers_(workers) {
+    for (const WorkerInfo& info : workers_) {
+      leader.Join(info);
+    }
+  }
+
+  // Lets time pass with a list of each worker in each step.
+  void Pass(Duration span) {
+    for (Duration passed{}; passed < span; passed += kTimeStep) {
+      for (const WorkerInfo& info : workers_) {
+        leader.Sync(ListOf(info));
+      }
+      leader.AdvanceTime(kTimeStep);
+    }
+  }
+
+  // Ends a run on its worker.
+  void End(const RunRef& run, RunEndReason reason) {
+    for (const WorkerInfo& info : workers_) {
+      if (leader.RunsOn(info.life.id).contains(run)) {
+        WorkerSync sync = ListOf(info);
+        std::erase_if(sync.running,
+                      [&](const RunStatus& row) { return row.run == run; });
+        sync.ended = {{++last_end_[info.life.id], run, reason, ""}};
+        leader.Sync(std::move(sync));
+      }
+    }
+  }
+
+  // Returns the active run of a task; its number is 0 if it does not run.
+  [[nodiscard]] RunRef RunOfTask(const std::string& graph,
+                                 std::int64_t index = 0) const {
+    const TaskProgress* task = leader.table().FindTask({graph, 0, 0, index});
+    const bool is_running = task->phase == TaskPhase::kRunning;
+    return RunOf(graph, 0, index, is_running ? task->run : 0);
+  }
+
+  [[nodiscard]] bool IsRunning(const std::string& graph,
+                               std::int64_t index = 0) const {
+    return RunOfTask(graph, index).run != 0;
+  }
+
+  // Returns the worker that runs a task.
+  [[nodiscard]] std::string WorkerOf(const std::string& graph,
+                                     std::int64_t index = 0) const {
+    return leader.table().FindTask({graph, 0, 0, index})->worker.id;
+  }
+
+  LeaderHarness leader;
+
+ private:
+  WorkerSync ListOf(const WorkerInfo& info) {
+    WorkerSync sync;
+    sync.info = info;
+    sync.lists = ++lists_;
+    for (const RunRef& run : leader.RunsOn(info.life.id)) {
+      const StepSpec& step = *leader.table().FindStep(run.task);
+      sync.running.push_back(
+          {run, "", step.long_running ? kFullPercent : 1, 0});
+    }
+    return sync;
+  }
+
+  std::vector<WorkerInfo> workers_;
+  std::uint64_t lists_ = 0;
+  std::map<std::string, std::int64_t> last_end_;
+};
+
+StepSpec LongRunningStep(std::int64_t count) {
+  StepSpec step = SampleStep(count);
+  step.long_running = true;
+  return step;
+}
+
+// Fails a run of a task of each graph, so that their worker is suspected.
+void FailBoth(Pool& pool, const std::string& first, const std::string& second) {
+  pool.End(pool.RunOfTask(first), RunEndReason::kFailed);
+  pool.End(pool.RunOfTask(second), RunEndReason::kFailed);
+}
+
+// Guards against a worker that is suspected for good: long-running tasks may
+// fail at any time and never end as done.
+void RestartsOnTheOnlyWorkerAfterFailures() {
+  Pool pool({SampleWorker("w1")});
+  pool.leader.Commit(SampleGraph("g", {LongRunningStep(1)}));
+  pool.leader.Commit(SampleGraph("h", {LongRunningStep(1)}));
+  pool.Pass(std::chrono::seconds(1));
+  for (int i = 0; i < 2; ++i) {
+    pool.Pass(std::chrono::seconds(60));
+    FailBoth(pool, "g", "h");
+  }
+  pool.Pass(kRestartLimit);
+  CPPUNIT_ASSERT(pool.IsRunning("g"));
+  CPPUNIT_ASSERT(pool.IsRunning("h"));
+}
+
+// Guards against a task that waits for the probe of a suspected worker while
+// the limit per worker rules out the others.
+void RestartsBesideASlowProbe() {
+  Pool pool({SampleWorker("w1"), SampleWorker("w2")});
+  StepSpec spread = LongRunningStep(2);
+  spread.per_worker_limit = 1;
+  pool.leader.Commit(SampleGraph("g", {spread}));
+  pool.Pass(std::chrono::seconds(1));
+  const std::int64_t index = pool.WorkerOf("g", 0) == "w1" ? 0 : 1;
+  // Two graphs that fail on the same worker.
+  pool.leader.Commit(SampleGraph("h", {SampleStep(6, 500)}));
+  pool.leader.Commit(SampleGraph("i", {SampleStep(6, 500)}));
+  pool.Pass(std::chrono::seconds(1));
+  for (const RunRef& run : pool.leader.RunsOn("w1")) {
+    if (run.task.graph != "g") {
+      pool.End(run, RunEndReason::kFailed);
+    }
+  }
+  pool.End(pool.RunOfTask("g", index), RunEndReason::kFailed);
+  pool.Pass(kRestartLimit);
+  CPPUNIT_ASSERT(pool.IsRunning("g", 0));
+  CPPUNIT_ASSERT(pool.IsRunning("g", 1));
+}
+
+// Guards against long-running best-effort tasks that wait for better
+// neighbours.
+void BestEffortTasksStartBesideLatencySensitiveOnes() {
+  Pool pool({SampleWorker("w1")});
+  pool.leader.Commit(SampleGraph("g", {ServingStep(4)}));
+  pool.Pass(std::chrono::seconds(1));
+  StepSpec filling = BestEffortStep(4, 1000);
+  filling.long_running = true;
+  pool.leader.Commit(SampleGraph("h", {filling}));
+  pool.Pass(kRestartLimit);
+  for (std::int64_t i = 0; i < filling.count; ++i) {
+    CPPUNIT_ASSERT(pool.IsRunning("h", i));
+  }
+}
+
+// Guards against a suspect of a crash for which a worker is reserved that is
+// suspected of failing its runs and therefore gets no long-running task.
+void SuspectOfACrashIsNotKeptForASuspectedWorker() {
+  Pool pool({SampleWorker("w1"), SampleWorker("w2")});
+  const std::vector<std::string> graphs = {"a", "b", "c", "d"};
+  for (const std::string& graph : graphs) {
+    pool.leader.Commit(SampleGraph(graph, {LongRunningStep(1)}));
+  }
+  pool.Pass(std::chrono::seconds(1));
+  const RunRef run = pool.RunOfTask("a");
+  const std::string worker = pool.WorkerOf("a");
+  for (const std::string& graph : graphs) {
+    if (pool.WorkerOf(graph) != worker) {
+      pool.End(pool.RunOfTask(graph), RunEndReason::kFailed);
+    }
+  }
+  pool.Pass(std::chrono::seconds(3));
+  pool.leader.Commit(RecordCrashes{SampleWorker(worker).life,
+                                   {{run, CrashEvidence::kAtStart}}});
+  pool.End(run, RunEndReason::kStopped);
+  pool.Pass(kRestartLimit);
+  CPPUNIT_ASSERT(pool.IsRunning("a"));
+}
+
+// Guards against a suspect of a crash for which a worker is reserved that is
+// too small for it.
+void SuspectOfACrashIsNotKeptForASmallWorker() {
+  WorkerInfo small = SampleWorker("w2");
+  small.capacity.cpu_millis = 500;
+  Pool pool({SampleWorker("w1"), small});
+  pool.leader.Commit(SampleGraph("a", {LongRunningStep(1)}));
+  pool.leader.Commit(SampleGraph("b", {LongRunningStep(1)}));
+  pool.Pass(std::chrono::seconds(1));
+  const RunRef run = pool.RunOfTask("a");
+  pool.leader.Commit(
+      RecordCrashes{SampleWorker("w1").life, {{run, CrashEvidence::kAtStart}}});
+  pool.End(run, RunEndReason::kStopped);
+  pool.Pass(kRestartLimit);
+  CPPUNIT_ASSERT(pool.IsRunning("a"));
+}
+
+// Guards against a sound worker that is closed by tasks that always fail.
+void WorkerIsNotClosedByTasksThatAlwaysFail() {
+  Pool pool({SampleWorker("w1")});
+  pool.leader.Commit(SampleGraph("g", {LongRunningStep(1)}));
+  pool.leader.Commit(SampleGraph("h", {LongRunningStep(1)}));
+  pool.Pass(std::chrono::seconds(1));
+  pool.leader.Commit(SampleGraph("sound", {LongRunningStep(1)}));
+  Duration longest_wait{};
+  Duration wait{};
+  for (int i = 0; i < 600; ++i) {
+    for (const char* graph : {"g", "h"}) {
+      if (pool.IsRunning(graph)) {
+        pool.End(pool.RunOfTask(graph), RunEndReason::kFailed);
+      }
+    }
+    pool.Pass(kTimeStep);
+    wait = pool.IsRunning("sound") ? Duration{} : wait + kTimeStep;
+    longest_wait = std::max(longest_wait, wait);
+  }
+  CPPUNIT_ASSERT(longest_wait <= kSuspicionLimit);
+  CPPUNIT_ASSERT(pool.IsRunning("sound"));
+}
+
+}  // namespace
+
+Section LongRunningStory() {
+  Section story("A long-running task");
+  story
+      .With(Section("that failed")
+                .Then("restarts on the only worker, though tasks fail there",
+                      RestartsOnTheOnlyWorkerAfterFailures)
+                .Then("restarts beside a probe that lasts",
+                      RestartsBesideASlowProbe)
+                .Then("does not wait for a worker that its neighbours close",
+                      WorkerIsNotClosedByTasksThatAlwaysFail))
+      .With(Section("that may have crashed its worker")
+                .Then("is not kept for a worker that is suspected",
+                      SuspectOfACrashIsNotKeptForASuspectedWorker)
+                .Then("is not kept for a worker that is too small",
+                      SuspectOfACrashIsNotKeptForASmallWorker))
+      .With(Section("that is best-effort")
+                .Then("does not wait for better neighbours",
+                      BestEffortTasksStartBesideLatencySensitiveOnes));
+  return story;
+}
+
+}  // namespace banyan
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -80,6 +80,7 @@
       .With(WorkerAgentStory())
       .With(CrashStory())
       .With(GraphWorldStory())
+      .With(LongRunningStory())
       .With(InterferenceStory())
       .With(PacerStory())
       .With(CellClientStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -78,6 +78,7 @@
 Section GraphWorldStory();
 Section GraphLeaderStory();
 Section WorkerAgentStory();
+Section LongRunningStory();
 Section InterferenceStory();
 Section PacerStory();
 Section CellClientStory();
