Placement: bound how long exclusions keep out long-running tasks

Callers saw a long-running task that did not run although there was room for it.

Cause: exclusions of workers without a bound. Two failures of different graphs, however far apart and whatever their cause, made a worker suspected until a run ended there as done. Long-running runs never end so, and a suspected worker got none. Of the same kind: a probe that lasts, a worker reserved for suspects of a crash that can't run them, and the choice of neighbours for best-effort tasks.

Change, in one place for all of them: a long-running task that has been ready for 1.5 s is placed on any worker that can run it; only room, a label and the limit per worker are binding, and the other exclusions order the choice. The time limit is half of the 3 s that the task may wait.

A task that has failed on two other workers, and a long-running graph that has failed there before, cast no further suspicion.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -57,6 +57,7 @@
   kJobEnded = 1305,
   kJobUnplaceable = 1306,
   kWorkerSuspected = 1307,
+  kWorkerCleared = 1308,
   kInstanceRegistered = 1310,
   kInstanceRemoved = 1311,
   kInstanceLeaving = 1312,
--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -22,6 +22,7 @@
 #include "banyan/graph/serving_rank.h"
 #include "banyan/graph/urgency.h"
 #include "banyan/graph/worker_agent.h"
+#include "banyan/graph/worker_suspicion.h"
 #include "banyan/graph/worker_view.h"
 
 #endif  // BANYAN_GRAPH_H_
--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -8,6 +8,7 @@
 #include "banyan/base/resources.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/interference.h"
+#include "banyan/graph/worker_suspicion.h"
 
 namespace banyan {
 
@@ -25,6 +26,8 @@
 // A worker as placement sees it, after the placements chosen so far.
 struct CandidateWorker {
   const GraphWorker* worker = nullptr;
+  // The capacity that may be committed.
+  Resources usable;
   // Uncommitted capacity.
   Resources free;
   // CPU time that is expected to be unused, in thousandths of a processor.
@@ -34,12 +37,10 @@
   std::vector<BestEffortNeighbour> best_effort;
   // Best-effort tasks whose interference here is uncertain.
   int exploring_tasks = 0;
-  // Whether the worker is suspected and gets a single run as a probe.
-  bool needs_probe = false;
+  // Whether the worker is suspected and gets no run, or a single one.
+  WorkerAccess access = WorkerAccess::kOpen;
   // Whether it has got that run.
   bool has_probe = false;
-  // Whether the worker is suspected and gets no run yet.
-  bool is_quarantined = false;
   // Whether it has no runs but those of suspects.
   bool has_only_suspects = true;
   // Whether it runs a suspect whose start it may not have survived yet; it gets
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -124,7 +124,18 @@
                        const GraphTable& table,
                        const GraphWorker& worker,
                        WorkerOrders& orders);
-  void SuspectAfterFailure(Time now, GraphWorkerView& view, const RunRef& run);
+  // Counts a failed or stuck run against its worker unless its task is known to
+  // fail elsewhere, too.
+  void SuspectAfterFailure(Time now,
+                           const GraphTable& table,
+                           GraphWorkerView& view,
+                           const RunRef& run);
+  // Whether the task has failed on several other workers.
+  [[nodiscard]] bool FailsElsewhere(const TaskRef& task,
+                                    const std::string& worker) const;
+  // Clears the worker's suspicion if a long-running run that started after its
+  // last failure has been at work for long enough.
+  void FindSoundRuns(Time now, const GraphTable& table, GraphWorkerView& view);
   void LogLongRunningWait(Time now, const LongRunningWait& wait);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,14 @@
 // the interference of its image is uncertain.
 inline constexpr std::int64_t kExplorationPercent = 50;
 
+// Why a task avoids a worker. Ordered by weight.
+enum class AvoidReason : std::uint8_t {
+  // Its run was throttled there for long.
+  kStarved,
+  // Its run failed or was stuck there.
+  kFailed,
+};
+
 // Chooses workers for ready tasks. Deterministic; reads no clock, all times are
 // passed in.
 class GraphPlacement {
@@ -45,9 +54,14 @@
       const std::map<std::string, GraphWorkerView>& views,
       const InterferenceModel& model);
 
-  // Records that a run of the task failed, was stuck or was throttled for long
-  // on the worker, so that other workers are preferred for its next run.
-  void Avoid(const TaskRef& task, const std::string& worker);
+  // Records a reason to prefer other workers for the next run of the task.
+  void Avoid(const TaskRef& task,
+             const std::string& worker,
+             AvoidReason reason);
+
+  // Returns the workers on which runs of the task failed or were stuck.
+  [[nodiscard]] std::vector<std::string_view> WorkersFailedOn(
+      const TaskRef& task) const;
 
   // Returns and clears the recorded waits of graphs with unplaced tasks. Each
   // graph is recorded at limited intervals only.
@@ -88,6 +102,17 @@
     const StepSpec& step;
     Isolation isolation;
     const StepDistribution& distribution;
+    // Whether only binding exclusions count.
+    bool is_overdue = false;
+  };
+
+  // What the tasks co-located on a worker make of it for a step.
+  struct Colocation {
+    // Smaller is better.
+    int rank = 0;
+    // Whether all latency-sensitive tasks there are expected to keep their
+    // targets.
+    bool is_suitable = true;
   };
 
   // A worker's suitability for a task.
@@ -113,9 +138,12 @@
   void PlaceSuspects(WallMillis wall,
                      const GraphTable& table,
                      std::vector<RunPlacement>& placements);
-  // Reserves the worker with the fewest runs for suspects. It gets other runs
-  // only if it is the last one of its pool.
-  void ReserveWorker(const std::string& service);
+  // Reserves a worker for a suspect: of those that can run it, the one with the
+  // fewest runs. It gets other runs only if it is the last one of its pool.
+  void ReserveWorker(const Graph& graph, const StepSpec& step);
+  // Whether a long-running task has been ready for so long that it must be
+  // placed on any worker that can run it. Starts its wait if it is new.
+  [[nodiscard]] bool IsOverdue(const TaskRef& ref, const StepSpec& step);
   // Returns the isolation of a task's next run.
   [[nodiscard]] Isolation IsolationOf(const TaskRef& ref,
                                       const TaskProgress& task);
@@ -163,11 +191,9 @@
                const TaskRef& task,
                const StepSpec& step) const;
 
-  // Ranks a worker for a step by the tasks co-located there; smaller is better.
-  // Returns nothing if the worker is not suitable.
-  [[nodiscard]] std::optional<int> ColocationRank(
-      const CandidateWorker& candidate,
-      const StepSpec& step) const;
+  // Rates a worker for a step by the tasks co-located there.
+  [[nodiscard]] Colocation ColocationOf(const CandidateWorker& candidate,
+                                        const StepSpec& step) const;
   // Whether the interference of a best-effort image with any latency-sensitive
   // task on the worker is uncertain.
   [[nodiscard]] bool IsUncertain(const CandidateWorker& candidate,
@@ -177,7 +203,7 @@
   Time now_;
   const InterferenceModel* model_ = nullptr;
   std::map<std::string, CandidateWorker> candidates_;
-  std::map<TaskRef, std::set<std::string>> avoided_;
+  std::map<TaskRef, std::map<std::string, AvoidReason>> avoided_;
   // Since when a graph has had unplaced tasks.
   std::map<std::string, Time> waiting_since_;
   // Since when a suspect has had no worker of its own.
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -10,10 +10,16 @@
 #include "banyan/base/resources.h"
 #include "banyan/base/time.h"
 #include "banyan/graph/crash_record.h"
+#include "banyan/graph/worker_suspicion.h"
 #include "banyan/wire/graph.h"
 
 namespace banyan {
 
+// Time that a long-running run must have been at work to show that its worker
+// doesn't fail what it starts. A worker that does fails a run within a fraction
+// of a second.
+inline constexpr Duration kSoundRunTime = Millis(1000);
+
 // The leader's view of one run.
 struct RunView {
   // Last report of the run.
@@ -67,14 +73,9 @@
   Time admission_proposed_at;
   // Whether the worker's removal was proposed.
   bool drop_proposed = false;
-  // Graphs with failed runs here since the last run that completed.
-  std::set<std::string> failed_graphs;
-  // A suspected worker gets no runs until `quarantined_until`, then one at a
-  // time until a run completes.
-  bool is_suspected = false;
-  Time quarantined_until;
-  // The last run placed here while the worker was suspected.
-  std::optional<RunRef> probe;
+  WorkerSuspicion suspicion;
+  // Long-running runs that have been at work for kSoundRunTime.
+  std::set<RunRef> sound_runs;
 
   // Returns whether a run has started without a crash of the worker.
   [[nodiscard]] bool HasSurvived(const RunRef& run, Time now) const {
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -93,6 +93,9 @@
     {EventId::kWorkerSuspected, "worker-suspected",
      "Placement decision: a worker on which different jobs failed gets no more "
      "jobs for a while."},
+    {EventId::kWorkerCleared, "worker-cleared",
+     "A suspected worker gets runs as before, since a long-running run that "
+     "started after its last failure is at work."},
     {EventId::kInstanceRegistered, "instance-registered",
      "An instance registered with the control cell."},
     {EventId::kInstanceRemoved, "instance-removed",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -21,10 +21,9 @@
 // Time after its start by which a long-running task must be at work; otherwise
 // it is moved.
 constexpr Duration kLongRunningStallTimeout = Millis(4000);
-// Number of different graphs with failed runs that makes a worker suspected.
-constexpr std::size_t kFailedGraphsToSuspect = 2;
-// Time before a suspected worker gets a probe run.
-constexpr Duration kSuspicionCooldown = Millis(2500);
+// Number of other workers on which a task must have failed for its failures to
+// count as its own.
+constexpr int kMinFailuresElsewhere = 2;
 // Minimum time between throttle decisions on a worker: the half second that a
 // measurement covers, less some jitter.
 constexpr Duration kMinThrottleInterval = Millis(450);
@@ -211,6 +210,7 @@
   }
   view.runs = std::move(runs);
   view.survived.insert(sync.survived.begin(), sync.survived.end());
+  FindSoundRuns(now, table, view);
   ProposeRunEnds(now, *worker, sync);
   WorkerOrders orders = MakeOrders(*worker);
   orders.seq = sync.seq;
@@ -457,8 +457,11 @@
   std::erase_if(view.starting_percent, [&](const auto& item) {
     return !worker.runs.contains(item.first);
   });
-  std::erase_if(view.survived,
-                [&](const RunRef& run) { return !worker.runs.contains(run); });
+  const auto has_ended = [&](const RunRef& run) {
+    return !worker.runs.contains(run);
+  };
+  std::erase_if(view.survived, has_ended);
+  std::erase_if(view.sound_runs, has_ended);
   std::erase_if(view.stop_sent_at, [&](const auto& item) {
     return !worker.runs.contains(item.first) && !known.contains(item.first);
   });
@@ -578,7 +581,7 @@
         !view.stop_sent_at.try_emplace(run, now).second) {
       continue;
     }
-    placement_.Avoid(run.task, worker.info.life.id);
+    placement_.Avoid(run.task, worker.info.life.id, AvoidReason::kStarved);
     orders.stops.push_back(run);
     out_.events.push_back(RunEvent(EventId::kRunMoved, run, worker.info.life.id)
                               .With("percent", seen.row.percent)
@@ -620,9 +623,7 @@
         view.starting_percent[placement.run] = start.percent;
       }
       orders_for(*worker).starts.push_back(std::move(start));
-      if (view.is_suspected) {
-        view.probe = placement.run;
-      }
+      view.suspicion.OnPlaced(now, placement.run);
       out_.events.push_back(
           RunEvent(EventId::kRunPlaced, placement.run, placement.worker.id)
               .With("occurrence", placement.run.task.occurrence)
@@ -655,12 +656,13 @@
     GraphWorkerView& view = ended_view->second;
     for (const EndedRun& row : ends->rows) {
       if (row.reason == RunEndReason::kDone) {
-        view.failed_graphs.clear();
-        view.is_suspected = false;
+        view.suspicion.Clear();
         placement_.Forget(row.run.task);
       } else if (row.reason == RunEndReason::kFailed) {
-        placement_.Avoid(row.run.task, ends->worker.id);
-        SuspectAfterFailure(now, view, row.run);
+        placement_.Avoid(row.run.task, ends->worker.id, AvoidReason::kFailed);
+        if (!view.sound_runs.contains(row.run)) {
+          SuspectAfterFailure(now, table, view, row.run);
+        }
       }
     }
   }
@@ -716,22 +718,51 @@
 }
 
 void GraphLeader::SuspectAfterFailure(Time now,
+                                      const GraphTable& table,
                                       GraphWorkerView& view,
                                       const RunRef& run) {
-  view.failed_graphs.insert(run.task.graph);
-  const bool is_failed_probe = view.probe && *view.probe == run;
-  if (!options_.scheduling.worker_suspicion) {
+  const StepSpec* step = table.FindStep(run.task);
+  const bool is_long_running = step != nullptr && step->long_running;
+  if (!options_.scheduling.worker_suspicion ||
+      FailsElsewhere(run.task, view.life.id) ||
+      !view.suspicion.OnFailure(now, run, is_long_running)) {
     return;
   }
-  if (view.failed_graphs.size() < kFailedGraphsToSuspect && !is_failed_probe) {
-    return;
+  out_.events.push_back(
+      Event(EventId::kWorkerSuspected)
+          .With("worker", view.life.id)
+          .With("failed_jobs", view.suspicion.failed_graph_count()));
+}
+
+bool GraphLeader::FailsElsewhere(const TaskRef& task,
+                                 const std::string& worker) const {
+  const std::vector<std::string_view> workers =
+      placement_.WorkersFailedOn(task);
+  return std::count_if(
+             workers.begin(), workers.end(),
+             [&](std::string_view other) { return other != worker; }) >=
+         kMinFailuresElsewhere;
+}
+
+void GraphLeader::FindSoundRuns(Time now,
+                                const GraphTable& table,
+                                GraphWorkerView& view) {
+  for (const auto& [run, seen] : view.runs) {
+    const StepSpec* step = table.FindStep(run.task);
+    if (step == nullptr || !step->long_running ||
+        seen.row.percent < kFullPercent ||
+        seen.listed_at + kSoundRunTime > now) {
+      continue;
+    }
+    view.sound_runs.insert(run);
+    if (view.suspicion.is_suspected(now) &&
+        seen.listed_at > view.suspicion.last_failure_at()) {
+      view.suspicion.Clear();
+      out_.events.push_back(
+          RunEvent(EventId::kWorkerCleared, run, view.life.id)
+              .With("at_work_ms", ToMillis(now - seen.listed_at)));
+    }
   }
-  view.is_suspected = true;
-  view.quarantined_until = now + kSuspicionCooldown;
-  view.probe.reset();
-  out_.events.push_back(Event(EventId::kWorkerSuspected)
-                            .With("worker", view.life.id)
-                            .With("failed_jobs", view.failed_graphs.size()));
 }
 
 void GraphLeader::ExpireLeases(Time now, const GraphTable& table) {
@@ -769,8 +800,8 @@
           !view.stop_sent_at.try_emplace(run, now).second) {
         continue;
       }
-      placement_.Avoid(run.task, id);
-      SuspectAfterFailure(now, view, run);
+      placement_.Avoid(run.task, id, AvoidReason::kFailed);
+      SuspectAfterFailure(now, table, view, run);
       WorkerOrders orders = MakeOrders(*worker);
       orders.stops.push_back(run);
       out_.orders.push_back({worker->agent, std::move(orders)});
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -32,8 +32,10 @@
 constexpr int kMaxMissesPerStep = 2;
 
 // Order of preference between suitable workers; smaller is better. Compared by
-// earlier failures, suspicion, remote rack, co-location rank and idle CPU time.
-using Preference = std::tuple<bool, bool, bool, int, std::int64_t>;
+// exclusion, earlier failures, suspicion, remote rack, co-location rank and
+// idle CPU time.
+using Preference =
+    std::tuple<Exclusion, bool, WorkerAccess, bool, int, std::int64_t>;
 
 // Latency that latency-sensitive tasks have to keep beside best-effort tasks,
 // as a fraction of their target.
@@ -53,6 +55,9 @@
 // After this wait a suspect is placed beside other tasks. A graph must not be
 // idle for 3 s while its pool is not busy.
 constexpr Duration kMaxIsolationWait = Millis(1500);
+// After this wait a long-running task is placed on any worker that can run it.
+// It must not wait for 3 s while there is room.
+constexpr Duration kMaxLongRunningWait = Millis(1500);
 // Lower bound of the expected CPU utilisation of a latency-sensitive task, as a
 // fraction of its committed CPU time.
 constexpr double kMinServingUtilisation = 0.35;
@@ -97,6 +102,13 @@
   return task != nullptr && task->phase == TaskPhase::kReady;
 }
 
+// Whether a worker has the label that a step requires.
+bool HasLabel(const WorkerInfo& info, const StepSpec& step) {
+  return step.required_label.empty() ||
+         std::find(info.labels.begin(), info.labels.end(),
+                   step.required_label) != info.labels.end();
+}
+
 // Whether a worker runs a suspect whose start it may not have survived yet.
 bool HasTrial(const GraphTable& table,
               const GraphWorker& worker,
@@ -194,8 +206,26 @@
              std::max<std::int64_t>(worker.info.capacity.cpu_millis, 1));
 }
 
-void GraphPlacement::Avoid(const TaskRef& task, const std::string& worker) {
-  avoided_[task].insert(worker);
+void GraphPlacement::Avoid(const TaskRef& task,
+                           const std::string& worker,
+                           AvoidReason reason) {
+  AvoidReason& recorded =
+      avoided_[task].try_emplace(worker, reason).first->second;
+  recorded = std::max(recorded, reason);
+}
+
+std::vector<std::string_view> GraphPlacement::WorkersFailedOn(
+    const TaskRef& task) const {
+  std::vector<std::string_view> workers;
+  const auto found = avoided_.find(task);
+  if (found != avoided_.end()) {
+    for (const auto& [worker, reason] : found->second) {
+      if (reason == AvoidReason::kFailed) {
+        workers.emplace_back(worker);
+      }
+    }
+  }
+  return workers;
 }
 
 std::vector<RunPlacement> GraphPlacement::Choose(
@@ -237,16 +267,11 @@
     }
     CandidateWorker candidate;
     candidate.worker = &worker;
-    candidate.free =
-        view->second.UsableCapacity(worker.info.capacity) - worker.committed;
+    candidate.usable = view->second.UsableCapacity(worker.info.capacity);
+    candidate.free = candidate.usable - worker.committed;
     candidate.idle_cpu_millis =
         candidate.free.cpu_millis - worker.fill_cpu_millis;
-    candidate.needs_probe = view->second.is_suspected;
-    if (candidate.needs_probe) {
-      const std::optional<RunRef>& probe = view->second.probe;
-      candidate.is_quarantined = view->second.quarantined_until > now ||
-                                 (probe && worker.runs.contains(*probe));
-    }
+    candidate.access = view->second.suspicion.AccessAt(now, worker.runs);
     candidate.has_only_suspects = std::all_of(
         worker.runs.begin(), worker.runs.end(),
         [&](const RunRef& run) { return table.suspects().contains(run.task); });
@@ -335,13 +360,13 @@
     }
     // The members of a gang are placed together.
     if (step.gang) {
-      ReserveWorker(graph.queue.service);
+      ReserveWorker(graph, step);
       continue;
     }
     const Isolation isolation = IsolationOf(ref, task);
     is_relaxed_ = isolation == Isolation::kReservedWorker;
     if (is_relaxed_) {
-      ReserveWorker(graph.queue.service);
+      ReserveWorker(graph, step);
     }
     StepDistribution distribution = DistributionOf(
         graph.occurrences[static_cast<std::size_t>(ref.occurrence)]
@@ -350,34 +375,49 @@
                                 distribution)) {
       placements.push_back(*std::move(placed));
     } else {
-      ReserveWorker(graph.queue.service);
+      ReserveWorker(graph, step);
     }
   }
 }
 
-void GraphPlacement::ReserveWorker(const std::string& service) {
+void GraphPlacement::ReserveWorker(const Graph& graph, const StepSpec& step) {
   std::size_t others = 0;
-  CandidateWorker* fewest = nullptr;
+  CandidateWorker* best = nullptr;
+  const auto preference = [&](const CandidateWorker& candidate) {
+    return std::pair(!Fits(ReservedResources(step), candidate.free),
+                     candidate.worker->runs.size());
+  };
   for (auto& [id, candidate] : candidates_) {
-    if (candidate.worker->info.service != service || candidate.has_trial ||
-        candidate.is_quarantined) {
+    if (candidate.worker->info.service != graph.queue.service ||
+        candidate.has_trial || candidate.access == WorkerAccess::kQuarantine) {
       continue;
     }
     if (candidate.is_reserved) {
       return;
     }
     ++others;
-    if (fewest == nullptr ||
-        candidate.worker->runs.size() < fewest->worker->runs.size()) {
-      fewest = &candidate;
+    const bool is_suitable =
+        HasLabel(candidate.worker->info, step) &&
+        Fits(ReservedResources(step), candidate.usable) &&
+        (candidate.access == WorkerAccess::kOpen || !step.long_running);
+    if (is_suitable &&
+        (best == nullptr || preference(candidate) < preference(*best))) {
+      best = &candidate;
     }
   }
-  if (fewest != nullptr) {
-    fewest->is_reserved = true;
-    fewest->is_last = others == 1;
+  if (best != nullptr) {
+    best->is_reserved = true;
+    best->is_last = others == 1;
   }
 }
 
+bool GraphPlacement::IsOverdue(const TaskRef& ref, const StepSpec& step) {
+  return step.long_running &&
+         long_running_since_.try_emplace(ref, now_).first->second +
+                 kMaxLongRunningWait <=
+             now_;
+}
+
 GraphPlacement::Isolation GraphPlacement::IsolationOf(
     const TaskRef& ref,
     const TaskProgress& task) {
@@ -423,10 +463,17 @@
       continue;
     }
     ref.index = static_cast<std::int64_t>(i);
+    const bool is_overdue = IsOverdue(ref, step);
+    if (!is_overdue && miss_count >= kMaxMissesPerStep) {
+      continue;
+    }
     const auto placed = PlaceTask(graph, ref, step, task.run + 1,
                                   Isolation::kNone, distribution);
     if (!placed) {
-      if (++miss_count >= kMaxMissesPerStep) {
+      ++miss_count;
+      // What keeps out an overdue task keeps out all others of its step.
+      if (is_overdue ||
+          (miss_count >= kMaxMissesPerStep && !step.long_running)) {
         return;
       }
       continue;
@@ -479,7 +526,8 @@
     std::int64_t run,
     Isolation isolation,
     StepDistribution& distribution) {
-  const TaskRequest request{graph, task, step, isolation, distribution};
+  const TaskRequest request{graph,     task,         step,
+                            isolation, distribution, IsOverdue(task, step)};
   const Search search = FindWorker(request);
   if (step.long_running) {
     RecordLongRunningWait(request, search);
@@ -489,6 +537,8 @@
     RecordWait(request, search);
     return std::nullopt;
   }
+  // The run may fail before the next pass, which starts a new wait.
+  long_running_since_.erase(task);
   Reserve(*candidate, task, step);
   candidate->has_trial = isolation != Isolation::kNone;
   candidate->has_only_suspects =
@@ -518,7 +568,9 @@
     }
     if (assessment.exclusion != Exclusion::kNone) {
       ++search.rejected[static_cast<std::size_t>(assessment.exclusion)];
-      continue;
+      if (!request.is_overdue || IsBinding(assessment.exclusion)) {
+        continue;
+      }
     }
     const bool failed_here = avoided_workers != avoided_.end() &&
                              avoided_workers->second.contains(id);
@@ -526,9 +578,10 @@
         (!step.data_rack.empty() && info.rack != step.data_rack) ||
         (step.rack_local && !request.distribution.rack.empty() &&
          info.rack != request.distribution.rack);
-    const Preference preference{failed_here, candidate.needs_probe, is_remote,
-                                assessment.colocation_rank,
-                                -candidate.idle_cpu_millis};
+    const Preference preference{
+        assessment.exclusion,       failed_here,
+        candidate.access,           is_remote,
+        assessment.colocation_rank, -candidate.idle_cpu_millis};
     if (search.best == nullptr || preference < best_preference) {
       search.best = &candidate;
       best_preference = preference;
@@ -545,9 +598,7 @@
   if (!Fits(ReservedResources(step), candidate.free)) {
     return {Exclusion::kUnfit};
   }
-  if (!step.required_label.empty() &&
-      std::find(info.labels.begin(), info.labels.end(), step.required_label) ==
-          info.labels.end()) {
+  if (!HasLabel(info, step)) {
     return {Exclusion::kLabel};
   }
   const auto count = request.distribution.tasks.find(info.life.id);
@@ -555,11 +606,12 @@
       count->second >= step.per_worker_limit) {
     return {Exclusion::kTaskLimit};
   }
-  if (candidate.is_quarantined) {
+  if (candidate.access == WorkerAccess::kQuarantine) {
     return {Exclusion::kQuarantine};
   }
   // A long-running task takes too long to complete to be used as a probe.
-  if (candidate.has_probe || (candidate.needs_probe && step.long_running)) {
+  if (candidate.has_probe ||
+      (candidate.access == WorkerAccess::kProbe && step.long_running)) {
     return {Exclusion::kProbe};
   }
   if (candidate.has_trial) {
@@ -568,16 +620,17 @@
   if (!IsAllowed(candidate, request.isolation)) {
     return {Exclusion::kIsolated};
   }
-  const std::optional<int> colocation_rank = ColocationRank(candidate, step);
-  if (!colocation_rank) {
+  const Colocation colocation = ColocationOf(candidate, step);
+  if (!colocation.is_suitable && !is_relaxed_) {
     return {IsUncertain(candidate, step.image) ? Exclusion::kUncertain
-                                               : Exclusion::kInterference};
+                                               : Exclusion::kInterference,
+            colocation.rank};
   }
   if (step.best_effort && !is_relaxed_ && !candidate.best_effort.empty() &&
       candidate.idle_cpu_millis < step.needs.cpu_millis) {
-    return {Exclusion::kBusy};
+    return {Exclusion::kBusy, colocation.rank};
   }
-  return {Exclusion::kNone, *colocation_rank};
+  return {Exclusion::kNone, colocation.rank};
 }
 
 bool GraphPlacement::IsAllowed(const CandidateWorker& candidate,
@@ -643,15 +696,15 @@
   long_running_waits_.push_back(std::move(wait));
 }
 
-std::optional<int> GraphPlacement::ColocationRank(
+GraphPlacement::Colocation GraphPlacement::ColocationOf(
     const CandidateWorker& candidate,
     const StepSpec& step) const {
   if (step.latency_target_ms > 0) {
-    return policy_.image_packing ? ServingRank(pool_workers_, candidate, step)
-                                 : 0;
+    return {policy_.image_packing ? ServingRank(pool_workers_, candidate, step)
+                                  : 0};
   }
   if (!step.best_effort || candidate.serving.empty()) {
-    return 0;
+    return {};
   }
   const bool is_exploring =
       candidate.exploring_tasks == 0 && IsUncertain(candidate, step.image);
@@ -683,14 +736,12 @@
                           serving_task.occupancy_limit);
   }
   const int level = static_cast<int>(worst_excess * kOccupancyLevels);
+  // Larger than any difference between suitable workers.
   constexpr int kOverLimitRank = 1000;
   if (worst_excess <= 0) {
-    return level;
-  }
-  if (is_relaxed_) {
-    return kOverLimitRank + level;
+    return {level};
   }
-  return std::nullopt;
+  return {kOverLimitRank + level, false};
 }
 
 bool GraphPlacement::IsUncertain(const CandidateWorker& candidate,
@@ -730,7 +781,7 @@
   if (step.best_effort) {
     candidate.exploring_tasks += IsUncertain(candidate, step.image) ? 1 : 0;
   }
-  candidate.has_probe = candidate.needs_probe;
+  candidate.has_probe = candidate.access != WorkerAccess::kOpen;
 }
 
 }  // namespace banyan
--- a/tests/unit/long_running_test.cc
+++ b/tests/unit/long_running_test.cc
@@ -220,6 +220,62 @@
   CPPUNIT_ASSERT(pool.IsRunning("sound"));
 }
 
+// Guards against long-running tasks that always fail and keep batch work from
+// the only worker.
+void BatchWorkIsNotKeptOutByTasksThatAlwaysFail() {
+  Pool pool({SampleWorker("w1")});
+  pool.leader.Commit(SampleGraph("g", {LongRunningStep(1)}));
+  pool.leader.Commit(SampleGraph("h", {LongRunningStep(1)}));
+  pool.Pass(std::chrono::seconds(1));
+  int done = 0;
+  pool.leader.Commit(SampleGraph("batch", {SampleStep(30)}));
+  for (int i = 0; i < 300; ++i) {
+    for (const char* graph : {"g", "h"}) {
+      if (pool.IsRunning(graph)) {
+        pool.End(pool.RunOfTask(graph), RunEndReason::kFailed);
+      }
+    }
+    pool.Pass(kTimeStep);
+    for (std::int64_t index = 0; index < 30; ++index) {
+      if (pool.leader.table().FindTask({"batch", 0, 0, index}) != nullptr &&
+          pool.IsRunning("batch", index)) {
+        pool.End(pool.RunOfTask("batch", index), RunEndReason::kDone);
+        ++done;
+      }
+    }
+  }
+  CPPUNIT_ASSERT_EQUAL(30, done);
+}
+
+// Guards against a sound worker that is suspected for a task that fails on all
+// workers.
+void TaskThatFailsOnAllWorkersCastsNoSuspicion() {
+  Pool pool({SampleWorker("w1"), SampleWorker("w2"), SampleWorker("w3"),
+             SampleWorker("w4")});
+  pool.leader.Commit(SampleGraph("g", {LongRunningStep(1)}));
+  pool.leader.Commit(SampleGraph("h", {LongRunningStep(1)}));
+  std::map<std::string, int> runs;
+  for (int i = 0; i < 20; ++i) {
+    pool.Pass(kTimeStep);
+    for (const char* graph : {"g", "h"}) {
+      if (pool.IsRunning(graph)) {
+        ++runs[pool.WorkerOf(graph)];
+        pool.End(pool.RunOfTask(graph), RunEndReason::kFailed);
+      }
+    }
+  }
+  pool.leader.Commit(SampleGraph("sound", {SampleStep(16)}));
+  pool.Pass(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE("both ran on all workers", std::size_t{4},
+                               runs.size());
+  int open = 0;
+  for (const char* worker : {"w1", "w2", "w3", "w4"}) {
+    open += pool.leader.RunsOn(worker).size() >= 3 ? 1 : 0;
+  }
+  CPPUNIT_ASSERT_MESSAGE("two of them can't tell the task from the worker",
+                         open >= 2);
+}
+
 }  // namespace
 
 Section LongRunningStory() {
@@ -231,7 +287,11 @@
                 .Then("restarts beside a probe that lasts",
                       RestartsBesideASlowProbe)
                 .Then("does not wait for a worker that its neighbours close",
-                      WorkerIsNotClosedByTasksThatAlwaysFail))
+                      WorkerIsNotClosedByTasksThatAlwaysFail)
+                .Then("does not keep batch work from the only worker",
+                      BatchWorkIsNotKeptOutByTasksThatAlwaysFail)
+                .Then("on all workers casts no suspicion on them",
+                      TaskThatFailsOnAllWorkersCastsNoSuspicion))
       .With(Section("that may have crashed its worker")
                 .Then("is not kept for a worker that is suspected",
                       SuspectOfACrashIsNotKeptForASuspectedWorker)
