Placement: prefer other workers after a refused start

A task whose start a worker refuses became ready again and was placed on the same worker, which had most room: without end while the worker refuses. A refusal now counts like a failure for the choice of the worker, not for its suspicion.

--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -36,6 +36,8 @@
 enum class AvoidReason : std::uint8_t {
   // Its run was throttled there for long.
   kStarved,
+  // The worker refused the start of its run.
+  kRefused,
   // Its run failed or was stuck there.
   kFailed,
 };
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -663,6 +663,8 @@
         if (!view.sound_runs.contains(row.run)) {
           SuspectAfterFailure(now, table, view, row.run);
         }
+      } else if (row.reason == RunEndReason::kRefused) {
+        placement_.Avoid(row.run.task, ends->worker.id, AvoidReason::kRefused);
       }
     }
   }
--- a/tests/unit/long_running_test.cc
+++ b/tests/unit/long_running_test.cc
@@ -50,6 +50,19 @@
     }
   }
 
+  // Reports that a worker refused the start of a run.
+  void Refuse(const RunRef& run) {
+    for (const WorkerInfo& info : workers_) {
+      if (leader.RunsOn(info.life.id).contains(run)) {
+        WorkerSync sync = ListOf(info);
+        std::erase_if(sync.running,
+                      [&](const RunStatus& row) { return row.run == run; });
+        sync.ended = {{0, run, RunEndReason::kRefused, ""}};
+        leader.Sync(std::move(sync));
+      }
+    }
+  }
+
   // Returns the active run of a task; its number is 0 if it does not run.
   [[nodiscard]] RunRef RunOfTask(const std::string& graph,
                                  std::int64_t index = 0) const {
@@ -220,6 +233,22 @@
   CPPUNIT_ASSERT(pool.IsRunning("sound"));
 }
 
+// Guards against a start that is tried again and again on the worker that
+// refuses it.
+void RefusedStartIsTriedElsewhere() {
+  Pool pool({SampleWorker("w1"), SampleWorker("w2")});
+  pool.leader.Commit(SampleGraph("g", {LongRunningStep(1)}));
+  for (int i = 0; i < 3; ++i) {
+    pool.Pass(kTimeStep);
+    if (pool.IsRunning("g") && pool.WorkerOf("g") == "w1") {
+      pool.Refuse(pool.RunOfTask("g"));
+    }
+  }
+  pool.Pass(kTimeStep);
+  CPPUNIT_ASSERT(pool.IsRunning("g"));
+  CPPUNIT_ASSERT_EQUAL(std::string("w2"), pool.WorkerOf("g"));
+}
+
 // Guards against long-running tasks that always fail and keep batch work from
 // the only worker.
 void BatchWorkIsNotKeptOutByTasksThatAlwaysFail() {
@@ -292,6 +321,9 @@
                       BatchWorkIsNotKeptOutByTasksThatAlwaysFail)
                 .Then("on all workers casts no suspicion on them",
                       TaskThatFailsOnAllWorkersCastsNoSuspicion))
+      .With(
+          Section("whose start is refused")
+              .Then("is tried on another worker", RefusedStartIsTriedElsewhere))
       .With(Section("that may have crashed its worker")
                 .Then("is not kept for a worker that is suspected",
                       SuspectOfACrashIsNotKeptForASuspectedWorker)
