Simulation: judge whether long-running tasks run while there is room

The world of job graphs judged only batch graphs, and those at the end. It now also plays long-running steps (latency-sensitive, best-effort, limited to one task a worker, with a required label), best-effort steps that hold memory for long, runs that fail and workers that fail all for some seconds. A judge of its own checks at each moment that a long-running task for which there has been room twice over for 3 s runs, from 6 s after its last run, by what the workers really have.

Graphs whose tasks failed as often as the queue allows may be failed at the end, and only these.

--- a/tests/support/graph_world.h
+++ b/tests/support/graph_world.h
@@ -29,6 +29,17 @@
   bool deadly_tasks = false;
   // Capacities of workers shrink and grow again.
   bool capacity_changes = false;
+  // Long-running steps beside the batch load; some are cancelled. Workers have
+  // the label "a" or "b", by turns.
+  bool long_running = false;
+  // Best-effort steps beside the batch load, which hold memory for up to 20 s
+  // or for the whole play.
+  bool best_effort = false;
+  // Runs fail at random moments, and some long-running tasks fail shortly after
+  // each start. Not a disruption: the time of it counts as calm.
+  bool failing_tasks = false;
+  // Workers fail all that they start for some seconds. Not a disruption either.
+  bool grey_workers = false;
 };
 
 // What became of a world.
@@ -43,6 +54,8 @@
   int crashes_by_tasks = 0;
   // The number of graphs with a task that crashes its workers.
   int deadly_graphs = 0;
+  // The number of long-running tasks that were accepted.
+  int long_running_tasks = 0;
   // All that was recorded, one line each.
   std::string history;
 };
@@ -54,6 +67,9 @@
 // start after an end that was taken note of, more reserved than the capacity, a
 // third start of a task after it has crashed three workers, and graphs that
 // aren't completed, or aren't failed if one of their tasks crashes its workers.
+// A graph may be failed as well if its workers saw one of its tasks fail as
+// often as the queue allows. Long-running tasks have to run while there is room
+// for them, as LongRunningJudge says; a best-effort graph need not complete.
 [[nodiscard]] GraphWorldResult PlayGraphWorld(const GraphFaults& faults,
                                               std::uint64_t seed);
 
