Wire: refuse frames that are nested too deeply

What operators would see: a process that reads one frame of another writer ends with a segmentation fault, and again as often as the frame is sent.

Cause: the CBOR parser of the JSON library calls itself for each level of arrays, maps, tags and strings of unstated length, so a frame of some hundred kilobytes overflows the stack of the thread that reads it.

Evidence: the new test "a message is rejected when nested deeply" ended the test program with SIGSEGV (exit code 139) without the check.

Change: ParseCbor() first checks without recursion that the bytes hold one value of at most 64 levels, without tags and unstated lengths, which our writer never uses.

What is refused is logged where frames are refused already.

--- a/src/consensus/raft_storage.cc
+++ b/src/consensus/raft_storage.cc
@@ -272,11 +272,14 @@
     return false;
   }
   try {
-    const json value = json::from_cbor(payload);
+    const json value = ParseCbor(payload);
     value.at("last_index").get_to(log.snapshot.last_index);
     value.at("last_term").get_to(log.snapshot.last_term);
     value.at("membership").get_to(log.snapshot.membership);
     value.at("state").get_to(log.snapshot.state);
+  } catch (const InvalidValueError& error) {
+    reason = {ErrorKind::kCorruptLog, path + ": " + error.what(), {}};
+    return false;
   } catch (const json::exception& error) {
     reason = {ErrorKind::kCorruptLog, path + ": " + error.what(), {}};
     return false;
@@ -360,11 +363,14 @@
       return is_truncated;
     }
     try {
-      for (const json& item : json::from_cbor(payload)) {
+      for (const json& item : ParseCbor(payload)) {
         const PersistBatch batch = BatchFromJson(item);
         segment.last_index = std::max(segment.last_index, LastIndexOf(batch));
         ApplyBatch(batch, log);
       }
+    } catch (const InvalidValueError& error) {
+      reason = {ErrorKind::kCorruptLog, path + ": " + error.what(), {}};
+      return false;
     } catch (const json::exception& error) {
       reason = {ErrorKind::kCorruptLog, path + ": " + error.what(), {}};
       return false;
--- a/src/control/control_state_codec.cc
+++ b/src/control/control_state_codec.cc
@@ -79,7 +79,7 @@
                                                  Reason& reason) {
   ControlState state;
   try {
-    const json value = json::from_cbor(bytes);
+    const json value = ParseCbor(bytes);
     value.at("config").get_to(state.config_);
     value.at("jobs").get_to(state.jobs_);
     value.at("claims").get_to(state.claims_);
@@ -120,6 +120,9 @@
       answer.at(0).get_to(remembered.result);
       answer.at(1).get_to(remembered.expires_at);
     }
+  } catch (const InvalidValueError& error) {
+    reason = {ErrorKind::kCorruptLog, error.what(), {}};
+    return std::nullopt;
   } catch (const json::exception& error) {
     reason = {ErrorKind::kCorruptLog, error.what(), {}};
     return std::nullopt;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -22,12 +22,14 @@
                           Reason& reason,
                           const Reader& read) {
   try {
-    const json value = json::from_cbor(bytes);
+    const json value = ParseCbor(bytes);
     T out;
     read(value, out);
     return out;
   } catch (const UnknownTypeError& error) {
     reason = {ErrorKind::kUnknownMessage, error.what(), {}};
+  } catch (const InvalidValueError& error) {
+    reason = {ErrorKind::kBadMessage, error.what(), {}};
   } catch (const json::exception& error) {
     reason = {ErrorKind::kBadMessage, error.what(), {}};
   }
--- a/src/wire/json_types.h
+++ b/src/wire/json_types.h
@@ -15,6 +15,7 @@
 #include "banyan/wire/job.h"
 #include "banyan/wire/message.h"
 #include "banyan/wire/preset.h"
+#include "src/wire/cbor.h"
 #include "src/wire/graph_json.h"
 
 namespace banyan {
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck.h>
 
 #include "banyan/base/bounded_ring.h"
+#include "banyan/control/control_state.h"
 #include "banyan/wire/codec.h"
 #include "tests/unit/story.h"
 
@@ -67,6 +68,29 @@
   CPPUNIT_ASSERT(passed);
 }
 
+// Guards against a frame that overflows the decoder's stack, which ends the
+// process.
+void RejectsDeepNesting() {
+  constexpr std::size_t kLevels = 1000000;
+  // One-element arrays, arrays, strings and byte strings of unstated length,
+  // one-element maps, and tags.
+  for (const std::string level :
+       {"\x81", "\x9f", "\x7f", "\x5f", "\xa1\x60", "\xc1", "\xd8\x2a"}) {
+    std::string bytes;
+    for (std::size_t i = 0; i < kLevels; ++i) {
+      bytes += level;
+    }
+    Reason reason;
+    CPPUNIT_ASSERT(!DecodeEnvelope(bytes, reason));
+    CPPUNIT_ASSERT(reason.kind == ErrorKind::kBadMessage);
+    CPPUNIT_ASSERT(!DecodeMessage(bytes, reason));
+    CPPUNIT_ASSERT(!DecodeCommand(bytes, reason));
+    CPPUNIT_ASSERT(!DecodeMembership(bytes, reason));
+    CPPUNIT_ASSERT(!ControlState::Decode(bytes, reason));
+    CPPUNIT_ASSERT(reason.kind == ErrorKind::kCorruptLog);
+  }
+}
+
 void RingRejectsPushWhenFull() {
   BoundedRing<int> ring(2);
   CPPUNIT_ASSERT(ring.TryPush(1));
@@ -88,7 +112,8 @@
                 .Then("is unchanged after encoding and decoding", RoundTrip)
                 .Then("of an unknown type is rejected as unknown",
                       RejectsUnknownType)
-                .Then("is rejected when truncated", RejectsTruncatedMessage))
+                .Then("is rejected when truncated", RejectsTruncatedMessage)
+                .Then("is rejected when nested deeply", RejectsDeepNesting))
       .With(Section("arbitrary input")
                 .Then("decodes or gives an error", HandlesArbitraryBytes)
                 .Then("with one changed byte does not crash the decoder",
