Wire: refuse numbers that name no enumerator

What callers would see: a process that passes on the result of a command answers with a random status, or ends, when the result holds an error kind that does not exist.

Cause: the JSON library turns any number into an enumerator without a check. ResponseFor() uses the error kind as an index, 200 of 22 rows.

Evidence: before the change a CommandReply with the error kind 200 was decoded as it stood; the new test "a message is rejected with an unknown enumerator" asserts that it is refused.

The format does not change.

--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -18,6 +18,9 @@
                                    is_trial_failed,
                                    last_run,
                                    workers)
+inline void from_json(const nlohmann::json& json, TaskPhase& value) {
+  ReadEnum(json, TaskPhase::kDone, value);
+}
 inline void to_json(nlohmann::json& json, const TaskProgress& task) {
   json = {task.phase, task.run, task.failures, task.worker, task.checkpoint};
   // Few tasks were ever on a worker that crashed.
--- a/src/wire/cbor.h
+++ b/src/wire/cbor.h
@@ -87,6 +87,17 @@
   return nlohmann::json::from_cbor(bytes);
 }
 
+// Reads an enumerator from its number, which is at most that of `last`.
+template <typename Enum>
+void ReadEnum(const nlohmann::json& json, Enum last, Enum& value) {
+  const std::int64_t number =
+      json.is_number_integer() ? json.get<std::int64_t>() : -1;
+  if (number < 0 || number > static_cast<std::int64_t>(last)) {
+    throw InvalidValueError("a value names no enumerator");
+  }
+  value = static_cast<Enum>(number);
+}
+
 }  // namespace banyan
 
 #endif  // BANYAN_SRC_WIRE_CBOR_H_
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -8,9 +8,23 @@
 #include <string>
 
 #include "banyan/wire/graph.h"
+#include "src/wire/cbor.h"
 
 namespace banyan {
 
+inline void from_json(const nlohmann::json& json, RunEndReason& value) {
+  ReadEnum(json, RunEndReason::kWorkerLost, value);
+}
+inline void from_json(const nlohmann::json& json, CrashEvidence& value) {
+  ReadEnum(json, CrashEvidence::kAtWork, value);
+}
+inline void from_json(const nlohmann::json& json, GraphState& value) {
+  ReadEnum(json, GraphState::kCancelled, value);
+}
+inline void from_json(const nlohmann::json& json, CellQueryKind& value) {
+  ReadEnum(json, CellQueryKind::kPending, value);
+}
+
 inline void to_json(nlohmann::json& json, const Resources& r) {
   json = {{"cpu_millis", r.cpu_millis},
           {"memory_mib", r.memory_mib},
--- a/src/wire/json_types.h
+++ b/src/wire/json_types.h
@@ -20,6 +20,34 @@
 
 namespace banyan {
 
+inline void from_json(const nlohmann::json& json, ErrorKind& value) {
+  ReadEnum(json, ErrorKind::kInternal, value);
+}
+inline void from_json(const nlohmann::json& json, RequestOutcome& value) {
+  ReadEnum(json, RequestOutcome::kUnknown, value);
+}
+inline void from_json(const nlohmann::json& json, ClaimEnd& value) {
+  ReadEnum(json, ClaimEnd::kUnknown, value);
+}
+inline void from_json(const nlohmann::json& json, ClaimState& value) {
+  ReadEnum(json, ClaimState::kUnknown, value);
+}
+inline void from_json(const nlohmann::json& json, InstanceRole& value) {
+  ReadEnum(json, InstanceRole::kWorker, value);
+}
+inline void from_json(const nlohmann::json& json, JobState& value) {
+  ReadEnum(json, JobState::kCancelled, value);
+}
+inline void from_json(const nlohmann::json& json, TaskEnd& value) {
+  ReadEnum(json, TaskEnd::kWorkerCrashed, value);
+}
+inline void from_json(const nlohmann::json& json, EntryKind& value) {
+  ReadEnum(json, EntryKind::kMembership, value);
+}
+inline void from_json(const nlohmann::json& json, TombstoneVerdict& value) {
+  ReadEnum(json, TombstoneVerdict::kUnknown, value);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Preset,
                                                 request_timeout_ms,
                                                 retry_budget_percent,
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -91,6 +91,23 @@
   }
 }
 
+// Guards against an enumerator out of range, which would index past the end of
+// tables.
+void RejectsUnknownEnumerators() {
+  CommandReply reply;
+  reply.result.error = static_cast<ErrorKind>(200);
+  Reason reason;
+  CPPUNIT_ASSERT(!DecodeMessage(Encode(Message(reply)), reason));
+  CPPUNIT_ASSERT(reason.kind == ErrorKind::kBadMessage);
+  reply.result.error = ErrorKind::kInternal;
+  CPPUNIT_ASSERT(DecodeMessage(Encode(Message(reply)), reason));
+  WorkerSync sync;
+  sync.ended.push_back({1, {}, static_cast<RunEndReason>(8), ""});
+  CPPUNIT_ASSERT(!DecodeMessage(Encode(Message(sync)), reason));
+  sync.ended.back().reason = RunEndReason::kWorkerLost;
+  CPPUNIT_ASSERT(DecodeMessage(Encode(Message(sync)), reason));
+}
+
 void RingRejectsPushWhenFull() {
   BoundedRing<int> ring(2);
   CPPUNIT_ASSERT(ring.TryPush(1));
@@ -113,7 +130,9 @@
                 .Then("of an unknown type is rejected as unknown",
                       RejectsUnknownType)
                 .Then("is rejected when truncated", RejectsTruncatedMessage)
-                .Then("is rejected when nested deeply", RejectsDeepNesting))
+                .Then("is rejected when nested deeply", RejectsDeepNesting)
+                .Then("is rejected with an unknown enumerator",
+                      RejectsUnknownEnumerators))
       .With(Section("arbitrary input")
                 .Then("decodes or gives an error", HandlesArbitraryBytes)
                 .Then("with one changed byte does not crash the decoder",
