Workers: refuse reports with values that a field can't mean

What operators would see: after one report of another writer, a worker with work and room is never heard of again, or the sums of a pool's capacity are negative, and tasks wait although there is room.

Cause: the reader took every whole number for good. An address with port 99999 and an id of any length were accepted as well.

Evidence: with the checks taken out, the tests "a worker is refused with a number out of range", "... if it comes from the future" and "... without a usable name or address" fail.

Change: ValidateReport() and IsHostAndPort() state what a report can mean, with the limits in field_limits.h; the codec calls them, and a refused report leaves its event and the state as it was. A start may be ten minutes ahead of the agent's clock: the platform lets clocks jump by seconds.

--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -21,6 +21,7 @@
 #include "banyan/graph/serving_rank.h"
 #include "banyan/graph/urgency.h"
 #include "banyan/graph/worker_agent.h"
+#include "banyan/graph/worker_validation.h"
 #include "banyan/graph/worker_view.h"
 
 #endif  // BANYAN_GRAPH_H_
--- a/include/banyan/wire.h
+++ b/include/banyan/wire.h
@@ -5,6 +5,7 @@
 
 #include "banyan/wire/codec.h"
 #include "banyan/wire/command.h"
+#include "banyan/wire/field_limits.h"
 #include "banyan/wire/graph.h"
 #include "banyan/wire/instance.h"
 #include "banyan/wire/job.h"
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -2,7 +2,12 @@
 
 #include <rapidcheck.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "banyan/graph/queue_match.h"
+#include "banyan/wire/field_limits.h"
 #include "tests/unit/story.h"
 
 namespace banyan::platform {
@@ -26,11 +31,26 @@
     R"("capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},)"
     R"("labels":["a","r1-3"],"sequence":4})";
 
+// Wall time of the tests: in the year 2026.
+constexpr WallMillis kNow = 1780000000000;
+
 constexpr const char* kLists =
     R"({"clock-ms":5,"born":17,)"
     R"("running":[["5c0e.0.1.17",2,"saved",41,7],["no task",1,"",1,1]],)"
     R"("ended":[[58,"5c0e.0.1.9",1,"done",""],[59,"5c0e.0.1.8",1,"odd",""]]})";
 
+// Returns a document with a part of it replaced.
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  CPPUNIT_ASSERT(text.find(from) != std::string::npos);
+  return text.replace(text.find(from), from.size(), to);
+}
+
+std::string Nested(std::size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
 void ReadsAPlan() {
   Reason reason;
   const auto plan = ReadPlan(kPlan, reason);
@@ -77,14 +97,87 @@
 
 void ReadsAReport() {
   Reason reason;
-  const auto report = ReadReport(kReport, "w1", reason);
+  const auto report = ReadReport(kReport, "w1", kNow, reason);
   CPPUNIT_ASSERT(report.has_value());
   CPPUNIT_ASSERT(report->info.life == (WorkerIncarnation{"w1", 17}));
   CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), report->info.rack);
   CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, report->info.capacity.cpu_millis);
   std::string odd = kReport;
   odd.replace(odd.find("ready"), 5, "asleep");
-  CPPUNIT_ASSERT(!ReadReport(odd, "w1", reason));
+  CPPUNIT_ASSERT(!ReadReport(odd, "w1", kNow, reason));
+}
+
+// Guards against an entry of another writer that shuts the worker out, or
+// overflows sums, with a number that its field can't mean.
+void RefusesReportsOutOfRange() {
+  const std::vector<std::string> odd_numbers = {"9223372036854775807",
+                                                "18446744073709551615",
+                                                "-1",
+                                                "-9223372036854775808",
+                                                "1e308",
+                                                "1.5",
+                                                "1e400",
+                                                "null",
+                                                "\"1\"",
+                                                Nested(100000)};
+  const std::vector<std::pair<std::string, std::string>> fields = {
+      {"\"sequence\":", "4"},      {"\"born\":", "17"},
+      {"\"clock-ms\":", "482113"}, {"\"cpu\":", "16000"},
+      {"\"mem-mb\":", "32768"},    {"\"gpu\":", "0"},
+      {"\"remaining-ms\":", "0"}};
+  const std::string whole =
+      Replaced(kReport, "\"sequence\"", "\"remaining-ms\":0,\"sequence\"");
+  for (const auto& [key, value] : fields) {
+    for (const std::string& odd : odd_numbers) {
+      Reason reason;
+      CPPUNIT_ASSERT_MESSAGE(
+          key + odd.substr(0, 20),
+          !ReadReport(Replaced(whole, key + value, key + odd), "w1", kNow,
+                      reason));
+      CPPUNIT_ASSERT(reason.kind == ErrorKind::kBadRequest);
+      CPPUNIT_ASSERT(!reason.text.empty());
+    }
+  }
+}
+
+// Guards against an incarnation from the future, after which the worker's own
+// reports would count as those of an earlier one.
+void RefusesWorkersFromTheFuture() {
+  const auto read = [](WallMillis born) {
+    Reason reason;
+    return ReadReport(Replaced(kReport, "\"born\":17",
+                               "\"born\":" + std::to_string(born)),
+                      "w1", kNow, reason)
+        .has_value();
+  };
+  CPPUNIT_ASSERT(read(kNow));
+  CPPUNIT_ASSERT(read(kNow + 60 * 1000));
+  CPPUNIT_ASSERT(!read(kNow + 24 * 60 * 60 * 1000));
+  CPPUNIT_ASSERT(!read(kMaxWallMillis));
+}
+
+// Guards against an entry without a usable address or name.
+void RefusesReportsWithoutAUsableName() {
+  Reason reason;
+  for (const char* odd :
+       {"\"10.0.0.9:99999\"", "\"10.0.0.9:0\"", "\"10.0.0.9:-1\"",
+        "\"10.0.0.9\"", "\":80\"", "\"10.0.0.9:80x\"", "\"\"", "80", "null"}) {
+    CPPUNIT_ASSERT(!ReadReport(Replaced(kReport, "\"10.0.0.9:80\"", odd), "w1",
+                               kNow, reason));
+  }
+  CPPUNIT_ASSERT(!ReadReport(Replaced(kReport, "\"address\"", "\"a\""), "w1",
+                             kNow, reason));
+  for (const std::string& id :
+       {std::string(), std::string(100000, 'w'), std::string("w 1"),
+        std::string("a/b"), std::string("w\xff")}) {
+    CPPUNIT_ASSERT(!ReadReport(kReport, id, kNow, reason));
+  }
+  std::string labels = "\"a\"";
+  for (int i = 0; i < 100000; ++i) {
+    labels += ",\"a\"";
+  }
+  CPPUNIT_ASSERT(
+      !ReadReport(Replaced(kReport, "\"r1-3\"", labels), "w1", kNow, reason));
 }
 
 // Guards against an earlier capacity that stays in force: amounts of 0 are left
@@ -96,7 +189,7 @@
     const std::size_t begin = text.find('{', text.find("\"capacity\""));
     text.replace(begin, text.find('}', begin) + 1 - begin, shrunk);
     Reason reason;
-    const auto report = ReadReport(text, "w1", reason);
+    const auto report = ReadReport(text, "w1", kNow, reason);
     CPPUNIT_ASSERT(report.has_value());
     CPPUNIT_ASSERT(report->info.capacity == Resources{});
   }
@@ -176,7 +269,7 @@
         RC_ASSERT(ReadGraph(Changed(kGraph), "r1", reason) ||
                   !reason.text.empty());
         reason = {};
-        RC_ASSERT(ReadReport(Changed(kReport), "w1", reason) ||
+        RC_ASSERT(ReadReport(Changed(kReport), "w1", kNow, reason) ||
                   !reason.text.empty());
         reason = {};
         RunCallReply reply;
@@ -204,6 +297,12 @@
                 .Then("is read from its heartbeat", p::ReadsAReport)
                 .Then("may have a capacity of nothing",
                       p::ReadsACapacityOfNothing)
+                .Then("is refused with a number out of range",
+                      p::RefusesReportsOutOfRange)
+                .Then("is refused if it comes from the future",
+                      p::RefusesWorkersFromTheFuture)
+                .Then("is refused without a usable name or address",
+                      p::RefusesReportsWithoutAUsableName)
                 .Then("has rows skipped that can't be read",
                       p::SkipsRowsThatCantBeRead)
                 .Then("is not mixed up with its other lives",
