Agents: follow the worker again after one odd report

Cause: within its limits, a sequence number or a start may still be one that the worker has not reached. Each later report of the worker is then passed over as outdated. The same happens without another writer when a clock is set back between two incarnations.

Change: a sequence number that is a million ahead is refused with an event. A report that arrives more than 12 s after the last one counts as later whatever its number, since no call is under way for longer, as the platform specifies; one that was overtaken arrives before. An earlier incarnation takes over only if the worker has answered a call to the later one as another incarnation, and as this one if the answer names it; a delayed report alone still replaces nothing. The later one is then reported as gone, without evidence of a crash, and starts that were sent to the same id are fenced first. The event worker-reinstated tells of both.

--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -107,6 +107,9 @@
   CallFailure failure = CallFailure::kNone;
   RunRefusal refusal = RunRefusal::kNone;
   std::string text;
+  // Start of the incarnation that answered, in milliseconds since the epoch, if
+  // the answer names it.
+  std::optional<std::int64_t> answering_start_ms;
   // The worker's own clock when it answered.
   std::optional<std::int64_t> clock_ms;
   // Times of the call and of its answer, on the agent's clock.
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -30,8 +30,9 @@
 // run lists to the leader. It makes no scheduling decisions.
 class WorkerAgent {
  public:
-  // Processes a worker's report. Ignores reports of an earlier incarnation and
-  // reports that arrive out of order.
+  // Processes a worker's report. Ignores reports that arrive out of order, and
+  // reports of an earlier incarnation unless the worker has denied to be the
+  // later one.
   void OnReport(Time now, const WorkerReport& report);
 
   // Processes a worker's announcement of its shutdown. The worker counts as
@@ -95,9 +96,14 @@
     Time at;
   };
 
-  // Returns the initial state for a later incarnation, which has the id
-  // `successor`.
-  [[nodiscard]] WorkerAgent NextIncarnation(const std::string& successor) &&;
+  // Returns whether a report of the current incarnation is later than its last
+  // one.
+  [[nodiscard]] bool IsLater(Time now, const WorkerReport& report);
+  // Returns whether another incarnation may take the place of the current one.
+  [[nodiscard]] bool MayReplace(const WorkerIncarnation& incarnation);
+  // Returns the initial state for the incarnation that replaces this one.
+  [[nodiscard]] WorkerAgent NextIncarnation(
+      const WorkerIncarnation& successor) &&;
   // Logs what connects a run to the crash of the worker.
   void LogCrash(const RunCrash& crash);
   void OnRunList(Time now, const RunCallReply& reply);
@@ -129,6 +135,12 @@
 
   std::optional<WorkerInfo> info_;
   std::int64_t report_sequence_ = 0;
+  // When the last report arrived.
+  Time reported_at_;
+  // Whether the worker has answered the last list call as another incarnation,
+  // and the start of that one if it is known.
+  bool is_denied_ = false;
+  std::optional<std::int64_t> denied_by_;
   // The worker's announcement of its shutdown, if there was one.
   std::optional<Departure> departure_;
   // Whether the worker no longer answers after its announcement. Final for this
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -169,6 +169,9 @@
     {EventId::kRunWithdrawn, "run-withdrawn",
      "A run that is not confirmed must not start, since its worker's capacity "
      "no longer holds it; with what is committed there and the capacity."},
+    {EventId::kWorkerReinstated, "worker-reinstated",
+     "The agent follows a worker again whose reports it had taken for outdated "
+     "ones, with the reason."},
     {EventId::kCallAnswered, "call-answered",
      "A caller of a queue or an operator received a final answer."},
     {EventId::kConfigInForce, "config-in-force",
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -26,8 +26,8 @@
 constexpr int kMaxUnansweredLists = 3;
 // Delay before an unanswered start or stop is retried.
 constexpr Duration kOrderRetryDelay = Millis(50);
-// How long after its sending a call without an answer may be carried out, as
-// the platform specifies it.
+// How long after its sending a call, also one of the worker to its agent, may
+// arrive or be carried out, as the platform specifies it.
 constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
 // Unanswered calls after which a start is abandoned.
 constexpr int kMaxUnansweredStarts = 3;
@@ -44,6 +44,9 @@
 // Maximum number of earlier incarnations whose ends are kept; more restarts
 // than this without an answer of the leader mean an outage of many seconds.
 constexpr std::size_t kMaxFinalSyncs = 8;
+// Largest gap between the sequence numbers of successive reports: a day without
+// a report, at ten reports a second.
+constexpr std::int64_t kMaxSequenceGap = 1'000'000;
 // Maximum number of unanswered syncs whose send times are kept.
 constexpr std::size_t kMaxTrackedSyncs = 64;
 
@@ -58,9 +61,7 @@
   const WorkerIncarnation& incarnation = report.info.life;
   if (info_) {
     const bool is_same = info_->life == incarnation;
-    const bool is_older =
-        !is_same && incarnation.started_at_ms < info_->life.started_at_ms;
-    if (is_older || (is_same && report.sequence <= report_sequence_)) {
+    if (is_same ? !IsLater(now, report) : !MayReplace(incarnation)) {
       return;
     }
     // The leader has placed the runs of this incarnation elsewhere.
@@ -76,7 +77,7 @@
                                 .With("running", running_.size())
                                 .With("ended", ended_.size())
                                 .With("committed", last_committed_end_));
-      *this = WorkerAgent(std::move(*this).NextIncarnation(incarnation.id));
+      *this = WorkerAgent(std::move(*this).NextIncarnation(incarnation));
     }
   }
   const bool was_draining = info_ && info_->draining;
@@ -86,6 +87,7 @@
                            info_->capacity != report.info.capacity;
   info_ = report.info;
   report_sequence_ = report.sequence;
+  reported_at_ = now;
   // A worker that answers and reports after its announcement is still active.
   if (departure_ && departure_->has_answered) {
     departure_.reset();
@@ -103,6 +105,43 @@
   RequestRunList(now);
 }
 
+bool WorkerAgent::IsLater(Time now, const WorkerReport& report) {
+  const bool has_gap = report.sequence > report_sequence_ &&
+                       report.sequence - report_sequence_ > kMaxSequenceGap;
+  if (report.sequence > report_sequence_ && !has_gap) {
+    return true;
+  }
+  // Reports that were sent before the last one have arrived by then.
+  const bool is_overdue = now > reported_at_ + kMaxCallDelay;
+  if (is_overdue || has_gap) {
+    out_.events.push_back(Event(is_overdue ? EventId::kWorkerReinstated
+                                           : EventId::kPeerMessageRefused)
+                              .With("worker", report.info.life.id)
+                              .With("born", report.info.life.started_at_ms)
+                              .With("sequence", report.sequence)
+                              .With("last", report_sequence_)
+                              .With("reason",
+                                    "the sequence number is not "
+                                    "the next"));
+  }
+  return is_overdue;
+}
+
+bool WorkerAgent::MayReplace(const WorkerIncarnation& incarnation) {
+  if (incarnation.started_at_ms >= info_->life.started_at_ms) {
+    return true;
+  }
+  if (!is_denied_ || (denied_by_ && *denied_by_ != incarnation.started_at_ms)) {
+    return false;
+  }
+  out_.events.push_back(
+      Event(EventId::kWorkerReinstated)
+          .With("worker", incarnation.id)
+          .With("born", incarnation.started_at_ms)
+          .With("reason", "the worker denied the later incarnation"));
+  return true;
+}
+
 void WorkerAgent::LogCrash(const RunCrash& crash) {
   const std::optional<Duration> age = crash_observer_.AgeOf(crash.run);
   out_.events.push_back(
@@ -112,17 +151,20 @@
           .With("age_ms", age ? ToMillis(*age) : -1));
 }
 
-WorkerAgent WorkerAgent::NextIncarnation(const std::string& successor) && {
+WorkerAgent WorkerAgent::NextIncarnation(
+    const WorkerIncarnation& successor) && {
+  // The worker never was the incarnation that it denied to be.
+  const bool is_unfounded = successor.started_at_ms < info_->life.started_at_ms;
   // A worker that announced its end has not crashed.
   std::vector<RunCrash> crashed;
-  if (!departure_ && !info_->draining) {
+  if (!departure_ && !info_->draining && !is_unfounded) {
     crashed = crash_observer_.Evidence();
   }
   for (const RunCrash& crash : crashed) {
     LogCrash(crash);
   }
   WorkerAgent next;
-  if (successor == info_->life.id) {
+  if (successor.id == info_->life.id) {
     // Calls name the worker by its id alone, so a start that was sent to this
     // incarnation may be carried out by the next one.
     for (const auto& [run, pending_start] : pending_starts_) {
@@ -139,7 +181,8 @@
     next.unanswered_starts_ = std::move(unanswered_starts_);
     next.must_settle_stops_ = !next.pending_stops_.empty();
   }
-  if (!ended_.empty() || !crashed.empty()) {
+  // An earlier incarnation is admitted only after the removal of this one.
+  if (!ended_.empty() || !crashed.empty() || is_unfounded) {
     is_reachable_ = false;
     final_syncs_.push_back(MakeSync());
     final_syncs_.back().crashed = std::move(crashed);
@@ -402,6 +445,10 @@
 
 void WorkerAgent::OnListFailure(Time now, const RunCallReply& reply) {
   next_list_at_ = now + (departure_ ? kLeaveProbeInterval : kListRetryDelay);
+  if (reply.refusal == RunRefusal::kOtherIncarnation) {
+    is_denied_ = true;
+    denied_by_ = reply.answering_start_ms;
+  }
   const bool was_reachable = is_reachable_;
   if (was_reachable) {
     crash_observer_.OnContactLost(reply.received_at, reply.failure);
@@ -427,6 +474,7 @@
   }
   ++list_count_;
   listed_at_ = now;
+  is_denied_ = false;
   crash_observer_.OnList(reply);
   running_.clear();
   for (const RunStatus& row : reply.running) {
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -1,7 +1,9 @@
 #include "banyan/graph/worker_agent.h"
 
 #include <algorithm>
+#include <optional>
 
+#include "banyan/wire/field_limits.h"
 #include "tests/support/graph_samples.h"
 #include "tests/unit/story.h"
 
@@ -79,6 +81,17 @@
     Collect();
   }
 
+  // The worker answers a list call as another incarnation.
+  void DenyIncarnation(std::optional<std::int64_t> answering_start_ms) {
+    RunCallReply reply;
+    reply.op = RunCallOp::kListRuns;
+    reply.answered = true;
+    reply.refusal = RunRefusal::kOtherIncarnation;
+    reply.answering_start_ms = answering_start_ms;
+    reply.sent_at = now_;
+    Reply(std::move(reply));
+  }
+
   // The worker answers a list call that was sent at the current time.
   void ReplyToList(std::vector<RunStatus> running,
                    std::vector<EndedRun> ended) {
@@ -670,6 +683,99 @@
   CPPUNIT_ASSERT_MESSAGE("the start may yet be carried out", !syncs[0].gone);
 }
 
+// Guards against an entry of another writer that shuts the worker out for good:
+// its sequence number makes every later report look outdated.
+void SequenceJumpDoesNotShutOutWorker() {
+  for (const std::int64_t odd : {std::int64_t{5000}, kMaxCounter}) {
+    AgentFixture fixture;
+    fixture.Report(1, odd);
+    std::int64_t sequence = 1;
+    for (int i = 0; i < 13; ++i) {
+      fixture.Advance(Millis(1000));
+      fixture.Report(1, ++sequence);
+    }
+    fixture.Report(1, ++sequence, true);
+    fixture.Advance(Millis(600));
+    CPPUNIT_ASSERT(fixture.last_sync().info.draining);
+  }
+}
+
+// Guards against following a sequence number that the worker can't have
+// reached.
+void ImplausibleSequenceIsIgnored() {
+  AgentFixture fixture;
+  fixture.Report(1, kMaxCounter, true);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(!fixture.last_sync().info.draining);
+  fixture.Report(1, 2, true);
+  CPPUNIT_ASSERT(fixture.last_sync().info.draining);
+}
+
+// Guards against following a report that was overtaken by a later one.
+void OvertakenReportIsIgnored() {
+  AgentFixture fixture;
+  fixture.Report(1, 3);
+  fixture.Advance(std::chrono::seconds(11));
+  fixture.Report(1, 2, true);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(!fixture.last_sync().info.draining);
+}
+
+// Guards against an entry of another writer that shuts the worker out for good:
+// an incarnation that started later than the worker. The worker's answers tell
+// that it is not there.
+void DeniedIncarnationDoesNotShutOutWorker() {
+  for (const auto answering :
+       {std::optional<std::int64_t>(), std::optional<std::int64_t>(1)}) {
+    AgentFixture fixture;
+    fixture.Grant();
+    fixture.Report(8, 1);
+    fixture.Report(1, 2);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
+                         fixture.last_sync().info.life.started_at_ms);
+    fixture.DenyIncarnation(answering);
+    static_cast<void>(fixture.TakeSyncs());
+    fixture.Report(1, 3);
+    const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, syncs.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, syncs[0].info.life.started_at_ms);
+    CPPUNIT_ASSERT(syncs[0].gone && syncs[0].crashed.empty());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, syncs[1].info.life.started_at_ms);
+  }
+}
+
+// Guards against a delayed report of an earlier incarnation that replaces the
+// one that the worker says it is.
+void DelayedReportDoesNotReplaceAnsweringIncarnation() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Report(8, 1);
+  fixture.DenyIncarnation(9);
+  fixture.Report(1, 2);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
+                       fixture.last_sync().info.life.started_at_ms);
+}
+
+// Guards against two runs of a task at once: the start was sent to an
+// incarnation that the worker denies to be, but calls name its id alone.
+void StartToDeniedIncarnationIsFenced() {
+  AgentFixture fixture;
+  fixture.Report(8, 1);
+  fixture.Grant(StartOrder(SampleRun()));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStart).size());
+  fixture.Answer(RunCallOp::kStart, SampleRun(), true);
+  fixture.DenyIncarnation(1);
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Report(1, 2);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStop).size());
+  for (const WorkerSync& sync : fixture.TakeSyncs()) {
+    CPPUNIT_ASSERT(!sync.gone && sync.info.life.started_at_ms == 8);
+  }
+}
+
 }  // namespace
 
 Section WorkerAgentStory() {
@@ -721,6 +827,20 @@
                       ReportAfterLeaveWaitsForSlowClock)
                 .Then("is not gone by single lists without an answer",
                       SingleUnansweredListsProveNothing))
+      .With(Section("a report of another writer")
+                .Then("does not shut the worker out by its sequence number",
+                      SequenceJumpDoesNotShutOutWorker)
+                .Then("is ignored if its sequence number is implausible",
+                      ImplausibleSequenceIsIgnored)
+                .Then("does not shut the worker out by a later start",
+                      DeniedIncarnationDoesNotShutOutWorker)
+                .Then("in the name of an earlier incarnation is ignored",
+                      DelayedReportDoesNotReplaceAnsweringIncarnation)
+                .Then("leaves no start behind unfenced",
+                      StartToDeniedIncarnationIsFenced))
+      .With(
+          Section("a report")
+              .Then("that was overtaken is ignored", OvertakenReportIsIgnored))
       .With(Section("a restarted worker")
                 .Then("starts with an empty state", RestartedWorkerStartsEmpty)
                 .Then("has the starts in flight to it fenced",
