Run lists: an odd row has no effect on the others

What operators would see: a worker with one odd row in its run list counts as lost, since none of its lists can be read; or none of its ends is reported again and its tasks run once more without end; or a task runs twice, because the row that names its run is left out.

Cause: one row of another shape made the whole list unreadable. An end with the number was taken, after which each later end has a number that looks reported already. Percentages and figures of any size were passed on.

Evidence: with the checks taken out, the tests "a worker has odd rows left out alone", "... hides no run behind an odd figure", "... has an odd clock left out", "an end is not hidden by the odd number of another one" and "a stop whose run a list may hide is no refusal" fail.

Change: each row is read by itself; what can't be read is left out, counted, and logged with the event run-rows-refused, at most every 10 s. A row that names its run stands for that run, whatever else it holds, because leaving it out would report a run as gone that is at work. If a row may hide a run, a stop counts as settled only 1 s after its confirmation; a stop takes 200 ms at most. An end may be 10,000 numbers (20 full lists) after the last one known. While the agent knows of none, as after its restart, an end may have as high a number as the worker has lived milliseconds.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -87,6 +87,7 @@
   kCrashRecorded = 1345,
   kTaskGivenUp = 1346,
   kRunWithdrawn = 1347,
+  kRunRowsRefused = 1348,
   kWorkerReinstated = 1349,
   kCallAnswered = 1350,
   kConfigInForce = 1401,
--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -117,6 +117,12 @@
   Time received_at;
   std::vector<RunStatus> running;
   std::vector<EndedRun> ended;
+  // Number of rows that can't be read, or only in part, and what is wrong with
+  // the first one.
+  std::size_t refused_rows = 0;
+  std::string refused_row_reason;
+  // Whether a row that can't be read may stand for an active run.
+  bool may_hide_run = false;
 };
 
 // Returns a reply that identifies the call and is marked as unanswered.
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_GRAPH_WORKER_AGENT_H_
 #define BANYAN_GRAPH_WORKER_AGENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -107,6 +108,10 @@
   // Logs what connects a run to the crash of the worker.
   void LogCrash(const RunCrash& crash);
   void OnRunList(Time now, const RunCallReply& reply);
+  // Returns the highest number that a new end in a run list may have.
+  [[nodiscard]] std::int64_t MaxEndNumber(const RunCallReply& reply) const;
+  // Logs that rows of a run list were left out or read in part.
+  void LogRefusedRows(Time now, std::size_t rows, const std::string& reason);
   // Counts a list call without lists against a worker that announced its
   // shutdown.
   void OnListFailure(Time now, const RunCallReply& reply);
@@ -160,6 +165,8 @@
   // The worker's last run list.
   std::map<RunRef, RunStatus> running_;
   std::map<std::int64_t, EndedRun> ended_;
+  // When rows that can't be read are logged again at the earliest.
+  Time next_rows_event_at_;
   std::map<RunRef, PendingStart> pending_starts_;
   // Confirmed starts that no run list shows yet, with the time of the answer.
   std::map<RunRef, Time> confirmed_starts_;
--- a/include/banyan/graph/worker_validation.h
+++ b/include/banyan/graph/worker_validation.h
@@ -20,6 +20,9 @@
     const WorkerReport& report,
     WallMillis now);
 
+// Returns why a run can't be one that was placed; empty when it can.
+[[nodiscard]] std::optional<std::string> ValidateRun(const RunRef& run);
+
 // Returns whether the text is a host and a port from 1 to 65535.
 [[nodiscard]] bool IsHostAndPort(std::string_view text);
 
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -169,6 +169,9 @@
     {EventId::kRunWithdrawn, "run-withdrawn",
      "A run that is not confirmed must not start, since its worker's capacity "
      "no longer holds it; with what is committed there and the capacity."},
+    {EventId::kRunRowsRefused, "run-rows-refused",
+     "Rows of a worker's run list were left out, since they can't be read or "
+     "hold impossible values; counts them, with the reason of the first."},
     {EventId::kWorkerReinstated, "worker-reinstated",
      "The agent follows a worker again whose reports it had taken for outdated "
      "ones, with the reason."},
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -1,6 +1,7 @@
 #include "banyan/graph/worker_agent.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "banyan/graph/run_event.h"
@@ -47,6 +48,14 @@
 // Largest gap between the sequence numbers of successive reports: a day without
 // a report, at ten reports a second.
 constexpr std::int64_t kMaxSequenceGap = 1'000'000;
+// Largest gap between the number of an end and that of the last one before it:
+// workers number ends one by one and list kMaxListedEnds at a time.
+constexpr std::int64_t kMaxEndNumberGap = 20 * kMaxListedEnds;
+// How long a list with rows that can't be read does not show that a stopped run
+// is gone; five times what a stop takes at most, as the platform specifies.
+constexpr Duration kMaxStopTime = Millis(1000);
+// Interval between events about rows that can't be read.
+constexpr Duration kRefusedRowsLogInterval = std::chrono::seconds(10);
 // Maximum number of unanswered syncs whose send times are kept.
 constexpr std::size_t kMaxTrackedSyncs = 64;
 
@@ -466,6 +475,30 @@
   }
 }
 
+std::int64_t WorkerAgent::MaxEndNumber(const RunCallReply& reply) const {
+  if (last_committed_end_ == 0 && ended_.empty()) {
+    // The leader may not have told the last number yet. A worker ends less than
+    // one run per millisecond of its life.
+    return std::max(kMaxEndNumberGap, reply.clock_ms.value_or(0));
+  }
+  const std::int64_t last = ended_.empty() ? 0 : ended_.rbegin()->first;
+  return std::max(last, last_committed_end_) + kMaxEndNumberGap;
+}
+
+void WorkerAgent::LogRefusedRows(Time now,
+                                 std::size_t rows,
+                                 const std::string& reason) {
+  if (rows == 0 || now < next_rows_event_at_) {
+    return;
+  }
+  next_rows_event_at_ = now + kRefusedRowsLogInterval;
+  out_.events.push_back(Event(EventId::kRunRowsRefused)
+                            .With("worker", info_->life.id)
+                            .With("born", info_->life.started_at_ms)
+                            .With("rows", rows)
+                            .With("reason", reason));
+}
+
 void WorkerAgent::OnRunList(Time now, const RunCallReply& reply) {
   is_list_in_flight_ = false;
   if (!reply.answered || reply.refusal != RunRefusal::kNone) {
@@ -484,17 +517,24 @@
     return reply.sent_at >= item.second.ends_at;
   });
   bool has_new_end = false;
+  std::set<RunRef> listed_ends;
   for (const EndedRun& row : reply.ended) {
+    if (row.number > MaxEndNumber(reply)) {
+      LogRefusedRows(now, 1, "the number of an end is too high");
+      continue;
+    }
+    listed_ends.insert(row.run);
     if (row.number > last_committed_end_ &&
         ended_.emplace(row.number, row).second) {
       has_new_end = true;
     }
   }
+  LogRefusedRows(now, reply.refused_rows, reply.refused_row_reason);
   std::erase_if(confirmed_starts_,
                 [&](const auto& item) { return item.second <= reply.sent_at; });
   // The end of a run may be listed before the reply to its stop arrives.
-  for (const EndedRun& row : reply.ended) {
-    pending_stops_.erase(row.run);
+  for (const RunRef& run : listed_ends) {
+    pending_stops_.erase(run);
   }
   // A full list may leave out the end of a run.
   const bool is_full = reply.ended.size() >= kMaxListedEnds;
@@ -502,7 +542,8 @@
   std::erase_if(pending_stops_, [&](const auto& item) {
     const std::optional<Time>& at = item.second.confirmed_at;
     if (is_full || !at || *at > reply.sent_at ||
-        running_.contains(item.first)) {
+        running_.contains(item.first) ||
+        (reply.may_hide_run && *at + kMaxStopTime > reply.sent_at)) {
       return false;
     }
     if (!IsListed(item.first)) {
--- a/src/graph/worker_validation.cc
+++ b/src/graph/worker_validation.cc
@@ -64,6 +64,19 @@
   return std::nullopt;
 }
 
+std::optional<std::string> ValidateRun(const RunRef& run) {
+  const TaskRef& task = run.task;
+  if (task.graph.empty() || task.graph.size() > kMaxNameBytes ||
+      !IsUpTo(task.occurrence, kMaxCounter) ||
+      !IsUpTo(task.step, kMaxCounter) || !IsUpTo(task.index, kMaxCounter)) {
+    return "a task is out of range";
+  }
+  if (run.run < 1 || run.run > kMaxCounter) {
+    return "a run number is out of range";
+  }
+  return std::nullopt;
+}
+
 bool IsHostAndPort(std::string_view text) {
   constexpr int kMaxPort = 65535;
   const std::size_t colon = text.rfind(':');
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -206,6 +206,87 @@
   CPPUNIT_ASSERT(reply.ended[0].reason == RunEndReason::kDone);
 }
 
+// Reads an answer to a list call with these rows.
+RunCallReply ReadLists(const std::string& running, const std::string& ended) {
+  RunCallReply reply;
+  Reason reason;
+  CPPUNIT_ASSERT_MESSAGE(running.substr(0, 60) + ended.substr(0, 60),
+                         ReadAnswer(200,
+                                    R"({"clock-ms":5,"running":[)" + running +
+                                        R"(],"ended":[)" + ended + "]}",
+                                    reply, reason));
+  return reply;
+}
+
+// Guards against a run list that one row of another writer makes unreadable:
+// without lists the worker counts as lost.
+void OddRowsAreLeftOutAlone() {
+  const std::string running = R"(["5c0e.0.1.17",2,"saved",41,7])";
+  const std::string ended = R"([58,"5c0e.0.1.9",1,"done",""])";
+  for (const std::string& odd :
+       {std::string("null"), std::string("7"), std::string("{}"),
+        std::string("[]"), std::string(R"([7,2,"",41,7])"), Nested(100000),
+        std::string(R"(["5c0e.0.1.17","2","",41,7])"),
+        std::string(R"(["5c0e.0.1.17",0,"",41,7])"),
+        std::string(R"(["5c0e.0.-1.17",1,"",41,7])"),
+        std::string(R"([".0.1.17",1,"",41,7])"),
+        std::string(R"(["5c0e.0.1.9223372036854775807",1,"",41,7])"),
+        std::string(R"(["5c0e.0.1.17",9223372036854775807,"",41,7])"),
+        std::string(R"(["5c0e.0.1.17",18446744073709551615,"",41,7])")}) {
+    const RunCallReply reply =
+        ReadLists(odd + "," + running, odd + "," + ended);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.running.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.ended.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reply.refused_rows);
+    CPPUNIT_ASSERT(!reply.refused_row_reason.empty());
+    CPPUNIT_ASSERT(reply.may_hide_run);
+  }
+  for (const std::string odd :
+       {R"([0,"5c0e.0.1.8",1,"done",""])", R"([-1,"5c0e.0.1.8",1,"done",""])",
+        R"([9223372036854775807,"5c0e.0.1.8",1,"done",""])",
+        R"([18446744073709551615,"5c0e.0.1.8",1,"done",""])",
+        R"([59,"5c0e.0.1.8",1,"odd",""])", R"([59,"5c0e.0.1.8",1,7,""])"}) {
+    const RunCallReply reply = ReadLists(running, ended + "," + odd);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.ended.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.refused_rows);
+    CPPUNIT_ASSERT(!reply.may_hide_run);
+  }
+}
+
+// Guards against two runs of a task at once: a row that names its run, but
+// holds something odd beside it, is left out, and the run counts as gone.
+void OddFiguresHideNoRun() {
+  for (const std::string odd :
+       {R"("saved",9223372036854775807,7)", R"("saved",-1,7)",
+        R"("saved",41,-1)", R"("saved",41,9223372036854775807)",
+        R"("saved",41,1e308)", R"("saved",41,null)", R"(null,41,7)",
+        R"("saved")"}) {
+    const RunCallReply reply =
+        ReadLists(R"(["5c0e.0.1.17",2,)" + odd + "]", "");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.running.size());
+    const RunStatus& row = reply.running[0];
+    CPPUNIT_ASSERT(row.run == (RunRef{{"5c0e", 0, 1, 17}, 2}));
+    CPPUNIT_ASSERT(IsUpTo(row.percent, kFullPercent));
+    CPPUNIT_ASSERT(IsUpTo(row.measurement, kMaxDurationMs));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.refused_rows);
+    CPPUNIT_ASSERT(!reply.may_hide_run);
+  }
+}
+
+// Guards against a lease until a moment that no clock reaches.
+void OddClocksAreLeftOut() {
+  for (const std::string odd :
+       {"9223372036854775807", "18446744073709551615", "-1", "1e308", "null"}) {
+    RunCallReply reply;
+    Reason reason;
+    CPPUNIT_ASSERT(ReadAnswer(
+        200, R"({"clock-ms":)" + odd + R"(,"running":[],"ended":[]})", reply,
+        reason));
+    CPPUNIT_ASSERT(!reply.clock_ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.refused_rows);
+  }
+}
+
 void ListsOfAnotherLifeAreNotTaken() {
   RunCallReply reply;
   reply.incarnation = {"w1", 99};
@@ -293,22 +374,26 @@
                 .Then("is refused when it makes no sense",
                       p::RefusesPlansThatMakeNoSense))
       .With(Section("a job").Then("is read with its steps", p::ReadsAGraph))
-      .With(Section("a worker")
-                .Then("is read from its heartbeat", p::ReadsAReport)
-                .Then("may have a capacity of nothing",
-                      p::ReadsACapacityOfNothing)
-                .Then("is refused with a number out of range",
-                      p::RefusesReportsOutOfRange)
-                .Then("is refused if it comes from the future",
-                      p::RefusesWorkersFromTheFuture)
-                .Then("is refused without a usable name or address",
-                      p::RefusesReportsWithoutAUsableName)
-                .Then("has rows skipped that can't be read",
-                      p::SkipsRowsThatCantBeRead)
-                .Then("is not mixed up with its other lives",
-                      p::ListsOfAnotherLifeAreNotTaken)
-                .Then("refuses calls in words that are known",
-                      p::ReadsEveryRefusal))
+      .With(
+          Section("a worker")
+              .Then("is read from its heartbeat", p::ReadsAReport)
+              .Then("may have a capacity of nothing",
+                    p::ReadsACapacityOfNothing)
+              .Then("is refused with a number out of range",
+                    p::RefusesReportsOutOfRange)
+              .Then("is refused if it comes from the future",
+                    p::RefusesWorkersFromTheFuture)
+              .Then("is refused without a usable name or address",
+                    p::RefusesReportsWithoutAUsableName)
+              .Then("has rows skipped that can't be read",
+                    p::SkipsRowsThatCantBeRead)
+              .Then("has odd rows left out alone", p::OddRowsAreLeftOutAlone)
+              .Then("hides no run behind an odd figure", p::OddFiguresHideNoRun)
+              .Then("has an odd clock left out", p::OddClocksAreLeftOut)
+              .Then("is not mixed up with its other lives",
+                    p::ListsOfAnotherLifeAreNotTaken)
+              .Then("refuses calls in words that are known",
+                    p::ReadsEveryRefusal))
       .With(Section("any bytes")
                 .Then("name a task or none", p::TaskNamesComeBack)
                 .Then("never end the process", p::SurvivesChangedDocuments));
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -136,6 +136,7 @@
     return taken;
   }
 
+  [[nodiscard]] Time now() const { return now_; }
   [[nodiscard]] const WorkerSync& last_sync() const { return last_sync_; }
   // Returns the syncs sent since the last call.
   [[nodiscard]] std::vector<WorkerSync> TakeSyncs() {
@@ -683,6 +684,58 @@
   CPPUNIT_ASSERT_MESSAGE("the start may yet be carried out", !syncs[0].gone);
 }
 
+// Guards against ends that are never reported, since an odd one before them had
+// a number that the worker can't have reached.
+void OddEndNumberHidesNoEnd() {
+  for (const bool is_first : {true, false}) {
+    AgentFixture fixture;
+    fixture.Grant();
+    if (!is_first) {
+      fixture.ReplyToList({}, {{1, RunOf("g", 0, 1), RunEndReason::kDone, ""}});
+    }
+    fixture.ReplyToList(
+        {}, {{kMaxCounter, RunOf("odd", 0, 0), RunEndReason::kDone, ""},
+             {2, SampleRun(), RunEndReason::kDone, ""}});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2},
+                         fixture.last_sync().ended.back().number);
+    CPPUNIT_ASSERT(fixture.last_sync().ended.back().run == SampleRun());
+  }
+}
+
+// Guards against ends that are taken for odd ones: the agent restarted, and the
+// worker has ended many runs before.
+void HighEndNumbersAfterRestartAreTaken() {
+  AgentFixture fixture;
+  fixture.ReplyToList({}, {{30000, SampleRun(), RunEndReason::kDone, ""},
+                           {30001, RunOf("g", 0, 1), RunEndReason::kDone, ""}});
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.last_sync().ended.size());
+}
+
+// Guards against two runs of a task at once: the run that is to be stopped may
+// be the one whose row can't be read, until the stop has had its time.
+void HiddenRunIsNoRefusal() {
+  AgentFixture fixture;
+  fixture.Grant();
+  WorkerOrders stop;
+  stop.stops = {SampleRun()};
+  fixture.Grant(stop);
+  fixture.Answer(RunCallOp::kStop, SampleRun(), true);
+  RunCallReply reply;
+  reply.op = RunCallOp::kListRuns;
+  reply.answered = true;
+  reply.may_hide_run = true;
+  reply.refused_rows = 1;
+  const auto list = [&] {
+    reply.sent_at = fixture.now();
+    fixture.Reply(reply);
+  };
+  list();
+  CPPUNIT_ASSERT(!fixture.IsReportedRefused(SampleRun()));
+  fixture.Advance(Millis(1000));
+  list();
+  CPPUNIT_ASSERT(fixture.IsReportedRefused(SampleRun()));
+}
+
 // Guards against an entry of another writer that shuts the worker out for good:
 // its sequence number makes every later report look outdated.
 void SequenceJumpDoesNotShutOutWorker() {
@@ -802,16 +855,22 @@
                       CommandOfEarlierLeaderIsIgnored)
                 .Then("is not sent to a draining worker",
                       DrainingWorkerStartsNothing))
-      .With(Section("an end").Then(
-          "is acknowledged only after its commit to the log",
-          EndIsAcknowledgedAfterCommit))
+      .With(Section("an end")
+                .Then("is acknowledged only after its commit to the log",
+                      EndIsAcknowledgedAfterCommit)
+                .Then("is not hidden by the odd number of another one",
+                      OddEndNumberHidesNoEnd)
+                .Then("may have a high number after a restart of the agent",
+                      HighEndNumbersAfterRestartAreTaken))
       .With(
           Section("a stop")
               .Then("is retried until it is answered", UnansweredStopIsRetried)
               .Then("whose run has already ended is no refusal",
                     EndBeforeStopReplyIsNoRefusal)
               .Then("whose run ended beyond a full list is no refusal",
-                    EndBeyondFullListIsNoRefusal))
+                    EndBeyondFullListIsNoRefusal)
+              .Then("whose run a list may hide is no refusal",
+                    HiddenRunIsNoRefusal))
       .With(Section("a worker that leaves")
                 .Then("is gone only after its list in flight",
                       LeaveWaitsForListInFlight)
