Jobs, plans: refuse numbers without bound at once

What callers and operators would see: a job of a few hundred bytes makes each control process allocate some gigabytes, again after each restart, since the job is in the log; or an order of jobs that makes no sense, because the work that remains has overflowed. A plan with a negative number of attempts fails each job with its first failed task.

Evidence: with the former checks, the tests "a job is refused with a number out of range", "... with too many tasks", "... with too much work" and "an operator's configuration is refused with a number out of range" fail.

Change: ValidateGraph() bounds the tasks of all occurrences by 100,000, more than the 74,000 that a cell is designed to run at once, the work of a job so that sums of it do not overflow, and each field by what it can mean; ValidatePlan() does so for a queue. Lists must be lists.

--- a/src/graph/queue_match.cc
+++ b/src/graph/queue_match.cc
@@ -1,9 +1,12 @@
 #include "banyan/graph/queue_match.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <set>
 #include <utility>
 
+#include "banyan/wire/field_limits.h"
+
 namespace banyan {
 namespace {
 
@@ -11,10 +14,75 @@
 constexpr std::int64_t kMaxTasks = 20000;
 constexpr std::size_t kMaxSteps = 200;
 constexpr std::int64_t kMaxOccurrences = 1000;
+// Tasks of all occurrences, which are allocated at once; more than the 74,000
+// that a cell is designed to run.
+constexpr std::int64_t kMaxScheduledTasks = 100000;
+// Run time of all tasks of an occurrence, in milliseconds of a thousandth of a
+// core: 30,000 years of a core. Sums of it do not overflow.
+constexpr std::int64_t kMaxWork = 1'000'000'000'000'000'000;
+
+// Limits on one queue.
+constexpr std::int64_t kMaxPriority = 1'000'000;
+constexpr std::int64_t kMaxAttempts = 1'000'000;
+constexpr double kMaxStretch = 1000;
 
 // Part of a caller's timeout reserved for transferring the answer.
 constexpr Duration kAnswerTransferMargin = Millis(60);
 
+// Returns the work of a step, or one more than the maximum if it is more than
+// that. The fields of the step are within their limits.
+std::int64_t WorkOf(const StepSpec& step) {
+  const std::int64_t rate = step.needs.cpu_millis * step.count;
+  return rate > 0 && step.estimate_ms > kMaxWork / rate
+             ? kMaxWork + 1
+             : rate * step.estimate_ms;
+}
+
+std::optional<std::string> ValidateQueue(const QueueSpec& queue) {
+  if (queue.timeout_ms <= 0) {
+    return "no timeout";
+  }
+  if (queue.timeout_ms > kMaxDurationMs ||
+      !IsUpTo(queue.slo_ms, kMaxDurationMs)) {
+    return "a time out of range";
+  }
+  // Also refuses what is not a number.
+  const bool is_stretch = queue.stretch >= 0 && queue.stretch <= kMaxStretch;
+  if (!is_stretch || !IsUpTo(queue.priority, kMaxPriority)) {
+    return "a stretch or a priority out of range";
+  }
+  if (queue.max_attempts < 1 || queue.max_attempts > kMaxAttempts) {
+    return "a number of attempts out of range";
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> ValidateStep(const StepSpec& step,
+                                        std::size_t index) {
+  if (step.count < 1 || step.count > kMaxTasks) {
+    return "the number of tasks is out of range";
+  }
+  if (!IsWithinLimits(step.needs)) {
+    return "the needs of a step are out of range";
+  }
+  if (!IsUpTo(step.estimate_ms, kMaxDurationMs) ||
+      !IsUpTo(step.latency_target_ms, kMaxDurationMs)) {
+    return "a time of a step is out of range";
+  }
+  if (!IsUpTo(step.per_worker_limit, kMaxCounter) ||
+      !IsUpTo(step.max_unavailable.value_or(0), kMaxCounter)) {
+    return "a limit of a step is out of range";
+  }
+  const bool depends_on_earlier = std::all_of(
+      step.depends_on.begin(), step.depends_on.end(), [&](auto dependency) {
+        return dependency >= 0 && dependency < static_cast<std::int64_t>(index);
+      });
+  if (!depends_on_earlier || step.depends_on.size() > index) {
+    return "a step comes after one that is not before it, or twice after one";
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 Time AnswerDeadline(const QueueSpec& queue,
@@ -55,8 +123,8 @@
     if (!routes.emplace(queue.host, queue.path_prefix).second) {
       return "queue '" + queue.name + "' shares its place with another one";
     }
-    if (queue.timeout_ms <= 0) {
-      return "queue '" + queue.name + "' has no timeout";
+    if (const auto fault = ValidateQueue(queue)) {
+      return "queue '" + queue.name + "' has " + *fault;
     }
   }
   return std::nullopt;
@@ -66,26 +134,26 @@
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
     return "the number of steps is out of range";
   }
-  if (spec.occurrences < 0 || spec.occurrences > kMaxOccurrences ||
-      (spec.occurrences > 0 && spec.interval_ms < 0)) {
+  if (!IsUpTo(spec.occurrences, kMaxOccurrences) ||
+      !IsUpTo(spec.interval_ms, kMaxDurationMs) ||
+      !IsUpTo(spec.first_due_at, kMaxWallMillis)) {
     return "the schedule is out of range";
   }
   std::int64_t tasks = 0;
+  std::int64_t work = 0;
   for (std::size_t s = 0; s < spec.steps.size(); ++s) {
-    const StepSpec& step = spec.steps[s];
-    tasks += step.count;
-    if (step.count < 1 || tasks > kMaxTasks) {
-      return "the number of tasks is out of range";
+    if (auto fault = ValidateStep(spec.steps[s], s)) {
+      return fault;
     }
-    if (!IsNonNegative(step.needs)) {
-      return "a step needs less than nothing";
+    tasks += spec.steps[s].count;
+    work += WorkOf(spec.steps[s]);
+    if (tasks > kMaxTasks ||
+        tasks * std::max<std::int64_t>(spec.occurrences, 1) >
+            kMaxScheduledTasks) {
+      return "the number of tasks is out of range";
     }
-    const bool depends_on_earlier = std::all_of(
-        step.depends_on.begin(), step.depends_on.end(), [&](auto dependency) {
-          return dependency >= 0 && dependency < static_cast<std::int64_t>(s);
-        });
-    if (!depends_on_earlier) {
-      return "a step comes after one that is not before it";
+    if (work > kMaxWork) {
+      return "the work is out of range";
     }
   }
   return std::nullopt;
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -95,6 +95,110 @@
   CPPUNIT_ASSERT(ValidateGraph(cyclic));
 }
 
+bool IsAccepted(const std::string& text) {
+  Reason reason;
+  const auto graph = ReadGraph(text, "r1", reason);
+  return graph && !ValidateGraph(*graph);
+}
+
+// Guards against a job whose numbers take memory or time without bound, or
+// overflow what is computed from them.
+void RefusesGraphsOutOfRange() {
+  const std::string whole =
+      Replaced(kGraph, "\"spec\"",
+               R"("repeat-count":3,"first-ms":5,"interval-ms":7,"spec")");
+  CPPUNIT_ASSERT(IsAccepted(whole));
+  const std::string with_all = Replaced(
+      whole, "\"image\"", R"("may-miss":1,"target-ms":9,"gpu":1,"image")");
+  CPPUNIT_ASSERT(IsAccepted(with_all));
+  const std::vector<std::pair<std::string, std::string>> fields = {
+      {"\"repeat-count\":", "3"},  {"\"first-ms\":", "5"},
+      {"\"interval-ms\":", "7"},   {"\"count\":", "4"},
+      {"\"cpu\":", "500"},         {"\"mem-mb\":", "256"},
+      {"\"gpu\":", "1"},           {"\"estimate-ms\":", "900"},
+      {"\"anti-affinity\":", "1"}, {"\"target-ms\":", "9"},
+      {"\"may-miss\":", "1"}};
+  for (const auto& [key, value] : fields) {
+    for (const std::string odd :
+         {"-1", "9223372036854775807", "18446744073709551615",
+          "9223372036854775", "1e308", "1.5", "null", "\"1\"", "[1]"}) {
+      // Limits on one worker or on unavailable tasks may be of any size.
+      const bool is_limit =
+          key == "\"anti-affinity\":" || key == "\"may-miss\":";
+      if (!is_limit || odd != "9223372036854775") {
+        CPPUNIT_ASSERT_MESSAGE(
+            key + odd, !IsAccepted(Replaced(with_all, key + value, key + odd)));
+      }
+    }
+  }
+  for (const std::string odd :
+       {"[1]", "[-1]", "[9223372036854775807]", "[18446744073709551616]",
+        "[18446744073709551615]", "[0,0]", "[0.0]", "[[0]]", "7",
+        "{\"a\":1}"}) {
+    CPPUNIT_ASSERT_MESSAGE(odd, !IsAccepted(Replaced(whole, "[0]", odd)));
+  }
+}
+
+// Guards against a job whose tasks are allocated at once in all occurrences.
+void RefusesGraphsOfTooManyTasks() {
+  const auto graph = [](int count, int occurrences) {
+    return R"({"spec":"","steps":[{"count":)" + std::to_string(count) +
+           R"(,"cpu":100}],"repeat-count":)" + std::to_string(occurrences) +
+           R"(,"interval-ms":1000})";
+  };
+  CPPUNIT_ASSERT(IsAccepted(graph(64, 1000)));
+  CPPUNIT_ASSERT(IsAccepted(graph(20000, 0)));
+  CPPUNIT_ASSERT(!IsAccepted(graph(20001, 0)));
+  CPPUNIT_ASSERT(!IsAccepted(graph(20000, 1000)));
+  CPPUNIT_ASSERT(!IsAccepted(graph(1000, 101)));
+  std::string steps = R"({"count":1})";
+  for (int i = 0; i < 5000; ++i) {
+    steps += R"(,{"count":1})";
+  }
+  CPPUNIT_ASSERT(!IsAccepted(R"({"steps":[)" + steps + "]}"));
+  CPPUNIT_ASSERT(!IsAccepted(R"({"steps":)" + Nested(100000) + "}"));
+}
+
+// Guards against estimates that are within their limits, but whose sum over the
+// tasks overflows.
+void RefusesGraphsOfTooMuchWork() {
+  const auto graph = [](const std::string& estimate_ms) {
+    return R"({"steps":[{"count":20000,"cpu":1000000,"estimate-ms":)" +
+           estimate_ms + "}]}";
+  };
+  CPPUNIT_ASSERT(IsAccepted(graph("86400")));
+  CPPUNIT_ASSERT(!IsAccepted(graph("3000000000000")));
+}
+
+// Guards against a configuration whose numbers overflow what is computed from
+// them, or under which every job fails.
+void RefusesPlansOutOfRange() {
+  const auto is_accepted = [](const std::string& from, const std::string& to) {
+    Reason reason;
+    const auto plan = ReadPlan(Replaced(kPlan, from, to), reason);
+    return plan && !ValidatePlan(*plan);
+  };
+  CPPUNIT_ASSERT(is_accepted("1.5", "2"));
+  const std::vector<std::pair<std::string, std::string>> fields = {
+      {"\"version\":", "7"},      {"\"timeout-ms\":", "3000"},
+      {"\"slo-ms\":", "250"},     {"\"priority\":", "0"},
+      {"\"max-attempts\":", "4"}, {"\"stretch\":", "1.5"}};
+  for (const auto& [key, value] : fields) {
+    for (const std::string odd :
+         {"-1", "18446744073709551615", "1e308", "null", "\"1\"", "true"}) {
+      CPPUNIT_ASSERT_MESSAGE(key + odd, !is_accepted(key + value, key + odd));
+    }
+  }
+  CPPUNIT_ASSERT(!is_accepted("\"max-attempts\":4", "\"max-attempts\":0"));
+  for (const char* key : {"\"timeout-ms\":3000", "\"slo-ms\":250",
+                          "\"priority\":0", "\"max-attempts\":4"}) {
+    const std::string name(key, std::string(key).find(':') + 1);
+    CPPUNIT_ASSERT(!is_accepted(key, name + "9223372036854775807"));
+  }
+  CPPUNIT_ASSERT(!is_accepted("\"max-body-bytes\":262144",
+                              "\"max-body-bytes\":18446744073709551615"));
+}
+
 void ReadsAReport() {
   Reason reason;
   const auto report = ReadReport(kReport, "w1", kNow, reason);
@@ -372,8 +476,17 @@
       .With(Section("an operator's configuration")
                 .Then("is read whole", p::ReadsAPlan)
                 .Then("is refused when it makes no sense",
-                      p::RefusesPlansThatMakeNoSense))
-      .With(Section("a job").Then("is read with its steps", p::ReadsAGraph))
+                      p::RefusesPlansThatMakeNoSense)
+                .Then("is refused with a number out of range",
+                      p::RefusesPlansOutOfRange))
+      .With(Section("a job")
+                .Then("is read with its steps", p::ReadsAGraph)
+                .Then("is refused with a number out of range",
+                      p::RefusesGraphsOutOfRange)
+                .Then("is refused with too many tasks",
+                      p::RefusesGraphsOfTooManyTasks)
+                .Then("is refused with too much work",
+                      p::RefusesGraphsOfTooMuchWork))
       .With(
           Section("a worker")
               .Then("is read from its heartbeat", p::ReadsAReport)
