Tests: fuzz what decodes documents of other writers

What is accepted must be in bounds, and the agent must follow its worker, and report its later ends, after any report and any list.

--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -87,6 +87,7 @@
       .With(HttpServerStory())
       .With(GatewayProcessStory())
       .With(PlatformCodecStory())
+      .With(DecoderFuzzStory())
       .With(ServingRankStory())
       .With(UrgencyStory())
       .With(AuditStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -85,6 +85,7 @@
 Section HttpServerStory();
 Section GatewayProcessStory();
 Section PlatformCodecStory();
+Section DecoderFuzzStory();
 Section ServingRankStory();
 Section UrgencyStory();
 Section AuditStory();
