Leader: refuse an invalid graph of a peer

What operators would see: every control process ends, and again after each restart, since the command is in the log.

Cause: only the processes that callers reach validate a graph. The leader put a graph into the log that a peer sent in a command, and each replica that applied it indexed the steps with what the graph depends on.

Evidence: the new test "refuses a graph that is invalid" ended the test program with SIGSEGV (exit code 139) without the check.

Change: the leader validates a graph before it proposes it. A graph that is already known is acknowledged as before.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "banyan/graph/queue_match.h"
 #include "banyan/wire/codec.h"
 
 namespace banyan {
@@ -482,6 +483,13 @@
                  "the leader is not settled yet");
       return;
     }
+    // Entries and operator APIs check it as well; a graph that breaks an index
+    // would end every replica that applies it.
+    const bool is_known = state_.graphs().FindGraph(submit->id) != nullptr;
+    if (const auto fault = ValidateGraph(submit->spec); fault && !is_known) {
+      ReplyError(origin, request.seq, ErrorKind::kBadRequest, *fault);
+      return;
+    }
     if (auto refusal = graphs_.CheckAdmission(state_.graphs(), *submit)) {
       CollectGraphOutputs(now, wall);
       Reply(origin, request.seq, *std::move(refusal));
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <iterator>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -132,6 +133,19 @@
     DeliverAll();
   }
 
+  // Sends a command of a peer to a replica. Returns what it answers at once, if
+  // it does.
+  std::optional<CommandResult> Request(std::size_t replica,
+                                       const Command& command) {
+    CommandRequest request;
+    request.seq = 1;
+    request.command.command = command;
+    last_reply_.reset();
+    Send(replica, PeerHello{});
+    Send(replica, request);
+    return last_reply_;
+  }
+
   // Returns whether any replica has acknowledged the end of a task.
   [[nodiscard]] bool has_acknowledged_end() const {
     return has_acknowledged_end_;
@@ -170,6 +184,9 @@
     has_acknowledged_end_ =
         has_acknowledged_end_ ||
         std::holds_alternative<TaskReportAck>(outbound.message);
+    if (const auto* reply = std::get_if<CommandReply>(&outbound.message)) {
+      last_reply_ = reply->result;
+    }
     for (std::size_t to = 0; to < kReplicas; ++to) {
       const bool is_cut = from == isolated_ || to == isolated_;
       if (IdOf(to) == outbound.to && !is_cut) {
@@ -183,6 +200,7 @@
   std::vector<ControlCore> replicas_;
   std::size_t isolated_ = kReplicas;
   bool has_acknowledged_end_ = false;
+  std::optional<CommandResult> last_reply_;
 };
 
 // Guards against losing a task that is done: a leader that is cut off, and does
@@ -226,6 +244,30 @@
   }));
 }
 
+// Guards against a graph of another writer that ends each replica that applies
+// it, again after every restart: a step depends on one that does not exist.
+void RefusesInvalidGraph() {
+  Cell cell;
+  CPPUNIT_ASSERT(
+      cell.RunUntil([&] { return cell.Leader() < Cell::kReplicas; }));
+  const std::size_t leader = cell.Leader();
+  cell.Submit(leader, InstallPlan{SamplePlan()});
+  CPPUNIT_ASSERT(cell.RunUntil([&] {
+    return cell.replica(leader).state().graphs().FindQueue("quick") != nullptr;
+  }));
+  SubmitGraph odd = SampleGraph("odd", {SampleStep(1), SampleStep(1)});
+  odd.spec.steps[1].depends_on = {std::int64_t{1} << 40};
+  const auto refusal = cell.Request(leader, odd);
+  CPPUNIT_ASSERT(refusal && !refusal->ok);
+  CPPUNIT_ASSERT(refusal->error == ErrorKind::kBadRequest);
+  const auto is_accepted = [&](const std::string& id) {
+    return cell.replica(leader).state().graphs().FindGraph(id) != nullptr;
+  };
+  static_cast<void>(cell.Request(leader, SampleGraph("good", {SampleStep(1)})));
+  CPPUNIT_ASSERT(cell.RunUntil([&] { return is_accepted("good"); }));
+  CPPUNIT_ASSERT(!is_accepted("odd"));
+}
+
 }  // namespace
 
 Section ControlCoreStory() {
@@ -234,6 +276,8 @@
       .With(Section("after a restart")
                 .Then("does not repeat events of entries restored from disk",
                       RestartRepeatsNoEvents))
+      .With(Section("at input of other writers")
+                .Then("refuses a graph that is invalid", RefusesInvalidGraph))
       .With(Section("cut off from the cell")
                 .Then("acknowledges no end of a task",
                       DeposedLeaderAcknowledgesNoEnd));
