--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -242,6 +242,9 @@
     Reason reason;
     auto message = DecodeMessage(item.frame, reason);
     if (!message) {
+      outputs_.events.push_back(Event(EventId::kPeerMessageRefused)
+                                    .With("peer", item.peer)
+                                    .With("reason", reason.text));
       continue;
     }
     if (item.peer == options_.raft.self.id) {
@@ -799,6 +802,11 @@
       snapshot_index_ = applied_index_;
       BroadcastConfig();
       BroadcastPlan();
+    } else {
+      outputs_.events.push_back(
+          Event(EventId::kPeerMessageRefused)
+              .With("index", raft.installed_snapshot->last_index)
+              .With("reason", reason.text));
     }
   }
   if (raft_.log().membership_index() != sent_membership_index_) {
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -268,6 +268,16 @@
   CPPUNIT_ASSERT(!is_accepted("odd"));
 }
 
+// Guards against a snapshot that can't be read and leaves no trace.
+void UnreadableSnapshotIsLogged() {
+  RestoredLog restored;
+  restored.snapshot = {5, 1, {{{"control-0", 1}}, {}}, "no snapshot"};
+  RestoredLog log;
+  const Events events = RunSingleReplica(restored, {}, log);
+  CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                       CountEvents(events, EventId::kPeerMessageRefused));
+}
+
 }  // namespace
 
 Section ControlCoreStory() {
@@ -277,7 +287,9 @@
                 .Then("does not repeat events of entries restored from disk",
                       RestartRepeatsNoEvents))
       .With(Section("at input of other writers")
-                .Then("refuses a graph that is invalid", RefusesInvalidGraph))
+                .Then("refuses a graph that is invalid", RefusesInvalidGraph)
+                .Then("logs a snapshot that can't be read",
+                      UnreadableSnapshotIsLogged))
       .With(Section("cut off from the cell")
                 .Then("acknowledges no end of a task",
                       DeposedLeaderAcknowledgesNoEnd));
