--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -23,6 +23,7 @@
 #include "banyan/graph/urgency.h"
 #include "banyan/graph/worker_agent.h"
 #include "banyan/graph/worker_suspicion.h"
+#include "banyan/graph/worker_validation.h"
 #include "banyan/graph/worker_view.h"
 
 #endif  // BANYAN_GRAPH_H_
--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -107,6 +107,9 @@
   CallFailure failure = CallFailure::kNone;
   RunRefusal refusal = RunRefusal::kNone;
   std::string text;
+  // Start of the incarnation that answered, in milliseconds since the epoch, if
+  // the answer names it.
+  std::optional<std::int64_t> answering_start_ms;
   // The worker's own clock when it answered.
   std::optional<std::int64_t> clock_ms;
   // Times of the call and of its answer, on the agent's clock.
@@ -114,6 +117,12 @@
   Time received_at;
   std::vector<RunStatus> running;
   std::vector<EndedRun> ended;
+  // Number of rows that can't be read, or only in part, and what is wrong with
+  // the first one.
+  std::size_t refused_rows = 0;
+  std::string refused_row_reason;
+  // Whether a row that can't be read may stand for an active run.
+  bool may_hide_run = false;
 };
 
 // Returns a reply that identifies the call and is marked as unanswered.
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "banyan/graph/queue_match.h"
 #include "banyan/wire/codec.h"
 
 namespace banyan {
@@ -241,6 +242,9 @@
     Reason reason;
     auto message = DecodeMessage(item.frame, reason);
     if (!message) {
+      outputs_.events.push_back(Event(EventId::kPeerMessageRefused)
+                                    .With("peer", item.peer)
+                                    .With("reason", reason.text));
       continue;
     }
     if (item.peer == options_.raft.self.id) {
@@ -482,6 +486,13 @@
                  "the leader is not settled yet");
       return;
     }
+    // Entries and operator APIs check it as well; a graph that breaks an index
+    // would end every replica that applies it.
+    const bool is_known = state_.graphs().FindGraph(submit->id) != nullptr;
+    if (const auto fault = ValidateGraph(submit->spec); fault && !is_known) {
+      ReplyError(origin, request.seq, ErrorKind::kBadRequest, *fault);
+      return;
+    }
     if (auto refusal = graphs_.CheckAdmission(state_.graphs(), *submit)) {
       CollectGraphOutputs(now, wall);
       Reply(origin, request.seq, *std::move(refusal));
@@ -791,6 +802,11 @@
       snapshot_index_ = applied_index_;
       BroadcastConfig();
       BroadcastPlan();
+    } else {
+      outputs_.events.push_back(
+          Event(EventId::kPeerMessageRefused)
+              .With("index", raft.installed_snapshot->last_index)
+              .With("reason", reason.text));
     }
   }
   if (raft_.log().membership_index() != sent_membership_index_) {
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -1,6 +1,7 @@
 #include "banyan/graph/worker_agent.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "banyan/graph/run_event.h"
@@ -26,8 +27,8 @@
 constexpr int kMaxUnansweredLists = 3;
 // Delay before an unanswered start or stop is retried.
 constexpr Duration kOrderRetryDelay = Millis(50);
-// How long after its sending a call without an answer may be carried out, as
-// the platform specifies it.
+// How long after its sending a call, also one of the worker to its agent, may
+// arrive or be carried out, as the platform specifies it.
 constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
 // Unanswered calls after which a start is abandoned.
 constexpr int kMaxUnansweredStarts = 3;
@@ -44,6 +45,17 @@
 // Maximum number of earlier incarnations whose ends are kept; more restarts
 // than this without an answer of the leader mean an outage of many seconds.
 constexpr std::size_t kMaxFinalSyncs = 8;
+// Largest gap between the sequence numbers of successive reports: a day without
+// a report, at ten reports a second.
+constexpr std::int64_t kMaxSequenceGap = 1'000'000;
+// Largest gap between the number of an end and that of the last one before it:
+// workers number ends one by one and list kMaxListedEnds at a time.
+constexpr std::int64_t kMaxEndNumberGap = 20 * kMaxListedEnds;
+// How long a list with rows that can't be read does not show that a stopped run
+// is gone; five times what a stop takes at most, as the platform specifies.
+constexpr Duration kMaxStopTime = Millis(1000);
+// Interval between events about rows that can't be read.
+constexpr Duration kRefusedRowsLogInterval = std::chrono::seconds(10);
 // Maximum number of unanswered syncs whose send times are kept.
 constexpr std::size_t kMaxTrackedSyncs = 64;
 
@@ -58,9 +70,7 @@
   const WorkerIncarnation& incarnation = report.info.life;
   if (info_) {
     const bool is_same = info_->life == incarnation;
-    const bool is_older =
-        !is_same && incarnation.started_at_ms < info_->life.started_at_ms;
-    if (is_older || (is_same && report.sequence <= report_sequence_)) {
+    if (is_same ? !IsLater(now, report) : !MayReplace(incarnation)) {
       return;
     }
     // The leader has placed the runs of this incarnation elsewhere.
@@ -76,7 +86,7 @@
                                 .With("running", running_.size())
                                 .With("ended", ended_.size())
                                 .With("committed", last_committed_end_));
-      *this = WorkerAgent(std::move(*this).NextIncarnation(incarnation.id));
+      *this = WorkerAgent(std::move(*this).NextIncarnation(incarnation));
     }
   }
   const bool was_draining = info_ && info_->draining;
@@ -86,6 +96,7 @@
                            info_->capacity != report.info.capacity;
   info_ = report.info;
   report_sequence_ = report.sequence;
+  reported_at_ = now;
   // A worker that answers and reports after its announcement is still active.
   if (departure_ && departure_->has_answered) {
     departure_.reset();
@@ -103,6 +114,43 @@
   RequestRunList(now);
 }
 
+bool WorkerAgent::IsLater(Time now, const WorkerReport& report) {
+  const bool has_gap = report.sequence > report_sequence_ &&
+                       report.sequence - report_sequence_ > kMaxSequenceGap;
+  if (report.sequence > report_sequence_ && !has_gap) {
+    return true;
+  }
+  // Reports that were sent before the last one have arrived by then.
+  const bool is_overdue = now > reported_at_ + kMaxCallDelay;
+  if (is_overdue || has_gap) {
+    out_.events.push_back(Event(is_overdue ? EventId::kWorkerReinstated
+                                           : EventId::kPeerMessageRefused)
+                              .With("worker", report.info.life.id)
+                              .With("born", report.info.life.started_at_ms)
+                              .With("sequence", report.sequence)
+                              .With("last", report_sequence_)
+                              .With("reason",
+                                    "the sequence number is not "
+                                    "the next"));
+  }
+  return is_overdue;
+}
+
+bool WorkerAgent::MayReplace(const WorkerIncarnation& incarnation) {
+  if (incarnation.started_at_ms >= info_->life.started_at_ms) {
+    return true;
+  }
+  if (!is_denied_ || (denied_by_ && *denied_by_ != incarnation.started_at_ms)) {
+    return false;
+  }
+  out_.events.push_back(
+      Event(EventId::kWorkerReinstated)
+          .With("worker", incarnation.id)
+          .With("born", incarnation.started_at_ms)
+          .With("reason", "the worker denied the later incarnation"));
+  return true;
+}
+
 void WorkerAgent::LogCrash(const RunCrash& crash) {
   const std::optional<Duration> age = crash_observer_.AgeOf(crash.run);
   out_.events.push_back(
@@ -112,17 +160,20 @@
           .With("age_ms", age ? ToMillis(*age) : -1));
 }
 
-WorkerAgent WorkerAgent::NextIncarnation(const std::string& successor) && {
+WorkerAgent WorkerAgent::NextIncarnation(
+    const WorkerIncarnation& successor) && {
+  // The worker never was the incarnation that it denied to be.
+  const bool is_unfounded = successor.started_at_ms < info_->life.started_at_ms;
   // A worker that announced its end has not crashed.
   std::vector<RunCrash> crashed;
-  if (!departure_ && !info_->draining) {
+  if (!departure_ && !info_->draining && !is_unfounded) {
     crashed = crash_observer_.Evidence();
   }
   for (const RunCrash& crash : crashed) {
     LogCrash(crash);
   }
   WorkerAgent next;
-  if (successor == info_->life.id) {
+  if (successor.id == info_->life.id) {
     // Calls name the worker by its id alone, so a start that was sent to this
     // incarnation may be carried out by the next one.
     for (const auto& [run, pending_start] : pending_starts_) {
@@ -139,7 +190,8 @@
     next.unanswered_starts_ = std::move(unanswered_starts_);
     next.must_settle_stops_ = !next.pending_stops_.empty();
   }
-  if (!ended_.empty() || !crashed.empty()) {
+  // An earlier incarnation is admitted only after the removal of this one.
+  if (!ended_.empty() || !crashed.empty() || is_unfounded) {
     is_reachable_ = false;
     final_syncs_.push_back(MakeSync());
     final_syncs_.back().crashed = std::move(crashed);
@@ -402,6 +454,10 @@
 
 void WorkerAgent::OnListFailure(Time now, const RunCallReply& reply) {
   next_list_at_ = now + (departure_ ? kLeaveProbeInterval : kListRetryDelay);
+  if (reply.refusal == RunRefusal::kOtherIncarnation) {
+    is_denied_ = true;
+    denied_by_ = reply.answering_start_ms;
+  }
   const bool was_reachable = is_reachable_;
   if (was_reachable) {
     crash_observer_.OnContactLost(reply.received_at, reply.failure);
@@ -419,6 +475,30 @@
   }
 }
 
+std::int64_t WorkerAgent::MaxEndNumber(const RunCallReply& reply) const {
+  if (last_committed_end_ == 0 && ended_.empty()) {
+    // The leader may not have told the last number yet. A worker ends less than
+    // one run per millisecond of its life.
+    return std::max(kMaxEndNumberGap, reply.clock_ms.value_or(0));
+  }
+  const std::int64_t last = ended_.empty() ? 0 : ended_.rbegin()->first;
+  return std::max(last, last_committed_end_) + kMaxEndNumberGap;
+}
+
+void WorkerAgent::LogRefusedRows(Time now,
+                                 std::size_t rows,
+                                 const std::string& reason) {
+  if (rows == 0 || now < next_rows_event_at_) {
+    return;
+  }
+  next_rows_event_at_ = now + kRefusedRowsLogInterval;
+  out_.events.push_back(Event(EventId::kRunRowsRefused)
+                            .With("worker", info_->life.id)
+                            .With("born", info_->life.started_at_ms)
+                            .With("rows", rows)
+                            .With("reason", reason));
+}
+
 void WorkerAgent::OnRunList(Time now, const RunCallReply& reply) {
   is_list_in_flight_ = false;
   if (!reply.answered || reply.refusal != RunRefusal::kNone) {
@@ -427,6 +507,7 @@
   }
   ++list_count_;
   listed_at_ = now;
+  is_denied_ = false;
   crash_observer_.OnList(reply);
   running_.clear();
   for (const RunStatus& row : reply.running) {
@@ -436,17 +517,24 @@
     return reply.sent_at >= item.second.ends_at;
   });
   bool has_new_end = false;
+  std::set<RunRef> listed_ends;
   for (const EndedRun& row : reply.ended) {
+    if (row.number > MaxEndNumber(reply)) {
+      LogRefusedRows(now, 1, "the number of an end is too high");
+      continue;
+    }
+    listed_ends.insert(row.run);
     if (row.number > last_committed_end_ &&
         ended_.emplace(row.number, row).second) {
       has_new_end = true;
     }
   }
+  LogRefusedRows(now, reply.refused_rows, reply.refused_row_reason);
   std::erase_if(confirmed_starts_,
                 [&](const auto& item) { return item.second <= reply.sent_at; });
   // The end of a run may be listed before the reply to its stop arrives.
-  for (const EndedRun& row : reply.ended) {
-    pending_stops_.erase(row.run);
+  for (const RunRef& run : listed_ends) {
+    pending_stops_.erase(run);
   }
   // A full list may leave out the end of a run.
   const bool is_full = reply.ended.size() >= kMaxListedEnds;
@@ -454,7 +542,8 @@
   std::erase_if(pending_stops_, [&](const auto& item) {
     const std::optional<Time>& at = item.second.confirmed_at;
     if (is_full || !at || *at > reply.sent_at ||
-        running_.contains(item.first)) {
+        running_.contains(item.first) ||
+        (reply.may_hide_run && *at + kMaxStopTime > reply.sent_at)) {
       return false;
     }
     if (!IsListed(item.first)) {
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -86,6 +86,7 @@
 Section HttpServerStory();
 Section GatewayProcessStory();
 Section PlatformCodecStory();
+Section DecoderFuzzStory();
 Section ServingRankStory();
 Section UrgencyStory();
 Section AuditStory();
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -1,7 +1,9 @@
 #include "banyan/graph/worker_agent.h"
 
 #include <algorithm>
+#include <optional>
 
+#include "banyan/wire/field_limits.h"
 #include "tests/support/graph_samples.h"
 #include "tests/unit/story.h"
 
@@ -79,6 +81,17 @@
     Collect();
   }
 
+  // The worker answers a list call as another incarnation.
+  void DenyIncarnation(std::optional<std::int64_t> answering_start_ms) {
+    RunCallReply reply;
+    reply.op = RunCallOp::kListRuns;
+    reply.answered = true;
+    reply.refusal = RunRefusal::kOtherIncarnation;
+    reply.answering_start_ms = answering_start_ms;
+    reply.sent_at = now_;
+    Reply(std::move(reply));
+  }
+
   // The worker answers a list call that was sent at the current time.
   void ReplyToList(std::vector<RunStatus> running,
                    std::vector<EndedRun> ended) {
@@ -123,6 +136,7 @@
     return taken;
   }
 
+  [[nodiscard]] Time now() const { return now_; }
   [[nodiscard]] const WorkerSync& last_sync() const { return last_sync_; }
   // Returns the syncs sent since the last call.
   [[nodiscard]] std::vector<WorkerSync> TakeSyncs() {
@@ -670,6 +684,151 @@
   CPPUNIT_ASSERT_MESSAGE("the start may yet be carried out", !syncs[0].gone);
 }
 
+// Guards against ends that are never reported, since an odd one before them had
+// a number that the worker can't have reached.
+void OddEndNumberHidesNoEnd() {
+  for (const bool is_first : {true, false}) {
+    AgentFixture fixture;
+    fixture.Grant();
+    if (!is_first) {
+      fixture.ReplyToList({}, {{1, RunOf("g", 0, 1), RunEndReason::kDone, ""}});
+    }
+    fixture.ReplyToList(
+        {}, {{kMaxCounter, RunOf("odd", 0, 0), RunEndReason::kDone, ""},
+             {2, SampleRun(), RunEndReason::kDone, ""}});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2},
+                         fixture.last_sync().ended.back().number);
+    CPPUNIT_ASSERT(fixture.last_sync().ended.back().run == SampleRun());
+  }
+}
+
+// Guards against ends that are taken for odd ones: the agent restarted, and the
+// worker has ended many runs before.
+void HighEndNumbersAfterRestartAreTaken() {
+  AgentFixture fixture;
+  fixture.ReplyToList({}, {{30000, SampleRun(), RunEndReason::kDone, ""},
+                           {30001, RunOf("g", 0, 1), RunEndReason::kDone, ""}});
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.last_sync().ended.size());
+}
+
+// Guards against two runs of a task at once: the run that is to be stopped may
+// be the one whose row can't be read, until the stop has had its time.
+void HiddenRunIsNoRefusal() {
+  AgentFixture fixture;
+  fixture.Grant();
+  WorkerOrders stop;
+  stop.stops = {SampleRun()};
+  fixture.Grant(stop);
+  fixture.Answer(RunCallOp::kStop, SampleRun(), true);
+  RunCallReply reply;
+  reply.op = RunCallOp::kListRuns;
+  reply.answered = true;
+  reply.may_hide_run = true;
+  reply.refused_rows = 1;
+  const auto list = [&] {
+    reply.sent_at = fixture.now();
+    fixture.Reply(reply);
+  };
+  list();
+  CPPUNIT_ASSERT(!fixture.IsReportedRefused(SampleRun()));
+  fixture.Advance(Millis(1000));
+  list();
+  CPPUNIT_ASSERT(fixture.IsReportedRefused(SampleRun()));
+}
+
+// Guards against an entry of another writer that shuts the worker out for good:
+// its sequence number makes every later report look outdated.
+void SequenceJumpDoesNotShutOutWorker() {
+  for (const std::int64_t odd : {std::int64_t{5000}, kMaxCounter}) {
+    AgentFixture fixture;
+    fixture.Report(1, odd);
+    std::int64_t sequence = 1;
+    for (int i = 0; i < 13; ++i) {
+      fixture.Advance(Millis(1000));
+      fixture.Report(1, ++sequence);
+    }
+    fixture.Report(1, ++sequence, true);
+    fixture.Advance(Millis(600));
+    CPPUNIT_ASSERT(fixture.last_sync().info.draining);
+  }
+}
+
+// Guards against following a sequence number that the worker can't have
+// reached.
+void ImplausibleSequenceIsIgnored() {
+  AgentFixture fixture;
+  fixture.Report(1, kMaxCounter, true);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(!fixture.last_sync().info.draining);
+  fixture.Report(1, 2, true);
+  CPPUNIT_ASSERT(fixture.last_sync().info.draining);
+}
+
+// Guards against following a report that was overtaken by a later one.
+void OvertakenReportIsIgnored() {
+  AgentFixture fixture;
+  fixture.Report(1, 3);
+  fixture.Advance(std::chrono::seconds(11));
+  fixture.Report(1, 2, true);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT(!fixture.last_sync().info.draining);
+}
+
+// Guards against an entry of another writer that shuts the worker out for good:
+// an incarnation that started later than the worker. The worker's answers tell
+// that it is not there.
+void DeniedIncarnationDoesNotShutOutWorker() {
+  for (const auto answering :
+       {std::optional<std::int64_t>(), std::optional<std::int64_t>(1)}) {
+    AgentFixture fixture;
+    fixture.Grant();
+    fixture.Report(8, 1);
+    fixture.Report(1, 2);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
+                         fixture.last_sync().info.life.started_at_ms);
+    fixture.DenyIncarnation(answering);
+    static_cast<void>(fixture.TakeSyncs());
+    fixture.Report(1, 3);
+    const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, syncs.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, syncs[0].info.life.started_at_ms);
+    CPPUNIT_ASSERT(syncs[0].gone && syncs[0].crashed.empty());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, syncs[1].info.life.started_at_ms);
+  }
+}
+
+// Guards against a delayed report of an earlier incarnation that replaces the
+// one that the worker says it is.
+void DelayedReportDoesNotReplaceAnsweringIncarnation() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Report(8, 1);
+  fixture.DenyIncarnation(9);
+  fixture.Report(1, 2);
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
+                       fixture.last_sync().info.life.started_at_ms);
+}
+
+// Guards against two runs of a task at once: the start was sent to an
+// incarnation that the worker denies to be, but calls name its id alone.
+void StartToDeniedIncarnationIsFenced() {
+  AgentFixture fixture;
+  fixture.Report(8, 1);
+  fixture.Grant(StartOrder(SampleRun()));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStart).size());
+  fixture.Answer(RunCallOp::kStart, SampleRun(), true);
+  fixture.DenyIncarnation(1);
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Report(1, 2);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStop).size());
+  for (const WorkerSync& sync : fixture.TakeSyncs()) {
+    CPPUNIT_ASSERT(!sync.gone && sync.info.life.started_at_ms == 8);
+  }
+}
+
 }  // namespace
 
 Section WorkerAgentStory() {
@@ -696,16 +855,22 @@
                       CommandOfEarlierLeaderIsIgnored)
                 .Then("is not sent to a draining worker",
                       DrainingWorkerStartsNothing))
-      .With(Section("an end").Then(
-          "is acknowledged only after its commit to the log",
-          EndIsAcknowledgedAfterCommit))
+      .With(Section("an end")
+                .Then("is acknowledged only after its commit to the log",
+                      EndIsAcknowledgedAfterCommit)
+                .Then("is not hidden by the odd number of another one",
+                      OddEndNumberHidesNoEnd)
+                .Then("may have a high number after a restart of the agent",
+                      HighEndNumbersAfterRestartAreTaken))
       .With(
           Section("a stop")
               .Then("is retried until it is answered", UnansweredStopIsRetried)
               .Then("whose run has already ended is no refusal",
                     EndBeforeStopReplyIsNoRefusal)
               .Then("whose run ended beyond a full list is no refusal",
-                    EndBeyondFullListIsNoRefusal))
+                    EndBeyondFullListIsNoRefusal)
+              .Then("whose run a list may hide is no refusal",
+                    HiddenRunIsNoRefusal))
       .With(Section("a worker that leaves")
                 .Then("is gone only after its list in flight",
                       LeaveWaitsForListInFlight)
@@ -721,6 +886,20 @@
                       ReportAfterLeaveWaitsForSlowClock)
                 .Then("is not gone by single lists without an answer",
                       SingleUnansweredListsProveNothing))
+      .With(Section("a report of another writer")
+                .Then("does not shut the worker out by its sequence number",
+                      SequenceJumpDoesNotShutOutWorker)
+                .Then("is ignored if its sequence number is implausible",
+                      ImplausibleSequenceIsIgnored)
+                .Then("does not shut the worker out by a later start",
+                      DeniedIncarnationDoesNotShutOutWorker)
+                .Then("in the name of an earlier incarnation is ignored",
+                      DelayedReportDoesNotReplaceAnsweringIncarnation)
+                .Then("leaves no start behind unfenced",
+                      StartToDeniedIncarnationIsFenced))
+      .With(
+          Section("a report")
+              .Then("that was overtaken is ignored", OvertakenReportIsIgnored))
       .With(Section("a restarted worker")
                 .Then("starts with an empty state", RestartedWorkerStartsEmpty)
                 .Then("has the starts in flight to it fenced",
