Simulation: more seeds of waits without failures; count held memory once

A best-effort graph that is left out for its size no longer counts against the memory that later ones may hold. The load's file is named after what it draws.

--- a/tests/support/graph_world.cc
+++ b/tests/support/graph_world.cc
@@ -13,8 +13,8 @@
 #include "banyan/base/random.h"
 #include "banyan/graph/worker_agent.h"
 #include "tests/support/graph_samples.h"
-#include "tests/support/lasting_load.h"
 #include "tests/support/long_running_judge.h"
+#include "tests/support/long_running_load.h"
 
 namespace banyan {
 namespace {
@@ -26,8 +26,8 @@
 constexpr Time kFaultsEnd = kStart + std::chrono::seconds(24);
 // The last late order is carried out within 14 s; several leases follow.
 constexpr Time kEnd = kStart + std::chrono::seconds(60);
-// Workers that crash again and again, or that work that lasts fills in part, do
-// less other work.
+// Workers that crash again and again, or that are partly filled with long runs,
+// complete less other work.
 constexpr Time kLateEnd = kEnd + std::chrono::seconds(60);
 constexpr Duration kAgentTick = Millis(25);
 constexpr Duration kBusyDecision = Millis(10);
@@ -50,7 +50,7 @@
 // Part of the pool that long-running tasks may reserve, and part of its memory
 // that best-effort tasks may hold for the whole play, in percent. What is left
 // fits the batch load on at least one worker.
-constexpr std::int64_t kMaxLastingPercent = 40;
+constexpr std::int64_t kMaxLongLoadPercent = 40;
 // A long-running task is fully available so long after its start.
 constexpr Duration kAvailableAfter = Millis(500);
 // Tail latency of a latency-sensitive task alone on its worker, and what
@@ -66,8 +66,8 @@
 constexpr double kMaxClockLag = 0.02;
 // By this factor, for each kind of fault, a series may be sparser.
 constexpr std::uint64_t kSparsest = 2;
-// Lines of a violation's history that concern its task: more only
-// if the task fails again and again.
+// Last lines of a violation's history that concern its task. Only a task that
+// fails again and again has more.
 constexpr int kOwnLines = 100;
 // Lines of a violation's history that don't concern its task.
 constexpr int kOtherLines = 25;
@@ -185,7 +185,7 @@
     TickLeader();
     TickAgents();
     PlanLoad();
-    PlanLastingLoad();
+    PlanLongLoad();
     PlanFaults();
     if (faults_.long_running) {
       JudgeLongRunning();
@@ -373,23 +373,23 @@
     }
   }
 
-  // Plans the work that lasts. It leaves part of the pool to the batch load, so
-  // that all of that can complete.
-  void PlanLastingLoad() {
+  // Plans long-running and best-effort graphs. They leave part of the pool to
+  // the batch load, so that all of that can complete.
+  void PlanLongLoad() {
     Resources most;
     for (const Machine& m : machines_) {
       most += m.worker.info.capacity;
     }
-    most = {most.cpu_millis * kMaxLastingPercent / 100,
-            most.memory_mib * kMaxLastingPercent / 100, 0};
-    Resources lasting;
+    most = {most.cpu_millis * kMaxLongLoadPercent / 100,
+            most.memory_mib * kMaxLongLoadPercent / 100, 0};
+    Resources reserved;
     for (Time at = kStart + Millis(100); faults_.long_running && at < kLoadEnd;
          at += Between(500, 4000)) {
       const SubmitGraph graph = DrawLongRunningGraph(random_, NextGraph());
-      if (!Fits(lasting + TotalNeeds(graph), most)) {
+      if (!Fits(reserved + TotalNeeds(graph), most)) {
         continue;
       }
-      lasting += TotalNeeds(graph);
+      reserved += TotalNeeds(graph);
       AddGraph(at, graph);
       for (std::int64_t i = 0; i < graph.spec.steps.front().count; ++i) {
         tasks_[{graph.id, 0, 0, i}].always_fails =
@@ -400,15 +400,17 @@
            [this, id = graph.id] { Cancel(id); });
       }
     }
-    Resources endless;
+    Resources held;
     for (Time at = kStart; faults_.best_effort && at < kLoadEnd;
          at += Between(500, 4000)) {
-      SubmitGraph graph = DrawBestEffortGraph(random_, NextGraph(), Chance(25));
+      const SubmitGraph graph =
+          DrawBestEffortGraph(random_, NextGraph(), Chance(25));
       if (graph.spec.steps.front().estimate_ms == kHourMs) {
-        endless.memory_mib += TotalNeeds(graph).memory_mib;
-        if (!Fits(endless, most)) {
+        const Resources memory{0, TotalNeeds(graph).memory_mib, 0};
+        if (!Fits(held + memory, most)) {
           continue;
         }
+        held += memory;
       }
       AddGraph(at, graph);
     }
@@ -740,6 +742,7 @@
     }
   }
 
+  // Returns the entry of an active run in its worker's list.
   RunStatus RowOf(const Worker& worker,
                   const RunRef& run,
                   const std::pair<Time, Duration>& times) {
--- a/tests/support/lasting_load.cc
+++ b/tests/support/long_running_load.cc
@@ -1,4 +1,4 @@
-#include "tests/support/lasting_load.h"
+#include "tests/support/long_running_load.h"
 
 #include "tests/support/graph_samples.h"
 
--- a/tests/support/lasting_load.h
+++ b/tests/support/long_running_load.h
@@ -1,5 +1,5 @@
-#ifndef BANYAN_TESTS_SUPPORT_LASTING_LOAD_H_
-#define BANYAN_TESTS_SUPPORT_LASTING_LOAD_H_
+#ifndef BANYAN_TESTS_SUPPORT_LONG_RUNNING_LOAD_H_
+#define BANYAN_TESTS_SUPPORT_LONG_RUNNING_LOAD_H_
 
 #include <cstdint>
 #include <string>
@@ -32,4 +32,4 @@
 
 }  // namespace banyan
 
-#endif  // BANYAN_TESTS_SUPPORT_LASTING_LOAD_H_
+#endif  // BANYAN_TESTS_SUPPORT_LONG_RUNNING_LOAD_H_
--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -213,6 +213,9 @@
         .long_running = true});
   PlayRareSeed(
       {.worker_restarts = true, .long_running = true, .best_effort = true}, 33);
+  const GraphFaults none{.long_running = true, .best_effort = true};
+  PlayRareSeed(none, 38);
+  PlayRareSeed(none, 50);
 }
 
 // Guards against what only a combination of faults brings about.
