Placement: keep trials to themselves, and bound waits of gangs and batch work

- An overdue task joined the trial of a suspect of a crash, and was given up with it (all four tasks of a pool that came back, one before).
Exclusions are now waivable or not; a trial, which lasts for a fraction of a second, is not.
- Long-running graphs that always fail renewed the quarantine of a worker one after the other and were its probes: no batch run in 110 s with twelve of them.
While a worker is suspected such failures extend nothing, and such runs are no probes.
- Failures elsewhere excused a worker however old they were and whatever those workers were like (100 failures in 10 s without a suspicion).
They count for 10 s, on workers without suspicion; a task avoids the worker first on which it failed last.
Records of tasks that are gone are dropped.
- A gang's wait doubled with each member, and a gang of suspects never had as many workers of its own.
A gang has one wait and one trial.
- A worker reserved for one suspect kept others from a reservation that they could use; a graph that waits while its pool is idle joins a probe.
- The log lines of one pass are bounded, and the first pass counts no wait.

--- a/include/banyan/graph/exclusion.h
+++ b/include/banyan/graph/exclusion.h
@@ -17,15 +17,16 @@
   // The interference of the image is uncertain there, and the load leaves too
   // little headroom to try it.
   kUncertain,
-  // The worker is kept free for suspects of a crash, or the task is one and
-  // others run there.
-  kIsolated,
-  // The worker may not survive the start of a suspect.
-  kTrial,
-  // The worker is suspected and takes a short run as a probe.
+  // The worker is suspected and takes a single short run as a probe.
   kProbe,
   // The worker is suspected and takes no run.
   kQuarantine,
+  // The worker is kept free for suspects of a crash.
+  kReserved,
+  // The task is a suspect of a crash, and others run there.
+  kShared,
+  // The worker may not survive the start of a suspect.
+  kTrial,
   // The step's limit of tasks per worker is reached.
   kTaskLimit,
   // A required label is missing.
@@ -43,6 +44,13 @@
   return exclusion >= Exclusion::kTaskLimit;
 }
 
+// Returns whether an overdue task is placed in spite of the exclusion. A trial
+// lasts for a fraction of a second, and after a wait a worker is reserved for a
+// suspect that shares none.
+[[nodiscard]] constexpr bool IsWaivable(Exclusion exclusion) noexcept {
+  return exclusion <= Exclusion::kReserved;
+}
+
 // Returns the name of an exclusion as written to the event log.
 [[nodiscard]] constexpr const char* ToString(Exclusion exclusion) noexcept {
   switch (exclusion) {
@@ -54,14 +62,16 @@
       return "interference";
     case Exclusion::kUncertain:
       return "uncertain";
-    case Exclusion::kIsolated:
-      return "isolated";
-    case Exclusion::kTrial:
-      return "trial";
     case Exclusion::kProbe:
       return "probe";
     case Exclusion::kQuarantine:
       return "quarantine";
+    case Exclusion::kReserved:
+      return "reserved";
+    case Exclusion::kShared:
+      return "shared";
+    case Exclusion::kTrial:
+      return "trial";
     case Exclusion::kTaskLimit:
       return "task-limit";
     case Exclusion::kLabel:
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -130,8 +130,10 @@
                            const GraphTable& table,
                            GraphWorkerView& view,
                            const RunRef& run);
-  // Whether the task has failed on several other workers.
-  [[nodiscard]] bool FailsElsewhere(const TaskRef& task,
+  // Whether the task has failed lately on several other workers that seem to be
+  // sound.
+  [[nodiscard]] bool FailsElsewhere(Time now,
+                                    const TaskRef& task,
                                     const std::string& worker) const;
   // Clears the worker's suspicion if a long-running run that started after its
   // last failure has been at work for long enough.
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,7 +37,8 @@
 enum class AvoidReason : std::uint8_t {
   // Its run was throttled there for long.
   kStarved,
-  // The worker refused the start of its run.
+  // The worker refused the start of its run, which counts for
+  // WorkerSuspicion::kRetention.
   kRefused,
   // Its run failed or was stuck there.
   kFailed,
@@ -57,12 +59,15 @@
       const InterferenceModel& model);
 
   // Records a reason to prefer other workers for the next run of the task.
-  void Avoid(const TaskRef& task,
+  void Avoid(Time now,
+             const TaskRef& task,
              const std::string& worker,
              AvoidReason reason);
 
-  // Returns the workers on which runs of the task failed or were stuck.
+  // Returns the workers on which runs of the task failed or were stuck within
+  // WorkerSuspicion::kRetention.
   [[nodiscard]] std::vector<std::string_view> WorkersFailedOn(
+      Time now,
       const TaskRef& task) const;
 
   // Returns and clears the recorded waits of graphs with unplaced tasks. Each
@@ -85,6 +90,12 @@
   void Forget(const TaskRef& task) { avoided_.erase(task); }
 
  private:
+  // The last reason for which a task avoids a worker.
+  struct Avoidance {
+    AvoidReason reason;
+    Time at;
+  };
+
   // Distribution of the running tasks of one step.
   struct StepDistribution {
     // Number of tasks by worker.
@@ -94,8 +105,14 @@
   };
 
   // Where a task may be placed. Suspects start one after the other on workers
-  // of their own; after a wait they take the worker that was reserved for them.
-  enum class Isolation : std::uint8_t { kNone, kOwnWorker, kReservedWorker };
+  // of their own; after a wait they take the worker that was reserved for them,
+  // and a gang with suspects any workers.
+  enum class Isolation : std::uint8_t {
+    kNone,
+    kOwnWorker,
+    kReservedWorker,
+    kAnyWorker,
+  };
 
   // A task that needs a worker, and what restricts the choice.
   struct TaskRequest {
@@ -104,7 +121,7 @@
     const StepSpec& step;
     Isolation isolation;
     const StepDistribution& distribution;
-    // Whether only binding exclusions count.
+    // Whether waivable exclusions only order the choice.
     bool is_overdue = false;
   };
 
@@ -140,15 +157,21 @@
   void PlaceSuspects(WallMillis wall,
                      const GraphTable& table,
                      std::vector<RunPlacement>& placements);
-  // Reserves a worker for a suspect: of those that can run it, the one with the
-  // fewest runs. It gets other runs only if it is the last one of its pool.
-  void ReserveWorker(const Graph& graph, const StepSpec& step);
+  // Reserves a worker for a suspect unless one that can run it is reserved: of
+  // those that can, one with room and the fewest runs. It gets other runs only
+  // if no other worker of its pool does. An overdue suspect takes a worker that
+  // is suspected of failing its runs, too.
+  void ReserveWorker(const Graph& graph, const StepSpec& step, bool is_overdue);
   // Whether a long-running task has been ready for so long that it must be
   // placed on any worker that can run it. Starts its wait if it is new.
   [[nodiscard]] bool IsOverdue(const TaskRef& ref, const StepSpec& step);
   // Returns the isolation of a task's next run.
   [[nodiscard]] Isolation IsolationOf(const TaskRef& ref,
                                       const TaskProgress& task);
+  // Returns the isolation of a gang's next run, which has one trial for all its
+  // members.
+  [[nodiscard]] Isolation GangIsolation(const TaskRef& first,
+                                        const StepProgress& progress);
   [[nodiscard]] StepDistribution DistributionOf(
       const StepProgress& progress) const;
   void PlaceGraph(WallMillis wall,
@@ -165,15 +188,22 @@
                  const StepProgress& progress,
                  std::vector<RunPlacement>& placements);
   // Places one task on the best worker for it; returns nothing if no worker is
-  // suitable.
+  // suitable. Doesn't mark the worker as one with a trial.
   [[nodiscard]] std::optional<RunPlacement> PlaceTask(
       const Graph& graph,
       const TaskRef& task,
       const StepSpec& step,
       std::int64_t run,
       Isolation isolation,
+      bool is_overdue,
       StepDistribution& distribution);
+  // Keeps other starts from the workers of suspects that were placed.
+  void MarkTrials(std::span<const RunPlacement> placed);
   [[nodiscard]] Search FindWorker(const TaskRequest& request);
+  // Ranks a worker by the reasons to avoid it; recent ones count most.
+  [[nodiscard]] int AvoidanceRank(
+      const std::map<std::string, Avoidance>& avoided,
+      const std::string& worker) const;
   [[nodiscard]] Assessment Assess(const TaskRequest& request,
                                   const CandidateWorker& candidate) const;
   // Returns whether a task may be placed on a worker as far as suspects go.
@@ -205,7 +235,9 @@
   Time now_;
   const InterferenceModel* model_ = nullptr;
   std::map<std::string, CandidateWorker> candidates_;
-  std::map<TaskRef, std::map<std::string, AvoidReason>> avoided_;
+  std::map<TaskRef, std::map<std::string, Avoidance>> avoided_;
+  // When those of tasks that are gone were last dropped.
+  Time avoided_swept_at_;
   // Since when a graph has had unplaced tasks.
   std::map<std::string, Time> waiting_since_;
   // Since when a suspect has had no worker of its own.
@@ -219,8 +251,8 @@
   // When the wait of a graph's long-running tasks was last recorded.
   std::map<std::string, Time> long_wait_recorded_at_;
   Duration starved_time_{};
-  // When workers were last chosen.
-  Time last_pass_at_;
+  // When workers were last chosen; empty before the first pass.
+  std::optional<Time> last_pass_at_;
   // Whether the current graph has waited long enough to be placed without
   // regard to idle CPU time and interference.
   bool is_relaxed_ = false;
--- a/include/banyan/graph/placement_wait.h
+++ b/include/banyan/graph/placement_wait.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_GRAPH_PLACEMENT_WAIT_H_
 #define BANYAN_GRAPH_PLACEMENT_WAIT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -62,6 +63,9 @@
   Time since;
   // How often the task fits on the workers of its pool.
   std::int64_t room = 0;
+  // Number of workers of its pool, and of those that take runs at present.
+  std::size_t pool_workers = 0;
+  std::size_t usable_workers = 0;
   // The worker that was chosen; empty if the task goes on waiting.
   std::string chosen;
   // The workers of the pool that were rejected; those without room only if none
--- a/include/banyan/graph/worker_suspicion.h
+++ b/include/banyan/graph/worker_suspicion.h
@@ -13,8 +13,15 @@
 
 namespace banyan {
 
-// Which runs a worker takes as far as its suspicion goes.
-enum class WorkerAccess : std::uint8_t { kOpen, kProbe, kQuarantine };
+// Which runs a worker takes as far as its suspicion goes. Ordered by severity.
+enum class WorkerAccess : std::uint8_t {
+  kOpen,
+  // One short run as a probe.
+  kProbe,
+  // None while its probe is active.
+  kProbing,
+  kQuarantine,
+};
 
 // Outlier detection: suspects a worker on which runs of several graphs failed.
 // A suspected worker is in quarantine first and then gets one run at a time as
@@ -33,12 +40,14 @@
 
   // Counts a failed run. Returns whether the worker is suspected for it. The
   // graph of a long-running task counts once within kRetention, since its tasks
-  // are restarted whenever they fail.
+  // are restarted whenever they fail, and doesn't extend a suspicion: such a
+  // run starts on a suspected worker only if it can't wait.
   [[nodiscard]] bool OnFailure(Time now,
                                const RunRef& run,
                                bool is_long_running);
 
-  // Records a run that was placed on the worker.
+  // Records a run that was placed on the worker, which is a probe if the worker
+  // is suspected.
   void OnPlaced(Time now, const RunRef& run);
 
   // Ends the suspicion: a run has shown that the worker is sound. Failures of
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -21,8 +21,8 @@
 // Time after its start by which a long-running task must be at work; otherwise
 // it is moved.
 constexpr Duration kLongRunningStallTimeout = Millis(4000);
-// Number of other workers on which a task must have failed for its failures to
-// count as its own.
+// Number of other workers, each without suspicion, on which a task must have
+// failed for its failures to count as its own.
 constexpr int kMinFailuresElsewhere = 2;
 // Minimum time between throttle decisions on a worker: the half second that a
 // measurement covers, less some jitter.
@@ -581,7 +581,7 @@
         !view.stop_sent_at.try_emplace(run, now).second) {
       continue;
     }
-    placement_.Avoid(run.task, worker.info.life.id, AvoidReason::kStarved);
+    placement_.Avoid(now, run.task, worker.info.life.id, AvoidReason::kStarved);
     orders.stops.push_back(run);
     out_.events.push_back(RunEvent(EventId::kRunMoved, run, worker.info.life.id)
                               .With("percent", seen.row.percent)
@@ -623,7 +623,9 @@
         view.starting_percent[placement.run] = start.percent;
       }
       orders_for(*worker).starts.push_back(std::move(start));
-      view.suspicion.OnPlaced(now, placement.run);
+      if (!table.FindStep(placement.run.task)->long_running) {
+        view.suspicion.OnPlaced(now, placement.run);
+      }
       out_.events.push_back(
           RunEvent(EventId::kRunPlaced, placement.run, placement.worker.id)
               .With("occurrence", placement.run.task.occurrence)
@@ -659,12 +661,14 @@
         view.suspicion.Clear();
         placement_.Forget(row.run.task);
       } else if (row.reason == RunEndReason::kFailed) {
-        placement_.Avoid(row.run.task, ends->worker.id, AvoidReason::kFailed);
+        placement_.Avoid(now, row.run.task, ends->worker.id,
+                         AvoidReason::kFailed);
         if (!view.sound_runs.contains(row.run)) {
           SuspectAfterFailure(now, table, view, row.run);
         }
       } else if (row.reason == RunEndReason::kRefused) {
-        placement_.Avoid(row.run.task, ends->worker.id, AvoidReason::kRefused);
+        placement_.Avoid(now, row.run.task, ends->worker.id,
+                         AvoidReason::kRefused);
       }
     }
   }
@@ -726,7 +730,7 @@
   const StepSpec* step = table.FindStep(run.task);
   const bool is_long_running = step != nullptr && step->long_running;
   if (!options_.scheduling.worker_suspicion ||
-      FailsElsewhere(run.task, view.life.id) ||
+      FailsElsewhere(now, run.task, view.life.id) ||
       !view.suspicion.OnFailure(now, run, is_long_running)) {
     return;
   }
@@ -736,14 +740,17 @@
           .With("failed_jobs", view.suspicion.failed_graph_count()));
 }
 
-bool GraphLeader::FailsElsewhere(const TaskRef& task,
+bool GraphLeader::FailsElsewhere(Time now,
+                                 const TaskRef& task,
                                  const std::string& worker) const {
   const std::vector<std::string_view> workers =
-      placement_.WorkersFailedOn(task);
-  return std::count_if(
-             workers.begin(), workers.end(),
-             [&](std::string_view other) { return other != worker; }) >=
-         kMinFailuresElsewhere;
+      placement_.WorkersFailedOn(now, task);
+  return std::count_if(workers.begin(), workers.end(),
+                       [&](std::string_view id) {
+                         const auto view = views_.find(std::string(id));
+                         return id != worker && view != views_.end() &&
+                                !view->second.suspicion.is_suspected(now);
+                       }) >= kMinFailuresElsewhere;
 }
 
 void GraphLeader::FindSoundRuns(Time now,
@@ -802,7 +809,7 @@
           !view.stop_sent_at.try_emplace(run, now).second) {
         continue;
       }
-      placement_.Avoid(run.task, id, AvoidReason::kFailed);
+      placement_.Avoid(now, run.task, id, AvoidReason::kFailed);
       SuspectAfterFailure(now, table, view, run);
       WorkerOrders orders = MakeOrders(*worker);
       orders.stops.push_back(run);
@@ -828,6 +835,8 @@
                             .With("task", wait.task.index)
                             .With("waited_ms", ToMillis(now - wait.since))
                             .With("room", wait.room)
+                            .With("workers", wait.pool_workers)
+                            .With("usable", wait.usable_workers)
                             .With("chosen", wait.chosen)
                             .With("rejected", rejected));
 }
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -12,6 +12,10 @@
 namespace banyan {
 namespace {
 
+// Interval at which records of tasks that are gone are dropped.
+constexpr Duration kSweepInterval = std::chrono::seconds(10);
+// Maximum number of waits of long-running tasks that are logged in one pass.
+constexpr std::size_t kMaxLoggedWaits = 16;
 // Maximum number of rejected workers in one log line.
 constexpr std::size_t kMaxLoggedWorkers = 16;
 // Wait of a long-running task from which on it is logged.
@@ -35,7 +39,7 @@
 // exclusion, earlier failures, suspicion, remote rack, co-location rank and
 // idle CPU time.
 using Preference =
-    std::tuple<Exclusion, bool, WorkerAccess, bool, int, std::int64_t>;
+    std::tuple<Exclusion, int, WorkerAccess, bool, int, std::int64_t>;
 
 // Latency that latency-sensitive tasks have to keep beside best-effort tasks,
 // as a fraction of their target.
@@ -102,6 +106,15 @@
   return task != nullptr && task->phase == TaskPhase::kReady;
 }
 
+// Returns the task whose wait counts: that of the first member for a gang.
+TaskRef WaitKey(const TaskRef& ref, const StepSpec& step) {
+  TaskRef key = ref;
+  if (step.gang) {
+    key.index = 0;
+  }
+  return key;
+}
+
 // Whether a worker has the label that a step requires.
 bool HasLabel(const WorkerInfo& info, const StepSpec& step) {
   return step.required_label.empty() ||
@@ -206,21 +219,24 @@
              std::max<std::int64_t>(worker.info.capacity.cpu_millis, 1));
 }
 
-void GraphPlacement::Avoid(const TaskRef& task,
+void GraphPlacement::Avoid(Time now,
+                           const TaskRef& task,
                            const std::string& worker,
                            AvoidReason reason) {
-  AvoidReason& recorded =
-      avoided_[task].try_emplace(worker, reason).first->second;
-  recorded = std::max(recorded, reason);
+  Avoidance& recorded =
+      avoided_[task].try_emplace(worker, Avoidance{reason, now}).first->second;
+  recorded = {std::max(recorded.reason, reason), now};
 }
 
 std::vector<std::string_view> GraphPlacement::WorkersFailedOn(
+    Time now,
     const TaskRef& task) const {
   std::vector<std::string_view> workers;
   const auto found = avoided_.find(task);
   if (found != avoided_.end()) {
-    for (const auto& [worker, reason] : found->second) {
-      if (reason == AvoidReason::kFailed) {
+    for (const auto& [worker, avoidance] : found->second) {
+      if (avoidance.reason == AvoidReason::kFailed &&
+          avoidance.at + WorkerSuspicion::kRetention > now) {
         workers.emplace_back(worker);
       }
     }
@@ -238,6 +254,12 @@
   model_ = &model;
   std::erase_if(long_running_since_,
                 [&](const auto& item) { return !IsReady(table, item.first); });
+  if (avoided_swept_at_ + kSweepInterval <= now) {
+    avoided_swept_at_ = now;
+    std::erase_if(avoided_, [&](const auto& item) {
+      return table.FindTask(item.first) == nullptr;
+    });
+  }
   std::vector<RunPlacement> placements;
   if (table.ready_graphs().empty()) {
     last_pass_at_ = now;
@@ -358,62 +380,75 @@
         !IsDue(graph, ref.occurrence, wall)) {
       continue;
     }
+    const bool is_overdue = IsOverdue(ref, step);
     // The members of a gang are placed together.
     if (step.gang) {
-      ReserveWorker(graph, step);
+      ReserveWorker(graph, step, is_overdue);
       continue;
     }
     const Isolation isolation = IsolationOf(ref, task);
     is_relaxed_ = isolation == Isolation::kReservedWorker;
     if (is_relaxed_) {
-      ReserveWorker(graph, step);
+      ReserveWorker(graph, step, is_overdue);
     }
     StepDistribution distribution = DistributionOf(
         graph.occurrences[static_cast<std::size_t>(ref.occurrence)]
                          [static_cast<std::size_t>(ref.step)]);
     if (auto placed = PlaceTask(graph, ref, step, task.run + 1, isolation,
-                                distribution)) {
+                                is_overdue, distribution)) {
+      MarkTrials({&*placed, 1});
+      long_running_since_.erase(ref);
       placements.push_back(*std::move(placed));
     } else {
-      ReserveWorker(graph, step);
+      ReserveWorker(graph, step, is_overdue);
     }
   }
 }
 
-void GraphPlacement::ReserveWorker(const Graph& graph, const StepSpec& step) {
-  std::size_t others = 0;
-  CandidateWorker* best = nullptr;
+void GraphPlacement::ReserveWorker(const Graph& graph,
+                                   const StepSpec& step,
+                                   bool is_overdue) {
+  const auto is_suitable = [&](const CandidateWorker& candidate) {
+    const bool is_accessible =
+        is_overdue || candidate.access == WorkerAccess::kOpen ||
+        (candidate.access != WorkerAccess::kQuarantine && !step.long_running);
+    return is_accessible && HasLabel(candidate.worker->info, step) &&
+           Fits(ReservedResources(step), candidate.usable);
+  };
   const auto preference = [&](const CandidateWorker& candidate) {
     return std::pair(!Fits(ReservedResources(step), candidate.free),
                      candidate.worker->runs.size());
   };
+  std::size_t others = 0;
+  CandidateWorker* best = nullptr;
   for (auto& [id, candidate] : candidates_) {
     if (candidate.worker->info.service != graph.queue.service ||
-        candidate.has_trial || candidate.access == WorkerAccess::kQuarantine) {
+        candidate.has_trial) {
       continue;
     }
     if (candidate.is_reserved) {
-      return;
+      if (is_suitable(candidate) &&
+          Fits(ReservedResources(step), candidate.free)) {
+        return;
+      }
+      continue;
     }
-    ++others;
-    const bool is_suitable =
-        HasLabel(candidate.worker->info, step) &&
-        Fits(ReservedResources(step), candidate.usable) &&
-        (candidate.access == WorkerAccess::kOpen || !step.long_running);
-    if (is_suitable &&
+    others += candidate.access == WorkerAccess::kQuarantine ? 0 : 1;
+    if (is_suitable(candidate) &&
         (best == nullptr || preference(candidate) < preference(*best))) {
       best = &candidate;
     }
   }
   if (best != nullptr) {
     best->is_reserved = true;
-    best->is_last = others == 1;
+    best->is_last = others <= 1;
   }
 }
 
 bool GraphPlacement::IsOverdue(const TaskRef& ref, const StepSpec& step) {
   return step.long_running &&
-         long_running_since_.try_emplace(ref, now_).first->second +
+         long_running_since_.try_emplace(WaitKey(ref, step), now_)
+                     .first->second +
                  kMaxLongRunningWait <=
              now_;
 }
@@ -430,6 +465,26 @@
                                            : Isolation::kOwnWorker;
 }
 
+GraphPlacement::Isolation GraphPlacement::GangIsolation(
+    const TaskRef& first,
+    const StepProgress& progress) {
+  TaskRef ref = first;
+  Isolation isolation = Isolation::kNone;
+  for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+    ref.index = static_cast<std::int64_t>(i);
+    isolation = std::max(isolation, IsolationOf(ref, progress.tasks[i]));
+  }
+  // A single worker may be too small for all members.
+  return isolation == Isolation::kReservedWorker ? Isolation::kAnyWorker
+                                                 : isolation;
+}
+
+void GraphPlacement::MarkTrials(std::span<const RunPlacement> placed) {
+  for (const RunPlacement& placement : placed) {
+    candidates_.at(placement.worker.id).has_trial = true;
+  }
+}
+
 GraphPlacement::StepDistribution GraphPlacement::DistributionOf(
     const StepProgress& progress) const {
   StepDistribution distribution;
@@ -468,7 +523,7 @@
       continue;
     }
     const auto placed = PlaceTask(graph, ref, step, task.run + 1,
-                                  Isolation::kNone, distribution);
+                                  Isolation::kNone, is_overdue, distribution);
     if (!placed) {
       ++miss_count;
       // What keeps out an overdue task keeps out all others of its step.
@@ -481,6 +536,8 @@
     // One relaxed placement is enough to avoid starvation; the other tasks wait
     // for suitable workers.
     is_relaxed_ = false;
+    // The run may fail before the next pass, and then waits anew.
+    long_running_since_.erase(ref);
     placements.push_back(*placed);
     if (placements.size() >= kMaxBatch) {
       return;
@@ -505,17 +562,22 @@
   std::vector<RunPlacement> members;
   StepDistribution distribution;
   TaskRef ref = first;
+  const Isolation isolation = GangIsolation(first, progress);
+  const bool is_overdue = IsOverdue(first, step);
   for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
     ref.index = static_cast<std::int64_t>(i);
-    const auto placed =
-        PlaceTask(graph, ref, step, run + 1,
-                  IsolationOf(ref, progress.tasks[i]), distribution);
+    const auto placed = PlaceTask(graph, ref, step, run + 1, isolation,
+                                  is_overdue, distribution);
     if (!placed) {
       candidates_ = saved_candidates;
       return;
     }
     members.push_back(*placed);
   }
+  if (isolation != Isolation::kNone) {
+    MarkTrials(members);
+  }
+  long_running_since_.erase(first);
   placements.insert(placements.end(), members.begin(), members.end());
 }
 
@@ -525,9 +587,10 @@
     const StepSpec& step,
     std::int64_t run,
     Isolation isolation,
+    bool is_overdue,
     StepDistribution& distribution) {
   const TaskRequest request{graph,     task,         step,
-                            isolation, distribution, IsOverdue(task, step)};
+                            isolation, distribution, is_overdue};
   const Search search = FindWorker(request);
   if (step.long_running) {
     RecordLongRunningWait(request, search);
@@ -537,12 +600,9 @@
     RecordWait(request, search);
     return std::nullopt;
   }
-  // The run may fail before the next pass, which starts a new wait.
-  long_running_since_.erase(task);
   Reserve(*candidate, task, step);
-  candidate->has_trial = isolation != Isolation::kNone;
   candidate->has_only_suspects =
-      candidate->has_only_suspects && candidate->has_trial;
+      candidate->has_only_suspects && isolation != Isolation::kNone;
   const WorkerInfo& info = candidate->worker->info;
   ++distribution.tasks[info.life.id];
   if (distribution.rack.empty()) {
@@ -551,6 +611,19 @@
   return RunPlacement{{task, run}, info.life};
 }
 
+int GraphPlacement::AvoidanceRank(
+    const std::map<std::string, Avoidance>& avoided,
+    const std::string& worker) const {
+  const auto found = avoided.find(worker);
+  if (found == avoided.end()) {
+    return 0;
+  }
+  if (found->second.at + WorkerSuspicion::kRetention > now_) {
+    return 2;
+  }
+  return found->second.reason == AvoidReason::kRefused ? 0 : 1;
+}
+
 GraphPlacement::Search GraphPlacement::FindWorker(const TaskRequest& request) {
   const StepSpec& step = request.step;
   const Resources needs = ReservedResources(step);
@@ -568,18 +641,19 @@
     }
     if (assessment.exclusion != Exclusion::kNone) {
       ++search.rejected[static_cast<std::size_t>(assessment.exclusion)];
-      if (!request.is_overdue || IsBinding(assessment.exclusion)) {
+      if (!request.is_overdue || !IsWaivable(assessment.exclusion)) {
         continue;
       }
     }
-    const bool failed_here = avoided_workers != avoided_.end() &&
-                             avoided_workers->second.contains(id);
+    const int avoidance_rank = avoided_workers == avoided_.end()
+                                   ? 0
+                                   : AvoidanceRank(avoided_workers->second, id);
     const bool is_remote =
         (!step.data_rack.empty() && info.rack != step.data_rack) ||
         (step.rack_local && !request.distribution.rack.empty() &&
          info.rack != request.distribution.rack);
     const Preference preference{
-        assessment.exclusion,       failed_here,
+        assessment.exclusion,       avoidance_rank,
         candidate.access,           is_remote,
         assessment.colocation_rank, -candidate.idle_cpu_millis};
     if (search.best == nullptr || preference < best_preference) {
@@ -606,20 +680,23 @@
       count->second >= step.per_worker_limit) {
     return {Exclusion::kTaskLimit};
   }
+  if (candidate.has_trial) {
+    return {Exclusion::kTrial};
+  }
+  if (!IsAllowed(candidate, request.isolation)) {
+    return {request.isolation == Isolation::kNone ? Exclusion::kReserved
+                                                  : Exclusion::kShared};
+  }
   if (candidate.access == WorkerAccess::kQuarantine) {
     return {Exclusion::kQuarantine};
   }
   // A long-running task takes too long to complete to be used as a probe.
-  if (candidate.has_probe ||
-      (candidate.access == WorkerAccess::kProbe && step.long_running)) {
+  const bool is_probe = candidate.access == WorkerAccess::kProbe &&
+                        !candidate.has_probe && !step.long_running;
+  const bool may_join_probe = is_relaxed_ && !step.long_running;
+  if (candidate.access != WorkerAccess::kOpen && !is_probe && !may_join_probe) {
     return {Exclusion::kProbe};
   }
-  if (candidate.has_trial) {
-    return {Exclusion::kTrial};
-  }
-  if (!IsAllowed(candidate, request.isolation)) {
-    return {Exclusion::kIsolated};
-  }
   const Colocation colocation = ColocationOf(candidate, step);
   if (!colocation.is_suitable && !is_relaxed_) {
     return {IsUncertain(candidate, step.image) ? Exclusion::kUncertain
@@ -642,6 +719,8 @@
       return candidate.has_only_suspects;
     case Isolation::kReservedWorker:
       return candidate.has_only_suspects || candidate.is_reserved;
+    case Isolation::kAnyWorker:
+      return true;
   }
   return false;
 }
@@ -664,11 +743,13 @@
 void GraphPlacement::RecordLongRunningWait(const TaskRequest& request,
                                            const Search& search) {
   const Time since =
-      long_running_since_.try_emplace(request.task, now_).first->second;
-  if (search.best == nullptr && search.room >= kAmpleRoom) {
-    starved_time_ += std::min(now_ - last_pass_at_, kMaxPassInterval);
+      long_running_since_.try_emplace(WaitKey(request.task, request.step), now_)
+          .first->second;
+  if (search.best == nullptr && search.room >= kAmpleRoom && last_pass_at_) {
+    starved_time_ += std::min(now_ - *last_pass_at_, kMaxPassInterval);
   }
-  if (since + kLongWait > now_) {
+  if (since + kLongWait > now_ ||
+      long_running_waits_.size() >= kMaxLoggedWaits) {
     return;
   }
   const auto [recorded, is_new] =
@@ -678,13 +759,17 @@
     return;
   }
   recorded->second = now_;
-  LongRunningWait wait{request.task, since, search.room, "", {}};
+  LongRunningWait wait{request.task, since, search.room, pool_workers_, 0,
+                       "",           {}};
   if (search.best != nullptr) {
     wait.chosen = search.best->worker->info.life.id;
   }
   for (const auto& [id, candidate] : candidates_) {
-    if (candidate.worker->info.service != request.graph.queue.service ||
-        wait.rejected.size() >= kMaxLoggedWorkers) {
+    if (candidate.worker->info.service != request.graph.queue.service) {
+      continue;
+    }
+    ++wait.usable_workers;
+    if (wait.rejected.size() >= kMaxLoggedWorkers) {
       continue;
     }
     const Exclusion exclusion = Assess(request, candidate).exclusion;
@@ -781,7 +866,9 @@
   if (step.best_effort) {
     candidate.exploring_tasks += IsUncertain(candidate, step.image) ? 1 : 0;
   }
-  candidate.has_probe = candidate.access != WorkerAccess::kOpen;
+  candidate.has_probe =
+      candidate.has_probe ||
+      (candidate.access != WorkerAccess::kOpen && !step.long_running);
 }
 
 }  // namespace banyan
--- a/src/graph/worker_suspicion.cc
+++ b/src/graph/worker_suspicion.cc
@@ -10,13 +10,15 @@
   std::erase_if(failed_graphs_, [&](const auto& item) {
     return item.second.at + kRetention <= now;
   });
+  last_failure_at_ = now;
   if (is_long_running && failed_graphs_.contains(run.task.graph)) {
     return false;
   }
   failed_graphs_[run.task.graph] = Failure{now, is_long_running, false};
-  last_failure_at_ = now;
-  const bool is_failed_probe = probe_ && probe_->run == run;
-  if (failed_graph_count() < kMinFailedGraphs && !is_failed_probe) {
+  const bool was_suspected = is_suspected(now);
+  const bool is_failed_probe = was_suspected && probe_ && probe_->run == run;
+  if ((was_suspected && is_long_running) ||
+      (failed_graph_count() < kMinFailedGraphs && !is_failed_probe)) {
     return false;
   }
   quarantined_until_ = now + kCooldown;
@@ -53,10 +55,12 @@
   if (!is_suspected(now)) {
     return WorkerAccess::kOpen;
   }
-  const bool has_probe =
+  if (quarantined_until_ > now) {
+    return WorkerAccess::kQuarantine;
+  }
+  const bool is_probing =
       probe_ && probe_->ends_at > now && active.contains(probe_->run);
-  return quarantined_until_ > now || has_probe ? WorkerAccess::kQuarantine
-                                               : WorkerAccess::kProbe;
+  return is_probing ? WorkerAccess::kProbing : WorkerAccess::kProbe;
 }
 
 }  // namespace banyan
