--- a/tests/unit/decoder_fuzz_test.cc
+++ b/tests/unit/decoder_fuzz_test.cc
@@ -315,8 +315,8 @@
     if (random.NextBelow(2) == 0) {
       world.Run(Millis(1000));
     }
-    const std::string text =
-        MutatedText(random, ReportDocument(random.NextBelow(9)));
+    const std::string text = MutatedText(
+        random, ReportDocument(static_cast<std::int64_t>(random.NextBelow(9))));
     const std::string id = random.NextBelow(2) == 0 ? kWorkerId : "w2";
     Reason reason;
     const auto report = platform::ReadReport(text, id, kNow, reason);
