--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -255,8 +255,8 @@
         .has_value();
   };
   CPPUNIT_ASSERT(read(kNow));
-  CPPUNIT_ASSERT(read(kNow + 60 * 1000));
-  CPPUNIT_ASSERT(!read(kNow + 24 * 60 * 60 * 1000));
+  CPPUNIT_ASSERT(read(kNow + 60LL * 1000));
+  CPPUNIT_ASSERT(!read(kNow + 24LL * 60 * 60 * 1000));
   CPPUNIT_ASSERT(!read(kMaxWallMillis));
 }
 
@@ -310,6 +310,11 @@
   CPPUNIT_ASSERT(reply.ended[0].reason == RunEndReason::kDone);
 }
 
+// Returns two rows as one list of rows.
+std::string Joined(std::string first, const std::string& second) {
+  return first.append(",").append(second);
+}
+
 // Reads an answer to a list call with these rows.
 RunCallReply ReadLists(const std::string& running, const std::string& ended) {
   RunCallReply reply;
@@ -338,7 +343,7 @@
         std::string(R"(["5c0e.0.1.17",9223372036854775807,"",41,7])"),
         std::string(R"(["5c0e.0.1.17",18446744073709551615,"",41,7])")}) {
     const RunCallReply reply =
-        ReadLists(odd + "," + running, odd + "," + ended);
+        ReadLists(Joined(odd, running), Joined(odd, ended));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.running.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.ended.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reply.refused_rows);
@@ -350,7 +355,7 @@
         R"([9223372036854775807,"5c0e.0.1.8",1,"done",""])",
         R"([18446744073709551615,"5c0e.0.1.8",1,"done",""])",
         R"([59,"5c0e.0.1.8",1,"odd",""])", R"([59,"5c0e.0.1.8",1,7,""])"}) {
-    const RunCallReply reply = ReadLists(running, ended + "," + odd);
+    const RunCallReply reply = ReadLists(running, Joined(ended, odd));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.ended.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.refused_rows);
     CPPUNIT_ASSERT(!reply.may_hide_run);
