Interference: a report taken for an outlier leaves the base occupancy

UpdatedBase() summed over the hypotheses without their outlier weights, which do not add up to 1 then: a report that no hypothesis explained set the base to its lower bound with next to no variance, and every later report was taken for an outlier as well. That is the case of a latency that rises while all neighbours are throttled to 0.

--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -144,7 +144,7 @@
     // Probability of the hypothesis with a report that is not an outlier.
     double weight = 1;
     // Probability of the hypothesis with an outlier report, which leaves the
-    // estimates of the pairs unchanged.
+    // estimates of the base and the pairs unchanged.
     double outlier_weight = 0;
     // Predicted occupancy as a multiple of the base occupancy.
     double occupancy_factor = 1;
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -313,6 +313,10 @@
     square += hypothesis.weight *
               (base.variance * (1 - gain * hypothesis.occupancy_factor) +
                updated * updated);
+    // An outlier has no information on the base.
+    mean += hypothesis.outlier_weight * base.mean;
+    square +=
+        hypothesis.outlier_weight * (base.variance + base.mean * base.mean);
   }
   return {std::clamp(mean, kMinBaseOccupancy, kMaxOccupancy),
           std::max(square - mean * mean, kMinBaseVariance), base.at};
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -81,6 +81,7 @@
       .With(CrashStory())
       .With(GraphWorldStory())
       .With(InterferenceStory())
+      .With(OverloadedWorkerStory())
       .With(PacerStory())
       .With(CellClientStory())
       .With(HttpClientStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -79,6 +79,7 @@
 Section GraphLeaderStory();
 Section WorkerAgentStory();
 Section InterferenceStory();
+Section OverloadedWorkerStory();
 Section PacerStory();
 Section CellClientStory();
 Section HttpClientStory();
