--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -82,6 +82,7 @@
       .With(GraphWorldStory())
       .With(LongRunningStory())
       .With(InterferenceStory())
+      .With(OverloadedWorkerStory())
       .With(PacerStory())
       .With(CellClientStory())
       .With(HttpClientStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -80,6 +80,7 @@
 Section WorkerAgentStory();
 Section LongRunningStory();
 Section InterferenceStory();
+Section OverloadedWorkerStory();
 Section PacerStory();
 Section CellClientStory();
 Section HttpClientStory();
