--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -81,6 +81,7 @@
       .With(CrashStory())
       .With(GraphWorldStory())
       .With(LongRunningStory())
+      .With(WorkerSuspicionStory())
       .With(InterferenceStory())
       .With(OverloadedWorkerStory())
       .With(PacerStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -79,6 +79,7 @@
 Section GraphLeaderStory();
 Section WorkerAgentStory();
 Section LongRunningStory();
+Section WorkerSuspicionStory();
 Section InterferenceStory();
 Section OverloadedWorkerStory();
 Section PacerStory();
