--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -52,7 +52,7 @@
 // workers number ends one by one and list kMaxListedEnds at a time.
 constexpr std::int64_t kMaxEndNumberGap = 20 * kMaxListedEnds;
 // How long a list with rows that can't be read does not show that a stopped run
-// is gone; five times what a stop takes at most, as the platform specifies.
+// is gone. The platform bounds a stop by up to 900 ms, by deployment.
 constexpr Duration kMaxStopTime = Millis(1000);
 // Interval between events about rows that can't be read.
 constexpr Duration kRefusedRowsLogInterval = std::chrono::seconds(10);
