Consensus: log silent voters and a lost majority

A cell that had lost its majority logged nothing about it: no event named the voters, which of them were silent and for how long, or that the majority was gone, and no metric told how many losses the cell could still bear. member-changed gave two numbers.

VoterHealth keeps when a replica last heard each member. From it the leader logs voter-silent and voter-heard, a voter quorum-lost (every 5 s while it lasts) and quorum-regained, a replica outside the cell join-waiting. member-changed names the voters, the learners and the change, and for a removal the silence.

No decision changes: VoterHealth is only written to and read for events and metrics.

Tests (consensus_test.cc): a healthy cell logs nothing; a silent voter is logged once and when it is heard again, with 1, 0 and 1 losses borne; a new leader logs only the lost voter; a lost majority at a follower and at a leader, with -1; voters never heard; waiting for admission with and without data; the three changes of the membership after a lost disk.

--- a/include/banyan/consensus.h
+++ b/include/banyan/consensus.h
@@ -7,5 +7,6 @@
 #include "banyan/consensus/raft_log.h"
 #include "banyan/consensus/raft_storage.h"
 #include "banyan/consensus/raft_types.h"
+#include "banyan/consensus/voter_health.h"
 
 #endif  // BANYAN_CONSENSUS_H_
--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -1,16 +1,19 @@
 #ifndef BANYAN_CONSENSUS_RAFT_CORE_H_
 #define BANYAN_CONSENSUS_RAFT_CORE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "banyan/base/random.h"
 #include "banyan/consensus/raft_log.h"
 #include "banyan/consensus/raft_types.h"
+#include "banyan/consensus/voter_health.h"
 
 namespace banyan {
 
@@ -71,6 +74,21 @@
   [[nodiscard]] bool HasMembership() const noexcept {
     return !log_.membership().voters.empty();
   }
+  // The number of voters in the latest membership.
+  [[nodiscard]] std::size_t voter_count() const noexcept {
+    return log_.membership().voters.size();
+  }
+  // The number of voters that this replica heard within two election timeouts,
+  // itself included. Only the leader hears all voters that run; see
+  // VoterHealth.
+  [[nodiscard]] std::int64_t HeardVoters(Time now) const {
+    return health_.HeardVoters(now, log_.membership());
+  }
+  // How many of the voters that are heard can be lost before the majority is
+  // lost. A negative number is what the majority lacks.
+  [[nodiscard]] std::int64_t LossesBorne(Time now) const {
+    return health_.LossesBorne(now, log_.membership());
+  }
 
  private:
   // The leader's replication state of another member.
@@ -132,9 +150,17 @@
   void ClampPersistedIndexBelow(std::uint64_t index);
   void AdvanceCommit(std::uint64_t to);
   void CommitByMajority();
-  void ProposeMembership(Membership membership);
+  // Appends a new membership to the log. The event names the member that was
+  // changed and how; `silence` is given for a removal.
+  void ProposeMembership(Membership membership,
+                         std::string_view change,
+                         const MemberId& member,
+                         std::optional<Duration> silence);
+  void ProposeRemoval(Time now,
+                      const Membership& current,
+                      const MemberId& voter);
   void ReconcileMembership(Time now);
-  void RemoveUnresponsiveVoter(Time now, Membership next);
+  void RemoveUnresponsiveVoter(Time now, const Membership& current);
   void Replicate(Time now);
   void HandleAppendRejection(const MemberId& from,
                              Progress& progress,
@@ -158,6 +184,7 @@
   RaftLog log_;
   HardState hard_state_;
   Random random_;
+  VoterHealth health_;
   RaftRole role_ = RaftRole::kFollower;
   std::string leader_;
   std::uint64_t commit_index_ = 0;
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -105,6 +105,11 @@
   kLogRecovered = 1506,
   kMemberChanged = 1507,
   kClusterFormed = 1508,
+  kVoterSilent = 1509,
+  kVoterHeard = 1510,
+  kQuorumLost = 1511,
+  kQuorumRegained = 1512,
+  kJoinWaiting = 1513,
 };
 
 // An entry of the event catalogue.
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -31,6 +31,7 @@
       log_(restored),
       hard_state_(restored.hard_state),
       random_(options_.seed ^ options_.self.incarnation),
+      health_(options_.self, options_.timings.election_timeout, now),
       next_join_request_(now) {
   commit_index_ = log_.snapshot().last_index;
   emitted_index_ = commit_index_;
@@ -168,6 +169,9 @@
 }
 
 void RaftCore::Tick(Time now) {
+  health_.Observe(
+      now, {log_.membership(), role_ == RaftRole::kLeader, !leader_.empty()},
+      out_.events);
   if (!HasMembership()) {
     TickNonMember(now);
     return;
@@ -204,11 +208,14 @@
   for (const auto& [id, peer] : join_requests_) {
     request.seen.push_back(peer.first);
   }
+  std::vector<std::string> asked_ids;
   for (const std::string& id : options_.configured_ids) {
     if (id != options_.self.id) {
       out_.messages.push_back({id, request});
+      asked_ids.push_back(id);
     }
   }
+  health_.OnJoinRequested(now, asked_ids, !request.empty, out_.events);
   BootstrapIfAllEmpty(now);
 }
 
@@ -452,15 +459,34 @@
   return index;
 }
 
-void RaftCore::ProposeMembership(Membership membership) {
+void RaftCore::ProposeMembership(Membership membership,
+                                 std::string_view change,
+                                 const MemberId& member,
+                                 std::optional<Duration> silence) {
   std::sort(membership.voters.begin(), membership.voters.end());
-  out_.events.push_back(Event(EventId::kMemberChanged)
-                            .With("voters", membership.voters.size())
-                            .With("learners", membership.learners.size()));
+  Event event = Event(EventId::kMemberChanged)
+                    .With("voters", membership.voters.size())
+                    .With("learners", membership.learners.size())
+                    .With("voter_ids", ToText(membership.voters))
+                    .With("learner_ids", ToText(membership.learners))
+                    .With("change", change)
+                    .With("member", ToText(member));
+  out_.events.push_back(
+      silence ? std::move(event).With("silent_ms", ToMillis(*silence))
+              : std::move(event));
   AppendEntry({hard_state_.term, log_.last_index() + 1, EntryKind::kMembership,
                Encode(membership)});
 }
 
+void RaftCore::ProposeRemoval(Time now,
+                              const Membership& current,
+                              const MemberId& voter) {
+  Membership next = current;
+  std::erase(next.voters, voter);
+  ProposeMembership(std::move(next), "removed", voter,
+                    health_.Silence(now, voter));
+}
+
 void RaftCore::ReconcileMembership(Time now) {
   const bool can_change_membership =
       HasCommittedInCurrentTerm() && log_.membership_index() <= commit_index_;
@@ -481,17 +507,18 @@
     progress = Progress{};
     progress.next = log_.last_index() + 1;
     progress.last_reply_at = now;
-    ProposeMembership(std::move(next));
+    ProposeMembership(std::move(next), "added-learner", member, std::nullopt);
     return;
   }
-  for (const MemberId& learner : next.learners) {
+  for (const MemberId& learner : log_.membership().learners) {
     const Progress& progress = progress_[learner];
     if (progress.match + kMaxPromotionLag < log_.last_index()) {
       continue;
     }
     next.voters.push_back(learner);
-    std::erase(next.learners, MemberId(learner));
-    ProposeMembership(std::move(next));
+    std::erase(next.learners, learner);
+    ProposeMembership(std::move(next), "promoted", MemberId(learner),
+                      std::nullopt);
     return;
   }
   // After a replica that lost its data has been readmitted as a voter, its
@@ -504,27 +531,26 @@
                      progress_[voter].last_reply_at;
         });
     if (newer != next.voters.end()) {
-      std::erase(next.voters, MemberId(voter));
-      ProposeMembership(std::move(next));
+      ProposeRemoval(now, next, voter);
       return;
     }
   }
-  RemoveUnresponsiveVoter(now, std::move(next));
+  RemoveUnresponsiveVoter(now, next);
 }
 
-void RaftCore::RemoveUnresponsiveVoter(Time now, Membership next) {
+void RaftCore::RemoveUnresponsiveVoter(Time now, const Membership& current) {
   // A cell with an even number of voters tolerates no more failures than one
   // with a voter less, so removing an unresponsive voter only makes a majority
   // easier to reach. Below four voters none is removed.
   constexpr std::size_t kMinEvenCellSize = 4;
-  if (next.voters.size() < kMinEvenCellSize || next.voters.size() % 2 != 0) {
+  if (current.voters.size() < kMinEvenCellSize ||
+      current.voters.size() % 2 != 0) {
     return;
   }
-  for (const MemberId& voter : next.voters) {
+  for (const MemberId& voter : current.voters) {
     if (voter != options_.self &&
         progress_[voter].last_reply_at + options_.voter_removal_timeout < now) {
-      std::erase(next.voters, MemberId(voter));
-      ProposeMembership(std::move(next));
+      ProposeRemoval(now, current, voter);
       return;
     }
   }
@@ -825,19 +851,24 @@
   const MemberId member{from.id, from.incarnation};
   std::visit(
       [&](const auto& body) {
+        using T = std::decay_t<decltype(body)>;
+        constexpr bool kIsRaftMessage =
+            std::is_same_v<T, VoteRequest> || std::is_same_v<T, VoteReply> ||
+            std::is_same_v<T, AppendRequest> ||
+            std::is_same_v<T, AppendReply> ||
+            std::is_same_v<T, InstallSnapshot> ||
+            std::is_same_v<T, TimeoutNow> || std::is_same_v<T, JoinRequest>;
+        if constexpr (kIsRaftMessage) {
+          // A message for an earlier incarnation of this replica shows as well
+          // that its sender runs.
+          health_.OnHeard(now, member, log_.membership());
+        }
         if constexpr (requires { body.target; }) {
           if (body.target != options_.self.incarnation) {
             return;
           }
         }
-        using T = std::decay_t<decltype(body)>;
-        if constexpr (std::is_same_v<T, VoteRequest> ||
-                      std::is_same_v<T, VoteReply> ||
-                      std::is_same_v<T, AppendRequest> ||
-                      std::is_same_v<T, AppendReply> ||
-                      std::is_same_v<T, InstallSnapshot> ||
-                      std::is_same_v<T, TimeoutNow> ||
-                      std::is_same_v<T, JoinRequest>) {
+        if constexpr (kIsRaftMessage) {
           Handle(now, member, body);
         }
       },
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -207,9 +207,26 @@
     {EventId::kLogRecovered, "log-recovered",
      "The replica read its log back from disk at start."},
     {EventId::kMemberChanged, "member-changed",
-     "The membership of the control cell changed."},
+     "The leader changes the membership of the control cell: the voters and "
+     "learners from now on, what was changed, and for a removal how long the "
+     "voter has been silent."},
     {EventId::kClusterFormed, "cluster-formed",
      "All configured members were empty and formed a new cell."},
+    {EventId::kVoterSilent, "voter-silent",
+     "The leader has not heard a voter for two election timeouts; with the "
+     "voters that it hears and the losses that the cell still bears."},
+    {EventId::kVoterHeard, "voter-heard",
+     "The leader hears a silent voter again, with the length of the silence."},
+    {EventId::kQuorumLost, "quorum-lost",
+     "A voter has had no leader for two election timeouts and hears no "
+     "majority of the voters; with the time since it last heard each voter, -1 "
+     "if never. Repeated every 5 s."},
+    {EventId::kQuorumRegained, "quorum-regained",
+     "A voter that had lost the majority hears one again or has a leader, with "
+     "the duration of the loss."},
+    {EventId::kJoinWaiting, "join-waiting",
+     "A replica outside the cell has asked for admission for over 2 s: whom it "
+     "asks, how long, and whether it holds data. Repeated every 5 s."},
 });
 
 // Returns whether the event numbers of the catalogue are strictly ascending.
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -401,6 +401,13 @@
   metrics_.SetGauge("commit_index",
                     static_cast<double>(core_->raft().commit_index()));
   metrics_.SetGauge("term", static_cast<double>(core_->raft().term()));
+  const Time now = MonotonicClock::now();
+  metrics_.SetGauge("cell_voters",
+                    static_cast<double>(core_->raft().voter_count()));
+  metrics_.SetGauge("cell_voters_heard",
+                    static_cast<double>(core_->raft().HeardVoters(now)));
+  metrics_.SetGauge("cell_losses_borne",
+                    static_cast<double>(core_->raft().LossesBorne(now)));
   metrics_.SetGauge("instances", static_cast<double>(state.instances().size()));
   metrics_.SetGauge("jobs", static_cast<double>(state.jobs().size()));
   metrics_.SetGauge("suspects",
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "banyan/consensus/raft_core.h"
@@ -17,15 +19,18 @@
  public:
   ThreeReplicaCell() {
     for (int i = 0; i < 3; ++i) {
-      RaftOptions options;
-      options.self = {"c" + std::to_string(i),
-                      static_cast<std::uint64_t>(i) + 1};
-      options.configured_ids = {"c0", "c1", "c2"};
-      options.seed = static_cast<std::uint64_t>(i) + 7;
-      replicas_.emplace_back(options, RestoredLog{}, kStart);
+      incarnations_.push_back(static_cast<std::uint64_t>(i) + 1);
+      replicas_.push_back(MakeReplica(i));
     }
   }
 
+  // Restarts a replica on an empty disk.
+  void Wipe(int i) {
+    constexpr std::uint64_t kIncarnationStep = 100;
+    incarnations_[i] += kIncarnationStep;
+    replicas_[i] = MakeReplica(i);
+  }
+
   // Advances the clock in steps of 10 ms. Messages from and to the disconnected
   // replicas are dropped.
   void Run(Duration span, const std::set<std::string>& disconnected = {}) {
@@ -53,16 +58,47 @@
   [[nodiscard]] const std::vector<std::string>& committed(int i) {
     return committed_[i];
   }
+  // Returns the events with this id that a replica has logged.
+  [[nodiscard]] Events Logged(int i, EventId id) const {
+    Events found;
+    std::copy_if(events_[i].begin(), events_[i].end(),
+                 std::back_inserter(found),
+                 [&](const Event& event) { return event.id() == id; });
+    return found;
+  }
+  // The number of events that a replica has logged.
+  [[nodiscard]] std::size_t LoggedCount(int i) const {
+    return events_[i].size();
+  }
+  // The position of the leader, which must exist.
+  int LeaderPosition() {
+    for (int i = 0; i < 3; ++i) {
+      if (Leader() == &replicas_[i]) {
+        return i;
+      }
+    }
+    CPPUNIT_FAIL("there is no leader");
+    return -1;
+  }
   // Total number of messages sent, including dropped ones.
   [[nodiscard]] std::size_t sent() const { return sent_; }
 
  private:
+  RaftCore MakeReplica(int i) {
+    RaftOptions options;
+    options.self = {"c" + std::to_string(i), incarnations_[i]};
+    options.configured_ids = {"c0", "c1", "c2"};
+    options.seed = static_cast<std::uint64_t>(i) + 7;
+    return {options, RestoredLog{}, now_};
+  }
+
   void Exchange(int i, const std::set<std::string>& disconnected) {
     const std::string id = "c" + std::to_string(i);
     RaftOutputs out = replicas_[i].TakeOutputs(now_);
     for (const LogEntry& entry : out.committed) {
       committed_[i].push_back(entry.data);
     }
+    events_[i].insert(events_[i].end(), out.events.begin(), out.events.end());
     for (const PersistBatch& batch : out.persists) {
       replicas_[i].OnPersisted(now_, batch.seq);
     }
@@ -72,14 +108,15 @@
         continue;
       }
       const int to = outbound.to[1] - '0';
-      replicas_[to].Receive(now_, {id, static_cast<std::uint64_t>(i) + 1},
-                            outbound.message);
+      replicas_[to].Receive(now_, {id, incarnations_[i]}, outbound.message);
     }
   }
 
   Time now_ = kStart;
+  std::vector<std::uint64_t> incarnations_;
   std::vector<RaftCore> replicas_;
   std::map<int, std::vector<std::string>> committed_;
+  std::vector<Events> events_ = std::vector<Events>(3);
   std::size_t sent_ = 0;
 };
 
@@ -303,6 +340,232 @@
       std::get<AppendReply>(later.messages.front().message).match_index);
 }
 
+std::int64_t NumberField(const Event& event, const std::string& key) {
+  const std::string text = event.Field(key);
+  CPPUNIT_ASSERT_MESSAGE("no field " + key + " in " + event.text(),
+                         !text.empty());
+  return std::stoll(text);
+}
+
+void AssertBetween(std::int64_t least, std::int64_t value, std::int64_t most) {
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(value) + " is not between " +
+                             std::to_string(least) + " and " +
+                             std::to_string(most),
+                         least <= value && value <= most);
+}
+
+void HealthyCellLogsNothing() {
+  ThreeReplicaCell cell;
+  cell.Run(seconds(4));
+  std::size_t before = 0;
+  for (int i = 0; i < 3; ++i) {
+    before += cell.LoggedCount(i);
+  }
+  cell.Run(seconds(60));
+  std::size_t after = 0;
+  for (int i = 0; i < 3; ++i) {
+    after += cell.LoggedCount(i);
+  }
+  CPPUNIT_ASSERT_EQUAL(before, after);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cell.Leader()->voter_count());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, cell.Leader()->HeardVoters(cell.now()));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, cell.Leader()->LossesBorne(cell.now()));
+}
+
+void SilentVoterIsLoggedOnce() {
+  ThreeReplicaCell cell;
+  cell.Run(seconds(4));
+  const int leader = cell.LeaderPosition();
+  const int silent = (leader + 1) % 3;
+  const int other = (leader + 2) % 3;
+  const std::string id = "c" + std::to_string(silent);
+  cell.Run(seconds(10), {id});
+  const Events lost = cell.Logged(leader, EventId::kVoterSilent);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lost.size());
+  CPPUNIT_ASSERT_EQUAL(id, lost[0].Field("voter"));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{silent} + 1,
+                       NumberField(lost[0], "incarnation"));
+  AssertBetween(1600, NumberField(lost[0], "silent_ms"), 1620);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, NumberField(lost[0], "voters"));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, NumberField(lost[0], "heard"));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, NumberField(lost[0], "losses_borne"));
+  CPPUNIT_ASSERT(cell.Logged(leader, EventId::kVoterHeard).empty());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2},
+                       cell.replica(leader).HeardVoters(cell.now()));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0},
+                       cell.replica(leader).LossesBorne(cell.now()));
+  CPPUNIT_ASSERT_MESSAGE("only the leader can tell which voter is silent",
+                         cell.Logged(other, EventId::kVoterSilent).empty());
+  cell.Run(seconds(2));
+  const Events heard = cell.Logged(leader, EventId::kVoterHeard);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, heard.size());
+  CPPUNIT_ASSERT_EQUAL(id, heard[0].Field("voter"));
+  AssertBetween(9900, NumberField(heard[0], "silent_ms"), 10200);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, NumberField(heard[0], "losses_borne"));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       cell.Logged(leader, EventId::kVoterSilent).size());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
+                       cell.replica(leader).LossesBorne(cell.now()));
+}
+
+// Followers don't hear each other while there is a leader, which must not be
+// taken for silence once one of them leads.
+void NewLeaderLogsOnlyTheLostOne() {
+  ThreeReplicaCell cell;
+  cell.Run(seconds(30));
+  const int lost = cell.LeaderPosition();
+  const std::string id = "c" + std::to_string(lost);
+  cell.Run(seconds(12), {id});
+  const int leader = cell.LeaderPosition();
+  CPPUNIT_ASSERT(leader != lost);
+  const Events silent = cell.Logged(leader, EventId::kVoterSilent);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, silent.size());
+  CPPUNIT_ASSERT_EQUAL(id, silent[0].Field("voter"));
+  for (int i = 0; i < 3; ++i) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        "only the replica that was cut off has lost the majority", i == lost,
+        !cell.Logged(i, EventId::kQuorumLost).empty());
+  }
+}
+
+// Disconnects both other replicas of a survivor for 12 s and reconnects them.
+void CheckLostQuorum(bool leader_survives) {
+  ThreeReplicaCell cell;
+  cell.Run(seconds(4));
+  const int leader = cell.LeaderPosition();
+  const int survivor = leader_survives ? leader : (leader + 1) % 3;
+  std::set<std::string> lost;
+  for (int i = 0; i < 3; ++i) {
+    if (i != survivor) {
+      lost.insert("c" + std::to_string(i));
+    }
+  }
+  const std::size_t logged_before = cell.LoggedCount(survivor);
+  cell.Run(seconds(12), lost);
+  const Events events = cell.Logged(survivor, EventId::kQuorumLost);
+  // After at most two election timeouts without a leader's message and two
+  // without a leader, then every 5 s.
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, events.size());
+  for (const Event& event : events) {
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, NumberField(event, "voters"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, NumberField(event, "heard"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, NumberField(event, "needed"));
+    const std::string text = event.Field("last_heard_ms");
+    const std::string self = "c" + std::to_string(survivor) + "/" +
+                             std::to_string(survivor + 1) + "/0";
+    CPPUNIT_ASSERT_MESSAGE(text, text.find(self) != std::string::npos);
+  }
+  AssertBetween(1600, NumberField(events[0], "leaderless_ms"), 1620);
+  AssertBetween(6600, NumberField(events[1], "leaderless_ms"), 6620);
+  CPPUNIT_ASSERT(cell.Logged(survivor, EventId::kQuorumRegained).empty());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{-1},
+                       cell.replica(survivor).LossesBorne(cell.now()));
+  // A leader logs two silent voters and that it steps down.
+  CPPUNIT_ASSERT_EQUAL(std::size_t{leader_survives ? 5U : 2U},
+                       cell.LoggedCount(survivor) - logged_before);
+  cell.Run(seconds(8));
+  const Events regained = cell.Logged(survivor, EventId::kQuorumRegained);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, regained.size());
+  AssertBetween(8000, NumberField(regained[0], "lost_ms"), 13000);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                       cell.Logged(survivor, EventId::kQuorumLost).size());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, cell.Leader()->LossesBorne(cell.now()));
+}
+
+void FollowerLogsLostQuorum() {
+  CheckLostQuorum(false);
+}
+
+void LeaderLogsLostQuorum() {
+  CheckLostQuorum(true);
+}
+
+// Ticks a lone replica every 10 ms and returns its events with this id.
+Events RunAlone(RaftCore& replica, Duration span, EventId id) {
+  Events found;
+  for (Time now = kStart; now < kStart + span; now += Millis(10)) {
+    replica.Tick(now);
+    for (const Event& event : replica.TakeOutputs(now).events) {
+      if (event.id() == id) {
+        found.push_back(event);
+      }
+    }
+  }
+  return found;
+}
+
+void NeverHeardVotersAreMarked() {
+  RaftCore survivor = MakeFollowerWithLog();
+  const Events lost = RunAlone(survivor, seconds(4), EventId::kQuorumLost);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lost.size());
+  CPPUNIT_ASSERT_EQUAL(std::string("c0/1/-1,c1/2/0,c2/3/-1"),
+                       lost[0].Field("last_heard_ms"));
+}
+
+void CheckJoinWaiting(const RestoredLog& restored,
+                      const std::string& holds_data) {
+  RaftOptions options;
+  options.self = {"c3", 4};
+  options.configured_ids = {"c0", "c1", "c2"};
+  RaftCore outsider(options, restored, kStart);
+  CPPUNIT_ASSERT(RunAlone(outsider, seconds(2), EventId::kJoinWaiting).empty());
+  RaftCore waiting(options, restored, kStart);
+  const Events events = RunAlone(waiting, seconds(20), EventId::kJoinWaiting);
+  // Shortly after 2 s, then every 5 s.
+  CPPUNIT_ASSERT_EQUAL(std::size_t{4}, events.size());
+  for (const Event& event : events) {
+    CPPUNIT_ASSERT_EQUAL(std::string("c0,c1,c2"), event.Field("asked"));
+    CPPUNIT_ASSERT_EQUAL(holds_data, event.Field("holds_data"));
+  }
+  AssertBetween(2000, NumberField(events[0], "waited_ms"), 2400);
+  AssertBetween(17000, NumberField(events[3], "waited_ms"), 18500);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, waiting.HeardVoters(kStart));
+}
+
+void WaitForAdmissionIsLogged() {
+  CheckJoinWaiting(RestoredLog{}, "false");
+  RestoredLog removed;
+  removed.hard_state = {2, {}};
+  removed.snapshot.membership.voters = {{"c0", 1}, {"c1", 2}, {"c2", 3}};
+  removed.snapshot.last_index = 1;
+  removed.snapshot.last_term = 1;
+  CheckJoinWaiting(removed, "true");
+}
+
+void MembershipChangesAreNamed() {
+  ThreeReplicaCell cell;
+  cell.Run(seconds(4));
+  const int leader = cell.LeaderPosition();
+  const int wiped = (leader + 1) % 3;
+  const std::string id = "c" + std::to_string(wiped);
+  const std::string old_member = id + "/" + std::to_string(wiped + 1);
+  const std::string new_member = id + "/" + std::to_string(wiped + 101);
+  cell.Run(seconds(1), {id});
+  cell.Wipe(wiped);
+  cell.Run(seconds(4));
+  const Events events = cell.Logged(leader, EventId::kMemberChanged);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, events.size());
+  CPPUNIT_ASSERT_EQUAL(std::string("added-learner"), events[0].Field("change"));
+  CPPUNIT_ASSERT_EQUAL(new_member, events[0].Field("member"));
+  CPPUNIT_ASSERT_EQUAL(new_member, events[0].Field("learner_ids"));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, NumberField(events[0], "voters"));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, NumberField(events[0], "learners"));
+  CPPUNIT_ASSERT_EQUAL(std::string("promoted"), events[1].Field("change"));
+  CPPUNIT_ASSERT_EQUAL(new_member, events[1].Field("member"));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{4}, NumberField(events[1], "voters"));
+  CPPUNIT_ASSERT_EQUAL(std::string(), events[1].Field("learner_ids"));
+  CPPUNIT_ASSERT_EQUAL(std::string("removed"), events[2].Field("change"));
+  CPPUNIT_ASSERT_EQUAL(old_member, events[2].Field("member"));
+  AssertBetween(1000, NumberField(events[2], "silent_ms"), 2500);
+  std::string voter_ids;
+  for (int i = 0; i < 3; ++i) {
+    voter_ids += voter_ids.empty() ? "" : ",";
+    voter_ids += "c" + std::to_string(i) + "/" +
+                 std::to_string(i == wiped ? i + 101 : i + 1);
+  }
+  CPPUNIT_ASSERT_EQUAL(voter_ids, events[2].Field("voter_ids"));
+}
+
 }  // namespace
 
 Section ConsensusStory() {
@@ -341,7 +604,26 @@
                     ReconnectedReplicaDoesNotForceElection)
               .Then("a slow disk write does not delay the acknowledgement of a "
                     "round",
-                    SlowDiskDoesNotDelayAcknowledgement));
+                    SlowDiskDoesNotDelayAcknowledgement))
+      .With(
+          Section("what an operator sees")
+              .Then("a cell without a failure logs nothing",
+                    HealthyCellLogsNothing)
+              .Then("the leader logs a silent voter once, and that it is heard "
+                    "again",
+                    SilentVoterIsLoggedOnce)
+              .Then("a new leader logs only the voter that is lost",
+                    NewLeaderLogsOnlyTheLostOne)
+              .Then("a follower logs that the majority is lost and regained",
+                    FollowerLogsLostQuorum)
+              .Then("a leader logs that the majority is lost and regained",
+                    LeaderLogsLostQuorum)
+              .Then("voters that were never heard are marked",
+                    NeverHeardVotersAreMarked)
+              .Then("a replica outside the cell logs that it waits",
+                    WaitForAdmissionIsLogged)
+              .Then("each change of the membership is named",
+                    MembershipChangesAreNamed));
   return section;
 }
 
