Tests: a cell's consensus under virtual time with random losses of replicas

A world of RaftCore replicas on virtual disks goes through kills, freezes, cuts, losses of disks, replacements, additions, power losses and changes of leader, never with more places lost than the cell has to bear. Judged are the majority of the newest committed membership, the reserve for the next loss, a leader in calm time, the applied entries, one leader a term and one lease.

--- /dev/null
+++ b/tests/support/cell_world.cc
@@ -0,0 +1,918 @@
+#include "tests/support/cell_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyan/wire/codec.h"
+
+namespace banyan {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Time kStart{seconds(100)};
+constexpr Duration kTickInterval = Millis(10);
+constexpr Duration kCheckInterval = Millis(10);
+constexpr Duration kProposalInterval = Millis(60);
+constexpr Duration kMinDelay{500};
+constexpr Duration kMaxDelay{2000};
+constexpr Duration kMinSync = Millis(3);
+constexpr Duration kMaxSync = Millis(5);
+constexpr Duration kSnapshotWrite = Millis(30);
+constexpr std::uint64_t kSnapshotEntries = 60;
+constexpr Duration kComesBackEmptyAfter = seconds(1);
+constexpr Duration kCalmAtEnd = seconds(8);
+// By then all replicas have what a leader has acknowledged.
+constexpr Duration kReplicationBound = Millis(500);
+// Bounds for what has to happen before a play can go on.
+constexpr Duration kFormBound = seconds(10);
+constexpr Duration kWaitBound = seconds(60);
+constexpr std::size_t kSeeds = 3;
+constexpr std::uint64_t kPercent = 100;
+
+// Sets the bound of the promise, once the options have it.
+template <typename Options>
+void SetCatchUp(Options& options) {
+  if constexpr (requires { options.catch_up; }) {
+    options.catch_up = kCellCatchUp;
+  }
+}
+
+std::uint64_t Mix(std::uint64_t digest, std::uint64_t value) {
+  return Random(digest ^ (value * 0x9e3779b97f4a7c15ULL)).Next();
+}
+
+std::uint64_t DigestAfter(std::uint64_t digest, const LogEntry& entry) {
+  digest = Mix(digest, entry.index);
+  digest = Mix(digest, entry.term);
+  digest = Mix(digest, static_cast<std::uint64_t>(entry.kind));
+  return Mix(digest, std::hash<std::string>{}(entry.data));
+}
+
+bool Contains(const std::vector<std::string>& ids, const std::string& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+CellWorld::CellWorld(int size, int losses, std::uint64_t seed)
+    : size_(size),
+      losses_(losses),
+      random_(seed),
+      now_(kStart),
+      disturbed_at_(kStart) {}
+
+CellWorld::~CellWorld() = default;
+
+// --- Time ---
+
+bool CellWorld::IsLater(const Action& a, const Action& b) {
+  return a.at != b.at ? a.at > b.at : a.order > b.order;
+}
+
+void CellWorld::After(Duration delay, std::function<void()> run) {
+  actions_.push_back({now_ + delay, next_order_++, std::move(run)});
+  std::push_heap(actions_.begin(), actions_.end(), IsLater);
+}
+
+void CellWorld::Run(Duration span) {
+  const Time end = now_ + span;
+  while (!actions_.empty() && actions_.front().at <= end) {
+    std::pop_heap(actions_.begin(), actions_.end(), IsLater);
+    const Action action = std::move(actions_.back());
+    actions_.pop_back();
+    now_ = action.at;
+    action.run();
+  }
+  now_ = end;
+}
+
+bool CellWorld::RunUntil(Duration bound,
+                         const std::function<bool()>& condition) {
+  for (const Time end = now_ + bound; now_ < end;) {
+    if (condition()) {
+      return true;
+    }
+    Run(kCheckInterval);
+  }
+  return condition();
+}
+
+Duration CellWorld::Between(Duration least, Duration most) {
+  return least + Duration(static_cast<std::int64_t>(random_.NextBelow(
+                     static_cast<std::uint64_t>((most - least).count()))));
+}
+
+bool CellWorld::Chance(std::uint64_t percent) {
+  return random_.NextBelow(kPercent) < percent;
+}
+
+// --- Life of a replica ---
+
+void CellWorld::Form() {
+  std::vector<std::string> seeds;
+  for (std::size_t i = 0; i < kSeeds; ++i) {
+    seeds.push_back("r" + std::to_string(i + 1));
+  }
+  for (std::size_t i = 0; i < kSeeds; ++i) {
+    Start(seeds, "");
+  }
+  After(kCheckInterval, [this] { Check(); });
+  After(kProposalInterval, [this] { ProposeAtLeaders(); });
+  for (int i = static_cast<int>(kSeeds); i < size_; ++i) {
+    RunUntil(kFormBound, [&] { return !Leader().empty(); });
+    const std::string id = Start(seeds, "");
+    RunUntil(kFormBound, [&] { return IsVoterNow(id); });
+  }
+  const bool is_formed = RunUntil(kFormBound, [&] {
+    return !Leader().empty() &&
+           membership_.voters.size() == static_cast<std::size_t>(size_);
+  });
+  if (!is_formed) {
+    Complain("the cell forms", Describe(membership_));
+  }
+  if (Chance(50)) {
+    FillLog();
+  }
+  disturbed_at_ = now_;
+  has_formed_ = true;
+  Run(kCellCatchUp);
+}
+
+void CellWorld::FillLog() {
+  constexpr int kRounds = 15;
+  constexpr int kEntriesPerRound = 100;
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string leader = Leader();
+    if (leader.empty()) {
+      return;
+    }
+    for (int i = 0; i < kEntriesPerRound; ++i) {
+      replicas_.at(leader).core->Propose(
+          now_, "p" + std::to_string(next_proposal_++));
+    }
+    Flush(replicas_.at(leader));
+    Run(kTickInterval);
+  }
+}
+
+std::string CellWorld::Start(const std::vector<std::string>& seeds,
+                             const std::string& predecessor) {
+  const int number = next_number_++;
+  const std::string id = "r" + std::to_string(number);
+  Replica& replica = replicas_[id];
+  replica.id = id;
+  replica.number = number;
+  replica.seeds = seeds;
+  replica.disk = std::make_unique<VirtualDisk>(random_.Next());
+  if (Place* place = PlaceOf(predecessor)) {
+    place->id = id;
+    place->counts_until = now_ + kCellCatchUp;
+  } else if (predecessor.empty()) {
+    places_.push_back({id, Time{}});
+  }
+  std::string list;
+  for (const std::string& seed : seeds) {
+    list += " " + seed;
+  }
+  Record(id + " starts empty, seeds" + list);
+  Boot(replica);
+  disturbed_at_ = now_;
+  return id;
+}
+
+void CellWorld::Boot(Replica& replica) {
+  ++replica.life;
+  replica.applied = 0;
+  replica.digest = 0;
+  replica.snapshot_at = 0;
+  replica.disk_free_at = now_;
+  RaftOptions options;
+  options.self = {replica.id, replica.disk->incarnation()};
+  options.configured_ids = replica.seeds;
+  options.timings.election_timeout = Millis(500);
+  options.timings.heartbeat_interval = Millis(62);
+  options.timings.max_clock_drift = Millis(50);
+  options.seed = random_.Next();
+  SetCatchUp(options);
+  replica.core = std::make_unique<RaftCore>(options, replica.disk->log(), now_);
+  After(Between(Duration(0), kTickInterval),
+        [this, id = replica.id, life = replica.life] { Tick(id, life); });
+}
+
+void CellWorld::Kill(const std::string& id) {
+  Replica& replica = replicas_.at(id);
+  ++replica.life;
+  replica.core.reset();
+  replica.waiting.clear();
+  NoteDisturbance(id + " is down");
+}
+
+void CellWorld::Restart(const std::string& id) {
+  Replica& replica = replicas_.at(id);
+  Record(id + " starts again");
+  Boot(replica);
+  NoteBack(id);
+}
+
+void CellWorld::LoseDisk(const std::string& id) {
+  Kill(id);
+  Record(id + " has lost its disk");
+  replicas_.at(id).disk = std::make_unique<VirtualDisk>(random_.Next());
+}
+
+void CellWorld::LoseForGood(const std::string& id) {
+  Kill(id);
+  Record(id + " is gone for good");
+  replicas_.at(id).is_departed = true;
+}
+
+void CellWorld::Freeze(const std::string& id, bool keeps_messages) {
+  Replica& replica = replicas_.at(id);
+  replica.is_frozen = true;
+  replica.keeps_messages = keeps_messages;
+  NoteDisturbance(id + " freezes");
+}
+
+void CellWorld::Thaw(const std::string& id) {
+  Replica& replica = replicas_.at(id);
+  Record(id + " goes on");
+  replica.is_frozen = false;
+  NoteBack(id);
+  const auto waiting = std::exchange(replica.waiting, {});
+  // A process that goes on may find its timers expired before it reads.
+  if (Chance(50)) {
+    replica.core->Tick(now_);
+    Flush(replica);
+  }
+  for (const std::function<void()>& run : waiting) {
+    run();
+  }
+}
+
+void CellWorld::Cut(const std::string& id, CutKind kind, bool keeps_messages) {
+  Replica& replica = replicas_.at(id);
+  replica.cut = kind;
+  replica.keeps_messages = keeps_messages;
+  NoteDisturbance(id + (kind == CutKind::kBoth       ? " is cut off"
+                        : kind == CutKind::kIncoming ? " hears nothing"
+                                                     : " isn't heard"));
+}
+
+void CellWorld::EndCut(const std::string& id) {
+  Replica& replica = replicas_.at(id);
+  Record(id + " is connected again");
+  replica.cut.reset();
+  NoteBack(id);
+  for (std::function<void()>& run : std::exchange(replica.held, {})) {
+    After(Duration(0), std::move(run));
+  }
+}
+
+void CellWorld::TransferLeadership() {
+  const std::string id = Leader();
+  if (id.empty()) {
+    return;
+  }
+  NoteDisturbance(id + " hands its leadership over");
+  replicas_.at(id).core->TransferLeadership(now_);
+  Flush(replicas_.at(id));
+}
+
+// --- Steps ---
+
+void CellWorld::RunAwake(Replica& replica, std::function<void()> run) {
+  if (replica.is_frozen) {
+    replica.waiting.push_back(std::move(run));
+    return;
+  }
+  run();
+}
+
+void CellWorld::Tick(const std::string& id, std::uint64_t life) {
+  Replica& replica = replicas_.at(id);
+  if (replica.life != life) {
+    return;
+  }
+  After(kTickInterval, [this, id, life] { Tick(id, life); });
+  if (!replica.is_frozen) {
+    replica.core->Tick(now_);
+    Flush(replica);
+  }
+}
+
+void CellWorld::Flush(Replica& replica) {
+  RaftOutputs out = replica.core->TakeOutputs(now_);
+  NoteRole(replica);
+  if (out.installed_snapshot) {
+    replica.applied = out.installed_snapshot->last_index;
+    replica.digest = std::stoull(out.installed_snapshot->state);
+    CompareDigest(replica);
+  }
+  for (const LogEntry& entry : out.committed) {
+    Apply(replica, entry);
+  }
+  for (const Event& event : out.events) {
+    if (event.id() == EventId::kSnapshotInstalled) {
+      ++result_.snapshots;
+    }
+  }
+  if (!out.persists.empty()) {
+    Persist(replica, std::move(out.persists));
+  }
+  TakeSnapshot(replica);
+  for (Outbound& outbound : out.messages) {
+    Send(replica, std::move(outbound));
+  }
+}
+
+void CellWorld::Persist(Replica& replica, std::vector<PersistBatch> batches) {
+  replica.disk_free_at =
+      std::max(replica.disk_free_at, now_) + Between(kMinSync, kMaxSync);
+  After(replica.disk_free_at - now_,
+        [this, id = replica.id, life = replica.life,
+         batches = std::move(batches)] {
+          Replica& writing = replicas_.at(id);
+          if (writing.life != life) {
+            return;
+          }
+          for (const PersistBatch& batch : batches) {
+            writing.disk->Write(batch);
+          }
+          RunAwake(writing, [this, id, seq = batches.back().seq] {
+            replicas_.at(id).core->OnPersisted(now_, seq);
+            Flush(replicas_.at(id));
+          });
+        });
+}
+
+void CellWorld::TakeSnapshot(Replica& replica) {
+  if (replica.applied < replica.snapshot_at + kSnapshotEntries) {
+    return;
+  }
+  std::optional<Snapshot> snapshot =
+      replica.core->SnapshotMetadataAt(replica.applied);
+  if (!snapshot) {
+    return;
+  }
+  replica.snapshot_at = replica.applied;
+  snapshot->state = std::to_string(replica.digest);
+  After(kSnapshotWrite, [this, id = replica.id, life = replica.life,
+                         snapshot = *std::move(snapshot)] {
+    Replica& writing = replicas_.at(id);
+    if (writing.life != life) {
+      return;
+    }
+    RunAwake(writing, [this, id, snapshot] {
+      replicas_.at(id).disk->Compact(snapshot);
+      replicas_.at(id).core->Compact(snapshot);
+      Flush(replicas_.at(id));
+    });
+  });
+}
+
+void CellWorld::Send(Replica& from, Outbound outbound) {
+  const auto found = replicas_.find(outbound.to);
+  if (found == replicas_.end() || found->second.core == nullptr) {
+    return;
+  }
+  Time& arrival = from.last_arrival[outbound.to];
+  arrival = std::max(arrival, now_ + Between(kMinDelay, kMaxDelay));
+  const Sender sender{from.id, from.disk->incarnation()};
+  After(arrival - now_,
+        [this, sender, to = outbound.to, life = found->second.life,
+         message = std::move(outbound.message)] {
+          Arrive(sender, to, life, message);
+        });
+}
+
+void CellWorld::Arrive(const Sender& from,
+                       const std::string& to,
+                       std::uint64_t life,
+                       const Message& message) {
+  Replica& receiver = replicas_.at(to);
+  Replica& sender = replicas_.at(from.id);
+  if (receiver.life != life) {
+    return;
+  }
+  const bool is_out_cut = sender.cut && *sender.cut != CutKind::kIncoming;
+  const bool is_in_cut = receiver.cut && *receiver.cut != CutKind::kOutgoing;
+  if (is_out_cut || is_in_cut) {
+    Replica& cut = is_out_cut ? sender : receiver;
+    if (cut.keeps_messages) {
+      cut.held.push_back(
+          [this, from, to, life, message] { Arrive(from, to, life, message); });
+    }
+    return;
+  }
+  if (receiver.is_frozen && !receiver.keeps_messages) {
+    return;
+  }
+  RunAwake(receiver, [this, from, to, message] {
+    replicas_.at(to).core->Receive(now_, from, message);
+    Flush(replicas_.at(to));
+  });
+}
+
+void CellWorld::ProposeAtLeaders() {
+  After(kProposalInterval, [this] { ProposeAtLeaders(); });
+  for (auto& [id, replica] : replicas_) {
+    if (replica.core != nullptr && !replica.is_frozen &&
+        replica.core->role() == RaftRole::kLeader) {
+      replica.core->Propose(now_, "p" + std::to_string(next_proposal_++));
+      Flush(replica);
+    }
+  }
+}
+
+// --- What the world knows ---
+
+std::string CellWorld::Leader() const {
+  for (const auto& [id, replica] : replicas_) {
+    if (replica.IsHealthy() && replica.core->HoldsLease(now_)) {
+      return id;
+    }
+  }
+  return "";
+}
+
+std::vector<std::string> CellWorld::Running() const {
+  std::vector<const Replica*> running;
+  for (const auto& [id, replica] : replicas_) {
+    if (replica.core != nullptr) {
+      running.push_back(&replica);
+    }
+  }
+  std::sort(
+      running.begin(), running.end(),
+      [](const Replica* a, const Replica* b) { return a->number < b->number; });
+  std::vector<std::string> ids;
+  ids.reserve(running.size());
+  for (const Replica* replica : running) {
+    ids.push_back(replica->id);
+  }
+  return ids;
+}
+
+bool CellWorld::IsVoterNow(const std::string& id) const {
+  const Replica& replica = replicas_.at(id);
+  return IsVoter(membership_, {id, replica.disk->incarnation()});
+}
+
+bool CellWorld::IsAlive(const MemberId& member) const {
+  const auto found = replicas_.find(member.id);
+  return found != replicas_.end() && found->second.IsHealthy() &&
+         found->second.disk->incarnation() == member.incarnation;
+}
+
+int CellWorld::Reserve() const {
+  int alive = 0;
+  for (const MemberId& voter : membership_.voters) {
+    alive += IsAlive(voter) ? 1 : 0;
+  }
+  return alive - static_cast<int>(membership_.voters.size() / 2) - 1;
+}
+
+CellWorld::Place* CellWorld::PlaceOf(const std::string& id) {
+  const auto found =
+      std::find_if(places_.begin(), places_.end(),
+                   [&](const Place& place) { return place.id == id; });
+  return found == places_.end() ? nullptr : &*found;
+}
+
+bool CellWorld::IsLost(const Place& place) const {
+  return !replicas_.at(place.id).IsHealthy() || now_ < place.counts_until;
+}
+
+int CellWorld::Lost() const {
+  return static_cast<int>(
+      std::count_if(places_.begin(), places_.end(),
+                    [&](const Place& place) { return IsLost(place); }));
+}
+
+void CellWorld::NoteBack(const std::string& id) {
+  if (Place* place = PlaceOf(id)) {
+    place->counts_until = now_ + kCellCatchUp;
+  }
+  disturbed_at_ = now_;
+}
+
+void CellWorld::NoteDisturbance(const std::string& what) {
+  Record(what);
+  disturbed_at_ = now_;
+}
+
+// --- Events ---
+
+std::vector<CellWorld::EventKind> CellWorld::KindsOf(const CellEvents& events) {
+  std::vector<EventKind> kinds;
+  const auto add = [&](bool is_on, EventKind kind, std::size_t weight) {
+    if (is_on) {
+      kinds.insert(kinds.end(), weight, kind);
+    }
+  };
+  add(events.kills, EventKind::kKill, 3);
+  add(events.freezes, EventKind::kFreeze, 3);
+  add(events.cuts, EventKind::kCut, 3);
+  add(events.disk_losses, EventKind::kDiskLoss, 4);
+  add(events.replacements, EventKind::kReplacement, 4);
+  add(events.planned_replacements, EventKind::kPlannedReplacement, 2);
+  add(events.additions, EventKind::kAddition, 1);
+  add(events.power_losses, EventKind::kPowerLoss, 1);
+  add(events.transfers, EventKind::kTransfer, 3);
+  return kinds;
+}
+
+void CellWorld::Play(const CellWorldOptions& options) {
+  const std::vector<EventKind> kinds = KindsOf(options.events);
+  for (int i = 0; i < options.event_count; ++i) {
+    PauseBeforeNext(options);
+    PlayDueStop();
+    PlayEvent(options, kinds[random_.NextBelow(kinds.size())]);
+  }
+  while (!planned_stops_.empty()) {
+    const auto can_stop = [&] {
+      return Lost() < losses_ && now_ >= planned_stops_.front().due;
+    };
+    if (!RunUntil(kWaitBound, can_stop)) {
+      break;
+    }
+    PlayDueStop();
+  }
+  RunUntil(kWaitBound, [&] { return Lost() == 0; });
+  Run(kCalmAtEnd);
+  const std::uint64_t acknowledged = acknowledged_index_;
+  Run(kReplicationBound);
+  CheckEnd(acknowledged);
+}
+
+// Most events come at the very moment at which the promise allows them.
+void CellWorld::PauseBeforeNext(const CellWorldOptions& options) {
+  if (options.hits_returning && Chance(50)) {
+    Run(Between(Duration(0), kCellCatchUp));
+    return;
+  }
+  const bool waits_for_all = losses_ > 1 && Chance(33);
+  const int allowed = waits_for_all ? 0 : losses_ - 1;
+  RunUntil(kWaitBound, [&] { return Lost() <= allowed; });
+  if (Chance(50)) {
+    return;
+  }
+  Run(Between(Duration(0), Chance(50) ? seconds(2) : seconds(6)));
+}
+
+std::string CellWorld::PickVictim(const CellWorldOptions& options) {
+  std::vector<std::string> ids;
+  const bool is_budget_free = Lost() < losses_;
+  for (const Place& place : places_) {
+    const bool is_allowed =
+        IsLost(place) ? options.hits_returning : is_budget_free;
+    if (replicas_.at(place.id).IsHealthy() && is_allowed) {
+      ids.push_back(place.id);
+    }
+  }
+  if (ids.empty()) {
+    return "";
+  }
+  const std::uint64_t dice = random_.NextBelow(3);
+  if (dice == 0 && Contains(ids, Leader())) {
+    return Leader();
+  }
+  if (dice == 1) {
+    return *std::max_element(
+        ids.begin(), ids.end(), [&](const auto& a, const auto& b) {
+          return replicas_.at(a).number < replicas_.at(b).number;
+        });
+  }
+  return ids[random_.NextBelow(ids.size())];
+}
+
+void CellWorld::PlayEvent(const CellWorldOptions& options, EventKind kind) {
+  // An event may come at the first moment at which something must hold.
+  CheckLeases();
+  switch (kind) {
+    case EventKind::kTransfer:
+      TransferLeadership();
+      ++result_.events;
+      return;
+    case EventKind::kAddition:
+      if (!has_added_) {
+        has_added_ = true;
+        Start(DrawSeeds(""), "");
+        ++result_.events;
+      }
+      return;
+    case EventKind::kPlannedReplacement:
+      PlayPlannedReplacement();
+      return;
+    case EventKind::kPowerLoss:
+      if (RunUntil(kWaitBound, [&] { return Lost() == 0; })) {
+        PlayPowerLoss();
+      }
+      return;
+    default:
+      HitOne(options, kind);
+  }
+}
+
+void CellWorld::HitOne(const CellWorldOptions& options, EventKind kind) {
+  const std::string id = PickVictim(options);
+  if (id.empty()) {
+    return;
+  }
+  ++result_.events;
+  switch (kind) {
+    case EventKind::kKill:
+      return PlayKill(id);
+    case EventKind::kFreeze:
+      return PlayFreeze(id);
+    case EventKind::kCut:
+      return PlayCut(id);
+    case EventKind::kDiskLoss:
+      return PlayDiskLoss(id);
+    default:
+      return PlayReplacement(id);
+  }
+}
+
+void CellWorld::PlayKill(const std::string& id) {
+  Kill(id);
+  After(Between(Millis(100), seconds(6)), [this, id] { Restart(id); });
+}
+
+void CellWorld::PlayFreeze(const std::string& id) {
+  Freeze(id, Chance(50));
+  After(Between(Millis(500), seconds(8)), [this, id] { Thaw(id); });
+}
+
+void CellWorld::PlayCut(const std::string& id) {
+  constexpr CutKind kKinds[] = {CutKind::kBoth, CutKind::kIncoming,
+                                CutKind::kOutgoing};
+  Cut(id, kKinds[random_.NextBelow(std::size(kKinds))], Chance(50));
+  After(Between(Millis(500), seconds(8)), [this, id] { EndCut(id); });
+}
+
+void CellWorld::PlayDiskLoss(const std::string& id) {
+  LoseDisk(id);
+  After(kComesBackEmptyAfter, [this, id] {
+    RenewSeeds(replicas_.at(id));
+    Restart(id);
+  });
+}
+
+void CellWorld::PlayReplacement(const std::string& id) {
+  LoseForGood(id);
+  const auto planned =
+      std::find_if(planned_stops_.begin(), planned_stops_.end(),
+                   [&](const PlannedStop& stop) { return stop.id == id; });
+  if (planned != planned_stops_.end()) {
+    PlaceOf(id)->id = planned->successor;
+    NoteBack(planned->successor);
+    planned_stops_.erase(planned);
+    return;
+  }
+  After(kComesBackEmptyAfter, [this, id] { Start(DrawSeeds(id), id); });
+}
+
+bool CellWorld::HasPlannedSuccessor(const std::string& id) const {
+  return std::any_of(planned_stops_.begin(), planned_stops_.end(),
+                     [&](const PlannedStop& stop) { return stop.id == id; });
+}
+
+void CellWorld::PlayPlannedReplacement() {
+  const Place& place = places_[random_.NextBelow(places_.size())];
+  if (IsLost(place) || HasPlannedSuccessor(place.id)) {
+    return;
+  }
+  const std::string id = place.id;
+  Record(id + " is to be replaced");
+  // Not a place of its own: it takes the one of its predecessor later.
+  const std::string successor = Start(DrawSeeds(""), "no place yet");
+  planned_stops_.push_back(
+      {id, successor, now_ + Between(Millis(500), seconds(6))});
+  ++result_.events;
+}
+
+void CellWorld::PlayDueStop() {
+  for (const PlannedStop& stop : planned_stops_) {
+    Place& place = *PlaceOf(stop.id);
+    if (now_ < stop.due || IsLost(place) || Lost() >= losses_) {
+      continue;
+    }
+    CheckLeases();
+    LoseForGood(stop.id);
+    place.id = stop.successor;
+    NoteBack(stop.successor);
+    ++result_.events;
+    planned_stops_.erase(planned_stops_.begin() +
+                         (&stop - planned_stops_.data()));
+    Run(Between(Duration(0), kCellCatchUp));
+    RunUntil(kWaitBound, [&] { return Lost() < losses_; });
+    return;
+  }
+}
+
+void CellWorld::PlayPowerLoss() {
+  ++result_.events;
+  Record("power loss");
+  Duration last{0};
+  for (const std::string& id : Running()) {
+    Kill(id);
+    const Duration down = Between(Millis(100), seconds(3));
+    last = std::max(last, down);
+    After(down, [this, id] { Restart(id); });
+  }
+  power_lost_until_ = now_ + last + kCellCatchUp;
+  Run(last + kCellCatchUp);
+}
+
+std::vector<std::string> CellWorld::DrawSeeds(const std::string& except) {
+  std::vector<std::string> ids = Running();
+  std::erase(ids, except);
+  std::vector<std::string> seeds;
+  while (!ids.empty() && seeds.size() < kSeeds) {
+    const std::size_t pick = random_.NextBelow(ids.size());
+    seeds.push_back(ids[pick]);
+    ids.erase(ids.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+  return seeds;
+}
+
+void CellWorld::RenewSeeds(Replica& replica) {
+  const auto remaining = std::count_if(
+      replica.seeds.begin(), replica.seeds.end(), [&](const std::string& id) {
+        return id != replica.id && !replicas_.at(id).is_departed;
+      });
+  // With as many other seeds as places may be lost, one is always connected:
+  // the replica itself counts as lost.
+  if (remaining < losses_) {
+    replica.seeds = DrawSeeds(replica.id);
+  }
+}
+
+// --- Judgement ---
+
+void CellWorld::Record(const std::string& line) {
+  std::string millis = std::to_string(ToMillis(now_ - kStart) % 1000);
+  millis.insert(0, 3 - millis.size(), '0');
+  result_.history += std::to_string(ToMillis(now_ - kStart) / 1000) + "." +
+                     millis + " s: " + line + "\n";
+}
+
+void CellWorld::Complain(const std::string& rule, const std::string& detail) {
+  if (!broken_rules_.insert(rule).second) {
+    return;
+  }
+  std::string millis = std::to_string(ToMillis(now_ - kStart) % 1000);
+  millis.insert(0, 3 - millis.size(), '0');
+  result_.violations.push_back(std::to_string(ToMillis(now_ - kStart) / 1000) +
+                               "." + millis + " s: broken: " + rule + "; " +
+                               detail);
+  Record("broken: " + rule + "; " + detail);
+}
+
+std::string CellWorld::Describe(const Membership& membership) const {
+  std::string text = "voters";
+  const auto list = [&](const std::vector<MemberId>& members) {
+    for (const MemberId& member : members) {
+      const Replica& replica = replicas_.at(member.id);
+      text += " " + member.id;
+      if (replica.is_departed) {
+        text += "(gone)";
+      } else if (replica.disk->incarnation() != member.incarnation) {
+        text += "(disk lost)";
+      } else if (!replica.IsHealthy()) {
+        text += "(away)";
+      }
+    }
+  };
+  list(membership.voters);
+  text += ", learners";
+  list(membership.learners);
+  return text;
+}
+
+void CellWorld::CheckLeases() {
+  std::string holders;
+  int count = 0;
+  for (const auto& [id, replica] : replicas_) {
+    if (replica.core != nullptr && replica.core->HoldsLease(now_)) {
+      holders += " " + id;
+      ++count;
+    }
+  }
+  if (count > 1) {
+    Complain("one replica holds a lease", holders);
+  }
+  if (!has_formed_ || now_ < power_lost_until_) {
+    return;
+  }
+  const int lost = Lost();
+  const int reserve = Reserve();
+  const auto complain = [&](const std::string& rule) {
+    Complain(rule,
+             std::to_string(lost) + " count as lost, " + Describe(membership_));
+  };
+  if (reserve < 0) {
+    complain("a majority of the voters is alive and connected");
+  }
+  if (now_ < disturbed_at_ + kCellCatchUp) {
+    return;
+  }
+  if (reserve < losses_ - lost) {
+    complain("the cell bears the next loss");
+  }
+  if (Leader().empty()) {
+    complain("there is a leader in calm time");
+  }
+}
+
+void CellWorld::Check() {
+  After(kCheckInterval, [this] { Check(); });
+  CheckLeases();
+}
+
+void CellWorld::CheckEnd(std::uint64_t acknowledged) {
+  for (const std::string& id : Running()) {
+    if (!IsVoterNow(id)) {
+      Complain("every running replica is a voter at the end",
+               id + " isn't; " + Describe(membership_));
+    }
+    if (replicas_.at(id).applied < acknowledged) {
+      Complain("every replica has all acknowledged entries at the end",
+               id + " has " + std::to_string(replicas_.at(id).applied) +
+                   " of " + std::to_string(acknowledged));
+    }
+  }
+  for (const MemberId& voter : membership_.voters) {
+    if (!IsAlive(voter)) {
+      Complain("no departed replica is a voter at the end",
+               Describe(membership_));
+    }
+  }
+}
+
+void CellWorld::NoteRole(const Replica& replica) {
+  if (replica.core->role() != RaftRole::kLeader) {
+    return;
+  }
+  const MemberId self{replica.id, replica.disk->incarnation()};
+  const std::uint64_t term = replica.core->term();
+  const auto [found, is_new] = leaders_.emplace(term, self);
+  if (found->second != self) {
+    Complain("a term has one leader", replica.id + " and " + found->second.id +
+                                          " lead term " + std::to_string(term));
+  }
+  if (!is_new) {
+    return;
+  }
+  Record(replica.id + " leads term " + std::to_string(term));
+  if (replica.core->log().last_index() < acknowledged_index_) {
+    Complain("a leader has all acknowledged entries",
+             replica.id + " has " +
+                 std::to_string(replica.core->log().last_index()) + " of " +
+                 std::to_string(acknowledged_index_));
+  }
+}
+
+void CellWorld::CompareDigest(const Replica& replica) {
+  const auto [found, is_new] =
+      digests_.emplace(replica.applied, replica.digest);
+  if (found->second != replica.digest) {
+    Complain(
+        "all replicas apply the same entries",
+        replica.id + " differs at index " + std::to_string(replica.applied));
+  }
+}
+
+void CellWorld::Apply(Replica& replica, const LogEntry& entry) {
+  replica.applied = entry.index;
+  replica.digest = DigestAfter(replica.digest, entry);
+  CompareDigest(replica);
+  if (replica.core->role() == RaftRole::kLeader &&
+      entry.index > acknowledged_index_) {
+    acknowledged_index_ = entry.index;
+    ++result_.acknowledged;
+  }
+  if (entry.kind != EntryKind::kMembership ||
+      entry.index <= membership_index_) {
+    return;
+  }
+  Reason reason;
+  if (auto membership = DecodeMembership(entry.data, reason)) {
+    membership_ = *std::move(membership);
+    membership_index_ = entry.index;
+    Record("committed at " + std::to_string(entry.index) + ": " +
+           Describe(membership_));
+  }
+}
+
+CellWorldResult PlayCellWorld(const CellWorldOptions& options,
+                              std::uint64_t seed) {
+  CellWorld world(options.size, options.losses, seed);
+  world.Form();
+  world.Play(options);
+  return world.result();
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/tests/support/cell_world.h
@@ -0,0 +1,298 @@
+#ifndef BANYAN_TESTS_SUPPORT_CELL_WORLD_H_
+#define BANYAN_TESTS_SUPPORT_CELL_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "banyan/base/random.h"
+#include "banyan/consensus/raft_core.h"
+#include "tests/support/virtual_machines.h"
+
+namespace banyan {
+
+// The bound of the promise that is judged: this long after a successor has
+// started, or a replica is back, the cell bears the next loss.
+inline constexpr Duration kCellCatchUp = std::chrono::seconds(4);
+
+// The kinds of events that a cell goes through.
+struct CellEvents {
+  // A process dies and starts again with its disk.
+  bool kills = false;
+  // A process stands still and goes on with its old state.
+  bool freezes = false;
+  // A replica is cut off from all others, in both directions or in one.
+  bool cuts = false;
+  // A replica comes back empty at the same address.
+  bool disk_losses = false;
+  // A replica is lost for good; an empty successor has another address.
+  bool replacements = false;
+  // A successor starts first, then the old replica is stopped.
+  bool planned_replacements = false;
+  // A replica is added without a loss, at most once.
+  bool additions = false;
+  // All replicas die at once and start again with their disks.
+  bool power_losses = false;
+  // The leader hands its leadership over.
+  bool transfers = false;
+};
+
+// What a play of a cell is made of.
+struct CellWorldOptions {
+  int size = 3;
+  // How many replicas may count as lost at a time.
+  int losses = 1;
+  CellEvents events;
+  int event_count = 8;
+  // Whether a replica is also hit while it counts as lost for an earlier event
+  // though it is back. This takes no further share of the losses.
+  bool hits_returning = false;
+};
+
+// What became of a play.
+struct CellWorldResult {
+  // The first violation of each rule, with its time.
+  std::vector<std::string> violations;
+  // All that happened, one line each.
+  std::string history;
+  // The number of events that occurred.
+  int events = 0;
+  // The number of entries that leaders acknowledged.
+  std::uint64_t acknowledged = 0;
+  // The number of snapshots that replicas got from a leader.
+  int snapshots = 0;
+};
+
+// The replicas of one cell under virtual time, each a RaftCore on a disk that
+// syncs after some milliseconds. Messages go by address, in order between two
+// replicas.
+//
+// Each place of the cell has one replica, and a lost replica's successor takes
+// its place. A place counts as lost while its replica is down, frozen or cut
+// off, and until the replica or its successor has been back for kCellCatchUp. A
+// replica that is stopped for a successor that runs already counts for
+// kCellCatchUp from the stop: no cell could know before that it will go. A
+// replica that is added counts never. At all times must hold:
+//
+// - while at most `losses` places count as lost, a majority of the voters of
+//   the newest committed membership runs and is connected;
+// - once nothing has been lost and nothing has come back for kCellCatchUp, the
+//   majority also survives the loss of any voters up to `losses` in all, and
+//   there is a leader that holds its lease;
+// - all replicas apply the same entries, and a leader has all entries that
+//   were acknowledged before its election;
+// - no term has two leaders, and no two replicas hold a lease.
+class CellWorld {
+ public:
+  CellWorld(int size, int losses, std::uint64_t seed);
+  ~CellWorld();
+
+  // Starts the cell of the first three replicas, then the others, and runs
+  // until all are voters.
+  void Form();
+  // Runs for a span of virtual time.
+  void Run(Duration span);
+  // Runs until the condition holds; false after the bound.
+  bool RunUntil(Duration bound, const std::function<bool()>& condition);
+  // Does something after a span of virtual time.
+  void After(Duration delay, std::function<void()> run);
+  // Plays random events, heals everything and checks the end.
+  void Play(const CellWorldOptions& options);
+
+  // The directions in which a replica is cut off.
+  enum class CutKind : std::uint8_t { kBoth, kIncoming, kOutgoing };
+
+  void Kill(const std::string& id);
+  // Starts a replica on what its disk holds.
+  void Restart(const std::string& id);
+  // Kills a replica and empties its disk.
+  void LoseDisk(const std::string& id);
+  // Stops a process. Messages to it wait, or are lost.
+  void Freeze(const std::string& id, bool keeps_messages);
+  void Thaw(const std::string& id);
+  // Cuts a replica off. Messages wait until the cut ends, or are lost.
+  void Cut(const std::string& id, CutKind kind, bool keeps_messages);
+  void EndCut(const std::string& id);
+  // Takes a replica away for ever.
+  void LoseForGood(const std::string& id);
+  // Starts an empty replica with these ids as its seeds and returns its id.
+  // It takes the place of `predecessor`, which is gone; without one it gets a
+  // place of its own.
+  std::string Start(const std::vector<std::string>& seeds,
+                    const std::string& predecessor);
+  void TransferLeadership();
+
+  // The leader that holds its lease, or empty.
+  [[nodiscard]] std::string Leader() const;
+  // Ids of the running replicas, in the order of their first start.
+  [[nodiscard]] std::vector<std::string> Running() const;
+  // The newest membership that any replica has seen committed.
+  [[nodiscard]] const Membership& membership() const { return membership_; }
+  // Whether the replica, with the disk that it has now, is a voter.
+  [[nodiscard]] bool IsVoterNow(const std::string& id) const;
+  // How many further losses of voters leave a majority; negative if there is
+  // none.
+  [[nodiscard]] int Reserve() const;
+  [[nodiscard]] const CellWorldResult& result() const { return result_; }
+
+ private:
+  struct Replica {
+    std::string id;
+    // Rises with the order of first starts.
+    int number = 0;
+    std::vector<std::string> seeds;
+    std::unique_ptr<VirtualDisk> disk;
+    std::unique_ptr<RaftCore> core;
+    bool is_departed = false;
+    bool is_frozen = false;
+    std::optional<CutKind> cut;
+    bool keeps_messages = false;
+    // What a frozen process has to do once it goes on.
+    std::vector<std::function<void()>> waiting;
+    // Messages from and to a replica that is cut off.
+    std::vector<std::function<void()>> held;
+    // Rises with every start and end of the process.
+    std::uint64_t life = 0;
+    Time disk_free_at;
+    // When the latest message to each receiver arrives.
+    std::map<std::string, Time> last_arrival;
+    std::uint64_t applied = 0;
+    // A digest of all applied entries.
+    std::uint64_t digest = 0;
+    std::uint64_t snapshot_at = 0;
+
+    [[nodiscard]] bool IsHealthy() const {
+      return core != nullptr && !is_frozen && !cut;
+    }
+  };
+
+  // A place of the cell.
+  struct Place {
+    std::string id;
+    Time counts_until;
+  };
+
+  // A replica that is to be stopped for its successor.
+  struct PlannedStop {
+    std::string id;
+    std::string successor;
+    Time due;
+  };
+
+  struct Action {
+    Time at;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+  };
+
+  enum class EventKind : std::uint8_t {
+    kKill,
+    kFreeze,
+    kCut,
+    kDiskLoss,
+    kReplacement,
+    kPlannedReplacement,
+    kAddition,
+    kPowerLoss,
+    kTransfer,
+  };
+
+  static bool IsLater(const Action& a, const Action& b);
+
+  // --- Steps ---
+  void Boot(Replica& replica);
+  void Tick(const std::string& id, std::uint64_t life);
+  void Flush(Replica& replica);
+  void Persist(Replica& replica, std::vector<PersistBatch> batches);
+  void TakeSnapshot(Replica& replica);
+  void Send(Replica& from, Outbound outbound);
+  void Arrive(const Sender& from,
+              const std::string& to,
+              std::uint64_t life,
+              const Message& message);
+  void ProposeAtLeaders();
+  // Proposes more entries than a leader retains, so that a replica that starts
+  // empty gets a snapshot.
+  void FillLog();
+  // Runs now, or when the process goes on.
+  void RunAwake(Replica& replica, std::function<void()> run);
+
+  // --- Events ---
+  void PlayEvent(const CellWorldOptions& options, EventKind kind);
+  void HitOne(const CellWorldOptions& options, EventKind kind);
+  void PlayKill(const std::string& id);
+  void PlayFreeze(const std::string& id);
+  void PlayCut(const std::string& id);
+  void PlayDiskLoss(const std::string& id);
+  void PlayReplacement(const std::string& id);
+  void PlayPlannedReplacement();
+  void PlayDueStop();
+  void PlayPowerLoss();
+  void PauseBeforeNext(const CellWorldOptions& options);
+  [[nodiscard]] static std::vector<EventKind> KindsOf(const CellEvents& events);
+  [[nodiscard]] std::string PickVictim(const CellWorldOptions& options);
+  [[nodiscard]] std::vector<std::string> DrawSeeds(const std::string& except);
+  // A replica without its disk gets new seeds if too few of its own remain.
+  void RenewSeeds(Replica& replica);
+  [[nodiscard]] bool HasPlannedSuccessor(const std::string& id) const;
+  [[nodiscard]] Place* PlaceOf(const std::string& id);
+  [[nodiscard]] bool IsLost(const Place& place) const;
+  [[nodiscard]] int Lost() const;
+  [[nodiscard]] Duration Between(Duration least, Duration most);
+  [[nodiscard]] bool Chance(std::uint64_t percent);
+  void NoteBack(const std::string& id);
+  void NoteDisturbance(const std::string& what);
+
+  // --- Judgement ---
+  void Check();
+  void CheckLeases();
+  // Checks the end of a play; `acknowledged` is an index that every replica has
+  // to have reached.
+  void CheckEnd(std::uint64_t acknowledged);
+  void NoteRole(const Replica& replica);
+  void Apply(Replica& replica, const LogEntry& entry);
+  void CompareDigest(const Replica& replica);
+  void Complain(const std::string& rule, const std::string& detail);
+  void Record(const std::string& line);
+  [[nodiscard]] std::string Describe(const Membership& membership) const;
+  [[nodiscard]] bool IsAlive(const MemberId& member) const;
+
+  int size_;
+  int losses_;
+  Random random_;
+  Time now_;
+  std::uint64_t next_order_ = 0;
+  // A heap by time.
+  std::vector<Action> actions_;
+  std::map<std::string, Replica> replicas_;
+  std::vector<Place> places_;
+  std::vector<PlannedStop> planned_stops_;
+  int next_number_ = 1;
+  std::uint64_t next_proposal_ = 1;
+  Time disturbed_at_;
+  bool has_formed_ = false;
+  bool has_added_ = false;
+  // While all replicas are down or have just come back.
+  Time power_lost_until_;
+  // The digest after each index that any replica has applied.
+  std::map<std::uint64_t, std::uint64_t> digests_;
+  std::uint64_t acknowledged_index_ = 0;
+  Membership membership_;
+  std::uint64_t membership_index_ = 0;
+  std::map<std::uint64_t, MemberId> leaders_;
+  std::set<std::string> broken_rules_;
+  CellWorldResult result_;
+};
+
+// Plays a cell under random events and judges it.
+[[nodiscard]] CellWorldResult PlayCellWorld(const CellWorldOptions& options,
+                                            std::uint64_t seed);
+
+}  // namespace banyan
+
+#endif  // BANYAN_TESTS_SUPPORT_CELL_WORLD_H_
--- /dev/null
+++ b/tests/unit/cell_world_test.cc
@@ -0,0 +1,259 @@
+#include "tests/support/cell_world.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "tests/unit/story.h"
+
+namespace banyan {
+namespace {
+
+using std::chrono::seconds;
+
+// Far fewer would mean that a world stands still.
+constexpr int kMinEvents = 3;
+constexpr std::uint64_t kMinAcknowledged = 200;
+
+// Reads a number from the environment. BANYAN_WORLD_SEEDS is how many seeds
+// each series plays, BANYAN_WORLD_FIRST the first of them; a single seed that
+// fails is printed with all that happened.
+std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? otherwise : std::stoull(value);
+}
+
+// Plays each seed and fails with the first violation of each.
+void Play(const CellWorldOptions& options) {
+  constexpr std::uint64_t kSeeds = 20;
+  const std::uint64_t seeds = FromEnvironment("BANYAN_WORLD_SEEDS", kSeeds);
+  const std::uint64_t first = FromEnvironment("BANYAN_WORLD_FIRST", 1);
+  std::string text;
+  std::uint64_t failed = 0;
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    const CellWorldResult result = PlayCellWorld(options, seed);
+    if (!result.violations.empty()) {
+      ++failed;
+      text += "\nseed " + std::to_string(seed) + ", " +
+              std::to_string(result.violations.size()) +
+              " violations, the first: " + result.violations.front();
+      if (seeds == 1) {
+        text += "\n" + result.history;
+      }
+      continue;
+    }
+    CPPUNIT_ASSERT(result.events >= kMinEvents);
+    CPPUNIT_ASSERT(result.acknowledged >= kMinAcknowledged);
+  }
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(failed) + " of " +
+                             std::to_string(seeds) + " seeds failed" + text,
+                         failed == 0);
+}
+
+// How many losses at a time a cell of this size has to bear.
+int LossesOf(int size) {
+  constexpr int kLeastForTwo = 5;
+  return size < kLeastForTwo ? 1 : 2;
+}
+
+// Guards against a core that doesn't elect though all disks are kept.
+constexpr CellEvents kAllDisksKept{
+    .kills = true,
+    .freezes = true,
+    .cuts = true,
+    .power_losses = true,
+    .transfers = true,
+};
+
+// Guards against voters that are gone and still count.
+constexpr CellEvents kLossesOfDisks{
+    .disk_losses = true,
+    .replacements = true,
+    .planned_replacements = true,
+    .additions = true,
+};
+
+// Guards against silence that is taken for a loss, and against replicas that
+// come back with a membership of before.
+constexpr CellEvents kFreezesAndCuts{
+    .freezes = true,
+    .cuts = true,
+    .disk_losses = true,
+    .replacements = true,
+};
+
+// Guards against what only the earlier leader knew.
+constexpr CellEvents kChangesOfLeader{
+    .kills = true,
+    .disk_losses = true,
+    .replacements = true,
+    .transfers = true,
+};
+
+// Guards against what only a combination of events brings about.
+constexpr CellEvents kEverything{
+    .kills = true,
+    .freezes = true,
+    .cuts = true,
+    .disk_losses = true,
+    .replacements = true,
+    .planned_replacements = true,
+    .additions = true,
+    .power_losses = true,
+    .transfers = true,
+};
+
+// The series that a cell of one size goes through.
+Section SizeStory(int size) {
+  const std::string name = "a cell of " + std::to_string(size);
+  const auto series = [size](const CellEvents& events, bool hits_returning) {
+    return [size, events, hits_returning] {
+      Play({.size = size,
+            .losses = LossesOf(size),
+            .events = events,
+            .hits_returning = hits_returning});
+    };
+  };
+  Section section(name);
+  section
+      .Then(name + " bears what keeps all disks", series(kAllDisksKept, false))
+      .Then(name + " bears losses of disks and replacements",
+            series(kLossesOfDisks, false))
+      .Then(name + " bears losses among freezes and cuts",
+            series(kFreezesAndCuts, false))
+      .Then(name + " bears losses among changes of leader",
+            series(kChangesOfLeader, false))
+      .Then(name + " bears everything together", series(kEverything, false))
+      .Then(name + " bears that a returning replica is lost again",
+            series(kEverything, true));
+  return section;
+}
+
+// A replica that runs and isn't the leader.
+std::string AnyFollower(const CellWorld& world) {
+  for (const std::string& id : world.Running()) {
+    if (id != world.Leader()) {
+      return id;
+    }
+  }
+  return "";
+}
+
+bool IsListed(const std::vector<MemberId>& members, const std::string& id) {
+  return std::any_of(members.begin(), members.end(),
+                     [&](const MemberId& member) { return member.id == id; });
+}
+
+void AssertNoViolation(const CellWorld& world) {
+  CPPUNIT_ASSERT_MESSAGE(
+      world.result().violations.empty()
+          ? ""
+          : world.result().violations.front() + "\n" + world.result().history,
+      world.result().violations.empty());
+}
+
+// Guards against a majority that is lost for ever: the voter that is gone, its
+// successor and the second disk make two of four.
+void SecondDiskRightAfterReplacement() {
+  CellWorld world(3, 1, 1);
+  world.Form();
+  const std::string lost = AnyFollower(world);
+  world.LoseForGood(lost);
+  world.Run(seconds(1));
+  std::vector<std::string> seeds = world.Running();
+  world.Start(seeds, lost);
+  world.Run(kCellCatchUp);
+  const std::string second = AnyFollower(world);
+  world.LoseDisk(second);
+  world.Run(seconds(1));
+  world.Restart(second);
+  world.Run(kCellCatchUp);
+  CPPUNIT_ASSERT(!world.Leader().empty());
+  CPPUNIT_ASSERT(world.IsVoterNow(second));
+  AssertNoViolation(world);
+}
+
+// Guards against silence that each leader counts anew.
+void NewLeaderRemovesEarlierLoss() {
+  CellWorld world(5, 2, 1);
+  world.Form();
+  const std::string lost = AnyFollower(world);
+  world.LoseForGood(lost);
+  world.Run(seconds(1));
+  world.Start(world.Running(), lost);
+  // The leader dies right after the successor has been voted in.
+  const auto is_admitted = [&] { return world.membership().voters.size() > 5; };
+  world.RunUntil(seconds(1), is_admitted);
+  const std::string leader = world.Leader();
+  world.Kill(leader);
+  world.Run(seconds(2));
+  CPPUNIT_ASSERT(!world.Leader().empty());
+  world.Restart(leader);
+  world.Run(kCellCatchUp);
+  CPPUNIT_ASSERT_MESSAGE("a voter that is gone still counts",
+                         !IsListed(world.membership().voters, lost));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{5}, world.membership().voters.size());
+  AssertNoViolation(world);
+}
+
+// Guards against a replica that takes itself for a voter and never asks.
+void RemovedVoterComesBack() {
+  CellWorld world(3, 1, 1);
+  world.Form();
+  const std::string silent = AnyFollower(world);
+  world.Freeze(silent, false);
+  // The operator takes it for lost and starts another one.
+  world.Start(world.Running(), "");
+  // Longer than any voter may stay silent beside a successor.
+  world.Run(seconds(14));
+  CPPUNIT_ASSERT_MESSAGE("a silent voter still counts",
+                         !IsListed(world.membership().voters, silent));
+  world.Thaw(silent);
+  world.Run(kCellCatchUp);
+  CPPUNIT_ASSERT_MESSAGE("a removed voter isn't admitted again",
+                         world.IsVoterNow(silent));
+  AssertNoViolation(world);
+}
+
+// Guards against join requests that followers keep to themselves.
+void NewcomerWhoseSeedsDoNotLead() {
+  CellWorld world(5, 2, 1);
+  world.Form();
+  std::vector<std::string> seeds;
+  for (const std::string& id : world.Running()) {
+    if (id != world.Leader() && seeds.size() < 3) {
+      seeds.push_back(id);
+    }
+  }
+  const std::string newcomer = world.Start(seeds, "");
+  world.Run(kCellCatchUp);
+  CPPUNIT_ASSERT_MESSAGE("a newcomer isn't admitted",
+                         world.IsVoterNow(newcomer));
+  AssertNoViolation(world);
+}
+
+}  // namespace
+
+Section CellWorldStory() {
+  Section section("Losses of replicas under virtual time");
+  section.With(
+      Section("one after the other")
+          .Then("the second loss of a disk right after a replacement leaves a "
+                "majority",
+                SecondDiskRightAfterReplacement)
+          .Then(
+              "a new leader removes a voter that was lost before its election",
+              NewLeaderRemovesEarlierLoss)
+          .Then("a voter that was removed while it was silent comes back as a "
+                "voter",
+                RemovedVoterComesBack)
+          .Then("a newcomer whose seeds don't lead is admitted",
+                NewcomerWhoseSeedsDoNotLead));
+  for (const int size : {3, 4, 5, 6, 7}) {
+    section.With(SizeStory(size));
+  }
+  return section;
+}
+
+}  // namespace banyan
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -69,6 +69,7 @@
       .With(EventsStory())
       .With(StorageStory())
       .With(ConsensusStory())
+      .With(CellWorldStory())
       .With(ControlCoreStory())
       .With(ControlStateStory())
       .With(SchedulerStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -67,6 +67,7 @@
 Section EventsStory();
 Section StorageStory();
 Section ConsensusStory();
+Section CellWorldStory();
 Section ControlCoreStory();
 Section ControlStateStory();
 Section SchedulerStory();
