--- a/tests/support/cell_world.cc
+++ b/tests/support/cell_world.cc
@@ -530,13 +530,8 @@
     PlayDueStop();
     PlayEvent(options, kinds[random_.NextBelow(kinds.size())]);
   }
-  while (!planned_stops_.empty()) {
-    const auto can_stop = [&] {
-      return Lost() < losses_ && now_ >= planned_stops_.front().due;
-    };
-    if (!RunUntil(kWaitBound, can_stop)) {
-      break;
-    }
+  while (RunUntil(planned_stops_.empty() ? Duration(0) : kWaitBound,
+                  [&] { return FindDueStop() != planned_stops_.end(); })) {
     PlayDueStop();
   }
   RunUntil(kWaitBound, [&] { return Lost() == 0; });
@@ -589,7 +584,7 @@
 
 void CellWorld::PlayEvent(const CellWorldOptions& options, EventKind kind) {
   // An event may come at the first moment at which something must hold.
-  CheckLeases();
+  CheckNow();
   switch (kind) {
     case EventKind::kTransfer:
       TransferLeadership();
@@ -693,23 +688,30 @@
   ++result_.events;
 }
 
+std::vector<CellWorld::PlannedStop>::iterator CellWorld::FindDueStop() {
+  if (Lost() >= losses_) {
+    return planned_stops_.end();
+  }
+  return std::find_if(planned_stops_.begin(), planned_stops_.end(),
+                      [&](const PlannedStop& stop) {
+                        return stop.due <= now_ && !IsLost(*PlaceOf(stop.id));
+                      });
+}
+
 void CellWorld::PlayDueStop() {
-  for (const PlannedStop& stop : planned_stops_) {
-    Place& place = *PlaceOf(stop.id);
-    if (now_ < stop.due || IsLost(place) || Lost() >= losses_) {
-      continue;
-    }
-    CheckLeases();
-    LoseForGood(stop.id);
-    place.id = stop.successor;
-    NoteBack(stop.successor);
-    ++result_.events;
-    planned_stops_.erase(planned_stops_.begin() +
-                         (&stop - planned_stops_.data()));
-    Run(Between(Duration(0), kCellCatchUp));
-    RunUntil(kWaitBound, [&] { return Lost() < losses_; });
+  const auto found = FindDueStop();
+  if (found == planned_stops_.end()) {
     return;
   }
+  const PlannedStop stop = *found;
+  planned_stops_.erase(found);
+  CheckNow();
+  LoseForGood(stop.id);
+  PlaceOf(stop.id)->id = stop.successor;
+  NoteBack(stop.successor);
+  ++result_.events;
+  Run(Between(Duration(0), kCellCatchUp));
+  RunUntil(kWaitBound, [&] { return Lost() < losses_; });
 }
 
 void CellWorld::PlayPowerLoss() {
@@ -792,7 +794,7 @@
   return text;
 }
 
-void CellWorld::CheckLeases() {
+void CellWorld::CheckNow() {
   std::string holders;
   int count = 0;
   for (const auto& [id, replica] : replicas_) {
@@ -829,7 +831,7 @@
 
 void CellWorld::Check() {
   After(kCheckInterval, [this] { Check(); });
-  CheckLeases();
+  CheckNow();
 }
 
 void CellWorld::CheckEnd(std::uint64_t acknowledged) {
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -231,7 +231,9 @@
   void PlayDiskLoss(const std::string& id);
   void PlayReplacement(const std::string& id);
   void PlayPlannedReplacement();
+  // Stops one replica whose successor runs, if the losses leave room for it.
   void PlayDueStop();
+  [[nodiscard]] std::vector<PlannedStop>::iterator FindDueStop();
   void PlayPowerLoss();
   void PauseBeforeNext(const CellWorldOptions& options);
   [[nodiscard]] static std::vector<EventKind> KindsOf(const CellEvents& events);
@@ -250,7 +252,7 @@
 
   // --- Judgement ---
   void Check();
-  void CheckLeases();
+  void CheckNow();
   // Checks the end of a play; `acknowledged` is an index that every replica has
   // to have reached.
   void CheckEnd(std::uint64_t acknowledged);
