Tests: a cell under virtual time: a departed voter that becomes a learner

A voter that joined through the present leader, is lost for good and removed after 12 s is a learner 74 ms later: its join request is still on record.

--- a/tests/unit/cell_world_test.cc
+++ b/tests/unit/cell_world_test.cc
@@ -216,6 +216,22 @@
   AssertNoViolation(world);
 }
 
+// Guards against a join request that outlives the membership it led to.
+void RemovedVoterIsNoLearner() {
+  CellWorld world(3, 1, 1);
+  world.Form();
+  const std::string added = world.Start(world.Running(), "");
+  world.Run(kCellCatchUp);
+  CPPUNIT_ASSERT(world.IsVoterNow(added));
+  world.LoseForGood(added);
+  // Longer than any voter may stay silent in a cell of an even size.
+  world.Run(seconds(14));
+  CPPUNIT_ASSERT_MESSAGE("a voter that is gone still counts",
+                         !IsListed(world.membership().voters, added));
+  CPPUNIT_ASSERT_MESSAGE("a replica that is gone is a learner",
+                         !IsListed(world.membership().learners, added));
+}
+
 // Guards against join requests that followers keep to themselves.
 void NewcomerWhoseSeedsDoNotLead() {
   CellWorld world(5, 2, 1);
@@ -248,6 +264,10 @@
           .Then("a voter that was removed while it was silent comes back as a "
                 "voter",
                 RemovedVoterComesBack)
+          .Then(
+              "a voter that was removed without a sign of life isn't admitted "
+              "as a learner",
+              RemovedVoterIsNoLearner)
           .Then("a newcomer whose seeds don't lead is admitted",
                 NewcomerWhoseSeedsDoNotLead));
   for (const int size : {3, 4, 5, 6, 7}) {
