--- a/tests/support/cell_world.cc
+++ b/tests/support/cell_world.cc
@@ -160,7 +160,7 @@
 std::string CellWorld::Start(const std::vector<std::string>& seeds,
                              const std::string& predecessor) {
   const int number = next_number_++;
-  const std::string id = "r" + std::to_string(number);
+  std::string id = "r" + std::to_string(number);
   Replica& replica = replicas_[id];
   replica.id = id;
   replica.number = number;
@@ -401,7 +401,7 @@
   if (is_out_cut || is_in_cut) {
     Replica& cut = is_out_cut ? sender : receiver;
     if (cut.keeps_messages) {
-      cut.held.push_back(
+      cut.held.emplace_back(
           [this, from, to, life, message] { Arrive(from, to, life, message); });
     }
     return;
