Consensus: forward requests for admission, and ask for it whenever no leader is heard

What callers saw: a replica that lost its disk, or a successor, was never admitted if none of its three seeds led; and a voter that was voted out while it was silent never came back. Either way the cell went on with a voter less than it was taken to have, and the next loss could cost the majority for good.

Cause: only the leader admits, and a replica that doesn't lead kept the request to itself. A replica asks for admission only if its own log says that it is no voter; one that was away never reads the entry that removed it, and the pre-votes that it sends instead are ignored by replicas that have a leader.

Change: replicas that don't lead forward a request to their leader, with the requester named in an optional field. A replica asks as long as it hears no leader, whatever its log says, and it asks the voters that it knows besides its seeds. The leader ignores the requests of members.

Why it works: a member that is reachable knows the leader, so one seed or one known voter that is left is enough, and no belief of the requester about its own role is needed.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -160,6 +160,8 @@
                       const Membership& current,
                       const MemberId& voter);
   void ReconcileMembership(Time now);
+  // Asks all replicas that may know the leader for admission.
+  void RequestAdmission(Time now);
   void RemoveUnresponsiveVoter(Time now, const Membership& current);
   void Replicate(Time now);
   void HandleAppendRejection(const MemberId& from,
--- a/include/banyan/wire/message.h
+++ b/include/banyan/wire/message.h
@@ -120,8 +120,10 @@
   std::uint64_t term = 0;
 };
 
-// Announces a replica that has no membership. If all configured replicas are
-// empty, they form a new cell; otherwise the leader adds it as a learner.
+// Announces a replica that has no membership, or that hears no leader and may
+// have been removed. If all configured replicas are empty, they form a new
+// cell; otherwise the leader adds it as a learner. Members that don't lead
+// forward the request to the leader.
 struct JoinRequest {
   static constexpr const char* kType = "join-request";
   // Whether the sender has no membership, or only the initial one of a newly
@@ -129,6 +131,8 @@
   bool empty = true;
   // Members, with incarnations, that the sender knows to have started empty.
   std::vector<MemberId> seen;
+  // The replica that requests admission; empty if it is the sender itself.
+  MemberId requester;
 };
 
 // Sent by an agent to register its instance.
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -1,6 +1,7 @@
 #include "banyan/consensus/raft_core.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "banyan/wire/codec.h"
@@ -180,14 +181,12 @@
     TickLeader(now);
     return;
   }
-  if (!IsSelfVoter()) {
-    // A replica that was removed or lost its data requests to join again.
-    if (leader_.empty() || now >= election_deadline_) {
-      TickNonMember(now);
-    }
-    return;
+  if (leader_.empty() || now >= election_deadline_) {
+    RequestAdmission(now);
+  }
+  if (IsSelfVoter()) {
+    TickFollower(now);
   }
-  TickFollower(now);
 }
 
 void RaftCore::TickFollower(Time now) {
@@ -199,6 +198,11 @@
 }
 
 void RaftCore::TickNonMember(Time now) {
+  RequestAdmission(now);
+  BootstrapIfAllEmpty(now);
+}
+
+void RaftCore::RequestAdmission(Time now) {
   if (now < next_join_request_) {
     return;
   }
@@ -208,15 +212,21 @@
   for (const auto& [id, peer] : join_requests_) {
     request.seen.push_back(peer.first);
   }
-  std::vector<std::string> asked_ids;
-  for (const std::string& id : options_.configured_ids) {
-    if (id != options_.self.id) {
-      out_.messages.push_back({id, request});
-      asked_ids.push_back(id);
-    }
+  // The configured replicas may have been replaced since, and the members that
+  // this replica knows may have been, too.
+  std::set<std::string> contacts(options_.configured_ids.begin(),
+                                 options_.configured_ids.end());
+  for (const MemberId& voter : log_.membership().voters) {
+    contacts.insert(voter.id);
+  }
+  contacts.erase(options_.self.id);
+  for (const std::string& id : contacts) {
+    out_.messages.push_back({id, request});
+  }
+  if (!IsSelfVoter()) {
+    health_.OnJoinRequested(now, {contacts.begin(), contacts.end()},
+                            !request.empty, out_.events);
   }
-  health_.OnJoinRequested(now, asked_ids, !request.empty, out_.events);
-  BootstrapIfAllEmpty(now);
 }
 
 void RaftCore::BootstrapIfAllEmpty(Time now) {
@@ -255,22 +265,38 @@
 void RaftCore::Handle(Time now,
                       const MemberId& from,
                       const JoinRequest& request) {
-  const bool is_former_member = !request.empty && HasMembership() &&
-                                !IsVoter(log_.membership(), from) &&
-                                !IsLearner(log_.membership(), from);
-  if (request.empty || is_former_member) {
-    join_requests_[from.id] = {from, request};
-  } else if (!HasMembership()) {
-    join_requests_.erase(from.id);
-  }
+  const bool is_forwarded = !request.requester.id.empty();
   if (!HasMembership()) {
+    if (is_forwarded) {
+      return;
+    }
+    if (request.empty) {
+      join_requests_[from.id] = {from, request};
+    } else {
+      join_requests_.erase(from.id);
+    }
     BootstrapIfAllEmpty(now);
     return;
   }
+  const MemberId& requester = is_forwarded ? request.requester : from;
   if (role_ == RaftRole::kLeader) {
-    ReconcileMembership(now);
+    const bool is_member = IsVoter(log_.membership(), requester) ||
+                           IsLearner(log_.membership(), requester);
+    if (!is_member) {
+      join_requests_[requester.id] = {requester, request};
+      ReconcileMembership(now);
+    }
     return;
   }
+  if (is_forwarded) {
+    return;
+  }
+  if (!leader_.empty() && leader_ != from.id) {
+    // The requester may know neither the leader nor any replica that will lead.
+    JoinRequest forwarded = request;
+    forwarded.requester = from;
+    out_.messages.push_back({leader_, std::move(forwarded)});
+  }
   if (!request.empty) {
     return;
   }
--- a/src/wire/json_types.h
+++ b/src/wire/json_types.h
@@ -180,7 +180,17 @@
                                    membership,
                                    state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TimeoutNow, term)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JoinRequest, empty, seen)
+inline void to_json(nlohmann::json& json, const JoinRequest& request) {
+  json = {{"empty", request.empty}, {"seen", request.seen}};
+  if (!request.requester.id.empty()) {
+    json["requester"] = request.requester;
+  }
+}
+inline void from_json(const nlohmann::json& json, JoinRequest& request) {
+  json.at("empty").get_to(request.empty);
+  json.at("seen").get_to(request.seen);
+  request.requester = json.value("requester", MemberId{});
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AgentHello, info, running)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskUsage, task, cpu_millis, memory_mib)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat,
