Consensus: replace a voter that is gone before its successor is promoted

Cause: a successor was promoted beside the voter that it replaces, and that voter was removed 12 s after its last reply to the present leader. A cell of three had four voters meanwhile, one of them gone: the loss of any other left two of four for good. Each new leader counted the 12 s anew, cells with an odd number of voters never removed any, and the bound did not follow the time after which the platform lets the next replica be lost.

Change: PlanMembershipChange decides from what the leader knows of each member. A voter that is gone is removed first and its successor promoted next; no learner is promoted while the leader can't tell whether a voter is present or gone. A voter counts as gone after two election timeouts or a quarter of the catch-up time, if its disk was lost as soon as its next incarnation replies. Even cells remove it at once; odd ones of five and more if another is gone as well, or after the catch-up time. The catch-up time is a setting, filled in from the platform's bound. A served request for admission is forgotten, so that a removed voter does not come back as a learner by an old one, and learners that have departed are removed.

Why it works: removing first never needs more replicas than before: from {a, b, c} without c, {a, b} and {a, b, d} both commit with a and b, while {a, b, c, d} needs d as well. Joint consensus would need the same two entries and a and b all the same, and adding first is unsafe against the loss of d. A new leader needs no history: it waits for two election timeouts, within the catch-up time.

--- /dev/null
+++ b/include/banyan/consensus/membership_plan.h
@@ -0,0 +1,88 @@
+#ifndef BANYAN_CONSENSUS_MEMBERSHIP_PLAN_H_
+#define BANYAN_CONSENSUS_MEMBERSHIP_PLAN_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "banyan/wire/message.h"
+
+namespace banyan {
+
+// What the leader knows of another member.
+struct MemberStatus {
+  MemberId member;
+  // When the member last replied; if it has not replied in this term, when the
+  // leader was elected or the member was added.
+  Time last_reply_at;
+  // Whether the member has replied in this term.
+  bool has_replied = false;
+  // Whether the member holds nearly all entries of the leader's log.
+  bool is_caught_up = false;
+  // Whether the member has announced that it shuts down.
+  bool is_leaving = false;
+};
+
+// Timeouts of membership changes.
+struct MembershipTimings {
+  // A voter that has replied within this time counts as present.
+  Duration presence;
+  // A voter that has not replied for this long may be removed.
+  Duration voter_silence;
+  // A member that has not replied for this long has departed: a learner is
+  // removed, and a voter if enough others are left.
+  Duration departure;
+};
+
+// Kind of a membership change.
+enum class MembershipChangeKind : std::uint8_t {
+  kAddLearner,
+  kPromoteLearner,
+  kRemoveLearner,
+  kRemoveVoter,
+};
+
+[[nodiscard]] std::string_view ToString(MembershipChangeKind kind) noexcept;
+
+// A change of one member. Majorities of the memberships before and after it
+// always intersect.
+struct MembershipChange {
+  MembershipChangeKind kind = MembershipChangeKind::kAddLearner;
+  MemberId member;
+  Membership next;
+};
+
+// Whether a cell with this number of voters needs one vote less without one of
+// them. Cells of two keep both.
+[[nodiscard]] constexpr bool ShrinksMajority(std::size_t voters) noexcept {
+  constexpr std::size_t kMinEvenCellSize = 4;
+  return voters % 2 == 0 && voters >= kMinEvenCellSize;
+}
+
+// Returns the next change towards a cell in which every voter replies, or
+// nullopt if none is due. `others` has the status of all members except the
+// leader; `joining` are replicas that request admission.
+//
+// A voter that is gone is replaced by removing it first and promoting its
+// successor next. This never needs more replicas to reply than before:
+// from {a, b, c} without c, both {a, b} and {a, b, d} commit with a and b. The
+// reverse order passes through {a, b, c, d}, which needs d as well. No learner
+// is promoted while the leader can't tell whether a voter is present or gone.
+//
+// A cell with an odd number of voters keeps a silent voter until a successor is
+// ready, as the majority is no smaller without it. From an even number it is
+// removed at once. Cells of five and more also remove it if another voter is
+// gone, or once it has departed.
+[[nodiscard]] std::optional<MembershipChange> PlanMembershipChange(
+    const Membership& membership,
+    const std::vector<MemberStatus>& others,
+    const std::vector<MemberId>& joining,
+    const MembershipTimings& timings,
+    Time now);
+
+}  // namespace banyan
+
+#endif  // BANYAN_CONSENSUS_MEMBERSHIP_PLAN_H_
--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "banyan/base/random.h"
+#include "banyan/consensus/membership_plan.h"
 #include "banyan/consensus/raft_log.h"
 #include "banyan/consensus/raft_types.h"
 #include "banyan/consensus/voter_health.h"
@@ -103,8 +104,12 @@
     // When the leader sent the latest heartbeat round that the member
     // acknowledged.
     Time acked_round_sent_at;
-    // When the leader last received a reply from the member.
+    // When the leader last received a reply from the member; initially when the
+    // leader was elected or the member was added.
     Time last_reply_at;
+    bool has_replied = false;
+    // Whether the member announced in its latest reply that it shuts down.
+    bool is_leaving = false;
   };
 
   // A message that is held back until batch `seq` is on disk.
@@ -150,19 +155,12 @@
   void ClampPersistedIndexBelow(std::uint64_t index);
   void AdvanceCommit(std::uint64_t to);
   void CommitByMajority();
-  // Appends a new membership to the log. The event names the member that was
-  // changed and how; `silence` is given for a removal.
-  void ProposeMembership(Membership membership,
-                         std::string_view change,
-                         const MemberId& member,
-                         std::optional<Duration> silence);
-  void ProposeRemoval(Time now,
-                      const Membership& current,
-                      const MemberId& voter);
+  // Appends the new membership to the log and logs what changed.
+  void ProposeMembership(Time now, const MembershipChange& change);
   void ReconcileMembership(Time now);
   // Asks all replicas that may know the leader for admission.
   void RequestAdmission(Time now);
-  void RemoveUnresponsiveVoter(Time now, const Membership& current);
+  [[nodiscard]] std::vector<MemberStatus> StatusOfOthers();
   void Replicate(Time now);
   void HandleAppendRejection(const MemberId& from,
                              Progress& progress,
--- a/include/banyan/consensus/raft_types.h
+++ b/include/banyan/consensus/raft_types.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_CONSENSUS_RAFT_TYPES_H_
 #define BANYAN_CONSENSUS_RAFT_TYPES_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -53,7 +54,12 @@
   }
 };
 
-// Timeouts of the election protocol.
+// Election timeouts that the catch-up time should have room for: two elections
+// of up to two timeouts each, the silence of a voter, and as much again for a
+// newcomer to find the leader and to fetch the log.
+inline constexpr int kElectionTimeoutsPerCatchUp = 8;
+
+// Timeouts of elections and of membership changes.
 struct RaftTimings {
   // Interval between heartbeats of the leader.
   Duration heartbeat_interval = Millis(100);
@@ -62,6 +68,16 @@
   Duration election_timeout = Millis(800);
   // Maximum drift between two replicas' clocks within one election timeout.
   Duration max_clock_drift = Millis(80);
+  // Time after the start of a successor, or of a replica that is back, within
+  // which the cell tolerates the next failure again.
+  Duration catch_up = kElectionTimeoutsPerCatchUp * Millis(800);
+
+  // How long a voter must not have replied before it may be voted out: as long
+  // as a leader goes without a majority before it steps down, or a quarter of
+  // the catch-up time if that is longer.
+  [[nodiscard]] constexpr Duration voter_silence() const noexcept {
+    return std::max(election_timeout * 2, catch_up / 4);
+  }
 };
 
 // Configuration of one replica.
@@ -72,9 +88,6 @@
   // Whether the configured members may bootstrap a new cell when the logs of
   // all of them are empty.
   bool may_bootstrap = true;
-  // How long a voter must not have replied before a cell with an even number of
-  // voters removes it.
-  Duration voter_removal_timeout = std::chrono::seconds(12);
   RaftTimings timings;
   std::uint64_t seed = 1;
 };
--- a/include/banyan/settings/settings.h
+++ b/include/banyan/settings/settings.h
@@ -38,6 +38,9 @@
   // Whether the seeds may form a new cell if none of them holds data.
   bool bootstrap = true;
   Duration election_timeout;
+  // Time after the start of a successor, or of a replica that is back, within
+  // which the cell tolerates the next failure again.
+  Duration catch_up;
   Duration lease;
   std::uint64_t snapshot_interval_entries = 0;
   SchedulingPolicy scheduling;
@@ -69,6 +72,8 @@
   std::string worker_address;
   std::string metrics_address;
   Duration election_timeout;
+  // As in ControlSettings.
+  Duration catch_up;
   // Duration of a worker lease.
   Duration lease;
   std::uint64_t snapshot_interval_entries = 0;
--- /dev/null
+++ b/src/consensus/membership_plan.cc
@@ -0,0 +1,218 @@
+#include "banyan/consensus/membership_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyan/consensus/raft_log.h"
+
+namespace banyan {
+namespace {
+
+// An odd cell of this size or more can do without a voter that is gone, as
+// three or more are left.
+constexpr std::size_t kMinDispensingCellSize = 5;
+
+// Evaluates the members of a cell from its leader's point of view.
+class Planner {
+ public:
+  Planner(const Membership& membership,
+          const std::vector<MemberStatus>& others,
+          const MembershipTimings& timings,
+          Time now)
+      : membership_(membership),
+        others_(others),
+        timings_(timings),
+        now_(now) {}
+
+  [[nodiscard]] std::optional<MembershipChange> Plan(
+      const std::vector<MemberId>& joining) const {
+    if (auto change = Admit(joining)) {
+      return change;
+    }
+    if (auto change = RemoveSilentLearner()) {
+      return change;
+    }
+    const MemberStatus* gone = FindGoneVoter();
+    const MemberStatus* ready = FindReadyLearner();
+    if (gone != nullptr && IsRemovable(*gone, ready != nullptr)) {
+      return RemoveVoter(gone->member);
+    }
+    if (ready != nullptr && !HasDoubtfulVoter()) {
+      return Promote(ready->member);
+    }
+    return std::nullopt;
+  }
+
+ private:
+  [[nodiscard]] const MemberStatus* Find(const MemberId& member) const {
+    const auto found = std::find_if(
+        others_.begin(), others_.end(),
+        [&](const MemberStatus& other) { return other.member == member; });
+    return found == others_.end() ? nullptr : &*found;
+  }
+
+  [[nodiscard]] bool IsSilent(const MemberStatus& status) const {
+    return status.last_reply_at + timings_.voter_silence <= now_;
+  }
+
+  // Whether a later incarnation of the replica replies, so that the disk of
+  // this one no longer exists.
+  [[nodiscard]] bool IsSuperseded(const MemberId& member) const {
+    const MemberStatus* status = Find(member);
+    return std::any_of(others_.begin(), others_.end(),
+                       [&](const MemberStatus& other) {
+                         return other.member.id == member.id &&
+                                other.member != member && other.has_replied &&
+                                (status == nullptr ||
+                                 other.last_reply_at > status->last_reply_at);
+                       });
+  }
+
+  [[nodiscard]] bool IsGone(const MemberStatus& status) const {
+    return IsSilent(status) || status.is_leaving || IsSuperseded(status.member);
+  }
+
+  [[nodiscard]] std::size_t CountGoneVoters() const {
+    return static_cast<std::size_t>(
+        std::count_if(membership_.voters.begin(), membership_.voters.end(),
+                      [&](const MemberId& voter) {
+                        const MemberStatus* status = Find(voter);
+                        return status != nullptr && IsGone(*status);
+                      }));
+  }
+
+  // Returns the voter that is most certain not to come back in its present
+  // incarnation, or nullptr if all voters reply or may yet reply.
+  [[nodiscard]] const MemberStatus* FindGoneVoter() const {
+    const MemberStatus* best = nullptr;
+    const auto rank = [&](const MemberStatus& status) {
+      const int certainty = IsSuperseded(status.member) ? 2
+                            : status.is_leaving         ? 1
+                                                        : 0;
+      return std::pair(certainty, now_ - status.last_reply_at);
+    };
+    for (const MemberId& voter : membership_.voters) {
+      const MemberStatus* status = Find(voter);
+      if (status == nullptr) {
+        continue;
+      }
+      if (IsGone(*status) && (best == nullptr || rank(*best) < rank(*status))) {
+        best = status;
+      }
+    }
+    return best;
+  }
+
+  [[nodiscard]] bool IsRemovable(const MemberStatus& gone,
+                                 bool has_successor) const {
+    const std::size_t voters = membership_.voters.size();
+    if (IsSuperseded(gone.member) || ShrinksMajority(voters)) {
+      return true;
+    }
+    const bool is_odd = voters % 2 != 0;
+    const bool is_dispensable =
+        voters >= kMinDispensingCellSize &&
+        (CountGoneVoters() > 1 ||
+         gone.last_reply_at + timings_.departure <= now_);
+    return is_odd && (has_successor || is_dispensable);
+  }
+
+  // Whether the leader can't tell yet if some voter is present or gone.
+  [[nodiscard]] bool HasDoubtfulVoter() const {
+    return std::any_of(
+        membership_.voters.begin(), membership_.voters.end(),
+        [&](const MemberId& voter) {
+          const MemberStatus* status = Find(voter);
+          return status != nullptr && !IsSilent(*status) &&
+                 (!status->has_replied ||
+                  status->last_reply_at + timings_.presence <= now_);
+        });
+  }
+
+  [[nodiscard]] const MemberStatus* FindReadyLearner() const {
+    for (const MemberId& learner : membership_.learners) {
+      const MemberStatus* status = Find(learner);
+      if (status != nullptr && status->has_replied && status->is_caught_up &&
+          !status->is_leaving && !IsSilent(*status)) {
+        return status;
+      }
+    }
+    return nullptr;
+  }
+
+  [[nodiscard]] std::optional<MembershipChange> Admit(
+      const std::vector<MemberId>& joining) const {
+    for (const MemberId& member : joining) {
+      if (IsVoter(membership_, member) || IsLearner(membership_, member)) {
+        continue;
+      }
+      Membership next = membership_;
+      // Replaces an older incarnation of the same replica.
+      std::erase_if(next.learners,
+                    [&](const MemberId& old) { return old.id == member.id; });
+      next.learners.push_back(member);
+      return MembershipChange{MembershipChangeKind::kAddLearner, member,
+                              std::move(next)};
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] std::optional<MembershipChange> RemoveSilentLearner() const {
+    for (const MemberId& learner : membership_.learners) {
+      const MemberStatus* status = Find(learner);
+      if (status != nullptr &&
+          status->last_reply_at + timings_.departure <= now_) {
+        Membership next = membership_;
+        std::erase(next.learners, learner);
+        return MembershipChange{MembershipChangeKind::kRemoveLearner, learner,
+                                std::move(next)};
+      }
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] MembershipChange RemoveVoter(const MemberId& voter) const {
+    Membership next = membership_;
+    std::erase(next.voters, voter);
+    return {MembershipChangeKind::kRemoveVoter, voter, std::move(next)};
+  }
+
+  [[nodiscard]] MembershipChange Promote(const MemberId& learner) const {
+    Membership next = membership_;
+    std::erase(next.learners, learner);
+    next.voters.push_back(learner);
+    return {MembershipChangeKind::kPromoteLearner, learner, std::move(next)};
+  }
+
+  const Membership& membership_;
+  const std::vector<MemberStatus>& others_;
+  const MembershipTimings& timings_;
+  Time now_;
+};
+
+}  // namespace
+
+std::string_view ToString(MembershipChangeKind kind) noexcept {
+  switch (kind) {
+    case MembershipChangeKind::kAddLearner:
+      return "added-learner";
+    case MembershipChangeKind::kPromoteLearner:
+      return "promoted";
+    case MembershipChangeKind::kRemoveLearner:
+      return "removed-learner";
+    case MembershipChangeKind::kRemoveVoter:
+      return "removed";
+  }
+  return "";
+}
+
+std::optional<MembershipChange> PlanMembershipChange(
+    const Membership& membership,
+    const std::vector<MemberStatus>& others,
+    const std::vector<MemberId>& joining,
+    const MembershipTimings& timings,
+    Time now) {
+  return Planner(membership, others, timings, now).Plan(joining);
+}
+
+}  // namespace banyan
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -485,32 +485,45 @@
   return index;
 }
 
-void RaftCore::ProposeMembership(Membership membership,
-                                 std::string_view change,
-                                 const MemberId& member,
-                                 std::optional<Duration> silence) {
-  std::sort(membership.voters.begin(), membership.voters.end());
+void RaftCore::ProposeMembership(Time now, const MembershipChange& change) {
+  Membership next = change.next;
+  std::sort(next.voters.begin(), next.voters.end());
   Event event = Event(EventId::kMemberChanged)
-                    .With("voters", membership.voters.size())
-                    .With("learners", membership.learners.size())
-                    .With("voter_ids", ToText(membership.voters))
-                    .With("learner_ids", ToText(membership.learners))
-                    .With("change", change)
-                    .With("member", ToText(member));
+                    .With("voters", next.voters.size())
+                    .With("learners", next.learners.size())
+                    .With("voter_ids", ToText(next.voters))
+                    .With("learner_ids", ToText(next.learners))
+                    .With("change", ToString(change.kind))
+                    .With("member", ToText(change.member));
+  const bool is_removal = change.kind == MembershipChangeKind::kRemoveVoter;
   out_.events.push_back(
-      silence ? std::move(event).With("silent_ms", ToMillis(*silence))
-              : std::move(event));
+      is_removal ? std::move(event).With("silent_ms", ToMillis(health_.Silence(
+                                                          now, change.member)))
+                 : std::move(event));
   AppendEntry({hard_state_.term, log_.last_index() + 1, EntryKind::kMembership,
-               Encode(membership)});
+               Encode(next)});
+  const auto removed = progress_.find(change.member);
+  if (change.kind == MembershipChangeKind::kRemoveVoter &&
+      removed != progress_.end()) {
+    // It is no longer replicated to, so this tells it that it was removed.
+    SendAppend(change.member, removed->second);
+  }
 }
 
-void RaftCore::ProposeRemoval(Time now,
-                              const Membership& current,
-                              const MemberId& voter) {
-  Membership next = current;
-  std::erase(next.voters, voter);
-  ProposeMembership(std::move(next), "removed", voter,
-                    health_.Silence(now, voter));
+std::vector<MemberStatus> RaftCore::StatusOfOthers() {
+  std::vector<MemberStatus> statuses;
+  for (const MemberId& other : OtherMembers()) {
+    const Progress& progress = progress_[other];
+    MemberStatus status;
+    status.member = other;
+    status.last_reply_at = progress.last_reply_at;
+    status.has_replied = progress.has_replied;
+    status.is_caught_up =
+        progress.match + kMaxPromotionLag >= log_.last_index();
+    status.is_leaving = progress.is_leaving;
+    statuses.push_back(std::move(status));
+  }
+  return statuses;
 }
 
 void RaftCore::ReconcileMembership(Time now) {
@@ -519,67 +532,26 @@
   if (!can_change_membership) {
     return;
   }
-  Membership next = log_.membership();
+  std::vector<MemberId> joining;
   for (const auto& [id, peer] : join_requests_) {
-    const MemberId& member = peer.first;
-    if (IsVoter(next, member) || IsLearner(next, member)) {
-      continue;
-    }
-    // Replaces an older incarnation of the same replica.
-    std::erase_if(next.learners,
-                  [&](const MemberId& old) { return old.id == member.id; });
-    next.learners.push_back(member);
-    Progress& progress = progress_[member];
-    progress = Progress{};
-    progress.next = log_.last_index() + 1;
-    progress.last_reply_at = now;
-    ProposeMembership(std::move(next), "added-learner", member, std::nullopt);
-    return;
-  }
-  for (const MemberId& learner : log_.membership().learners) {
-    const Progress& progress = progress_[learner];
-    if (progress.match + kMaxPromotionLag < log_.last_index()) {
-      continue;
-    }
-    next.voters.push_back(learner);
-    std::erase(next.learners, learner);
-    ProposeMembership(std::move(next), "promoted", MemberId(learner),
-                      std::nullopt);
-    return;
-  }
-  // After a replica that lost its data has been readmitted as a voter, its
-  // older incarnation is removed.
-  for (const MemberId& voter : next.voters) {
-    const auto newer = std::find_if(
-        next.voters.begin(), next.voters.end(), [&](const MemberId& other) {
-          return other.id == voter.id && other != voter &&
-                 progress_[other].last_reply_at >
-                     progress_[voter].last_reply_at;
-        });
-    if (newer != next.voters.end()) {
-      ProposeRemoval(now, next, voter);
-      return;
-    }
+    joining.push_back(peer.first);
   }
-  RemoveUnresponsiveVoter(now, next);
-}
-
-void RaftCore::RemoveUnresponsiveVoter(Time now, const Membership& current) {
-  // A cell with an even number of voters tolerates no more failures than one
-  // with a voter less, so removing an unresponsive voter only makes a majority
-  // easier to reach. Below four voters none is removed.
-  constexpr std::size_t kMinEvenCellSize = 4;
-  if (current.voters.size() < kMinEvenCellSize ||
-      current.voters.size() % 2 != 0) {
+  const MembershipTimings timings{options_.timings.election_timeout / 2,
+                                  options_.timings.voter_silence(),
+                                  options_.timings.catch_up};
+  const auto change = PlanMembershipChange(log_.membership(), StatusOfOthers(),
+                                           joining, timings, now);
+  if (!change) {
     return;
   }
-  for (const MemberId& voter : current.voters) {
-    if (voter != options_.self &&
-        progress_[voter].last_reply_at + options_.voter_removal_timeout < now) {
-      ProposeRemoval(now, current, voter);
-      return;
-    }
+  if (change->kind == MembershipChangeKind::kAddLearner) {
+    join_requests_.erase(change->member.id);
+    Progress& progress = progress_[change->member];
+    progress = Progress{};
+    progress.next = log_.last_index() + 1;
+    progress.last_reply_at = now;
   }
+  ProposeMembership(now, *change);
 }
 
 void RaftCore::Replicate(Time /*now*/) {
@@ -649,8 +621,8 @@
                       const MemberId& from,
                       const AppendRequest& request) {
   if (request.term < hard_state_.term) {
-    SendWhenPersisted(
-        from, AppendReply{hard_state_.term, false, log_.last_index(), 0, 0});
+    SendWhenPersisted(from, AppendReply{hard_state_.term, false,
+                                        log_.last_index(), 0, 0});
     return;
   }
   FollowLeader(now, from, request.term);
@@ -729,6 +701,7 @@
   }
   Progress& progress = found->second;
   progress.last_reply_at = now;
+  progress.has_replied = true;
   for (const HeartbeatRound& round : rounds_) {
     if (round.number == reply.round) {
       progress.acked_round_sent_at =
@@ -793,8 +766,8 @@
                       const MemberId& from,
                       const InstallSnapshot& request) {
   if (request.term < hard_state_.term) {
-    SendWhenPersisted(
-        from, AppendReply{hard_state_.term, false, log_.last_index(), 0, 0});
+    SendWhenPersisted(from, AppendReply{hard_state_.term, false,
+                                        log_.last_index(), 0, 0});
     return;
   }
   FollowLeader(now, from, request.term);
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -50,6 +50,7 @@
       settings.election_timeout / kHeartbeatsPerElection;
   options.raft.timings.max_clock_drift =
       settings.election_timeout / kMarginDivisor;
+  options.raft.timings.catch_up = settings.catch_up;
   options.raft.seed = NewIncarnation();
   options.lease = settings.lease;
   options.lease_margin = settings.lease / kMarginDivisor;
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -70,6 +70,7 @@
       .With(StorageStory())
       .With(ConsensusStory())
       .With(CellWorldStory())
+      .With(MembershipPlanStory())
       .With(ControlCoreStory())
       .With(ControlStateStory())
       .With(SchedulerStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -68,6 +68,7 @@
 Section StorageStory();
 Section ConsensusStory();
 Section CellWorldStory();
+Section MembershipPlanStory();
 Section ControlCoreStory();
 Section ControlStateStory();
 Section SchedulerStory();
