Consensus: vote out a replica that shuts down, and retry its handover

What callers saw: after a planned replacement of a replica the cell had four voters, one of them stopped, until its silence was noticed; a loss in that time cost the majority for good. A leader that stopped under load mostly left without a handover.

Cause: a stop was not announced.

Change: a replica that stops says so in its replies. The leader removes it from a cell with an even number of voters at once, tells it, and does not hand the leadership to it. A leader that stops accepts no command until a follower has the whole log, for as long at most as a silent voter is kept, and offers the leadership at each tick.

The field of the reply is optional; earlier builds ignore it.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -53,6 +53,16 @@
   // complete log; does nothing if there is none.
   void TransferLeadership(Time now);
 
+  // Announces that this replica shuts down: transfers the leadership and lets a
+  // cell with an even number of voters vote it out, so that the others need one
+  // vote less while it is away.
+  void Leave(Time now);
+
+  // Whether this replica still leads a cell with other voters or, after
+  // Leave(), is about to be voted out. Without a leader it does not wait longer
+  // than a silent voter would be kept.
+  [[nodiscard]] bool MustStay(Time now) const;
+
   // Replicates newly appended entries, then returns and clears all outputs.
   [[nodiscard]] RaftOutputs TakeOutputs(Time now);
 
@@ -171,6 +181,9 @@
   // Sends a message once all changes made so far are on disk.
   void SendWhenPersisted(const MemberId& to, Message message);
   [[nodiscard]] bool IsTermOnDisk() const noexcept;
+  // Whether this replica shuts down and still waits for a successor that holds
+  // the whole log; it accepts no command meanwhile.
+  [[nodiscard]] bool IsHandingOver(Time now) const;
   void ResetElectionDeadline(Time now);
   void SetHardState(std::uint64_t term, const MemberId& voted_for);
   [[nodiscard]] bool IsUpToDate(const VoteRequest& request) const noexcept;
@@ -205,6 +218,8 @@
   bool must_replicate_ = false;
   Time transfer_deadline_;
   bool is_transferring_ = false;
+  bool is_leaving_ = false;
+  Time leave_deadline_;
   // Latest join requests by member id, from members outside the cell.
   std::map<std::string, std::pair<MemberId, JoinRequest>> join_requests_;
   std::uint64_t last_seq_ = 0;
--- a/include/banyan/wire/message.h
+++ b/include/banyan/wire/message.h
@@ -98,6 +98,8 @@
   // The prev_index of the request being answered.
   std::uint64_t prev_index = 0;
   std::uint64_t round = 0;
+  // Whether the sender is shutting down.
+  bool leaving = false;
 };
 
 // Replaces a follower's log with a snapshot.
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -203,7 +203,7 @@
 }
 
 void RaftCore::RequestAdmission(Time now) {
-  if (now < next_join_request_) {
+  if (now < next_join_request_ || is_leaving_) {
     return;
   }
   next_join_request_ = now + kJoinInterval;
@@ -455,6 +455,9 @@
     BecomeFollower(now, hard_state_.term, "");
     return;
   }
+  if (IsHandingOver(now) && !is_transferring_) {
+    TransferLeadership(now);
+  }
   if (now < next_heartbeat_) {
     return;
   }
@@ -476,8 +479,8 @@
   must_replicate_ = true;
 }
 
-std::optional<std::uint64_t> RaftCore::Propose(Time /*now*/, std::string data) {
-  if (role_ != RaftRole::kLeader || is_transferring_) {
+std::optional<std::uint64_t> RaftCore::Propose(Time now, std::string data) {
+  if (role_ != RaftRole::kLeader || is_transferring_ || IsHandingOver(now)) {
     return std::nullopt;
   }
   const std::uint64_t index = log_.last_index() + 1;
@@ -622,7 +625,7 @@
                       const AppendRequest& request) {
   if (request.term < hard_state_.term) {
     SendWhenPersisted(from, AppendReply{hard_state_.term, false,
-                                        log_.last_index(), 0, 0});
+                                        log_.last_index(), 0, 0, false});
     return;
   }
   FollowLeader(now, from, request.term);
@@ -630,6 +633,7 @@
   reply.term = hard_state_.term;
   reply.round = request.round;
   reply.prev_index = request.prev_index;
+  reply.leaving = is_leaving_;
   const auto term = log_.TermAt(request.prev_index);
   const bool is_compacted = request.prev_index < log_.base_index();
   if (!is_compacted && (!term || *term != request.prev_term)) {
@@ -702,6 +706,7 @@
   Progress& progress = found->second;
   progress.last_reply_at = now;
   progress.has_replied = true;
+  progress.is_leaving = reply.leaving;
   for (const HeartbeatRound& round : rounds_) {
     if (round.number == reply.round) {
       progress.acked_round_sent_at =
@@ -767,7 +772,7 @@
                       const InstallSnapshot& request) {
   if (request.term < hard_state_.term) {
     SendWhenPersisted(from, AppendReply{hard_state_.term, false,
-                                        log_.last_index(), 0, 0});
+                                        log_.last_index(), 0, 0, false});
     return;
   }
   FollowLeader(now, from, request.term);
@@ -791,6 +796,7 @@
   reply.success = true;
   reply.match_index = request.last_index;
   reply.round = request.round;
+  reply.leaving = is_leaving_;
   SendWhenPersisted(from, reply);
 }
 
@@ -809,6 +815,7 @@
   const MemberId* successor = nullptr;
   for (const auto& [member, progress] : progress_) {
     const bool is_candidate = IsVoter(log_.membership(), member) &&
+                              !progress.is_leaving &&
                               progress.match == log_.last_index();
     if (is_candidate &&
         (successor == nullptr ||
@@ -824,6 +831,26 @@
   Send(*successor, TimeoutNow{hard_state_.term});
 }
 
+void RaftCore::Leave(Time now) {
+  if (!is_leaving_) {
+    is_leaving_ = true;
+    leave_deadline_ = now + options_.timings.voter_silence();
+  }
+  TransferLeadership(now);
+}
+
+bool RaftCore::IsHandingOver(Time now) const {
+  return now < leave_deadline_ && log_.membership().voters.size() > 1;
+}
+
+bool RaftCore::MustStay(Time now) const {
+  const std::size_t voters = log_.membership().voters.size();
+  if (role_ == RaftRole::kLeader) {
+    return voters > 1;
+  }
+  return now < leave_deadline_ && IsSelfVoter() && ShrinksMajority(voters);
+}
+
 std::optional<Snapshot> RaftCore::SnapshotMetadataAt(
     std::uint64_t applied_index) const {
   const auto term = log_.TermAt(applied_index);
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -79,7 +79,7 @@
 }
 
 void ControlCore::Leave(Time now) {
-  raft_.TransferLeadership(now);
+  raft_.Leave(now);
 }
 
 void ControlCore::UpdateLeadership(Time now) {
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -120,11 +120,11 @@
   is_leaving_ = true;
   Push(LeaveInput{});
   const Time deadline = MonotonicClock::now() + settings_.drain_timeout;
-  while ((must_transfer_leadership_ || server_.active() > 0) &&
+  while ((must_stay_ || server_.active() > 0) &&
          MonotonicClock::now() < deadline) {
     std::this_thread::sleep_for(kTickInterval);
   }
-  const bool was_drained = !must_transfer_leadership_ && server_.active() == 0;
+  const bool was_drained = !must_stay_ && server_.active() == 0;
   const bool was_clean = server_.Stop(deadline) && was_drained;
   must_end_ = true;
   core_thread_.join();
@@ -285,9 +285,7 @@
     const Time now = MonotonicClock::now();
     core_->Tick(now, WallNow());
     ApplyOutputs(core_->TakeOutputs(now, WallNow()));
-    must_transfer_leadership_ =
-        core_->raft().role() == RaftRole::kLeader &&
-        core_->raft().log().membership().voters.size() > 1;
+    must_stay_ = !is_leave_handled_ || core_->raft().MustStay(now);
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_->Maintain(now, DialledAddresses());
@@ -344,6 +342,7 @@
     AnswerApiQuery(now, *query);
   } else {
     core_->Leave(now);
+    is_leave_handled_ = true;
   }
 }
 
--- a/src/wire/json_types.h
+++ b/src/wire/json_types.h
@@ -165,12 +165,24 @@
                                    commit,
                                    round,
                                    entries)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AppendReply,
-                                   term,
-                                   success,
-                                   match_index,
-                                   prev_index,
-                                   round)
+inline void to_json(nlohmann::json& json, const AppendReply& reply) {
+  json = {{"term", reply.term},
+          {"success", reply.success},
+          {"match_index", reply.match_index},
+          {"prev_index", reply.prev_index},
+          {"round", reply.round}};
+  if (reply.leaving) {
+    json["leaving"] = true;
+  }
+}
+inline void from_json(const nlohmann::json& json, AppendReply& reply) {
+  json.at("term").get_to(reply.term);
+  json.at("success").get_to(reply.success);
+  json.at("match_index").get_to(reply.match_index);
+  json.at("prev_index").get_to(reply.prev_index);
+  json.at("round").get_to(reply.round);
+  reply.leaving = json.value("leaving", false);
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(InstallSnapshot,
                                    target,
                                    term,
