Agent: fence pending starts when the worker drains

What an operator could see: a start that the agent sends 2.01 s after it acknowledged that the worker drains; the platform allows 2 s. Needs a worker that leaves orders unanswered.

Cause: the agent acknowledges a drain on its own, which it may, as it is the only one to call its worker; it refuses orders that come later, but went on repeating those that were pending.

Change: a report that the worker drains fences the pending starts, as one of a capacity that has shrunk does. A run that may have started is stopped by the fence, and the leader places it elsewhere.

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -126,7 +126,7 @@
   // started the run.
   void FenceRun(Time now, const RunRef& run, const char* why);
   // Fences the starts that the worker has not confirmed.
-  void FencePendingStarts(Time now);
+  void FencePendingStarts(Time now, const char* why);
   void SetReachable(Time now, bool reachable, const std::string& why);
   void RequestRunList(Time now);
   void SendStarts(Time now);
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -105,7 +105,10 @@
     clock_ = ClockSample{*report.clock_ms, now};
   }
   if (has_shrunk) {
-    FencePendingStarts(now);
+    FencePendingStarts(now, "the capacity has shrunk");
+  }
+  if (report.info.draining && !was_draining) {
+    FencePendingStarts(now, "the worker drains");
   }
   if (has_changed) {
     SendSync(now);
@@ -324,13 +327,13 @@
                             .With("reason", why));
 }
 
-void WorkerAgent::FencePendingStarts(Time now) {
+void WorkerAgent::FencePendingStarts(Time now, const char* why) {
   std::vector<RunRef> runs;
   for (const auto& [run, pending_start] : pending_starts_) {
     runs.push_back(run);
   }
   for (const RunRef& run : runs) {
-    FenceRun(now, run, "the capacity has shrunk");
+    FenceRun(now, run, why);
   }
 }
 
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -389,6 +389,26 @@
   CPPUNIT_ASSERT(fixture.IsRefusedOnceFenced(SampleRun()));
 }
 
+// Guards against a start that is repeated later than the platform allows after
+// the report that the worker drains was answered: 2 s.
+void DrainFencesPendingStarts() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  fixture.Report(1, 2, true);
+  // No call is answered, and each time a list shows that the worker is there.
+  for (const Duration until_list : {Millis(950), Millis(40)}) {
+    fixture.Advance(Millis(500));
+    fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+    fixture.Advance(until_list);
+    fixture.ReplyToList({}, {});
+  }
+  static_cast<void>(fixture.TakeCalls(RunCallOp::kStart));
+  fixture.Advance(Millis(20));
+  CPPUNIT_ASSERT_MESSAGE("a start is sent 2.01 s after the report",
+                         fixture.TakeCalls(RunCallOp::kStart).empty());
+  CPPUNIT_ASSERT(fixture.IsRefusedOnceFenced(SampleRun()));
+}
+
 void UnansweredStopIsRetried() {
   AgentFixture fixture;
   RunStatus row;
@@ -854,7 +874,9 @@
                 .Then("from an earlier leader is ignored",
                       CommandOfEarlierLeaderIsIgnored)
                 .Then("is not sent to a draining worker",
-                      DrainingWorkerStartsNothing))
+                      DrainingWorkerStartsNothing)
+                .Then("is fenced when the worker drains",
+                      DrainFencesPendingStarts))
       .With(Section("an end")
                 .Then("is acknowledged only after its commit to the log",
                       EndIsAcknowledgedAfterCommit)
