Settings: read the catch-up time in seconds, with fractions

The platform gives its bounds as integers or fractions; a fraction in milliseconds would have been refused at the start of every process.

--- a/include/banyan/settings/settings_reader.h
+++ b/include/banyan/settings/settings_reader.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "banyan/base/error_kind.h"
+#include "banyan/base/time.h"
 
 namespace banyan {
 
@@ -40,6 +41,11 @@
                                      std::int64_t min,
                                      std::int64_t max,
                                      std::optional<std::int64_t> default_value);
+  // Reads an optional number of seconds, such as 4 or 2.5, from `min` to `max`.
+  [[nodiscard]] Duration Seconds(std::string_view key,
+                                 Duration min,
+                                 Duration max,
+                                 Duration default_value);
   // Reads a required IPv4 address with a port, such as "127.0.0.1:7000".
   [[nodiscard]] std::string Address(std::string_view key);
   // Reads a required string that is one of the allowed values.
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -12,8 +12,8 @@
 constexpr std::int64_t kMinElectionTimeoutMs = 100;
 constexpr std::int64_t kMaxElectionTimeoutMs = 10000;
 constexpr std::int64_t kDefaultElectionTimeoutMs = 800;
-constexpr std::int64_t kMinCatchUpMs = 1000;
-constexpr std::int64_t kMaxCatchUpMs = 600000;
+constexpr Duration kMinCatchUp = std::chrono::seconds(1);
+constexpr Duration kMaxCatchUp = std::chrono::minutes(10);
 constexpr std::int64_t kMinLeaseMs = 2000;
 constexpr std::int64_t kMaxLeaseMs = 60000;
 constexpr std::int64_t kDefaultLeaseMs = 10000;
@@ -109,9 +109,9 @@
   settings.election_timeout =
       Millis(reader.Integer("election_ms", kMinElectionTimeoutMs,
                             kMaxElectionTimeoutMs, kDefaultElectionTimeoutMs));
-  settings.catch_up = Millis(reader.Integer(
-      "catch_up_ms", kMinCatchUpMs, kMaxCatchUpMs,
-      kElectionTimeoutsPerCatchUp * ToMillis(settings.election_timeout)));
+  settings.catch_up =
+      reader.Seconds("catch_up_s", kMinCatchUp, kMaxCatchUp,
+                     kElectionTimeoutsPerCatchUp * settings.election_timeout);
   settings.lease = Millis(
       reader.Integer("lease_ms", kMinLeaseMs, kMaxLeaseMs, default_lease_ms));
   settings.snapshot_interval_entries =
--- a/src/settings/settings_reader.cc
+++ b/src/settings/settings_reader.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 #include <utility>
 
 namespace banyan {
@@ -126,6 +127,41 @@
   return number;
 }
 
+Duration SettingsReader::Seconds(std::string_view key,
+                                 Duration min,
+                                 Duration max,
+                                 Duration default_value) {
+  const YAML::Node value = impl_->Find(key);
+  if (!value.IsDefined()) {
+    return default_value;
+  }
+  const auto to_seconds = [](Duration duration) {
+    return std::chrono::duration<double>(duration).count();
+  };
+  std::ostringstream allowed;
+  allowed << " (allowed is " << to_seconds(min) << " to " << to_seconds(max)
+          << ")";
+  double number = 0;
+  const std::string text = value.IsScalar() ? value.Scalar() : "";
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end || text.empty()) {
+    impl_->RecordError(
+        value.Mark(),
+        Quoted(key) + " must be a number of seconds" + allowed.str());
+    return default_value;
+  }
+  const bool is_allowed =
+      number >= to_seconds(min) && number <= to_seconds(max);
+  if (!is_allowed) {
+    impl_->RecordError(value.Mark(),
+                       Quoted(key) + " is " + text + allowed.str());
+    return default_value;
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(number));
+}
+
 std::string SettingsReader::Address(std::string_view key) {
   std::string text = String(key);
   if (!text.empty() && !IsIpAddressAndPort(text)) {
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -50,6 +50,17 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, settings->members.size());
 }
 
+void CatchUpTimeFollowsElections() {
+  Reason reason;
+  const std::string valid = ValidControlSettings();
+  const auto defaults = LoadControlSettings(WriteSettingsFile(valid), reason);
+  CPPUNIT_ASSERT(defaults->catch_up == 8 * defaults->election_timeout);
+  const auto set = LoadControlSettings(
+      WriteSettingsFile(valid + "election_ms: 500\ncatch_up_s: 4.5\n"), reason);
+  CPPUNIT_ASSERT_MESSAGE(ToString(reason), set.has_value());
+  CPPUNIT_ASSERT(set->catch_up == Millis(4500));
+}
+
 void MechanismsCanBeDisabled() {
   Reason reason;
   const auto defaults =
@@ -89,6 +100,15 @@
                   ValidControlSettings() + "scheduling: {careful_starts: 2}\n",
                   8, "allowed is on, off");
             })
+      .Then("take the catch-up time from the elections unless it is given",
+            CatchUpTimeFollowsElections)
+      .Then("reject a catch-up time out of range",
+            [] {
+              ExpectError(ValidControlSettings() + "catch_up_s: 0.5\n", 8,
+                          "allowed is 1 to 600");
+              ExpectError(ValidControlSettings() + "catch_up_s: soon\n", 8,
+                          "number of seconds");
+            })
       .Then("report an unknown key with its line",
             [] {
               ExpectError(ValidControlSettings() + "colour: red\n", 8,
