Consensus: keep an odd cell as it is while another voter may be gone

A removal from an odd cell now waits until no other voter is in doubt and the present ones are the majority that stays. - {a, b} with d ready, and b lost: the promotion that would give a and d a majority waited for b. From an even cell a learner is promoted at once, as the majority stays as large as it is, and a change that follows a committed one is proposed at once, not at the next heartbeat. - A learner counts as ready for as long as a voter counts as present, half an election timeout; a newcomer that died a second ago was promoted. - The handover of a leader that stops is offered until it succeeds; commands are refused for two election timeouts at most, whatever the catch-up time. A voter of a passing cell of two waits before it exits. - A replica that lost its disk and has outdated seeds asks the replica that addresses its lost data folder.

--- a/include/banyan/consensus/membership_plan.h
+++ b/include/banyan/consensus/membership_plan.h
@@ -28,7 +28,7 @@
 
 // Timeouts of membership changes.
 struct MembershipTimings {
-  // A voter that has replied within this time counts as present.
+  // A member that has replied within this time counts as present.
   Duration presence;
   // A voter that has not replied for this long may be removed.
   Duration voter_silence;
@@ -69,8 +69,9 @@
 // A voter that is gone is replaced by removing it first and promoting its
 // successor next. This never needs more replicas to reply than before:
 // from {a, b, c} without c, both {a, b} and {a, b, d} commit with a and b. The
-// reverse order passes through {a, b, c, d}, which needs d as well. No learner
-// is promoted while the leader can't tell whether a voter is present or gone.
+// reverse order passes through {a, b, c, d}, which needs d as well. Neither is
+// done in a cell with an odd number of voters while the leader can't tell
+// whether one of them is present or gone.
 //
 // A cell with an odd number of voters keeps a silent voter until a successor is
 // ready, as the majority is no smaller without it. From an even number it is
--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -59,8 +59,8 @@
   void Leave(Time now);
 
   // Whether this replica still leads a cell with other voters or, after
-  // Leave(), is about to be voted out. Without a leader it does not wait longer
-  // than a silent voter would be kept.
+  // Leave(), is about to be voted out or needed by a change of the membership.
+  // A replica that does not lead waits for two election timeouts at most.
   [[nodiscard]] bool MustStay(Time now) const;
 
   // Replicates newly appended entries, then returns and clears all outputs.
@@ -164,7 +164,7 @@
   // Marks entries with this or a greater index as not on disk.
   void ClampPersistedIndexBelow(std::uint64_t index);
   void AdvanceCommit(std::uint64_t to);
-  void CommitByMajority();
+  void CommitByMajority(Time now);
   // Appends the new membership to the log and logs what changed.
   void ProposeMembership(Time now, const MembershipChange& change);
   void ReconcileMembership(Time now);
@@ -200,6 +200,9 @@
   VoterHealth health_;
   RaftRole role_ = RaftRole::kFollower;
   std::string leader_;
+  // The replica that last addressed an earlier incarnation of this one; empty if
+  // there is none.
+  std::string contact_;
   std::uint64_t commit_index_ = 0;
   // Last committed index that was returned in the outputs.
   std::uint64_t emitted_index_ = 0;
--- a/src/consensus/membership_plan.cc
+++ b/src/consensus/membership_plan.cc
@@ -37,7 +37,8 @@
     if (gone != nullptr && IsRemovable(*gone, ready != nullptr)) {
       return RemoveVoter(gone->member);
     }
-    if (ready != nullptr && !HasDoubtfulVoter()) {
+    const bool is_odd = membership_.voters.size() % 2 != 0;
+    if (ready != nullptr && (!is_odd || !HasDoubtfulVoter())) {
       return Promote(ready->member);
     }
     return std::nullopt;
@@ -55,6 +56,11 @@
     return status.last_reply_at + timings_.voter_silence <= now_;
   }
 
+  [[nodiscard]] bool IsPresent(const MemberStatus& status) const {
+    return status.has_replied &&
+           status.last_reply_at + timings_.presence > now_;
+  }
+
   // Whether a later incarnation of the replica replies, so that the disk of
   // this one no longer exists.
   [[nodiscard]] bool IsSuperseded(const MemberId& member) const {
@@ -109,31 +115,47 @@
     if (IsSuperseded(gone.member) || ShrinksMajority(voters)) {
       return true;
     }
+    // The majority of an odd cell stays as large as it is, so the others must
+    // be able to form it.
     const bool is_odd = voters % 2 != 0;
+    const std::size_t majority = (voters - 1) / 2 + 1;
+    if (!is_odd || HasDoubtfulVoter() || CountPresentVoters() < majority) {
+      return false;
+    }
     const bool is_dispensable =
         voters >= kMinDispensingCellSize &&
         (CountGoneVoters() > 1 ||
          gone.last_reply_at + timings_.departure <= now_);
-    return is_odd && (has_successor || is_dispensable);
+    return has_successor || is_dispensable;
   }
 
   // Whether the leader can't tell yet if some voter is present or gone.
   [[nodiscard]] bool HasDoubtfulVoter() const {
-    return std::any_of(
-        membership_.voters.begin(), membership_.voters.end(),
-        [&](const MemberId& voter) {
-          const MemberStatus* status = Find(voter);
-          return status != nullptr && !IsSilent(*status) &&
-                 (!status->has_replied ||
-                  status->last_reply_at + timings_.presence <= now_);
-        });
+    return std::any_of(membership_.voters.begin(), membership_.voters.end(),
+                       [&](const MemberId& voter) {
+                         const MemberStatus* status = Find(voter);
+                         return status != nullptr && !IsSilent(*status) &&
+                                !IsPresent(*status);
+                       });
+  }
+
+  // Returns the number of voters that are present and stay, the leader
+  // included.
+  [[nodiscard]] std::size_t CountPresentVoters() const {
+    return 1 + static_cast<std::size_t>(std::count_if(
+                   membership_.voters.begin(), membership_.voters.end(),
+                   [&](const MemberId& voter) {
+                     const MemberStatus* status = Find(voter);
+                     return status != nullptr && IsPresent(*status) &&
+                            !IsGone(*status);
+                   }));
   }
 
   [[nodiscard]] const MemberStatus* FindReadyLearner() const {
     for (const MemberId& learner : membership_.learners) {
       const MemberStatus* status = Find(learner);
-      if (status != nullptr && status->has_replied && status->is_caught_up &&
-          !status->is_leaving && !IsSilent(*status)) {
+      if (status != nullptr && IsPresent(*status) && status->is_caught_up &&
+          !status->is_leaving) {
         return status;
       }
     }
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -135,7 +135,7 @@
   deferred_.push_back({seq, {to.id, std::move(message)}});
 }
 
-void RaftCore::OnPersisted(Time /*now*/, std::uint64_t seq) {
+void RaftCore::OnPersisted(Time now, std::uint64_t seq) {
   persisted_seq_ = std::max(persisted_seq_, seq);
   while (!unpersisted_.empty() && unpersisted_.front().seq <= persisted_seq_) {
     persisted_index_ = unpersisted_.front().last_index;
@@ -146,7 +146,7 @@
     deferred_.pop_front();
   }
   if (role_ == RaftRole::kLeader) {
-    CommitByMajority();
+    CommitByMajority(now);
   }
 }
 
@@ -219,7 +219,9 @@
   for (const MemberId& voter : log_.membership().voters) {
     contacts.insert(voter.id);
   }
+  contacts.insert(contact_);
   contacts.erase(options_.self.id);
+  contacts.erase("");
   for (const std::string& id : contacts) {
     out_.messages.push_back({id, request});
   }
@@ -455,7 +457,7 @@
     BecomeFollower(now, hard_state_.term, "");
     return;
   }
-  if (IsHandingOver(now) && !is_transferring_) {
+  if (is_leaving_ && !is_transferring_) {
     TransferLeadership(now);
   }
   if (now < next_heartbeat_) {
@@ -557,7 +559,7 @@
   ProposeMembership(now, *change);
 }
 
-void RaftCore::Replicate(Time /*now*/) {
+void RaftCore::Replicate(Time now) {
   if (!must_replicate_ || role_ != RaftRole::kLeader) {
     must_replicate_ = false;
     return;
@@ -569,7 +571,7 @@
       SendAppend(other, progress);
     }
   }
-  CommitByMajority();
+  CommitByMajority(now);
 }
 
 void RaftCore::SendAppend(const MemberId& to, Progress& progress) {
@@ -721,7 +723,7 @@
   progress.is_probing = false;
   progress.match = std::max(progress.match, reply.match_index);
   progress.next = std::max(progress.next, progress.match + 1);
-  CommitByMajority();
+  CommitByMajority(now);
   if (has_advanced && progress.next <= log_.last_index()) {
     SendAppend(from, progress);
   }
@@ -743,7 +745,7 @@
   SendAppend(from, progress);
 }
 
-void RaftCore::CommitByMajority() {
+void RaftCore::CommitByMajority(Time now) {
   std::vector<std::uint64_t> matches;
   for (const MemberId& voter : log_.membership().voters) {
     if (voter == options_.self) {
@@ -758,8 +760,14 @@
   }
   std::sort(matches.begin(), matches.end(), std::greater<>());
   const std::uint64_t index = matches[matches.size() / 2];
-  if (index > commit_index_ && log_.TermAt(index) == hard_state_.term) {
-    AdvanceCommit(index);
+  if (index <= commit_index_ || log_.TermAt(index) != hard_state_.term) {
+    return;
+  }
+  const bool was_changing = log_.membership_index() > commit_index_;
+  AdvanceCommit(index);
+  if (was_changing) {
+    // A removal and the promotion that follows it should be close together.
+    ReconcileMembership(now);
   }
 }
 
@@ -834,7 +842,7 @@
 void RaftCore::Leave(Time now) {
   if (!is_leaving_) {
     is_leaving_ = true;
-    leave_deadline_ = now + options_.timings.voter_silence();
+    leave_deadline_ = now + options_.timings.election_timeout * 2;
   }
   TransferLeadership(now);
 }
@@ -844,11 +852,15 @@
 }
 
 bool RaftCore::MustStay(Time now) const {
-  const std::size_t voters = log_.membership().voters.size();
+  const Membership& membership = log_.membership();
+  const std::size_t voters = membership.voters.size();
   if (role_ == RaftRole::kLeader) {
     return voters > 1;
   }
-  return now < leave_deadline_ && IsSelfVoter() && ShrinksMajority(voters);
+  // A cell of two with a learner is about to become one of three.
+  const bool is_replacing = voters == 2 && !membership.learners.empty();
+  return now < leave_deadline_ && IsSelfVoter() &&
+         (ShrinksMajority(voters) || is_replacing);
 }
 
 std::optional<Snapshot> RaftCore::SnapshotMetadataAt(
@@ -891,6 +903,8 @@
         }
         if constexpr (requires { body.target; }) {
           if (body.target != options_.self.incarnation) {
+            // The sender still has this replica's lost data folder as a member.
+            contact_ = from.id;
             return;
           }
         }
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -532,6 +532,28 @@
   CheckJoinWaiting(removed, "true");
 }
 
+// Guards against a replica that lost its disk, knows only seeds that are gone
+// and is never admitted though the leader addresses its lost data folder.
+void WipedReplicaAsksWhoeverAddressesIt() {
+  RaftOptions options;
+  options.self = {"c1", 20};
+  options.configured_ids = {"gone-1", "gone-2"};
+  options.may_bootstrap = false;
+  RaftCore wiped(options, RestoredLog{}, kStart);
+  AppendRequest append;
+  append.target = 2;
+  append.term = 5;
+  wiped.Receive(kStart, {"c0", 1}, append);
+  wiped.Tick(kStart + seconds(1));
+  bool has_asked = false;
+  for (const Outbound& outbound :
+       wiped.TakeOutputs(kStart + seconds(1)).messages) {
+    has_asked |= outbound.to == "c0" &&
+                 std::holds_alternative<JoinRequest>(outbound.message);
+  }
+  CPPUNIT_ASSERT(has_asked);
+}
+
 void MembershipChangesAreNamed() {
   ThreeReplicaCell cell;
   cell.Run(seconds(4));
@@ -602,6 +624,8 @@
           Section("failures")
               .Then("an isolated leader loses its lease before a new election",
                     IsolatedLeaderLosesItsLease)
+              .Then("a replica that lost its disk asks whoever addresses it",
+                    WipedReplicaAsksWhoeverAddressesIt)
               .Then("a reconnected replica does not force an election",
                     ReconnectedReplicaDoesNotForceElection)
               .Then("a slow disk write does not delay the acknowledgement of a "
