Consensus: tell a removed voter only once its removal is committed

If the leader was lost then, the removed one held the longer log, gave its vote to nobody and did not stand itself. It is now told after the commit. - Between removal and promotion, a request for admission was served first, which left {a, b} for another commit.

What stays: if a voter is only frozen, its removal is under way and another one is lost in the same moment, the cell can lose its majority. That is two losses at a time where one must be borne; the order before bore it.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -168,6 +168,10 @@
   // Appends the new membership to the log and logs what changed.
   void ProposeMembership(Time now, const MembershipChange& change);
   void ReconcileMembership(Time now);
+  // Sends a voter the committed entry that removed it; the leader does not
+  // replicate to it any more. It must not learn of its removal earlier: its
+  // vote may still be needed if the entry is lost with the leader.
+  void NotifyRemovedVoter();
   // Asks all replicas that may know the leader for admission.
   void RequestAdmission(Time now);
   [[nodiscard]] std::vector<MemberStatus> StatusOfOthers();
@@ -200,8 +204,8 @@
   VoterHealth health_;
   RaftRole role_ = RaftRole::kFollower;
   std::string leader_;
-  // The replica that last addressed an earlier incarnation of this one; empty if
-  // there is none.
+  // The replica that last addressed an earlier incarnation of this one; empty
+  // if there is none.
   std::string contact_;
   std::uint64_t commit_index_ = 0;
   // Last committed index that was returned in the outputs.
@@ -221,6 +225,9 @@
   bool must_replicate_ = false;
   Time transfer_deadline_;
   bool is_transferring_ = false;
+  // The voter that the latest change of the membership removes, until the
+  // change is committed; an empty id means none.
+  MemberId removed_voter_;
   bool is_leaving_ = false;
   Time leave_deadline_;
   // Latest join requests by member id, from members outside the cell.
--- a/src/consensus/membership_plan.cc
+++ b/src/consensus/membership_plan.cc
@@ -26,12 +26,6 @@
 
   [[nodiscard]] std::optional<MembershipChange> Plan(
       const std::vector<MemberId>& joining) const {
-    if (auto change = Admit(joining)) {
-      return change;
-    }
-    if (auto change = RemoveSilentLearner()) {
-      return change;
-    }
     const MemberStatus* gone = FindGoneVoter();
     const MemberStatus* ready = FindReadyLearner();
     if (gone != nullptr && IsRemovable(*gone, ready != nullptr)) {
@@ -41,7 +35,10 @@
     if (ready != nullptr && (!is_odd || !HasDoubtfulVoter())) {
       return Promote(ready->member);
     }
-    return std::nullopt;
+    if (auto change = Admit(joining)) {
+      return change;
+    }
+    return RemoveSilentLearner();
   }
 
  private:
@@ -162,10 +159,21 @@
     return nullptr;
   }
 
+  // Whether some incarnation of the replica is a member and present, so that a
+  // request of another one is outdated.
+  [[nodiscard]] bool HasPresentIncarnation(std::string_view id) const {
+    return std::any_of(others_.begin(), others_.end(),
+                       [&](const MemberStatus& other) {
+                         return other.member.id == id && IsPresent(other);
+                       });
+  }
+
   [[nodiscard]] std::optional<MembershipChange> Admit(
       const std::vector<MemberId>& joining) const {
     for (const MemberId& member : joining) {
-      if (IsVoter(membership_, member) || IsLearner(membership_, member)) {
+      const bool is_member =
+          IsVoter(membership_, member) || IsLearner(membership_, member);
+      if (is_member || HasPresentIncarnation(member.id)) {
         continue;
       }
       Membership next = membership_;
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -183,6 +183,9 @@
   }
   if (leader_.empty() || now >= election_deadline_) {
     RequestAdmission(now);
+    if (!IsSelfVoter()) {
+      leader_.clear();
+    }
   }
   if (IsSelfVoter()) {
     TickFollower(now);
@@ -427,6 +430,7 @@
   role_ = RaftRole::kLeader;
   leader_ = options_.self.id;
   is_transferring_ = false;
+  removed_voter_ = MemberId{};
   progress_.clear();
   rounds_.clear();
   join_requests_.clear();
@@ -507,12 +511,15 @@
                  : std::move(event));
   AppendEntry({hard_state_.term, log_.last_index() + 1, EntryKind::kMembership,
                Encode(next)});
-  const auto removed = progress_.find(change.member);
-  if (change.kind == MembershipChangeKind::kRemoveVoter &&
-      removed != progress_.end()) {
-    // It is no longer replicated to, so this tells it that it was removed.
-    SendAppend(change.member, removed->second);
+  removed_voter_ = is_removal ? change.member : MemberId{};
+}
+
+void RaftCore::NotifyRemovedVoter() {
+  const auto removed = progress_.find(removed_voter_);
+  if (removed != progress_.end()) {
+    SendAppend(removed_voter_, removed->second);
   }
+  removed_voter_ = MemberId{};
 }
 
 std::vector<MemberStatus> RaftCore::StatusOfOthers() {
@@ -541,9 +548,10 @@
   for (const auto& [id, peer] : join_requests_) {
     joining.push_back(peer.first);
   }
-  const MembershipTimings timings{options_.timings.election_timeout / 2,
-                                  options_.timings.voter_silence(),
-                                  options_.timings.catch_up};
+  const Duration silence = options_.timings.voter_silence();
+  const MembershipTimings timings{
+      options_.timings.election_timeout / 2, silence,
+      std::max(options_.timings.catch_up, silence * 2)};
   const auto change = PlanMembershipChange(log_.membership(), StatusOfOthers(),
                                            joining, timings, now);
   if (!change) {
@@ -765,7 +773,8 @@
   }
   const bool was_changing = log_.membership_index() > commit_index_;
   AdvanceCommit(index);
-  if (was_changing) {
+  if (was_changing && log_.membership_index() <= commit_index_) {
+    NotifyRemovedVoter();
     // A removal and the promotion that follows it should be close together.
     ReconcileMembership(now);
   }
