--- a/include/banyan/consensus/membership_plan.h
+++ b/include/banyan/consensus/membership_plan.h
@@ -67,11 +67,11 @@
 // leader; `joining` are replicas that request admission.
 //
 // A voter that is gone is replaced by removing it first and promoting its
-// successor next. This never needs more replicas to reply than before:
-// from {a, b, c} without c, both {a, b} and {a, b, d} commit with a and b. The
-// reverse order passes through {a, b, c, d}, which needs d as well. Neither is
-// done in a cell with an odd number of voters while the leader can't tell
-// whether one of them is present or gone.
+// successor next. Unless it comes back meanwhile, this never needs more
+// replicas to reply than before: from {a, b, c} without c, both {a, b} and {a,
+// b, d} commit with a and b. The reverse order passes through {a, b, c, d},
+// which needs d as well. Neither is done in a cell with an odd number of voters
+// while the leader can't tell whether one of them is present or gone.
 //
 // A cell with an odd number of voters keeps a silent voter until a successor is
 // ready, as the majority is no smaller without it. From an even number it is
