--- a/tests/support/cell_world.cc
+++ b/tests/support/cell_world.cc
@@ -28,6 +28,7 @@
 // Bounds for what has to happen before a play can go on.
 constexpr Duration kFormBound = seconds(10);
 constexpr Duration kWaitBound = seconds(60);
+constexpr Duration kStopBound = seconds(2);
 constexpr std::size_t kSeeds = 3;
 constexpr std::uint64_t kPercent = 100;
 
@@ -214,6 +215,15 @@
   replicas_.at(id).disk = std::make_unique<VirtualDisk>(random_.Next());
 }
 
+void CellWorld::Leave(const std::string& id) {
+  Replica& replica = replicas_.at(id);
+  NoteDisturbance(id + " is asked to stop");
+  replica.core->Leave(now_);
+  Flush(replica);
+  RunUntil(kStopBound,
+           [&] { return !replica.core || !replica.core->MustStay(now_); });
+}
+
 void CellWorld::LoseForGood(const std::string& id) {
   Kill(id);
   Record(id + " is gone for good");
@@ -699,6 +709,7 @@
   const PlannedStop stop = *found;
   planned_stops_.erase(found);
   CheckNow();
+  Leave(stop.id);
   LoseForGood(stop.id);
   PlaceOf(stop.id)->id = stop.successor;
   NoteBack(stop.successor);
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -119,6 +119,8 @@
   void Cut(const std::string& id, CutKind kind, bool keeps_messages);
   void EndCut(const std::string& id);
   // Takes a replica away for ever.
+  // Asks a replica to stop and waits until it may, as its process does.
+  void Leave(const std::string& id);
   void LoseForGood(const std::string& id);
   // Starts an empty replica with these ids as its seeds and returns its id.
   // It takes the place of `predecessor`, which is gone; without one it gets a
