--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -125,7 +125,8 @@
   std::thread snapshot_thread_;
   std::atomic<bool> is_leaving_{false};
   // Whether a stop has to wait: until the core thread has handled it, and while
-  // this replica leads a cell that has other voters or is about to be voted out.
+  // this replica leads a cell that has other voters or is about to be voted
+  // out.
   std::atomic<bool> must_stay_{true};
   // Used by the core thread only.
   bool is_leave_handled_ = false;
--- a/tests/unit/membership_plan_test.cc
+++ b/tests/unit/membership_plan_test.cc
@@ -10,13 +10,13 @@
 constexpr Time kNow{seconds(100)};
 constexpr MembershipTimings kTimings{Millis(250), seconds(1), seconds(4)};
 
-const MemberId kA{"a", 1};
-const MemberId kB{"b", 2};
-const MemberId kC{"c", 3};
-const MemberId kD{"d", 4};
-const MemberId kE{"e", 5};
+const MemberId a{"a", 1};
+const MemberId b{"b", 2};
+const MemberId c{"c", 3};
+const MemberId d{"d", 4};
+const MemberId e{"e", 5};
 // The replica c after it has lost its disk.
-const MemberId kNewC{"c", 30};
+const MemberId new_c{"c", 30};
 
 // A cell led by `a`, in which all others reply unless told otherwise.
 class PlannedCell {
@@ -25,7 +25,7 @@
       : membership_{std::move(voters), std::move(learners)} {
     for (const auto* group : {&membership_.voters, &membership_.learners}) {
       for (const MemberId& member : *group) {
-        if (member != kA) {
+        if (member != a) {
           others_.push_back({member, kNow - Millis(30), true, true, false});
         }
       }
@@ -92,115 +92,97 @@
 // Guards against a cell of four voters, one of them gone, that needs three: the
 // loss of another replica would cost the majority for good.
 void GoneVoterIsRemovedBeforeItsSuccessorIsPromoted() {
-  PlannedCell({kA, kB, kC}, {kD})
-      .Silent(kC, seconds(2))
-      .Expect(kRemoveVoter, kC);
-  PlannedCell({kA, kB}, {kD}).Expect(kPromoteLearner, kD);
+  PlannedCell({a, b, c}, {d}).Silent(c, seconds(2)).Expect(kRemoveVoter, c);
+  PlannedCell({a, b}, {d}).Expect(kPromoteLearner, d);
 }
 
 void SilentVoterOfOddCellIsKeptWithoutSuccessor() {
-  PlannedCell({kA, kB, kC}, {}).Silent(kC, seconds(60)).ExpectNone();
-  PlannedCell({kA, kB, kC}, {kD})
-      .Silent(kC, seconds(60))
-      .Lagging(kD)
-      .ExpectNone();
-  PlannedCell({kA, kB, kC}, {kD})
-      .Silent(kC, seconds(60))
-      .Silent(kD, Millis(300))
+  PlannedCell({a, b, c}, {}).Silent(c, seconds(60)).ExpectNone();
+  PlannedCell({a, b, c}, {d}).Silent(c, seconds(60)).Lagging(d).ExpectNone();
+  PlannedCell({a, b, c}, {d})
+      .Silent(c, seconds(60))
+      .Silent(d, Millis(300))
       .ExpectNone();
 }
 
 // Guards against a removal from an odd cell that the remaining voters can't
 // commit: with the removed one back they would have been a majority.
 void OddCellKeepsSilentVoterWhileAnotherMayBeGone() {
-  PlannedCell({kA, kB, kC}, {kD})
-      .Silent(kC, seconds(2))
-      .Silent(kB, Millis(300))
-      .ExpectNone();
-  PlannedCell({kA, kB, kC}, {kD})
-      .Leaving(kC)
-      .Silent(kB, Millis(300))
+  PlannedCell({a, b, c}, {d})
+      .Silent(c, seconds(2))
+      .Silent(b, Millis(300))
       .ExpectNone();
-  PlannedCell({kA, kB, kC, kD, kE}, {})
-      .Silent(kC, seconds(2))
-      .Silent(kD, seconds(2))
-      .Silent(kB, Millis(300))
+  PlannedCell({a, b, c}, {d}).Leaving(c).Silent(b, Millis(300)).ExpectNone();
+  PlannedCell({a, b, c, d, e}, {})
+      .Silent(c, seconds(2))
+      .Silent(d, seconds(2))
+      .Silent(b, Millis(300))
       .ExpectNone();
 }
 
 void SilentVoterOfEvenCellIsRemovedAtOnce() {
-  PlannedCell({kA, kB, kC, kD}, {})
-      .Silent(kC, seconds(1))
-      .Expect(kRemoveVoter, kC);
-  PlannedCell({kA, kB, kC, kD}, {}).Silent(kC, Millis(900)).ExpectNone();
+  PlannedCell({a, b, c, d}, {}).Silent(c, seconds(1)).Expect(kRemoveVoter, c);
+  PlannedCell({a, b, c, d}, {}).Silent(c, Millis(900)).ExpectNone();
 }
 
 void CellOfTwoKeepsItsSilentVoter() {
-  PlannedCell({kA, kB}, {}).Silent(kB, seconds(60)).ExpectNone();
+  PlannedCell({a, b}, {}).Silent(b, seconds(60)).ExpectNone();
 }
 
 // Guards against a promotion that makes the majority larger while a voter may
 // be gone.
 void PromotionWaitsUntilAllVotersAreKnown() {
-  PlannedCell({kA, kB, kC}, {kD}).Unheard(kC, Millis(30)).ExpectNone();
-  PlannedCell({kA, kB, kC}, {kD}).Silent(kC, Millis(300)).ExpectNone();
-  PlannedCell({kA, kB, kC}, {kD})
-      .Unheard(kC, seconds(1))
-      .Expect(kRemoveVoter, kC);
-  PlannedCell({kA, kB, kC}, {kD}).Expect(kPromoteLearner, kD);
-  PlannedCell({kA, kB, kC, kD}, {kE})
-      .Silent(kC, Millis(300))
-      .Expect(kPromoteLearner, kE);
-  PlannedCell({kA, kB}, {kD})
-      .Silent(kB, Millis(900))
-      .Expect(kPromoteLearner, kD);
+  PlannedCell({a, b, c}, {d}).Unheard(c, Millis(30)).ExpectNone();
+  PlannedCell({a, b, c}, {d}).Silent(c, Millis(300)).ExpectNone();
+  PlannedCell({a, b, c}, {d}).Unheard(c, seconds(1)).Expect(kRemoveVoter, c);
+  PlannedCell({a, b, c}, {d}).Expect(kPromoteLearner, d);
+  PlannedCell({a, b, c, d}, {e})
+      .Silent(c, Millis(300))
+      .Expect(kPromoteLearner, e);
+  PlannedCell({a, b}, {d}).Silent(b, Millis(900)).Expect(kPromoteLearner, d);
 }
 
 void LargeOddCellRemovesDepartedVoters() {
-  PlannedCell({kA, kB, kC, kD, kE}, {}).Silent(kC, seconds(3)).ExpectNone();
-  PlannedCell({kA, kB, kC, kD, kE}, {})
-      .Silent(kC, seconds(4))
-      .Expect(kRemoveVoter, kC);
-  PlannedCell({kA, kB, kC, kD, kE}, {})
-      .Silent(kC, seconds(1))
-      .Silent(kD, seconds(2))
-      .Expect(kRemoveVoter, kD);
+  PlannedCell({a, b, c, d, e}, {}).Silent(c, seconds(3)).ExpectNone();
+  PlannedCell({a, b, c, d, e}, {})
+      .Silent(c, seconds(4))
+      .Expect(kRemoveVoter, c);
+  PlannedCell({a, b, c, d, e}, {})
+      .Silent(c, seconds(1))
+      .Silent(d, seconds(2))
+      .Expect(kRemoveVoter, d);
 }
 
 void OlderIncarnationIsRemovedAtOnce() {
-  PlannedCell({kA, kB, kC}, {kNewC})
-      .Silent(kC, Millis(400))
-      .Lagging(kNewC)
-      .Expect(kRemoveVoter, kC);
-  PlannedCell({kA, kB, kC}, {kNewC})
-      .Silent(kC, Millis(400))
-      .Unheard(kNewC, Millis(10))
+  PlannedCell({a, b, c}, {new_c})
+      .Silent(c, Millis(400))
+      .Lagging(new_c)
+      .Expect(kRemoveVoter, c);
+  PlannedCell({a, b, c}, {new_c})
+      .Silent(c, Millis(400))
+      .Unheard(new_c, Millis(10))
       .ExpectNone();
 }
 
 void LeavingVoterOfEvenCellIsRemoved() {
-  PlannedCell({kA, kB, kC, kD}, {}).Leaving(kC).Expect(kRemoveVoter, kC);
-  PlannedCell({kA, kB, kC}, {}).Leaving(kC).ExpectNone();
-  PlannedCell({kA, kB, kC}, {kD}).Leaving(kD).ExpectNone();
+  PlannedCell({a, b, c, d}, {}).Leaving(c).Expect(kRemoveVoter, c);
+  PlannedCell({a, b, c}, {}).Leaving(c).ExpectNone();
+  PlannedCell({a, b, c}, {d}).Leaving(d).ExpectNone();
 }
 
 void NewcomerBecomesLearner() {
-  PlannedCell({kA, kB, kC}, {}).Joining(kD).Expect(kAddLearner, kD);
-  PlannedCell({kA, kB, kC}, {kD}).Lagging(kD).Joining(kD).ExpectNone();
-  PlannedCell({kA, kB, kD}, {kC}).Lagging(kC).Joining(kNewC).ExpectNone();
-  PlannedCell({kA, kB}, {kD}).Joining(kE).Expect(kPromoteLearner, kD);
-  const auto change = PlannedCell({kA, kB, kD}, {kC})
-                          .Silent(kC, Millis(300))
-                          .Joining(kNewC)
-                          .Plan();
+  PlannedCell({a, b, c}, {}).Joining(d).Expect(kAddLearner, d);
+  PlannedCell({a, b, c}, {d}).Lagging(d).Joining(d).ExpectNone();
+  PlannedCell({a, b, d}, {c}).Lagging(c).Joining(new_c).ExpectNone();
+  PlannedCell({a, b}, {d}).Joining(e).Expect(kPromoteLearner, d);
+  const auto change =
+      PlannedCell({a, b, d}, {c}).Silent(c, Millis(300)).Joining(new_c).Plan();
   CPPUNIT_ASSERT(change);
-  CPPUNIT_ASSERT(change->next.learners == std::vector<MemberId>{kNewC});
+  CPPUNIT_ASSERT(change->next.learners == std::vector<MemberId>{new_c});
 }
 
 void SilentLearnerIsRemoved() {
-  PlannedCell({kA, kB, kC}, {kD})
-      .Silent(kD, seconds(4))
-      .Expect(kRemoveLearner, kD);
+  PlannedCell({a, b, c}, {d}).Silent(d, seconds(4)).Expect(kRemoveLearner, d);
 }
 
 }  // namespace
