Consensus: collect the other voters once when planning a change

No change of behaviour. Four places of the planner looked each voter up among the statuses and skipped the leader; they now share one list.

--- a/src/consensus/membership_plan.cc
+++ b/src/consensus/membership_plan.cc
@@ -19,10 +19,13 @@
           const std::vector<MemberStatus>& others,
           const MembershipTimings& timings,
           Time now)
-      : membership_(membership),
-        others_(others),
-        timings_(timings),
-        now_(now) {}
+      : membership_(membership), others_(others), timings_(timings), now_(now) {
+    for (const MemberStatus& other : others_) {
+      if (IsVoter(membership_, other.member)) {
+        other_voters_.push_back(&other);
+      }
+    }
+  }
 
   [[nodiscard]] std::optional<MembershipChange> Plan(
       const std::vector<MemberId>& joining) const {
@@ -60,28 +63,23 @@
 
   // Whether a later incarnation of the replica replies, so that the disk of
   // this one no longer exists.
-  [[nodiscard]] bool IsSuperseded(const MemberId& member) const {
-    const MemberStatus* status = Find(member);
-    return std::any_of(others_.begin(), others_.end(),
-                       [&](const MemberStatus& other) {
-                         return other.member.id == member.id &&
-                                other.member != member && other.has_replied &&
-                                (status == nullptr ||
-                                 other.last_reply_at > status->last_reply_at);
-                       });
+  [[nodiscard]] bool IsSuperseded(const MemberStatus& status) const {
+    return std::any_of(
+        others_.begin(), others_.end(), [&](const MemberStatus& other) {
+          return other.member.id == status.member.id &&
+                 other.member != status.member && other.has_replied &&
+                 other.last_reply_at > status.last_reply_at;
+        });
   }
 
   [[nodiscard]] bool IsGone(const MemberStatus& status) const {
-    return IsSilent(status) || status.is_leaving || IsSuperseded(status.member);
+    return IsSilent(status) || status.is_leaving || IsSuperseded(status);
   }
 
   [[nodiscard]] std::size_t CountGoneVoters() const {
-    return static_cast<std::size_t>(
-        std::count_if(membership_.voters.begin(), membership_.voters.end(),
-                      [&](const MemberId& voter) {
-                        const MemberStatus* status = Find(voter);
-                        return status != nullptr && IsGone(*status);
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        other_voters_.begin(), other_voters_.end(),
+        [&](const MemberStatus* voter) { return IsGone(*voter); }));
   }
 
   // Returns the voter that is most certain not to come back in its present
@@ -89,18 +87,14 @@
   [[nodiscard]] const MemberStatus* FindGoneVoter() const {
     const MemberStatus* best = nullptr;
     const auto rank = [&](const MemberStatus& status) {
-      const int certainty = IsSuperseded(status.member) ? 2
-                            : status.is_leaving         ? 1
-                                                        : 0;
+      const int certainty = IsSuperseded(status) ? 2
+                            : status.is_leaving  ? 1
+                                                 : 0;
       return std::pair(certainty, now_ - status.last_reply_at);
     };
-    for (const MemberId& voter : membership_.voters) {
-      const MemberStatus* status = Find(voter);
-      if (status == nullptr) {
-        continue;
-      }
-      if (IsGone(*status) && (best == nullptr || rank(*best) < rank(*status))) {
-        best = status;
+    for (const MemberStatus* voter : other_voters_) {
+      if (IsGone(*voter) && (best == nullptr || rank(*best) < rank(*voter))) {
+        best = voter;
       }
     }
     return best;
@@ -109,7 +103,7 @@
   [[nodiscard]] bool IsRemovable(const MemberStatus& gone,
                                  bool has_successor) const {
     const std::size_t voters = membership_.voters.size();
-    if (IsSuperseded(gone.member) || ShrinksMajority(voters)) {
+    if (IsSuperseded(gone) || ShrinksMajority(voters)) {
       return true;
     }
     // The majority of an odd cell stays as large as it is, so the others must
@@ -128,24 +122,20 @@
 
   // Whether the leader can't tell yet if some voter is present or gone.
   [[nodiscard]] bool HasDoubtfulVoter() const {
-    return std::any_of(membership_.voters.begin(), membership_.voters.end(),
-                       [&](const MemberId& voter) {
-                         const MemberStatus* status = Find(voter);
-                         return status != nullptr && !IsSilent(*status) &&
-                                !IsPresent(*status);
+    return std::any_of(other_voters_.begin(), other_voters_.end(),
+                       [&](const MemberStatus* voter) {
+                         return !IsSilent(*voter) && !IsPresent(*voter);
                        });
   }
 
   // Returns the number of voters that are present and stay, the leader
   // included.
   [[nodiscard]] std::size_t CountPresentVoters() const {
-    return 1 + static_cast<std::size_t>(std::count_if(
-                   membership_.voters.begin(), membership_.voters.end(),
-                   [&](const MemberId& voter) {
-                     const MemberStatus* status = Find(voter);
-                     return status != nullptr && IsPresent(*status) &&
-                            !IsGone(*status);
-                   }));
+    return 1 + static_cast<std::size_t>(
+                   std::count_if(other_voters_.begin(), other_voters_.end(),
+                                 [&](const MemberStatus* voter) {
+                                   return IsPresent(*voter) && !IsGone(*voter);
+                                 }));
   }
 
   [[nodiscard]] const MemberStatus* FindReadyLearner() const {
@@ -218,6 +208,7 @@
   const std::vector<MemberStatus>& others_;
   const MembershipTimings& timings_;
   Time now_;
+  std::vector<const MemberStatus*> other_voters_;
 };
 
 }  // namespace
