Control: drop orders on evacuations whose callers have given up

Cause: such an order has neither a version nor an age, and the last one in the log won. A replica that was frozen reads an order from its socket seconds after its caller has sent it to another replica, and a newer one after it.

Change: the HTTP server passes on when a request arrived, by the kernel's account of the connection, and whether its caller has closed. An order reads the number of changes of evacuations from the leader, is dropped if its caller has closed or has waited for its second, and names that number in its command; the table refuses it after another change. A call whose deadline passed in the input queue is not submitted.

Tests: late_call_test.cc; with the check removed, the two tests of dropped orders fail. The test of the table needs the new field.

Why it works: up to the reading of the number the order is as old as its arrival tells; after it the number decides, however long the relay, the leader or the log takes.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -97,6 +97,7 @@
   kCommandRefused = 1403,
   kPlanInForce = 1404,
   kEvacuationChanged = 1405,
+  kOrderAbandoned = 1406,
   kElectionStarted = 1501,
   kLeaderElected = 1502,
   kLeaderStepped = 1503,
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -120,6 +120,10 @@
   [[nodiscard]] const std::set<std::string>& evacuated() const noexcept {
     return evacuated_;
   }
+  // Number of changes of evacuations so far.
+  [[nodiscard]] std::uint64_t evacuation_changes() const noexcept {
+    return evacuation_changes_;
+  }
   [[nodiscard]] const std::map<std::string, Graph>& graphs() const noexcept {
     return graphs_;
   }
@@ -199,6 +203,7 @@
 
   ServicePlan plan_;
   std::set<std::string> evacuated_;
+  std::uint64_t evacuation_changes_ = 0;
   std::map<std::string, Graph> graphs_;
   std::map<std::string, GraphWorker> workers_;
   std::uint64_t next_order_ = 1;
--- a/include/banyan/net/http.h
+++ b/include/banyan/net/http.h
@@ -28,10 +28,22 @@
   std::string content_type;
   std::string body;
   std::vector<HttpField> fields;
+  // When the last byte of a received request arrived at this machine. A process
+  // that was suspended may read it seconds later.
+  std::optional<Time> arrived_at;
+  // Tells whether the caller of a received request has closed its connection,
+  // for as long as the request is being handled.
+  std::function<bool()> has_caller_closed;
 
   // Returns the value of the named header, matched case-insensitively; empty if
   // absent.
   [[nodiscard]] std::string_view Field(std::string_view name) const noexcept;
+
+  // Returns whether nobody waits for the answer any more: the caller has closed
+  // its connection, or its deadline has passed.
+  [[nodiscard]] bool IsAbandoned(Time now, Time caller_deadline) const {
+    return caller_deadline <= now || (has_caller_closed && has_caller_closed());
+  }
 };
 
 // An HTTP response.
--- a/include/banyan/process.h
+++ b/include/banyan/process.h
@@ -7,6 +7,7 @@
 #include "banyan/process/control_link.h"
 #include "banyan/process/control_process.h"
 #include "banyan/process/entry_process.h"
+#include "banyan/process/evacuation.h"
 #include "banyan/process/gateway_process.h"
 #include "banyan/process/operator_api.h"
 #include "banyan/process/pending.h"
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -76,6 +76,7 @@
   struct CellInput {
     std::uint64_t ticket = 0;
     CellCall call;
+    Time deadline;
   };
   // Requests a graceful shutdown.
   struct LeaveInput {};
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -294,11 +294,15 @@
   ServicePlan plan;
 };
 
-// Starts or ends the evacuation of a data centre.
+// Starts or ends the evacuation of a data centre. Neither carries a version, so
+// `expected_changes` keeps a delayed command from undoing a newer one.
 struct SetEvacuated {
   static constexpr const char* kType = "set-evacuated";
   std::string data_centre;
   bool evacuated = false;
+  // Number of changes of evacuations that its sender knows of; the command
+  // changes nothing after another one. Absent in logs of earlier versions.
+  std::optional<std::uint64_t> expected_changes = std::nullopt;
 };
 
 // Submits a job graph under an id chosen by its caller.
@@ -426,6 +430,8 @@
   kGraph,
   // The number of graphs in a queue, by its name, with no run started.
   kPending,
+  // The number of changes of evacuations so far.
+  kEvacuations,
 };
 
 // Reads committed state from the leader, through any replica.
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -319,6 +319,9 @@
     case CellQueryKind::kPlanVersion:
       result.version = state_.graphs().plan().version;
       break;
+    case CellQueryKind::kEvacuations:
+      result.version = state_.graphs().evacuation_changes();
+      break;
     case CellQueryKind::kGraph: {
       const Graph* graph = state_.graphs().FindGraph(key);
       if (graph == nullptr) {
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -193,7 +193,11 @@
     {EventId::kPlanInForce, "plan-in-force",
      "This process now uses a newer version of the operator's plan."},
     {EventId::kEvacuationChanged, "evacuation-changed",
-     "A data centre was evacuated or put back into service."},
+     "A data centre was evacuated or put back into service; counts the changes "
+     "so far."},
+    {EventId::kOrderAbandoned, "order-abandoned",
+     "An operator's order was not carried out, since its caller had given up; "
+     "with the time since its arrival."},
     {EventId::kElectionStarted, "election-started",
      "A replica asked its peers for their votes."},
     {EventId::kLeaderElected, "leader-elected",
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -105,15 +105,35 @@
 GraphApplyResult GraphTable::Apply(const SetEvacuated& command,
                                    WallMillis /*now*/) {
   GraphApplyResult applied;
-  applied.result.ok = true;
-  const bool changed = command.evacuated
-                           ? evacuated_.insert(command.data_centre).second
-                           : evacuated_.erase(command.data_centre) > 0;
-  if (changed) {
-    applied.events.push_back(Event(EventId::kEvacuationChanged)
+  applied.result.version = evacuation_changes_;
+  if (evacuated_.contains(command.data_centre) == command.evacuated) {
+    applied.result.ok = true;
+    return applied;
+  }
+  const std::uint64_t expected =
+      command.expected_changes.value_or(evacuation_changes_);
+  if (expected != evacuation_changes_) {
+    Refuse(applied, ErrorKind::kStale, "the evacuations have changed since");
+    applied.events.push_back(Event(EventId::kCommandRefused)
+                                 .With("command", SetEvacuated::kType)
                                  .With("data_centre", command.data_centre)
-                                 .With("evacuated", command.evacuated ? 1 : 0));
+                                 .With("evacuated", command.evacuated ? 1 : 0)
+                                 .With("expected", expected)
+                                 .With("changes", evacuation_changes_)
+                                 .With("reason", applied.result.text));
+    return applied;
   }
+  if (command.evacuated) {
+    evacuated_.insert(command.data_centre);
+  } else {
+    evacuated_.erase(command.data_centre);
+  }
+  applied.result.ok = true;
+  applied.result.version = ++evacuation_changes_;
+  applied.events.push_back(Event(EventId::kEvacuationChanged)
+                               .With("data_centre", command.data_centre)
+                               .With("evacuated", command.evacuated ? 1 : 0)
+                               .With("changes", evacuation_changes_));
   return applied;
 }
 
--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -81,6 +81,7 @@
   static nlohmann::json ToJson(const GraphTable& table) {
     return {{"plan", table.plan_},
             {"evacuated", table.evacuated_},
+            {"evacuation_changes", table.evacuation_changes_},
             {"graphs", table.graphs_},
             {"workers", table.workers_},
             {"next_order", table.next_order_}};
@@ -89,6 +90,9 @@
   static void FromJson(const nlohmann::json& json, GraphTable& table) {
     json.at("plan").get_to(table.plan_);
     json.at("evacuated").get_to(table.evacuated_);
+    // Absent in snapshots of earlier versions.
+    table.evacuation_changes_ =
+        json.value("evacuation_changes", std::uint64_t{0});
     json.at("graphs").get_to(table.graphs_);
     json.at("workers").get_to(table.workers_);
     json.at("next_order").get_to(table.next_order_);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -13,8 +13,13 @@
 #include <Poco/Timestamp.h>
 #include <Poco/URI.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <concepts>
 #include <istream>
 #include <mutex>
@@ -124,12 +129,34 @@
   OpenConnections connections;
 };
 
-// Serves one request.
+// Returns how long ago the kernel received the last byte on a connection; zero
+// if it doesn't tell.
+Duration TimeSinceArrival(int socket) noexcept {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+             ? Millis(info.tcpi_last_data_recv)
+             : Duration::zero();
+}
+
+// Returns whether the peer has closed or reset a connection. A peer that closes
+// only its sending side counts as gone.
+bool HasPeerClosed(int socket) noexcept {
+  char byte = 0;
+  const ssize_t size =
+      ::recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                       errno != EINTR);
+}
+
+// Serves one request that was read from a socket.
 void Serve(ServerState& state,
+           int socket,
            Poco::Net::HTTPServerRequest& request,
            Poco::Net::HTTPServerResponse& response) {
   const ActiveRequest active(state.active_count);
   HttpCall call;
+  call.has_caller_closed = [socket] { return HasPeerClosed(socket); };
   call.method = request.getMethod();
   call.content_type = request.getContentType();
   for (const auto& [name, value] : request) {
@@ -180,6 +207,7 @@
                ErrorReply(ErrorKind::kBadRequest, "the body is cut short"));
     return;
   }
+  call.arrived_at = MonotonicClock::now() - TimeSinceArrival(socket);
   const HttpReply reply = state.handler(call);
   if (state.connections.is_stopping()) {
     response.setKeepAlive(false);
@@ -270,7 +298,7 @@
         response.sendContinue();
       }
       try {
-        Serve(state_, request, response);
+        Serve(state_, socket().impl()->sockfd(), request, response);
       } catch (const Poco::Exception&) {
         if (!response.sent()) {
           SendFailure(session,
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -170,7 +170,7 @@
   CommandResult result;
   result.error = ErrorKind::kOverloaded;
   result.text = "too many commands wait";
-  if (!inputs_.TryPush(CellInput{ticket, std::move(call)})) {
+  if (!inputs_.TryPush(CellInput{ticket, std::move(call), deadline})) {
     pending_cell_calls_.Abandon(ticket);
     return result;
   }
@@ -328,6 +328,10 @@
   } else if (const auto* command = std::get_if<ApiCommand>(&input)) {
     core_->Submit(now, WallNow(), command->ticket, command->command);
   } else if (auto* cell_input = std::get_if<CellInput>(&input)) {
+    if (cell_input->deadline <= now) {
+      // Its caller has been told that there was no answer in time.
+      return;
+    }
     if (auto* logged = std::get_if<Command>(&cell_input->call)) {
       LoggedCommand cell_command;
       cell_command.command = std::move(*logged);
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -22,7 +22,7 @@
   ReadEnum(json, GraphState::kCancelled, value);
 }
 inline void from_json(const nlohmann::json& json, CellQueryKind& value) {
-  ReadEnum(json, CellQueryKind::kPending, value);
+  ReadEnum(json, CellQueryKind::kEvacuations, value);
 }
 
 inline void to_json(nlohmann::json& json, const Resources& r) {
@@ -194,7 +194,20 @@
                                    limits,
                                    document)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(InstallPlan, plan)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetEvacuated, data_centre, evacuated)
+inline void to_json(nlohmann::json& json, const SetEvacuated& command) {
+  json = {{"data_centre", command.data_centre},
+          {"evacuated", command.evacuated}};
+  if (command.expected_changes) {
+    json["expected_changes"] = *command.expected_changes;
+  }
+}
+inline void from_json(const nlohmann::json& json, SetEvacuated& command) {
+  json.at("data_centre").get_to(command.data_centre);
+  json.at("evacuated").get_to(command.evacuated);
+  if (json.contains("expected_changes")) {
+    command.expected_changes = json.at("expected_changes").get<std::uint64_t>();
+  }
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitGraph, id, spec)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CancelGraph, id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdmitWorker, info, agent)
--- a/tests/unit/graph_table_test.cc
+++ b/tests/unit/graph_table_test.cc
@@ -43,6 +43,29 @@
       table.Apply(InstallPlan{SamplePlan(9)}, kGraphStart).plan_changed);
 }
 
+// Guards against an order that reaches the log after newer ones and undoes
+// them.
+void LateEvacuationOrderChangesNothing() {
+  GraphTable table = TableWithTwoWorkers();
+  table.Apply(SetEvacuated{"dc-a", true}, kGraphStart);
+  const std::uint64_t known = table.evacuation_changes();
+  const SetEvacuated withdrawal{"dc-a", false, known};
+  CPPUNIT_ASSERT(table.Apply(withdrawal, kGraphStart).result.ok);
+  table.Apply(SetEvacuated{"dc-a", true, table.evacuation_changes()},
+              kGraphStart);
+  const GraphApplyResult late = table.Apply(withdrawal, kGraphStart);
+  CPPUNIT_ASSERT(late.result.error == ErrorKind::kStale);
+  CPPUNIT_ASSERT(table.evacuated().contains("dc-a"));
+}
+
+void RepeatedEvacuationOrderIsAcknowledged() {
+  GraphTable table = TableWithTwoWorkers();
+  const SetEvacuated order{"dc-a", true, table.evacuation_changes()};
+  CPPUNIT_ASSERT(table.Apply(order, kGraphStart).result.ok);
+  CPPUNIT_ASSERT(table.Apply(order, kGraphStart).result.ok);
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, table.evacuation_changes());
+}
+
 void ResubmissionIsIdempotent() {
   GraphTable table = TableWithTwoWorkers();
   CPPUNIT_ASSERT(
@@ -229,6 +252,11 @@
       .With(Section("the plan")
                 .Then("is replaced only by a higher version",
                       PlanVersionOnlyIncreases))
+      .With(Section("the evacuation of a data centre")
+                .Then("is not undone by an older order that arrives late",
+                      LateEvacuationOrderChangesNothing)
+                .Then("is acknowledged again when its order is repeated",
+                      RepeatedEvacuationOrderIsAcknowledged))
       .With(
           Section("a graph")
               .Then("is not duplicated when it is resubmitted",
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -91,6 +91,7 @@
       .With(HttpClientStory())
       .With(HttpServerStory())
       .With(GatewayProcessStory())
+      .With(LateCallStory())
       .With(PlatformCodecStory())
       .With(DecoderFuzzStory())
       .With(ServingRankStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -89,6 +89,7 @@
 Section HttpClientStory();
 Section HttpServerStory();
 Section GatewayProcessStory();
+Section LateCallStory();
 Section PlatformCodecStory();
 Section DecoderFuzzStory();
 Section ServingRankStory();
