Graph: remember cancellations of graphs that are not submitted yet

Cause: the cancellation of an unknown graph left no trace, so a submission that was still on its way was accepted afterwards.

Change: the table remembers such a cancellation as long as an ended graph, for 10,000 ids at most; a later submission of the id ends as cancelled.

Tests: new sections of graph_table_test.cc, late_call_test.cc and cell_client_test.cc.

Why it works: the cancellation and the submission meet in one log, whatever held the submission up; the deadline keeps most of them from getting there.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -92,6 +92,8 @@
   kWorkerReinstated = 1349,
   kCallAnswered = 1350,
   kLongRunningWaited = 1351,
+  kCancelRemembered = 1352,
+  kCancelForgotten = 1353,
   kConfigInForce = 1401,
   kCommandAccepted = 1402,
   kCommandRefused = 1403,
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -19,6 +19,9 @@
 // milliseconds. Five times the guaranteed time, because wall clocks may jump.
 inline constexpr WallMillis kGraphRetentionMs = 600LL * 1000;
 
+// Maximum number of unknown graphs whose cancellation is remembered.
+inline constexpr std::size_t kMaxCancelledIds = 10'000;
+
 // State of one task of a graph.
 enum class TaskPhase : std::uint8_t { kWaiting, kReady, kRunning, kDone };
 
@@ -102,7 +105,10 @@
   // Applies one command. `now` is the wall time of its log entry.
   GraphApplyResult Apply(const InstallPlan& command, WallMillis now);
   GraphApplyResult Apply(const SetEvacuated& command, WallMillis now);
+  // A graph that was cancelled before it was submitted ends as cancelled.
   GraphApplyResult Apply(const SubmitGraph& command, WallMillis now);
+  // Remembers the cancellation of an unknown graph for kGraphRetentionMs, since
+  // its submission may still be on its way.
   GraphApplyResult Apply(const CancelGraph& command, WallMillis now);
   GraphApplyResult Apply(const AdmitWorker& command, WallMillis now);
   GraphApplyResult Apply(const DropWorker& command, WallMillis now);
@@ -198,6 +204,11 @@
                       WallMillis now,
                       GraphApplyResult& applied);
   void MarkRunning(Graph& graph);
+  // Remembers that an unknown graph was cancelled.
+  void RememberCancelled(const std::string& id,
+                         WallMillis now,
+                         GraphApplyResult& applied);
+  void ForgetCancelled(const std::string& id);
   // Adds the suspects among a graph's tasks to their index.
   void AddSuspects(const std::string& id, const Graph& graph);
 
@@ -205,6 +216,9 @@
   std::set<std::string> evacuated_;
   std::uint64_t evacuation_changes_ = 0;
   std::map<std::string, Graph> graphs_;
+  // Graphs that were cancelled before they were submitted, with the end of
+  // their retention.
+  std::map<std::string, WallMillis> cancelled_ids_;
   std::map<std::string, GraphWorker> workers_;
   std::uint64_t next_order_ = 1;
 
@@ -213,6 +227,7 @@
   std::set<TaskRef> suspects_;
   std::map<std::string, std::int64_t> pending_counts_;
   std::set<std::pair<WallMillis, std::string>> expiry_;
+  std::set<std::pair<WallMillis, std::string>> cancelled_expiry_;
 };
 
 // Returns the resources that a run of a step reserves on its worker: a
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -184,6 +184,12 @@
      "A long-running task has been ready for a second or longer: how long, how "
      "often it fits on the workers of its pool, the worker chosen if it no "
      "longer waits, and the reason for each worker that was rejected."},
+    {EventId::kCancelRemembered, "cancel-remembered",
+     "An unknown job graph was cancelled; it ends as cancelled if it is "
+     "submitted later."},
+    {EventId::kCancelForgotten, "cancel-forgotten",
+     "The oldest cancellation of an unknown job graph was discarded, since too "
+     "many are remembered."},
     {EventId::kConfigInForce, "config-in-force",
      "This process now uses a newer configuration version."},
     {EventId::kCommandAccepted, "command-accepted",
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -29,7 +29,7 @@
   entry.deadline = deadline;
   entry.unreachable_at = now + kUnreachableTimeout;
   entry.retry_at = now;
-  if (link_.connected() && now < end_) {
+  if (link_.connected() && now < std::min(deadline, end_)) {
     Send(now, ticket, entry);
   }
 }
@@ -58,7 +58,9 @@
   }
   next_status_at_ = now;
   for (auto& [ticket, call] : calls_) {
-    Send(now, ticket, call);
+    if (now < std::min(call.deadline, end_)) {
+      Send(now, ticket, call);
+    }
   }
 }
 
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -190,6 +190,10 @@
                                .With("filling", filling)
                                .With("serving", serving)
                                .With("plan", plan_.version));
+  if (cancelled_ids_.contains(command.id)) {
+    ForgetCancelled(command.id);
+    Finish(command.id, graph, GraphState::kCancelled, now, applied);
+  }
   return applied;
 }
 
@@ -245,6 +249,7 @@
   const auto found = graphs_.find(command.id);
   if (found == graphs_.end()) {
     Refuse(applied, ErrorKind::kNotFound, "no such graph");
+    RememberCancelled(command.id, now, applied);
     return applied;
   }
   applied.result.ok = true;
@@ -254,6 +259,33 @@
   return applied;
 }
 
+void GraphTable::RememberCancelled(const std::string& id,
+                                   WallMillis now,
+                                   GraphApplyResult& applied) {
+  ForgetCancelled(id);
+  if (cancelled_ids_.size() >= kMaxCancelledIds) {
+    const std::string oldest = cancelled_expiry_.begin()->second;
+    applied.events.push_back(Event(EventId::kCancelForgotten)
+                                 .With("request", oldest)
+                                 .With("remembered", cancelled_ids_.size()));
+    ForgetCancelled(oldest);
+  }
+  const WallMillis until = now + kGraphRetentionMs;
+  cancelled_ids_.emplace(id, until);
+  cancelled_expiry_.emplace(until, id);
+  applied.events.push_back(Event(EventId::kCancelRemembered)
+                               .With("request", id)
+                               .With("remembered", cancelled_ids_.size()));
+}
+
+void GraphTable::ForgetCancelled(const std::string& id) {
+  const auto found = cancelled_ids_.find(id);
+  if (found != cancelled_ids_.end()) {
+    cancelled_expiry_.erase({found->second, id});
+    cancelled_ids_.erase(found);
+  }
+}
+
 GraphApplyResult GraphTable::Apply(const AdmitWorker& command, WallMillis now) {
   GraphApplyResult applied;
   applied.result.ok = true;
@@ -570,6 +602,12 @@
     graphs_.erase(expiry_.begin()->second);
     expiry_.erase(expiry_.begin());
   }
+  for (int i = 0; i < kMaxExpiredPerCommand && !cancelled_expiry_.empty() &&
+                  cancelled_expiry_.begin()->first < now;
+       ++i) {
+    cancelled_ids_.erase(cancelled_expiry_.begin()->second);
+    cancelled_expiry_.erase(cancelled_expiry_.begin());
+  }
 }
 
 void GraphTable::RebuildIndexes() {
@@ -577,6 +615,10 @@
   suspects_.clear();
   pending_counts_.clear();
   expiry_.clear();
+  cancelled_expiry_.clear();
+  for (const auto& [id, until] : cancelled_ids_) {
+    cancelled_expiry_.emplace(until, id);
+  }
   for (auto& [id, graph] : graphs_) {
     if (IsFinal(graph.state)) {
       expiry_.emplace(graph.changed_at + kGraphRetentionMs, id);
--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -83,6 +83,7 @@
             {"evacuated", table.evacuated_},
             {"evacuation_changes", table.evacuation_changes_},
             {"graphs", table.graphs_},
+            {"cancelled_ids", table.cancelled_ids_},
             {"workers", table.workers_},
             {"next_order", table.next_order_}};
   }
@@ -90,10 +91,13 @@
   static void FromJson(const nlohmann::json& json, GraphTable& table) {
     json.at("plan").get_to(table.plan_);
     json.at("evacuated").get_to(table.evacuated_);
-    // Absent in snapshots of earlier versions.
+    // These two are absent in snapshots of earlier versions.
     table.evacuation_changes_ =
         json.value("evacuation_changes", std::uint64_t{0});
     json.at("graphs").get_to(table.graphs_);
+    if (json.contains("cancelled_ids")) {
+      json.at("cancelled_ids").get_to(table.cancelled_ids_);
+    }
     json.at("workers").get_to(table.workers_);
     json.at("next_order").get_to(table.next_order_);
     table.RebuildIndexes();
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -153,13 +153,15 @@
     reply.fields.push_back({"Connection", "close"});
   }
   const Duration took = MonotonicClock::now() - start;
-  WriteEvent(Event(EventId::kCallAnswered)
-                 .With("method", call.method)
-                 .With("path", call.path)
-                 .With("status", reply.status)
-                 .With("plan", current_plan ? current_plan->version : 0)
-                 .With("took_ms", ToMillis(took))
-                 .With("reason", reply.Field("Banyan-Error")));
+  WriteEvent(
+      Event(EventId::kCallAnswered)
+          .With("method", call.method)
+          .With("path", call.path)
+          .With("status", reply.status)
+          .With("plan", current_plan ? current_plan->version : 0)
+          .With("age_ms", ToMillis(start - call.arrived_at.value_or(start)))
+          .With("took_ms", ToMillis(took))
+          .With("reason", reply.Field("Banyan-Error")));
   metrics_.Increment("calls{status=\"" + std::to_string(reply.status) + "\"}");
   metrics_.Observe("call_seconds", took);
   return reply;
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -179,6 +179,20 @@
   CPPUNIT_ASSERT(fixture.answers().empty());
 }
 
+// Guards against a call that is carried out after its caller was told that it
+// was not.
+void ExpiredCallIsNotSent() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(100));
+  fixture.Open(Command(CancelGraph{"g"}), Millis(-1));
+  fixture.Connect();
+  fixture.Advance(Millis(100));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.requests());
+  CPPUNIT_ASSERT(fixture.answers().at(0).result.error == ErrorKind::kNoQuorum);
+}
+
 void UsesReportedMembers() {
   ClientFixture fixture;
   fixture.Connect();
@@ -206,6 +220,7 @@
                 .Then("may be any member that a replica reported",
                       UsesReportedMembers))
       .With(Section("a call")
+                .Then("that has expired is never sent", ExpiredCallIsNotSent)
                 .Then("that no replica accepted is refused definitely",
                       RefusalIsDefiniteWhenNothingWasAccepted)
                 .Then("that was not answered has an unknown outcome",
--- a/tests/unit/graph_table_test.cc
+++ b/tests/unit/graph_table_test.cc
@@ -213,6 +213,43 @@
   CPPUNIT_ASSERT(!table.Apply(CancelGraph{"none"}, kGraphStart).result.ok);
 }
 
+// Guards against a job that runs after its cancelling was answered, because its
+// submission was held up on the way.
+void GraphCancelledBeforeItsSubmissionNeverRuns() {
+  GraphTable table = TableWithTwoWorkers();
+  const GraphApplyResult cancelled = table.Apply(CancelGraph{"g"}, kGraphStart);
+  CPPUNIT_ASSERT(cancelled.result.error == ErrorKind::kNotFound);
+  CPPUNIT_ASSERT(table.FindGraph("g") == nullptr);
+  GraphTable copy;
+  GraphTableCodec::FromJson(GraphTableCodec::ToJson(table), copy);
+  CPPUNIT_ASSERT(
+      copy.Apply(SampleGraph("g", {SampleStep(2)}), kGraphStart).result.ok);
+  CPPUNIT_ASSERT(copy.FindGraph("g")->state == GraphState::kCancelled);
+  CPPUNIT_ASSERT(copy.ready_graphs().empty());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, copy.PendingGraphCount("quick"));
+}
+
+void EarlyCancellationIsForgottenAfterTheRetention() {
+  GraphTable table = TableWithTwoWorkers();
+  table.Apply(CancelGraph{"g"}, kGraphStart);
+  const WallMillis later = kGraphStart + kGraphRetentionMs + 1;
+  table.RemoveExpiredGraphs(later);
+  table.Apply(SampleGraph("g", {SampleStep(2)}), later);
+  CPPUNIT_ASSERT(table.ready_graphs().contains("g"));
+}
+
+void EarlyCancellationsAreBounded() {
+  GraphTable table = TableWithTwoWorkers();
+  for (std::size_t i = 0; i <= kMaxCancelledIds; ++i) {
+    table.Apply(CancelGraph{"g" + std::to_string(i)},
+                kGraphStart + static_cast<WallMillis>(i));
+  }
+  table.Apply(SampleGraph("g0", {SampleStep(1)}), kGraphStart);
+  table.Apply(SampleGraph("g1", {SampleStep(1)}), kGraphStart);
+  CPPUNIT_ASSERT(table.ready_graphs().contains("g0"));
+  CPPUNIT_ASSERT(!table.ready_graphs().contains("g1"));
+}
+
 void LongRunningTaskIsAlwaysRestarted() {
   GraphTable table = TableWithTwoWorkers();
   StepSpec step = SampleStep(1);
@@ -269,6 +306,14 @@
                     GraphFailsAfterMaxAttempts)
               .Then("holds its resources after a cancel until its runs end",
                     CancelledGraphHoldsResourcesUntilRunsEnd)
+              .Then("never runs when it was cancelled before its submission",
+                    GraphCancelledBeforeItsSubmissionNeverRuns)
+              .Then("may use the id of an early cancellation after its "
+                    "retention",
+                    EarlyCancellationIsForgottenAfterTheRetention)
+              .Then("may use the id of the oldest of too many early "
+                    "cancellations",
+                    EarlyCancellationsAreBounded)
               .Then("restarts a long-running task whatever its end reason",
                     LongRunningTaskIsAlwaysRestarted))
       .With(Section("a gang")
--- a/tests/unit/late_call_test.cc
+++ b/tests/unit/late_call_test.cc
@@ -21,6 +21,8 @@
 
 // How long an operator waits for the response to an order.
 constexpr Duration kOperatorTimeout = Millis(1000);
+// The deadline that the requests name.
+constexpr Duration kClientDeadline = Millis(1000);
 constexpr Duration kPollInterval = Millis(2);
 constexpr Duration kNetworkDelay = Millis(50);
 constexpr Duration kExchangeTimeout = Millis(5000);
@@ -169,6 +171,11 @@
   HttpServer server_;
 };
 
+// Returns the body of a job of one task.
+std::string JobBody() {
+  return R"({"spec":"s","steps":[{"count":1,"cpu":1000,"mem-mb":256}]})";
+}
+
 // Returns the status of the response on a connection; 0 if there is none.
 int StatusOf(Poco::Net::StreamSocket& socket) {
   constexpr std::size_t kStatusAt = 9;
@@ -215,18 +222,48 @@
   CPPUNIT_ASSERT(server.cell().IsEvacuated("dc-a"));
 }
 
+void JobIsAcceptedWhileItsCallerWaits() {
+  BusyServer server;
+  server.Occupy();
+  Poco::Net::StreamSocket caller =
+      server.Send("POST", "/quick/00000000000000a1", JobBody());
+  std::this_thread::sleep_for(kNetworkDelay);
+  server.Release();
+  CPPUNIT_ASSERT_EQUAL(200, StatusOf(caller));
+  CPPUNIT_ASSERT(server.cell().HasGraph("00000000000000a1"));
+}
+
+// Guards against a job that an entry hands in seconds after its client has
+// given up, when the entry was frozen meanwhile.
+void JobIsNotHandedInAfterItsDeadline() {
+  BusyServer server;
+  server.Occupy();
+  Poco::Net::StreamSocket caller =
+      server.Send("POST", "/quick/00000000000000a1", JobBody());
+  std::this_thread::sleep_for(kClientDeadline + kNetworkDelay);
+  server.Release();
+  CPPUNIT_ASSERT_EQUAL(503, StatusOf(caller));
+  CPPUNIT_ASSERT(!server.cell().HasGraph("00000000000000a1"));
+}
+
 }  // namespace
 
 Section LateCallStory() {
   Section story("A request that is read late");
-  story.With(Section("an order on the evacuation of a data centre")
-                 .Then("is carried out while its caller waits",
-                       OrderIsCarriedOutWhileItsCallerWaits)
-                 .Then("is dropped when its caller has closed the connection",
-                       OrderOfCallerThatClosedIsNotCarriedOut)
-                 .Then("is dropped when it arrived longer ago than its caller "
-                       "waits",
-                       OrderThatWaitedTooLongIsNotCarriedOut));
+  story
+      .With(Section("an order on the evacuation of a data centre")
+                .Then("is carried out while its caller waits",
+                      OrderIsCarriedOutWhileItsCallerWaits)
+                .Then("is dropped when its caller has closed the connection",
+                      OrderOfCallerThatClosedIsNotCarriedOut)
+                .Then("is dropped when it arrived longer ago than its caller "
+                      "waits",
+                      OrderThatWaitedTooLongIsNotCarriedOut))
+      .With(Section("a job")
+                .Then("is accepted while its client waits",
+                      JobIsAcceptedWhileItsCallerWaits)
+                .Then("is not handed in after its client's deadline",
+                      JobIsNotHandedInAfterItsDeadline));
   return story;
 }
 
