Agent: ask the worker before another incarnation replaces it

Cause: an agent took a report for its worker's successor because its start was later or its id another one. The worker went on under its lease and answered calls; the leader placed its runs elsewhere, and its later ends were acknowledged without being counted.

Change: such a report is kept, and the worker is asked which incarnation it is by a call that renews no lease and acknowledges no end. Evidence of an end is an answer as another one, a departure, or a lease that has run out unanswered. The leader ends no incarnation for one that has not answered its agent. The clock of another incarnation's answer is not taken for the worker's. The simulation has reports of other writers and clocks that step between two incarnations.

Why it works: only the worker knows which incarnation it is, and it is on the same machine as its agent; without an answer the lease bounds what it runs.

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -89,6 +89,11 @@
                         const GraphTable& table,
                         const std::string& agent,
                         const WorkerSync& sync);
+  // Returns whether the table has another incarnation of a worker, by its id or
+  // by its agent.
+  [[nodiscard]] static bool HasOther(const GraphTable& table,
+                                     const std::string& agent,
+                                     const WorkerIncarnation& incarnation);
   // Proposes the ended runs of a worker's incarnation that has ended and what
   // is known of its crash, then its removal.
   void OnLeave(Time now,
--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -19,6 +19,8 @@
   kStart,
   kStop,
   kThrottle,
+  // Asks which incarnation the worker is. Changes nothing at any of them.
+  kIdentify,
 };
 
 // A call to the worker.
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -31,9 +32,10 @@
 // run lists to the leader. It makes no scheduling decisions.
 class WorkerAgent {
  public:
-  // Processes a worker's report. Ignores reports that arrive out of order, and
-  // reports of an earlier incarnation unless the worker has denied to be the
-  // later one.
+  // Processes a worker's report. Ignores reports that arrive out of order. A
+  // report of another incarnation is believed once there is evidence that the
+  // current one has ended: the worker answers as another one, it has left, or
+  // its lease has run out.
   void OnReport(Time now, const WorkerReport& report);
 
   // Processes a worker's announcement of its shutdown. The worker counts as
@@ -90,6 +92,15 @@
     bool has_answered = false;
   };
 
+  // A report of another incarnation, until the worker has told which one it is.
+  struct Successor {
+    WorkerReport report;
+    Time reported_at;
+    // When the worker is asked again.
+    Time ask_at;
+    bool is_asking = false;
+  };
+
   // A reading of the worker's clock and the agent's time of its receipt. The
   // reading is older than the receipt, so derived deadlines are never too late.
   struct ClockSample {
@@ -100,8 +111,23 @@
   // Returns whether a report of the current incarnation is later than its last
   // one.
   [[nodiscard]] bool IsLater(Time now, const WorkerReport& report);
-  // Returns whether another incarnation may take the place of the current one.
-  [[nodiscard]] bool MayReplace(const WorkerIncarnation& incarnation);
+  // Takes over a report of the current or the first incarnation.
+  void Follow(Time now, const WorkerReport& report);
+  // Keeps a report of another incarnation.
+  void HoldSuccessor(Time now, const WorkerReport& report);
+  // Asks the worker which incarnation it is while a report of another one is
+  // kept.
+  void AskWorker(Time now);
+  // Returns what shows that the current incarnation has ended, if it is
+  // followed by the one given.
+  [[nodiscard]] std::optional<std::string_view> EvidenceOfEnd(
+      Time now,
+      const WorkerIncarnation& successor) const;
+  // Follows the incarnation whose report is kept if there is such evidence.
+  // Returns whether it does.
+  bool TryReplace(Time now);
+  // Settles by a reply whether the incarnation of the kept report is there.
+  void CheckIdentity(Time now, const RunCallReply& reply);
   // Returns the initial state for the incarnation that replaces this one.
   [[nodiscard]] WorkerAgent NextIncarnation(
       const WorkerIncarnation& successor) &&;
@@ -139,6 +165,9 @@
   [[nodiscard]] bool IsListed(const RunRef& run) const;
 
   std::optional<WorkerInfo> info_;
+  // When the agent began to follow this incarnation.
+  Time followed_since_;
+  std::optional<Successor> successor_;
   std::int64_t report_sequence_ = 0;
   // When the last report arrived.
   Time reported_at_;
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -141,14 +141,17 @@
      "A worker announced its shutdown to its agent; counts the runs and the "
      "uncommitted ends of its last list."},
     {EventId::kWorkerReplaced, "worker-replaced",
-     "A later incarnation reported to an agent; counts the runs and the "
-     "uncommitted ends known of the earlier one."},
+     "Another incarnation reported to an agent, and there is evidence that the "
+     "earlier one has ended; counts its known runs and uncommitted ends."},
     {EventId::kWorkerRemovalProposed, "worker-removal-proposed",
      "Decision to remove an incarnation of a worker, with its runs, the "
      "uncommitted ends that its agent reported, and the rest of its lease."},
     {EventId::kWorkerEndsDiscarded, "worker-ends-discarded",
      "The agent gave up the uncommitted ends of an earlier incarnation, since "
      "too many incarnations followed without an answer of the leader."},
+    {EventId::kSuccessorReported, "successor-reported",
+     "A report named another incarnation than the one that the agent follows; "
+     "the worker is asked which one it is."},
     {EventId::kRunOrdered, "run-ordered",
      "The agent ordered its worker to start a run, with the outcome; `barred` "
      "if the run must not start and the worker has to confirm that."},
@@ -190,6 +193,9 @@
     {EventId::kCancelForgotten, "cancel-forgotten",
      "The oldest cancellation of an unknown job graph was discarded, since too "
      "many are remembered."},
+    {EventId::kSuccessorRefuted, "successor-refuted",
+     "The worker is not the incarnation that a report named; the agent ignores "
+     "the report."},
     {EventId::kConfigInForce, "config-in-force",
      "This process now uses a newer configuration version."},
     {EventId::kCommandAccepted, "command-accepted",
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -322,6 +322,16 @@
       sync.crashed.empty() ? "the worker left" : "the worker crashed");
 }
 
+bool GraphLeader::HasOther(const GraphTable& table,
+                           const std::string& agent,
+                           const WorkerIncarnation& incarnation) {
+  return std::any_of(
+      table.workers().begin(), table.workers().end(), [&](const auto& item) {
+        return (item.second.agent == agent || item.first == incarnation.id) &&
+               item.second.info.life != incarnation;
+      });
+}
+
 void GraphLeader::ProposeAdmission(Time now,
                                    const GraphTable& table,
                                    const std::string& agent,
@@ -332,6 +342,11 @@
   if (known != nullptr && known->info == info && known->agent == agent) {
     return;
   }
+  // Only the worker can tell that another incarnation has taken its place.
+  if (known == nullptr && !sync.reachable &&
+      HasOther(table, agent, info.life)) {
+    return;
+  }
   GraphWorkerView& view = views_[info.life.id];
   const bool is_waiting = view.life == info.life &&
                           view.admission_proposed_at + kProposalTimeout > now &&
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -30,6 +30,10 @@
 // How long after its sending a call, also one of the worker to its agent, may
 // arrive or be carried out, as the platform specifies it.
 constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
+// Longest lease of a worker, as the platform limits it.
+constexpr Duration kMaxWorkerLease = std::chrono::seconds(10);
+// What a worker's clock, which may be 2% slow, adds to the longest lease.
+constexpr Duration kMaxClockLag = Millis(200);
 // Unanswered calls after which a start is abandoned.
 constexpr int kMaxUnansweredStarts = 3;
 // How long a start waits for the agent to hold a lease and the worker to
@@ -67,33 +71,139 @@
 }  // namespace
 
 void WorkerAgent::OnReport(Time now, const WorkerReport& report) {
-  const WorkerIncarnation& incarnation = report.info.life;
-  if (info_) {
-    const bool is_same = info_->life == incarnation;
-    if (is_same ? !IsLater(now, report) : !MayReplace(incarnation)) {
-      return;
-    }
-    // The leader has placed the runs of this incarnation elsewhere.
-    if (is_same && has_left_) {
-      return;
+  if (info_ && info_->life != report.info.life) {
+    HoldSuccessor(now, report);
+    if (!TryReplace(now)) {
+      AskWorker(now);
     }
-    if (!is_same) {
-      out_.events.push_back(Event(EventId::kWorkerReplaced)
-                                .With("worker", incarnation.id)
-                                .With("born", incarnation.started_at_ms)
-                                .With("earlier", info_->life.id)
-                                .With("earlier_born", info_->life.started_at_ms)
-                                .With("running", running_.size())
-                                .With("ended", ended_.size())
-                                .With("committed", last_committed_end_));
-      *this = WorkerAgent(std::move(*this).NextIncarnation(incarnation));
+    return;
+  }
+  // Once this incarnation has left, the leader has placed its runs elsewhere.
+  if (info_ && (!IsLater(now, report) || has_left_)) {
+    return;
+  }
+  Follow(now, report);
+}
+
+void WorkerAgent::HoldSuccessor(Time now, const WorkerReport& report) {
+  const WorkerIncarnation& life = report.info.life;
+  if (successor_ && successor_->report.info.life == life) {
+    if (successor_->report.sequence < report.sequence) {
+      successor_->report = report;
     }
+    return;
+  }
+  const bool is_asking = successor_ && successor_->is_asking;
+  successor_ = Successor{report, now, now, is_asking};
+  out_.events.push_back(Event(EventId::kSuccessorReported)
+                            .With("worker", life.id)
+                            .With("born", life.started_at_ms)
+                            .With("sequence", report.sequence)
+                            .With("current", info_->life.id)
+                            .With("current_born", info_->life.started_at_ms)
+                            .With("reachable", is_reachable_ ? 1 : 0));
+}
+
+void WorkerAgent::AskWorker(Time now) {
+  if (!successor_ || successor_->is_asking || successor_->ask_at > now) {
+    return;
+  }
+  successor_->is_asking = true;
+  RunCall call = MakeCall(RunCallOp::kIdentify, RunRef{});
+  call.lease_until_ms.reset();
+  call.last_committed_end = 0;
+  out_.calls.push_back(std::move(call));
+}
+
+std::optional<std::string_view> WorkerAgent::EvidenceOfEnd(
+    Time now,
+    const WorkerIncarnation& successor) const {
+  if (is_denied_ &&
+      denied_by_.value_or(successor.started_at_ms) == successor.started_at_ms) {
+    return "the worker answers as another incarnation";
+  }
+  if (has_left_) {
+    return "it has left";
+  }
+  // An earlier agent may have granted a lease that this one doesn't know.
+  const Time lease_end =
+      std::max(lease_deadline_, followed_since_ + kMaxWorkerLease) +
+      kMaxClockLag;
+  if (!is_reachable_ && lease_end <= now) {
+    return "its lease has run out";
+  }
+  return std::nullopt;
+}
+
+bool WorkerAgent::TryReplace(Time now) {
+  if (!successor_) {
+    return false;
+  }
+  const WorkerReport report = successor_->report;
+  const WorkerIncarnation& incarnation = report.info.life;
+  const auto evidence = EvidenceOfEnd(now, incarnation);
+  if (!evidence) {
+    return false;
+  }
+  out_.events.push_back(Event(EventId::kWorkerReplaced)
+                            .With("worker", incarnation.id)
+                            .With("born", incarnation.started_at_ms)
+                            .With("earlier", info_->life.id)
+                            .With("earlier_born", info_->life.started_at_ms)
+                            .With("running", running_.size())
+                            .With("ended", ended_.size())
+                            .With("committed", last_committed_end_)
+                            .With("reason", *evidence));
+  *this = WorkerAgent(std::move(*this).NextIncarnation(incarnation));
+  Follow(now, report);
+  return true;
+}
+
+void WorkerAgent::CheckIdentity(Time now, const RunCallReply& reply) {
+  const bool is_denial =
+      reply.answered && reply.refusal == RunRefusal::kOtherIncarnation;
+  if (is_denial) {
+    is_denied_ = true;
+    denied_by_ = reply.answering_start_ms;
   }
+  if (!successor_) {
+    return;
+  }
+  if (reply.op == RunCallOp::kIdentify) {
+    successor_->is_asking = false;
+    successor_->ask_at = now + kListRetryDelay;
+  }
+  if (is_denial && TryReplace(now)) {
+    return;
+  }
+  // Other calls may be refused before the incarnation is compared.
+  const bool is_confirmation =
+      reply.answered && reply.refusal == RunRefusal::kNone &&
+      (reply.op == RunCallOp::kIdentify || reply.op == RunCallOp::kListRuns);
+  if ((is_denial || is_confirmation) &&
+      reply.sent_at >= successor_->reported_at) {
+    const WorkerIncarnation& life = successor_->report.info.life;
+    out_.events.push_back(
+        Event(EventId::kSuccessorRefuted)
+            .With("worker", life.id)
+            .With("born", life.started_at_ms)
+            .With("current", info_->life.id)
+            .With("current_born", info_->life.started_at_ms)
+            .With("answering_born", reply.answering_start_ms.value_or(0))
+            .With("age_ms", ToMillis(now - successor_->reported_at)));
+    successor_.reset();
+  }
+}
+
+void WorkerAgent::Follow(Time now, const WorkerReport& report) {
   const bool was_draining = info_ && info_->draining;
   const bool is_new = !info_;
   const bool has_shrunk = info_ && !Fits(info_->capacity, report.info.capacity);
   const bool has_changed = is_new || was_draining != report.info.draining ||
                            info_->capacity != report.info.capacity;
+  if (is_new) {
+    followed_since_ = now;
+  }
   info_ = report.info;
   report_sequence_ = report.sequence;
   reported_at_ = now;
@@ -139,21 +249,6 @@
   return is_overdue;
 }
 
-bool WorkerAgent::MayReplace(const WorkerIncarnation& incarnation) {
-  if (incarnation.started_at_ms >= info_->life.started_at_ms) {
-    return true;
-  }
-  if (!is_denied_ || (denied_by_ && *denied_by_ != incarnation.started_at_ms)) {
-    return false;
-  }
-  out_.events.push_back(
-      Event(EventId::kWorkerReinstated)
-          .With("worker", incarnation.id)
-          .With("born", incarnation.started_at_ms)
-          .With("reason", "the worker denied the later incarnation"));
-  return true;
-}
-
 void WorkerAgent::LogCrash(const RunCrash& crash) {
   const std::optional<Duration> age = crash_observer_.AgeOf(crash.run);
   out_.events.push_back(
@@ -165,8 +260,12 @@
 
 WorkerAgent WorkerAgent::NextIncarnation(
     const WorkerIncarnation& successor) && {
-  // The worker never was the incarnation that it denied to be.
-  const bool is_unfounded = successor.started_at_ms < info_->life.started_at_ms;
+  // A wall clock that stepped back between the two makes the successor's start
+  // the earlier one.
+  const bool has_earlier_start =
+      successor.started_at_ms < info_->life.started_at_ms;
+  // The worker never was an incarnation that it has not answered as.
+  const bool is_unfounded = has_earlier_start && list_count_ == 0;
   // A worker that announced its end has not crashed.
   std::vector<RunCrash> crashed;
   if (!departure_ && !info_->draining && !is_unfounded) {
@@ -194,7 +293,7 @@
     next.must_settle_stops_ = !next.pending_stops_.empty();
   }
   // An earlier incarnation is admitted only after the removal of this one.
-  if (!ended_.empty() || !crashed.empty() || is_unfounded) {
+  if (!ended_.empty() || !crashed.empty() || has_earlier_start) {
     is_reachable_ = false;
     final_syncs_.push_back(MakeSync());
     final_syncs_.back().crashed = std::move(crashed);
@@ -349,7 +448,8 @@
 }
 
 void WorkerAgent::SendStarts(Time now) {
-  if (has_left_) {
+  // A start to an incarnation that may have ended could reach the next one.
+  if (has_left_ || successor_) {
     return;
   }
   std::vector<RunRef> expired;
@@ -419,9 +519,14 @@
     return;
   }
   if (reply.answered && reply.clock_ms &&
+      reply.refusal != RunRefusal::kOtherIncarnation &&
       (!clock_ || reply.received_at >= clock_->at)) {
     clock_ = ClockSample{*reply.clock_ms, reply.received_at};
   }
+  CheckIdentity(now, reply);
+  if (reply.incarnation != info_->life) {
+    return;
+  }
   switch (reply.op) {
     case RunCallOp::kListRuns:
       OnRunList(now, reply);
@@ -433,6 +538,7 @@
       OnStopped(now, reply);
       break;
     case RunCallOp::kThrottle:
+    case RunCallOp::kIdentify:
       break;
   }
   SendStarts(now);
@@ -457,10 +563,6 @@
 
 void WorkerAgent::OnListFailure(Time now, const RunCallReply& reply) {
   next_list_at_ = now + (departure_ ? kLeaveProbeInterval : kListRetryDelay);
-  if (reply.refusal == RunRefusal::kOtherIncarnation) {
-    is_denied_ = true;
-    denied_by_ = reply.answering_start_ms;
-  }
   const bool was_reachable = is_reachable_;
   if (was_reachable) {
     crash_observer_.OnContactLost(reply.received_at, reply.failure);
@@ -711,6 +813,9 @@
   if (!info_) {
     return;
   }
+  if (!TryReplace(now)) {
+    AskWorker(now);
+  }
   SendStarts(now);
   SendStops(now);
   RequestRunList(now);
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -132,10 +132,15 @@
 
   // Reports that a worker no longer answers its agent.
   void Lose(const std::string& worker) {
+    SyncUnanswered(table_.workers().at(worker).info);
+  }
+
+  // Reports an incarnation that has not answered its agent.
+  void SyncUnanswered(const WorkerInfo& info) {
     WorkerSync sync;
-    sync.info = table_.workers().at(worker).info;
+    sync.info = info;
     sync.seq = ++seq_;
-    leader_.OnSync(now_, table_, "agent-" + worker, sync, true);
+    leader_.OnSync(now_, table_, "agent-" + info.life.id, sync, true);
     DrainOutputs();
   }
 
--- a/tests/support/graph_world.cc
+++ b/tests/support/graph_world.cc
@@ -486,6 +486,9 @@
   void Boot(Machine& m, const std::string& id) {
     m.worker = Worker{};
     m.worker.info = SampleWorker(id, Wall());
+    if (faults_.clock_steps && Chance(50)) {
+      m.worker.info.life.started_at_ms -= ToMillis(Between(1, 20000));
+    }
     m.worker.life = ++lives_;
     m.worker.is_up = true;
     m.worker.booted_at = now_ - Between(0, 5000);
@@ -561,6 +564,23 @@
               [this, &m, report] { m.agent->OnReport(now_, report); });
   }
 
+  // Tells an agent of an incarnation that its worker is not.
+  void ReportForeign(Machine& m) {
+    WorkerReport report{m.worker.info, 0, m.worker.ClockMs(now_)};
+    report.sequence = m.worker.sequence + ToMillis(Between(0, 5));
+    WorkerIncarnation& life = report.info.life;
+    if (Chance(30)) {
+      life.id = "x" + life.id;
+    }
+    life.started_at_ms += ToMillis(Between(1, 5000)) * (Chance(30) ? -1 : 1);
+    report.info.service = Chance(50) ? "another" : report.info.service;
+    report.info.draining = Chance(10);
+    ++result_.faults;
+    Write("", "foreign report of " + NameOf(life) + " on " + m.name);
+    TellAgent(m, Between(1, 10), m.agent_life,
+              [this, &m, report] { m.agent->OnReport(now_, report); });
+  }
+
   void Beat(Machine& m) {
     Report(m);
     AtWorker(m, kBeat, [this, &m] { Beat(m); });
@@ -666,6 +686,13 @@
     if (reply.refusal != RunRefusal::kNone) {
       return reply;
     }
+    if (call.op == RunCallOp::kIdentify) {
+      reply.answering_start_ms = worker.info.life.started_at_ms;
+      if (call.incarnation != worker.info.life) {
+        reply.refusal = RunRefusal::kOtherIncarnation;
+      }
+      return reply;
+    }
     std::int64_t& barred = worker.barred[call.run.task];
     if (call.op == RunCallOp::kStop) {
       WriteRun(m, call.run, "is stopped");
@@ -913,6 +940,9 @@
                       std::to_string(ToMillis(span)) + " ms");
       });
     }
+    if (faults_.foreign_reports) {
+      Repeat(3000, [this] { ReportForeign(AnyMachine()); });
+    }
     Plan(faults_.silent_lists, 5000, [this] {
       const Duration span = Between(300, 1500);
       silent_until_ = now_ + span;
--- a/tests/support/graph_world.h
+++ b/tests/support/graph_world.h
@@ -40,6 +40,11 @@
   bool failing_tasks = false;
   // Workers fail all that they start for some seconds. Not a disruption either.
   bool grey_workers = false;
+  // Reports of another writer, and delayed ones, name other incarnations. No
+  // disruption.
+  bool foreign_reports = false;
+  // Wall clocks of workers step back while they are down.
+  bool clock_steps = false;
 };
 
 // What became of a world.
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -459,11 +459,29 @@
                                std::size_t{1}, fixture.RunsOn("w1").size());
 }
 
+// Guards against two runs of a task at once: an agent that has just restarted
+// takes the first report for the worker's, and it is one of another writer.
+void UnansweredIncarnationEndsNoOther() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(1)}));
+  fixture.AdvanceTime(kTimeStep);
+  fixture.SyncUnanswered(SampleWorker("w1", 8));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.RunsOn("w1").size());
+  const WorkerInfo successor = SampleWorker("w1", 9);
+  fixture.Join(successor);
+  CPPUNIT_ASSERT(fixture.RunsOn("w1").empty());
+  CPPUNIT_ASSERT(fixture.table().FindWorker(successor.life) != nullptr);
+}
+
 }  // namespace
 
 Section GraphLeaderStory() {
   Section story("The job graph leader");
   story
+      .With(Section("an incarnation")
+                .Then("ends once the worker answers as another one",
+                      UnansweredIncarnationEndsNoOther))
       .With(
           Section("placement")
               .Then("respects every worker's capacity",
--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -83,6 +83,24 @@
   PlayRareSeed(faults, 920);
 }
 
+// Guards against runs that go on while a report of another writer ends their
+// incarnation.
+void ForeignReports() {
+  Play({.leaves = true, .foreign_reports = true});
+}
+
+// Guards against the same while incarnations do end, also with clocks that
+// step.
+void ForeignReportsAmongRestarts() {
+  Play({.leaves = true,
+        .worker_restarts = true,
+        .agent_restarts = true,
+        .late_reports = true,
+        .silent_lists = true,
+        .foreign_reports = true,
+        .clock_steps = true});
+}
+
 // Guards against what only a combination of faults brings about.
 void AllTogether() {
   Play(kAllFaults);
@@ -247,6 +265,10 @@
       .Then("is not run twice while workers restart", LeavesAndWorkerRestarts)
       .Then("is not run twice while agents restart", LeavesAndAgentRestarts)
       .Then("is not run twice while lists get no answer", LeavesAndSilentLists)
+      .Then("is not run twice while others report in a worker's name",
+            ForeignReports)
+      .Then("is not run twice while others report beside restarts",
+            ForeignReportsAmongRestarts)
       .Then("is not run twice with all faults together", AllTogether)
       .Then("meets the same fate from the same seed", SameSeedSameHistory);
   story
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -31,11 +31,35 @@
   }
 
   void Report(const WorkerReport& report) {
-    started_at_ms_ = std::max(started_at_ms_, report.info.life.started_at_ms);
+    if (started_at_ms_ == 0) {
+      started_at_ms_ = report.info.life.started_at_ms;
+    }
     agent_.OnReport(now_, report);
     Collect();
   }
 
+  // The worker answers, as the incarnation that started then, the call that
+  // asks which one it is, sent so long ago.
+  void Identify(std::int64_t answering_start_ms, Duration age = Duration{}) {
+    RunCallReply reply;
+    reply.op = RunCallOp::kIdentify;
+    reply.answered = true;
+    reply.clock_ms = kWorkerClockMs;
+    reply.sent_at = now_ - age;
+    reply.answering_start_ms = answering_start_ms;
+    if (answering_start_ms != started_at_ms_) {
+      reply.refusal = RunRefusal::kOtherIncarnation;
+    }
+    Reply(std::move(reply));
+  }
+
+  // The worker starts again under its id, reports, and is asked who it is.
+  void Restart(std::int64_t started_at_ms) {
+    Report(started_at_ms, 1);
+    Identify(started_at_ms);
+    started_at_ms_ = started_at_ms;
+  }
+
   // The leader answers the last sync with a lease and commands.
   void Grant(WorkerOrders orders = {}, std::int64_t lease_ms = 4000) {
     orders.seq = last_sync_.seq;
@@ -369,7 +393,7 @@
   AgentFixture fixture;
   fixture.Grant();
   fixture.ReplyToList({}, {{5, SampleRun(), RunEndReason::kDone, ""}});
-  fixture.Report(8, 1);
+  fixture.Restart(8);
   CPPUNIT_ASSERT(fixture.last_sync().ended.empty());
   CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
                        fixture.last_sync().info.life.started_at_ms);
@@ -570,7 +594,7 @@
   fixture.Grant();
   fixture.ReplyToList({}, {{5, SampleRun(), RunEndReason::kDone, ""}});
   static_cast<void>(fixture.TakeSyncs());
-  fixture.Report(8, 1);
+  fixture.Restart(8);
   const auto is_final = [](const std::vector<WorkerSync>& syncs) {
     return syncs.size() == 2 && syncs[0].gone &&
            syncs[0].info.life.started_at_ms == 1 &&
@@ -618,7 +642,7 @@
   fixture.Grant(StartOrder(SampleRun()));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kStart).size());
-  fixture.Report(8, 1);
+  fixture.Restart(8);
   fixture.Grant();
   const std::vector<RunCall> stops = fixture.TakeCalls(RunCallOp::kStop);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
@@ -634,7 +658,7 @@
   fixture.Grant(StartOrder(SampleRun()));
   fixture.Answer(RunCallOp::kStart, SampleRun(), true);
   static_cast<void>(fixture.TakeSyncs());
-  fixture.Report(8, 1);
+  fixture.Restart(8);
   RunStatus row;
   row.run = SampleRun();
   fixture.ReplyToList({row}, {});
@@ -666,7 +690,7 @@
   RunStatus row;
   row.run = SampleRun();
   fixture.ReplyToList({row}, {});
-  fixture.Report(8, 1);
+  fixture.Restart(8);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kStop).size());
 }
@@ -682,7 +706,7 @@
     fixture.Advance(Millis(60));
   }
   CPPUNIT_ASSERT(fixture.IsRefusedOnceFenced(SampleRun()));
-  fixture.Report(8, 1);
+  fixture.Restart(8);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kStop).size());
 }
@@ -695,7 +719,7 @@
   fixture.Grant(StartOrder(SampleRun()));
   fixture.ReplyToList({}, {{5, RunOf("g", 0, 1), RunEndReason::kDone, ""}});
   static_cast<void>(fixture.TakeSyncs());
-  fixture.Report(8, 1);
+  fixture.Restart(8);
   fixture.Advance(Millis(600));
   const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
   CPPUNIT_ASSERT(!syncs.empty());
@@ -795,20 +819,18 @@
 }
 
 // Guards against an entry of another writer that shuts the worker out for good:
-// an incarnation that started later than the worker. The worker's answers tell
-// that it is not there.
+// the first report names an incarnation that started later than the worker. The
+// worker's answers tell that it is not there.
 void DeniedIncarnationDoesNotShutOutWorker() {
   for (const auto answering :
        {std::optional<std::int64_t>(), std::optional<std::int64_t>(1)}) {
-    AgentFixture fixture;
+    AgentFixture fixture(8);
     fixture.Grant();
-    fixture.Report(8, 1);
     fixture.Report(1, 2);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
                          fixture.last_sync().info.life.started_at_ms);
-    fixture.DenyIncarnation(answering);
     static_cast<void>(fixture.TakeSyncs());
-    fixture.Report(1, 3);
+    fixture.DenyIncarnation(answering);
     const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, syncs.size());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, syncs[0].info.life.started_at_ms);
@@ -820,9 +842,8 @@
 // Guards against a delayed report of an earlier incarnation that replaces the
 // one that the worker says it is.
 void DelayedReportDoesNotReplaceAnsweringIncarnation() {
-  AgentFixture fixture;
+  AgentFixture fixture(8);
   fixture.Grant();
-  fixture.Report(8, 1);
   fixture.DenyIncarnation(9);
   fixture.Report(1, 2);
   fixture.Advance(Millis(600));
@@ -833,8 +854,7 @@
 // Guards against two runs of a task at once: the start was sent to an
 // incarnation that the worker denies to be, but calls name its id alone.
 void StartToDeniedIncarnationIsFenced() {
-  AgentFixture fixture;
-  fixture.Report(8, 1);
+  AgentFixture fixture(8);
   fixture.Grant(StartOrder(SampleRun()));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                        fixture.TakeCalls(RunCallOp::kStart).size());
@@ -849,6 +869,125 @@
   }
 }
 
+// Returns a report of another incarnation than the fixture's.
+WorkerReport ReportOf(const std::string& id, std::int64_t started_at_ms) {
+  WorkerReport report;
+  report.info = SampleWorker(id, started_at_ms);
+  report.info.service = "another";
+  report.sequence = 9;
+  return report;
+}
+
+// Guards against two runs of a task at once: a report of another writer, or a
+// delayed one, ends the incarnation that goes on, and its tasks are placed
+// elsewhere.
+void ReportOfAnotherWriterEndsNoIncarnation() {
+  for (const WorkerReport& report :
+       {ReportOf("w1", 8), ReportOf("w1", 4), ReportOf("w2", 8)}) {
+    AgentFixture fixture(5);
+    fixture.Grant();
+    RunStatus row;
+    row.run = SampleRun();
+    fixture.ReplyToList({row}, {});
+    static_cast<void>(fixture.TakeSyncs());
+    fixture.Report(report);
+    const std::vector<RunCall> calls = fixture.TakeCalls(RunCallOp::kIdentify);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls.size());
+    CPPUNIT_ASSERT(!calls[0].lease_until_ms);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, calls[0].last_committed_end);
+    fixture.Identify(5);
+    fixture.Advance(Millis(600));
+    CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kIdentify).empty());
+    for (const WorkerSync& sync : fixture.TakeSyncs()) {
+      CPPUNIT_ASSERT(!sync.gone && sync.info.life.started_at_ms == 5);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sync.running.size());
+    }
+  }
+}
+
+void RestartIsBelievedOnceTheWorkerAnswers() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.ReplyToList({}, {});
+  fixture.Report(8, 1);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
+                       fixture.last_sync().info.life.started_at_ms);
+  fixture.Identify(8);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
+                       fixture.last_sync().info.life.started_at_ms);
+}
+
+// Guards against a restart that is taken for a delayed report, since the wall
+// clock stepped back between the two incarnations.
+void RestartAfterClockStepIsBelieved() {
+  AgentFixture fixture(8);
+  fixture.Grant();
+  fixture.ReplyToList({}, {});
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Report(3, 1);
+  fixture.Identify(3);
+  const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, syncs.size());
+  CPPUNIT_ASSERT(syncs[0].gone && syncs[0].info.life.started_at_ms == 8);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, syncs[1].info.life.started_at_ms);
+}
+
+// Guards against an answer from before the restart that refutes it.
+void AnswerSentBeforeTheReportProvesNothing() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Report(8, 1);
+  fixture.Identify(1, Millis(1));
+  fixture.Identify(8);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
+                       fixture.last_sync().info.life.started_at_ms);
+}
+
+// Guards against a restart that is never believed, since nobody answers. By
+// then the lease of the earlier incarnation has ended all that it ran.
+void SilentWorkerIsReplacedAfterItsLease() {
+  AgentFixture fixture;
+  fixture.Grant({}, 6000);
+  fixture.Report(8, 1);
+  fixture.Advance(Millis(6000));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
+                       fixture.last_sync().info.life.started_at_ms);
+  fixture.Advance(Millis(4300));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
+                       fixture.last_sync().info.life.started_at_ms);
+}
+
+// Guards against a start that the next incarnation carries out.
+void NoStartWhileTheWorkerIsAskedWhoItIs() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Report(ReportOf("w1", 8));
+  fixture.Grant(StartOrder(SampleRun()));
+  CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kStart).empty());
+  fixture.Identify(1);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fixture.TakeCalls(RunCallOp::kStart).size());
+}
+
+// Guards against a lease on the clock of another incarnation.
+void ClockOfAnotherIncarnationIsNotTaken() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  const std::int64_t until =
+      fixture.TakeCalls(RunCallOp::kStart).at(0).lease_until_ms.value();
+  RunCallReply reply;
+  reply.op = RunCallOp::kListRuns;
+  reply.answered = true;
+  reply.refusal = RunRefusal::kOtherIncarnation;
+  reply.answering_start_ms = 9;
+  reply.clock_ms = 10 * kWorkerClockMs;
+  reply.sent_at = fixture.now();
+  fixture.Reply(std::move(reply));
+  fixture.Grant(StartOrder(RunOf("g", 0, 1)));
+  CPPUNIT_ASSERT_EQUAL(
+      until, fixture.TakeCalls(RunCallOp::kStart).at(0).lease_until_ms.value());
+}
+
 }  // namespace
 
 Section WorkerAgentStory() {
@@ -922,6 +1061,21 @@
       .With(
           Section("a report")
               .Then("that was overtaken is ignored", OvertakenReportIsIgnored))
+      .With(Section("a report of another incarnation")
+                .Then("ends none that the worker answers as",
+                      ReportOfAnotherWriterEndsNoIncarnation)
+                .Then("is believed once the worker answers as that one",
+                      RestartIsBelievedOnceTheWorkerAnswers)
+                .Then("is believed after a step of the clock, too",
+                      RestartAfterClockStepIsBelieved)
+                .Then("is not refuted by an answer to an earlier call",
+                      AnswerSentBeforeTheReportProvesNothing)
+                .Then("is believed when the lease has run out unanswered",
+                      SilentWorkerIsReplacedAfterItsLease)
+                .Then("holds starts back until the worker has answered",
+                      NoStartWhileTheWorkerIsAskedWhoItIs)
+                .Then("leaves the lease on the clock of the current one",
+                      ClockOfAnotherIncarnationIsNotTaken))
       .With(Section("a restarted worker")
                 .Then("starts with an empty state", RestartedWorkerStartsEmpty)
                 .Then("has the starts in flight to it fenced",
