Tests: a soak on the real processes of the users' platform

Replicas, entries and agents of the deploy file's program run on loopback with stand-ins for workers that speak the platform's protocol. Faults are drawn from a seed and overlap: reports of other writers, restarts of workers, agents and replicas that freeze or are killed. Judged: no task runs twice, every accepted job is completed. Two seeded runs are part of the tests.

The start of a child process moves out of Cluster, which it shares now.

--- /dev/null
+++ b/tests/soak/platform_cluster.cc
@@ -0,0 +1,223 @@
+#include "tests/soak/platform_cluster.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "tests/support/spawn.h"
+
+namespace banyan {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kHost = "soak.example";
+constexpr const char* kPrefix = "/jobs/";
+constexpr const char* kService = "soak";
+constexpr std::array kDataCentres = {"dc-a", "dc-b", "dc-c"};
+// Ports of each machine: callers, readiness, control, peers and worker.
+constexpr int kFrontPort = 26000;
+constexpr int kReadyPort = 26001;
+constexpr int kControlPort = 26002;
+constexpr int kPeerPort = 26003;
+constexpr int kWorkerPort = 26004;
+constexpr Duration kCallTimeout = Millis(3000);
+constexpr Duration kOperatorTimeout = Millis(1000);
+constexpr Duration kPollInterval = Millis(50);
+
+std::string At(const std::string& ip, int port) {
+  return ip + ":" + std::to_string(port);
+}
+
+// Returns the address of a machine, in a network that no other test run uses.
+std::string IpOf(int machine) {
+  const int pid = ::getpid();
+  return "127." + std::to_string(20 + pid % 200) + "." +
+         std::to_string(1 + pid / 200 % 200) + "." +
+         std::to_string(machine + 1);
+}
+
+HttpReply Call(const std::string& address,
+               const std::string& method,
+               const std::string& path,
+               const std::string& body,
+               Duration timeout) {
+  HttpCall call;
+  call.method = method;
+  call.path = path;
+  call.body = body;
+  call.content_type = "application/json";
+  call.fields = {
+      {"Host", kHost},
+      {"Banyanchute-Deadline-Ms", std::to_string(ToMillis(timeout))}};
+  HttpExchange exchange =
+      HttpClient(address).Exchange(call, "", MonotonicClock::now() + timeout);
+  if (exchange.outcome != RequestOutcome::kRan) {
+    exchange.reply.status = 0;
+  }
+  return exchange.reply;
+}
+
+std::string PlanDocument() {
+  const json queue = {{"name", "jobs"},         {"host", kHost},
+                      {"path-prefix", kPrefix}, {"kind", "unsafe"},
+                      {"timeout-ms", 3000},     {"slo-ms", 1000},
+                      {"priority", 0},          {"service", kService},
+                      {"max-attempts", 4},      {"stretch", 2.0}};
+  const json service = {{"name", kService},  {"health-path", "/health"},
+                        {"max-conns", 64},   {"protocol", "h1"},
+                        {"tls", false},      {"cold-start-s", 0.0},
+                        {"cold-per-s", 0.0}, {"rejects-overload", false},
+                        {"spare", false}};
+  return json{{"version", 1},
+              {"routes", {queue}},
+              {"services", {service}},
+              {"limits",
+               {{"max-header-bytes", 16384},
+                {"max-body-bytes", 262144},
+                {"header-timeout-ms", 3000},
+                {"idle-timeout-ms", 15000}}}}
+      .dump();
+}
+
+}  // namespace
+
+PlatformCluster::PlatformCluster(std::string binaries,
+                                 std::string folder,
+                                 PlatformShape shape)
+    : binaries_(std::move(binaries)),
+      folder_(std::move(folder)),
+      shape_(shape) {
+  std::filesystem::remove_all(folder_);
+  std::filesystem::create_directories(folder_);
+  int machine = 0;
+  for (int i = 0; i < shape_.replicas; ++i) {
+    controls_.push_back(At(IpOf(i), kControlPort));
+    seeds_ += (i == 0 ? "\"" : ", \"") + controls_.back() + "\"";
+  }
+  for (int i = 0; i < shape_.replicas; ++i) {
+    AddProcess("control", i, IpOf(machine),
+               "control: \"" + controls_[static_cast<std::size_t>(i)] +
+                   "\"\ndata_folder: \"" + folder_ + "/data-" +
+                   std::to_string(i) + "\"\n");
+    ++machine;
+  }
+  for (int i = 0; i < shape_.entries; ++i) {
+    fronts_.push_back(At(IpOf(machine), kFrontPort));
+    readies_.push_back(At(IpOf(machine), kReadyPort));
+    AddProcess("entry", i, IpOf(machine),
+               "front: \"" + fronts_.back() + "\"\nready: \"" +
+                   readies_.back() + "\"\n");
+    ++machine;
+  }
+  for (int i = 0; i < shape_.workers; ++i) {
+    const std::string ip = IpOf(machine);
+    PlatformWorkerOptions options;
+    options.name = "w" + std::to_string(i);
+    options.service = kService;
+    options.data_centre =
+        kDataCentres[static_cast<std::size_t>(i) % kDataCentres.size()];
+    options.address = At(ip, kWorkerPort);
+    options.agent_address = At(ip, kControlPort);
+    AddProcess("agent", i, ip,
+               "control: \"" + options.agent_address + "\"\nworker: \"" +
+                   options.address + "\"\n");
+    workers_.push_back(
+        std::make_unique<PlatformWorker>(std::move(options), history_));
+    ++machine;
+  }
+}
+
+PlatformCluster::~PlatformCluster() {
+  workers_.clear();
+  for (const auto& [name, process] : processes_) {
+    KillAndWait(process.pid);
+  }
+}
+
+void PlatformCluster::AddProcess(const std::string& role,
+                                 int index,
+                                 const std::string& ip,
+                                 const std::string& settings) {
+  const std::string name = role + "-" + std::to_string(index);
+  const std::string path = folder_ + "/" + name + ".yaml";
+  // What the template of the deploy file makes of a machine's settings.
+  std::ofstream(path)
+      << "id: \"" << name << "\"\ndata_centre: \""
+      << kDataCentres[static_cast<std::size_t>(index) % kDataCentres.size()]
+      << "\"\nip: \"" << ip << "\"\npeer_port: " << kPeerPort << "\nseeds: ["
+      << seeds_ << "]\nbootstrap: true\n"
+      << settings
+      << "drain_ms: 5500\nelection_ms: 500\ncatch_up_s: 4\nlease_ms: 5800\n";
+  processes_[name] = {role, path, 0};
+}
+
+void PlatformCluster::StartOne(const std::string& name) {
+  Process& process = processes_.at(name);
+  process.pid = Spawn({binaries_ + "/banyanchute", process.role, "--settings",
+                       process.settings_path},
+                      folder_ + "/" + name + ".log");
+}
+
+void PlatformCluster::Kill(const std::string& name) {
+  KillAndWait(std::exchange(processes_.at(name).pid, 0));
+}
+
+void PlatformCluster::Signal(const std::string& name, int signal) const {
+  const pid_t pid = processes_.at(name).pid;
+  if (pid > 0) {
+    ::kill(pid, signal);
+  }
+}
+
+bool PlatformCluster::Start(Duration timeout) {
+  const Time deadline = MonotonicClock::now() + timeout;
+  for (const auto& [name, process] : processes_) {
+    StartOne(name);
+  }
+  for (const std::unique_ptr<PlatformWorker>& worker : workers_) {
+    if (!worker->Boot(false)) {
+      return false;
+    }
+  }
+  if (!InstallPlan(deadline)) {
+    return false;
+  }
+  for (const std::string& ready : readies_) {
+    while (Call(ready, "GET", "/ready", "", kOperatorTimeout).status != 200) {
+      if (MonotonicClock::now() > deadline) {
+        return false;
+      }
+      std::this_thread::sleep_for(kPollInterval);
+    }
+  }
+  return true;
+}
+
+bool PlatformCluster::InstallPlan(Time deadline) const {
+  for (std::size_t i = 0; MonotonicClock::now() < deadline; ++i) {
+    if (Call(controls_[i % controls_.size()], "PUT", "/config", PlanDocument(),
+             kOperatorTimeout)
+            .status == 200) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+HttpReply PlatformCluster::CallQueue(int entry,
+                                     const std::string& method,
+                                     const std::string& id,
+                                     const std::string& body) const {
+  return Call(fronts_[static_cast<std::size_t>(entry) % fronts_.size()], method,
+              kPrefix + id, body, kCallTimeout);
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/tests/soak/soak.cc
@@ -0,0 +1,274 @@
+#include "tests/soak/soak.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "banyan/base/random.h"
+
+namespace banyan {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kStartTimeout = std::chrono::seconds(30);
+constexpr Duration kStepInterval = Millis(5);
+constexpr Duration kJobInterval = Millis(250);
+constexpr int kLanes = 2;
+constexpr int kEveryLongJob = 3;
+// Accepted jobs are asked for this long after the last fault.
+constexpr Duration kFinishTimeout = std::chrono::seconds(40);
+constexpr Duration kLongestFreeze = Millis(6800);
+
+// Hands in jobs and remembers those that were accepted. Thread-safe.
+class JobLoad {
+ public:
+  explicit JobLoad(const PlatformCluster& cluster) : cluster_(cluster) {
+    for (int lane = 0; lane < kLanes; ++lane) {
+      threads_.emplace_back([this, lane] { Run(lane); });
+    }
+  }
+  ~JobLoad() { Stop(); }
+  JobLoad(const JobLoad&) = delete;
+  JobLoad& operator=(const JobLoad&) = delete;
+
+  void Stop() {
+    must_end_ = true;
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
+    threads_.clear();
+  }
+
+  [[nodiscard]] std::set<std::string> accepted() const {
+    const std::lock_guard lock(mutex_);
+    return accepted_;
+  }
+
+ private:
+  void Run(int lane) {
+    constexpr std::size_t kIdLength = 16;
+    for (int number = lane; !must_end_; number += kLanes) {
+      std::string id = std::to_string(number);
+      id.insert(0, kIdLength - id.size(), '0');
+      const bool is_long = number % kEveryLongJob == 0;
+      const json step = {{"count", is_long ? 8 : 12},
+                         {"cpu", 500},
+                         {"mem-mb", 200},
+                         {"estimate-ms", is_long ? 3000 : 150}};
+      const json job = {{"spec", is_long ? "3000" : "150"}, {"steps", {step}}};
+      // The same id is sent again until there is an answer.
+      int status = 0;
+      for (int entry = number; status == 0 && !must_end_; ++entry) {
+        status = cluster_.CallQueue(entry, "POST", id, job.dump()).status;
+      }
+      if (status == 200) {
+        const std::lock_guard lock(mutex_);
+        accepted_.insert(id);
+      }
+      std::this_thread::sleep_for(kJobInterval);
+    }
+  }
+
+  const PlatformCluster& cluster_;
+  mutable std::mutex mutex_;
+  std::set<std::string> accepted_;
+  std::atomic<bool> must_end_{false};
+  std::vector<std::thread> threads_;
+};
+
+// Draws the faults of one soak from its seed.
+class FaultPlayer {
+ public:
+  FaultPlayer(PlatformCluster& cluster, const SoakOptions& options)
+      : cluster_(cluster), random_(options.seed) {
+    const auto add = [&](bool is_on, void (FaultPlayer::*fault)()) {
+      if (is_on) {
+        kinds_.push_back(fault);
+      }
+    };
+    add(options.faults.foreign_reports, &FaultPlayer::ReportForeign);
+    add(options.faults.worker_restarts, &FaultPlayer::RestartWorker);
+    add(options.faults.agents, &FaultPlayer::DisturbAgent);
+    add(options.faults.replicas, &FaultPlayer::DisturbReplica);
+  }
+
+  // Plays faults for the span, then ends those that last.
+  void Play(Duration span) {
+    const Time end = MonotonicClock::now() + span;
+    Time next = MonotonicClock::now();
+    while (MonotonicClock::now() < end || !later_.empty()) {
+      const Time now = MonotonicClock::now();
+      RunDue(now);
+      if (now >= next && now < end && !kinds_.empty()) {
+        next = now + Between(100, 1200);
+        ++count_;
+        (this->*kinds_[random_.NextBelow(kinds_.size())])();
+      }
+      std::this_thread::sleep_for(kStepInterval);
+    }
+  }
+
+  [[nodiscard]] int count() const { return count_; }
+
+ private:
+  struct Later {
+    Time at;
+    std::string subject;
+    std::function<void()> work;
+  };
+
+  Duration Between(std::int64_t least_ms, std::int64_t most_ms) {
+    return Millis(least_ms +
+                  static_cast<std::int64_t>(random_.NextBelow(
+                      static_cast<std::uint64_t>(most_ms - least_ms))));
+  }
+  bool Chance(std::uint64_t percent) {
+    return random_.NextBelow(100) < percent;
+  }
+
+  [[nodiscard]] bool IsDisturbed(std::string_view subject) const {
+    return std::any_of(later_.begin(), later_.end(), [&](const Later& later) {
+      return later.subject.starts_with(subject);
+    });
+  }
+
+  void RunDue(Time now) {
+    for (std::size_t i = 0; i < later_.size();) {
+      if (later_[i].at > now) {
+        ++i;
+        continue;
+      }
+      const Later later = std::move(later_[i]);
+      later_.erase(later_.begin() + static_cast<std::ptrdiff_t>(i));
+      later.work();
+    }
+  }
+
+  void After(Duration delay, std::string subject, std::function<void()> work) {
+    later_.push_back(
+        {MonotonicClock::now() + delay, std::move(subject), std::move(work)});
+  }
+
+  [[nodiscard]] std::size_t AnyWorker() {
+    return random_.NextBelow(cluster_.workers().size());
+  }
+
+  void ReportForeign() {
+    PlatformWorker& worker = *cluster_.workers()[AnyWorker()];
+    json report = worker.Report();
+    std::string id = worker.id();
+    report["born"] = report["born"].get<std::int64_t>() +
+                     (Chance(30) ? -1 : 1) * ToMillis(Between(1, 5000));
+    if (Chance(50)) {
+      report["service"] = "unknown";
+    }
+    if (Chance(30)) {
+      id = "i-another";
+    }
+    worker.Send(id, report);
+  }
+
+  void RestartWorker() {
+    const std::size_t index = AnyWorker();
+    const std::string subject = "worker-" + std::to_string(index);
+    if (IsDisturbed(subject)) {
+      return;
+    }
+    PlatformWorker& worker = *cluster_.workers()[index];
+    worker.Crash();
+    After(Between(300, 4500), subject, [&worker, keeps_id = Chance(50)] {
+      static_cast<void>(worker.Boot(keeps_id));
+    });
+  }
+
+  void Disturb(const std::string& name) {
+    if (Chance(50)) {
+      cluster_.Signal(name, SIGSTOP);
+      After(Between(500, ToMillis(kLongestFreeze)), name,
+            [this, name] { cluster_.Signal(name, SIGCONT); });
+    } else {
+      cluster_.Kill(name);
+      After(Between(100, 2500), name,
+            [this, name] { cluster_.StartOne(name); });
+    }
+  }
+
+  void DisturbAgent() {
+    const std::string name = "agent-" + std::to_string(AnyWorker());
+    if (!IsDisturbed(name)) {
+      Disturb(name);
+    }
+  }
+
+  void DisturbReplica() {
+    // The cell bears the loss of one replica at a time.
+    if (!IsDisturbed("control-")) {
+      Disturb("control-" +
+              std::to_string(random_.NextBelow(
+                  static_cast<std::uint64_t>(cluster_.shape().replicas))));
+    }
+  }
+
+  PlatformCluster& cluster_;
+  Random random_;
+  std::vector<void (FaultPlayer::*)()> kinds_;
+  std::vector<Later> later_;
+  int count_ = 0;
+};
+
+// Returns a line for each accepted job that is not completed in time.
+std::vector<std::string> FindUnfinished(const PlatformCluster& cluster,
+                                        std::set<std::string> jobs) {
+  const Time deadline = MonotonicClock::now() + kFinishTimeout;
+  int entry = 0;
+  while (!jobs.empty() && MonotonicClock::now() < deadline) {
+    std::erase_if(jobs, [&](const std::string& id) {
+      const HttpReply reply = cluster.CallQueue(entry++, "GET", id);
+      const json state = json::parse(reply.body, nullptr, false);
+      return reply.status == 200 && state.is_object() &&
+             state.value("state", "") == "completed";
+    });
+  }
+  std::vector<std::string> found;
+  found.reserve(jobs.size());
+  for (const std::string& id : jobs) {
+    found.push_back("the accepted job " + id + " is not completed");
+  }
+  return found;
+}
+
+}  // namespace
+
+SoakResult RunSoak(const std::string& binaries,
+                   const std::string& folder,
+                   const SoakOptions& options) {
+  SoakResult result;
+  PlatformCluster cluster(binaries, folder, options.shape);
+  if (!cluster.Start(kStartTimeout)) {
+    result.violations.emplace_back("the cluster does not start");
+    return result;
+  }
+  JobLoad load(cluster);
+  FaultPlayer player(cluster, options);
+  player.Play(options.span);
+  load.Stop();
+  const std::set<std::string> accepted = load.accepted();
+  result.faults = player.count();
+  result.jobs = accepted.size();
+  result.violations = FindUnfinished(cluster, accepted);
+  result.runs = cluster.history().size();
+  for (std::string& line : cluster.history().FindRunsTwice()) {
+    result.violations.push_back(std::move(line));
+  }
+  return result;
+}
+
+}  // namespace banyan
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,51 @@
+#ifndef BANYAN_TESTS_SOAK_SOAK_H_
+#define BANYAN_TESTS_SOAK_SOAK_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "tests/soak/platform_cluster.h"
+
+namespace banyan {
+
+// Which faults a soak draws from.
+struct SoakFaults {
+  // Reports of another writer reach agents: a later or an earlier start,
+  // another id, an unknown service.
+  bool foreign_reports = true;
+  // Workers crash and start again, under their id or a new one.
+  bool worker_restarts = true;
+  // Agents freeze, or are killed and start again.
+  bool agents = true;
+  // One replica at a time freezes, or is killed and starts again.
+  bool replicas = true;
+};
+
+struct SoakOptions {
+  std::uint64_t seed = 1;
+  // How long faults occur.
+  Duration span = std::chrono::seconds(20);
+  SoakFaults faults;
+  PlatformShape shape;
+};
+
+struct SoakResult {
+  // Broken rules, a line each: tasks that ran twice, accepted jobs that did not
+  // end in time, a cluster that does not start.
+  std::vector<std::string> violations;
+  int faults = 0;
+  std::size_t jobs = 0;
+  std::size_t runs = 0;
+};
+
+// Plays seeded faults on real processes under a load of jobs, and judges what
+// callers and workers saw.
+[[nodiscard]] SoakResult RunSoak(const std::string& binaries,
+                                 const std::string& folder,
+                                 const SoakOptions& options);
+
+}  // namespace banyan
+
+#endif  // BANYAN_TESTS_SOAK_SOAK_H_
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -1,19 +1,18 @@
 #include "tests/support/cluster.h"
 
 #include <Poco/URI.h>
-#include <fcntl.h>
 #include <signal.h>
-#include <spawn.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include "banyan/base/random.h"
+#include "tests/support/spawn.h"
 
 namespace banyan {
 namespace {
@@ -43,10 +42,7 @@
 
 Cluster::~Cluster() {
   for (auto& [name, program] : programs_) {
-    if (program.pid > 0) {
-      ::kill(program.pid, SIGKILL);
-      ::waitpid(program.pid, nullptr, 0);
-    }
+    KillAndWait(program.pid);
   }
 }
 
@@ -159,24 +155,7 @@
     words[0] = binaries_ + "/tests/" + program.binary;
   }
   words.insert(words.end(), program.args.begin(), program.args.end());
-  std::vector<char*> argv;
-  argv.reserve(words.size() + 1);
-  for (std::string& word : words) {
-    argv.push_back(word.data());
-  }
-  argv.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  const std::string output = folder_ + "/" + name + ".out";
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  const int error = ::posix_spawn(&program.pid, argv[0], &actions, nullptr,
-                                  argv.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  if (error != 0) {
-    program.pid = 0;
-  }
+  program.pid = Spawn(std::move(words), folder_ + "/" + name + ".out");
 }
 
 bool Cluster::Start(Duration bound) {
@@ -208,11 +187,7 @@
 
 void Cluster::Kill(const std::string& name) {
   Program& program = programs_.at(name);
-  if (program.pid > 0) {
-    ::kill(program.pid, SIGKILL);
-    ::waitpid(program.pid, nullptr, 0);
-    program.pid = 0;
-  }
+  KillAndWait(std::exchange(program.pid, 0));
 }
 
 bool Cluster::Terminate(const std::string& name, Duration bound) {
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -99,7 +99,7 @@
       .With(AuditStory())
       .With(ReplayStory());
   if (!is_quick) {
-    all.With(MatrixStory()).With(ProcessStory());
+    all.With(MatrixStory()).With(ProcessStory()).With(SoakStory());
   }
   const std::unique_ptr<CppUnit::TestSuite> root(all.suite());
   CppUnit::TestResult controller;
--- /dev/null
+++ b/tests/unit/soak_test.cc
@@ -0,0 +1,55 @@
+#include "tests/soak/soak.h"
+
+#include "tests/unit/story.h"
+
+namespace banyan {
+namespace {
+
+// Far fewer would mean that the cluster stands still.
+constexpr std::size_t kMinRuns = 100;
+constexpr int kMinFaults = 5;
+
+void Soak(const std::string& name, const SoakOptions& options) {
+  const SoakResult result =
+      RunSoak(Paths().binaries, Paths().scratch + "/" + name, options);
+  std::string text;
+  for (const std::string& line : result.violations) {
+    text += "\n" + line;
+  }
+  CPPUNIT_ASSERT_MESSAGE(text, result.violations.empty());
+  CPPUNIT_ASSERT(result.runs >= kMinRuns);
+  CPPUNIT_ASSERT(result.faults >= kMinFaults);
+}
+
+// Guards against tasks that run twice since reports of another writer end
+// incarnations that go on.
+void ForeignReportsRunNothingTwice() {
+  SoakOptions options;
+  options.span = std::chrono::seconds(15);
+  options.faults = {.foreign_reports = true,
+                    .worker_restarts = false,
+                    .agents = false,
+                    .replicas = false};
+  Soak("soak-foreign", options);
+}
+
+// Guards against what only faults that overlap bring about.
+void OverlappingFaultsLoseNothing() {
+  SoakOptions options;
+  options.seed = 2;
+  Soak("soak-all", options);
+}
+
+}  // namespace
+
+Section SoakStory() {
+  Section story("A soak on real processes");
+  story
+      .Then("runs nothing twice while others report in a worker's name",
+            ForeignReportsRunNothingTwice)
+      .Then("loses nothing and runs nothing twice among all faults",
+            OverlappingFaultsLoseNothing);
+  return story;
+}
+
+}  // namespace banyan
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -98,6 +98,7 @@
 Section ReplayStory();
 Section MatrixStory();
 Section ProcessStory();
+Section SoakStory();
 
 }  // namespace banyan
 
