Agent: follow the next report until the worker has answered

An agent that has just restarted has no fencing token, so the worker refuses to tell who it is; if the first report was a delayed or a false one, the true ones were kept waiting for an answer for ten seconds.

Change: until the worker has answered as any incarnation, nothing runs that this agent would know of, so it follows each report and says nothing of the end of the one before. Incarnations that the worker has denied to be are not followed again, whichever start they name.

Three tests of the agent let the worker answer once before its other incarnation is reported, which the asking is about; one denies the false incarnation before the true report and not after it. All they assert is unchanged.

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -35,7 +35,8 @@
   // Processes a worker's report. Ignores reports that arrive out of order. A
   // report of another incarnation is believed once there is evidence that the
   // current one has ended: the worker answers as another one, it has left, or
-  // its lease has run out.
+  // its lease has run out. Until the worker has answered as any, the agent
+  // follows each report and says nothing of the end of the one before.
   void OnReport(Time now, const WorkerReport& report);
 
   // Processes a worker's announcement of its shutdown. The worker counts as
@@ -129,8 +130,8 @@
   // Settles by a reply whether the incarnation of the kept report is there.
   void CheckIdentity(Time now, const RunCallReply& reply);
   // Returns the initial state for the incarnation that replaces this one.
-  [[nodiscard]] WorkerAgent NextIncarnation(
-      const WorkerIncarnation& successor) &&;
+  [[nodiscard]] WorkerAgent NextIncarnation(const WorkerIncarnation& successor,
+                                            bool has_ended) &&;
   // Logs what connects a run to the crash of the worker.
   void LogCrash(const RunCrash& crash);
   void OnRunList(Time now, const RunCallReply& reply);
@@ -168,6 +169,9 @@
   // When the agent began to follow this incarnation.
   Time followed_since_;
   std::optional<Successor> successor_;
+  // The last incarnations that the worker has denied to be, oldest first. None
+  // of them returns.
+  std::deque<WorkerIncarnation> denied_incarnations_;
   std::int64_t report_sequence_ = 0;
   // When the last report arrived.
   Time reported_at_;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -46,9 +46,10 @@
 constexpr Duration kTrialTime = Millis(75);
 // How long a refusal is reported; several times the latency of a log commit.
 constexpr Duration kRefusalRepeatPeriod = Millis(3000);
-// Maximum number of earlier incarnations whose ends are kept; more restarts
-// than this without an answer of the leader mean an outage of many seconds.
-constexpr std::size_t kMaxFinalSyncs = 8;
+// Maximum number of earlier incarnations that are remembered and whose ends are
+// kept; more restarts than this without an answer of the leader mean an outage
+// of many seconds.
+constexpr std::size_t kMaxEarlierIncarnations = 8;
 // Largest gap between the sequence numbers of successive reports: a day without
 // a report, at ten reports a second.
 constexpr std::int64_t kMaxSequenceGap = 1'000'000;
@@ -72,6 +73,17 @@
 
 void WorkerAgent::OnReport(Time now, const WorkerReport& report) {
   if (info_ && info_->life != report.info.life) {
+    if (std::find(denied_incarnations_.begin(), denied_incarnations_.end(),
+                  report.info.life) != denied_incarnations_.end()) {
+      out_.events.push_back(
+          Event(EventId::kSuccessorRefuted)
+              .With("worker", report.info.life.id)
+              .With("born", report.info.life.started_at_ms)
+              .With("current", info_->life.id)
+              .With("current_born", info_->life.started_at_ms)
+              .With("reason", "the worker has denied to be it"));
+      return;
+    }
     HoldSuccessor(now, report);
     if (!TryReplace(now)) {
       AskWorker(now);
@@ -142,19 +154,22 @@
   const WorkerReport report = successor_->report;
   const WorkerIncarnation& incarnation = report.info.life;
   const auto evidence = EvidenceOfEnd(now, incarnation);
-  if (!evidence) {
+  const bool is_unconfirmed = list_count_ == 0 && !is_denied_;
+  if (!evidence && !is_unconfirmed) {
     return false;
   }
-  out_.events.push_back(Event(EventId::kWorkerReplaced)
-                            .With("worker", incarnation.id)
-                            .With("born", incarnation.started_at_ms)
-                            .With("earlier", info_->life.id)
-                            .With("earlier_born", info_->life.started_at_ms)
-                            .With("running", running_.size())
-                            .With("ended", ended_.size())
-                            .With("committed", last_committed_end_)
-                            .With("reason", *evidence));
-  *this = WorkerAgent(std::move(*this).NextIncarnation(incarnation));
+  out_.events.push_back(
+      Event(EventId::kWorkerReplaced)
+          .With("worker", incarnation.id)
+          .With("born", incarnation.started_at_ms)
+          .With("earlier", info_->life.id)
+          .With("earlier_born", info_->life.started_at_ms)
+          .With("running", running_.size())
+          .With("ended", ended_.size())
+          .With("committed", last_committed_end_)
+          .With("reason", evidence.value_or("it never answered")));
+  *this = WorkerAgent(
+      std::move(*this).NextIncarnation(incarnation, evidence.has_value()));
   Follow(now, report);
   return true;
 }
@@ -258,8 +273,8 @@
           .With("age_ms", age ? ToMillis(*age) : -1));
 }
 
-WorkerAgent WorkerAgent::NextIncarnation(
-    const WorkerIncarnation& successor) && {
+WorkerAgent WorkerAgent::NextIncarnation(const WorkerIncarnation& successor,
+                                         bool has_ended) && {
   // A wall clock that stepped back between the two makes the successor's start
   // the earlier one.
   const bool has_earlier_start =
@@ -268,7 +283,7 @@
   const bool is_unfounded = has_earlier_start && list_count_ == 0;
   // A worker that announced its end has not crashed.
   std::vector<RunCrash> crashed;
-  if (!departure_ && !info_->draining && !is_unfounded) {
+  if (has_ended && !departure_ && !info_->draining && !is_unfounded) {
     crashed = crash_observer_.Evidence();
   }
   for (const RunCrash& crash : crashed) {
@@ -293,11 +308,11 @@
     next.must_settle_stops_ = !next.pending_stops_.empty();
   }
   // An earlier incarnation is admitted only after the removal of this one.
-  if (!ended_.empty() || !crashed.empty() || has_earlier_start) {
+  if (has_ended && (!ended_.empty() || !crashed.empty() || has_earlier_start)) {
     is_reachable_ = false;
     final_syncs_.push_back(MakeSync());
     final_syncs_.back().crashed = std::move(crashed);
-    if (final_syncs_.size() > kMaxFinalSyncs) {
+    if (final_syncs_.size() > kMaxEarlierIncarnations) {
       out_.events.push_back(
           Event(EventId::kWorkerEndsDiscarded)
               .With("worker", final_syncs_.front().info.life.id)
@@ -306,6 +321,13 @@
       final_syncs_.pop_front();
     }
   }
+  next.denied_incarnations_ = std::move(denied_incarnations_);
+  if (is_denied_) {
+    next.denied_incarnations_.push_back(info_->life);
+    if (next.denied_incarnations_.size() > kMaxEarlierIncarnations) {
+      next.denied_incarnations_.pop_front();
+    }
+  }
   next.final_syncs_ = std::move(final_syncs_);
   next.fencing_token_ = fencing_token_;
   next.next_seq_ = next_seq_;
--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -89,6 +89,17 @@
   Play({.leaves = true, .foreign_reports = true});
 }
 
+// Guards against leases that run out, since an agent that has just restarted
+// follows a report that is not its worker's.
+void ForeignReportsToRestartedAgents() {
+  const GraphFaults faults{
+      .leaves = true, .agent_restarts = true, .foreign_reports = true};
+  Play(faults);
+  for (const std::uint64_t seed : {75, 144, 178}) {
+    PlayRareSeed(faults, seed);
+  }
+}
+
 // Guards against the same while incarnations do end, also with clocks that
 // step.
 void ForeignReportsAmongRestarts() {
@@ -267,6 +278,8 @@
       .Then("is not run twice while lists get no answer", LeavesAndSilentLists)
       .Then("is not run twice while others report in a worker's name",
             ForeignReports)
+      .Then("is not run twice while others report to restarted agents",
+            ForeignReportsToRestartedAgents)
       .Then("is not run twice while others report beside restarts",
             ForeignReportsAmongRestarts)
       .Then("is not run twice with all faults together", AllTogether)
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -826,11 +826,11 @@
        {std::optional<std::int64_t>(), std::optional<std::int64_t>(1)}) {
     AgentFixture fixture(8);
     fixture.Grant();
-    fixture.Report(1, 2);
+    fixture.DenyIncarnation(answering);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{8},
                          fixture.last_sync().info.life.started_at_ms);
     static_cast<void>(fixture.TakeSyncs());
-    fixture.DenyIncarnation(answering);
+    fixture.Report(1, 3);
     const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, syncs.size());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, syncs[0].info.life.started_at_ms);
@@ -932,10 +932,24 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, syncs[1].info.life.started_at_ms);
 }
 
+// Guards against a worker that is not followed until its lease has run out: an
+// agent that has just restarted has no fencing token, so the worker refuses to
+// tell who it is, and the first report was a delayed or a false one.
+void UnansweredIncarnationGivesWayToTheNextReport() {
+  AgentFixture fixture(8);
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Report(5, 2);
+  const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, syncs.size());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, syncs[0].info.life.started_at_ms);
+  CPPUNIT_ASSERT_MESSAGE("the other one may be the worker's", !syncs[0].gone);
+}
+
 // Guards against an answer from before the restart that refutes it.
 void AnswerSentBeforeTheReportProvesNothing() {
   AgentFixture fixture;
   fixture.Grant();
+  fixture.ReplyToList({}, {});
   fixture.Report(8, 1);
   fixture.Identify(1, Millis(1));
   fixture.Identify(8);
@@ -948,6 +962,8 @@
 void SilentWorkerIsReplacedAfterItsLease() {
   AgentFixture fixture;
   fixture.Grant({}, 6000);
+  fixture.ReplyToList({}, {});
+  fixture.FailList();
   fixture.Report(8, 1);
   fixture.Advance(Millis(6000));
   CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
@@ -961,6 +977,7 @@
 void NoStartWhileTheWorkerIsAskedWhoItIs() {
   AgentFixture fixture;
   fixture.Grant();
+  fixture.ReplyToList({}, {});
   fixture.Report(ReportOf("w1", 8));
   fixture.Grant(StartOrder(SampleRun()));
   CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kStart).empty());
@@ -1068,6 +1085,8 @@
                       RestartIsBelievedOnceTheWorkerAnswers)
                 .Then("is believed after a step of the clock, too",
                       RestartAfterClockStepIsBelieved)
+                .Then("is followed while the worker has answered as none",
+                      UnansweredIncarnationGivesWayToTheNextReport)
                 .Then("is not refuted by an answer to an earlier call",
                       AnswerSentBeforeTheReportProvesNothing)
                 .Then("is believed when the lease has run out unanswered",
