Entry: count a caller's time from the arrival of its request

Seen: an entry that was frozen for 1.5 s runs a request whose caller waits for 0.5 s; the answer says that it ran.

Change: it counts from the arrival, and a request that is read after it is refused as not run.

Test: a frozen entry of the real processes; before the change its answer is "ran".

--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -161,7 +161,10 @@
       return ErrorReply(ErrorKind::kBadRequest,
                         "Banyan-Timeout-Ms must be a positive number");
     }
-    request.deadline = now + Millis(*budget);
+    request.deadline = call.arrived_at.value_or(now) + Millis(*budget);
+    if (request.deadline <= now) {
+      return ErrorReply(ErrorKind::kDeadline, "the caller has given up");
+    }
     wait_until = request.deadline + kAnswerGracePeriod;
   }
   auto [ticket, reply] = pending_.Open();
--- a/tests/unit/process_test.cc
+++ b/tests/unit/process_test.cc
@@ -278,6 +278,30 @@
   CPPUNIT_ASSERT_EQUAL(0, cluster.StopAll(kStopTimeout));
 }
 
+// Guards against a request that an entry runs after its caller has given up,
+// when the entry was frozen meanwhile.
+void FrozenEntryRunsNoExpiredRequest() {
+  constexpr Duration kFreeze = Millis(1500);
+  ClusterShape shape;
+  shape.first_port = 27000;
+  Cluster cluster(Paths().binaries, Paths().scratch + "/frozen-entry", shape);
+  CPPUNIT_ASSERT(cluster.Start(kStartTimeout));
+  CPPUNIT_ASSERT(CanBookWithin(cluster, "before", kRecoveryTimeout));
+  cluster.Signal("entry-0", SIGSTOP);
+  HttpReply reply;
+  std::thread caller([&] {
+    reply = Cluster::Call(
+        cluster.EntryAddress(0), "POST", "/booking/probe", "late",
+        {{"Idempotency-Key", "late"}, {"Banyan-Timeout-Ms", "500"}});
+  });
+  std::this_thread::sleep_for(kFreeze);
+  cluster.Signal("entry-0", SIGCONT);
+  caller.join();
+  CPPUNIT_ASSERT_EQUAL(std::string("not-run"),
+                       std::string(reply.Field("Banyan-Outcome")));
+  CPPUNIT_ASSERT_EQUAL(0, cluster.StopAll(kStopTimeout));
+}
+
 }  // namespace
 
 Section ProcessStory() {
@@ -288,6 +312,8 @@
                       "and back",
                       SurvivesKillsUnderLoad)
                 .Then("survive freezes", SurvivesFreezesUnderLoad)
+                .Then("run nothing whose caller has given up",
+                      FrozenEntryRunsNoExpiredRequest)
                 .Then("survive a lost disk and then a killed replica",
                       SurvivesDiskLossThenReplicaLoss))
       .With(Section("behind relays")
