Control: keep the reason when a reading before an order fails

A follower without a leader said "no quorum" and a Retry-After of 3 s for an order on an evacuation where it used to say "not leader" and 1 s.

--- a/src/process/evacuation.cc
+++ b/src/process/evacuation.cc
@@ -40,7 +40,10 @@
       return AbandonOrder(call, now);
     }
     if (!known.ok) {
-      return Failure(ErrorKind::kNoQuorum, known.text);
+      // An unanswered reading has changed nothing.
+      return known.error == ErrorKind::kUnknownOutcome
+                 ? Failure(ErrorKind::kNoQuorum, known.text)
+                 : known;
     }
     order.expected_changes = known.version;
     CommandResult result = cell(Command(order), deadlines.answer);
