--- a/tests/soak/platform_cluster.cc
+++ b/tests/soak/platform_cluster.cc
@@ -3,13 +3,14 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <thread>
 #include <utility>
 
+#include "tests/support/cluster.h"
 #include "tests/support/spawn.h"
 
 namespace banyan {
@@ -29,7 +30,6 @@
 constexpr int kWorkerPort = 26004;
 constexpr Duration kCallTimeout = Millis(3000);
 constexpr Duration kOperatorTimeout = Millis(1000);
-constexpr Duration kPollInterval = Millis(50);
 
 std::string At(const std::string& ip, int port) {
   return ip + ":" + std::to_string(port);
@@ -43,25 +43,17 @@
          std::to_string(machine + 1);
 }
 
+// Makes a call as a caller of queues or an operator would.
 HttpReply Call(const std::string& address,
                const std::string& method,
                const std::string& path,
                const std::string& body,
                Duration timeout) {
-  HttpCall call;
-  call.method = method;
-  call.path = path;
-  call.body = body;
-  call.content_type = "application/json";
-  call.fields = {
-      {"Host", kHost},
-      {"Banyanchute-Deadline-Ms", std::to_string(ToMillis(timeout))}};
-  HttpExchange exchange =
-      HttpClient(address).Exchange(call, "", MonotonicClock::now() + timeout);
-  if (exchange.outcome != RequestOutcome::kRan) {
-    exchange.reply.status = 0;
-  }
-  return exchange.reply;
+  return Cluster::Call(
+      address, method, path, body,
+      {{"Host", kHost},
+       {"Banyanchute-Deadline-Ms", std::to_string(ToMillis(timeout))}},
+      timeout);
 }
 
 std::string PlanDocument() {
@@ -189,27 +181,22 @@
   if (!InstallPlan(deadline)) {
     return false;
   }
-  for (const std::string& ready : readies_) {
-    while (Call(ready, "GET", "/ready", "", kOperatorTimeout).status != 200) {
-      if (MonotonicClock::now() > deadline) {
-        return false;
-      }
-      std::this_thread::sleep_for(kPollInterval);
-    }
-  }
-  return true;
+  return std::all_of(
+      readies_.begin(), readies_.end(), [&](const std::string& ready) {
+        return Cluster::WaitUntil(deadline - MonotonicClock::now(), [&] {
+          return Call(ready, "GET", "/ready", "", kOperatorTimeout).status ==
+                 200;
+        });
+      });
 }
 
 bool PlatformCluster::InstallPlan(Time deadline) const {
-  for (std::size_t i = 0; MonotonicClock::now() < deadline; ++i) {
-    if (Call(controls_[i % controls_.size()], "PUT", "/config", PlanDocument(),
-             kOperatorTimeout)
-            .status == 200) {
-      return true;
-    }
-    std::this_thread::sleep_for(kPollInterval);
-  }
-  return false;
+  std::size_t next = 0;
+  return Cluster::WaitUntil(deadline - MonotonicClock::now(), [&] {
+    return Call(controls_[next++ % controls_.size()], "PUT", "/config",
+                PlanDocument(), kOperatorTimeout)
+               .status == 200;
+  });
 }
 
 HttpReply PlatformCluster::CallQueue(int entry,
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -20,7 +20,6 @@
 using nlohmann::json;
 
 constexpr Duration kPollInterval = Millis(20);
-constexpr Duration kCallTimeout = std::chrono::seconds(6);
 constexpr int kTemporaryRedirect = 307;
 constexpr const char* kDataCentres[] = {"dc-a", "dc-b", "dc-c"};
 
@@ -305,21 +304,22 @@
                         const std::string& method,
                         const std::string& path,
                         const std::string& body,
-                        const std::vector<HttpField>& fields) {
+                        const std::vector<HttpField>& fields,
+                        Duration timeout) {
   HttpCall call;
   call.method = method;
   call.path = path;
   call.body = body;
   call.content_type = "application/json";
   call.fields = fields;
-  HttpExchange exchange = HttpClient(address).Exchange(
-      call, "", MonotonicClock::now() + kCallTimeout);
+  HttpExchange exchange =
+      HttpClient(address).Exchange(call, "", MonotonicClock::now() + timeout);
   if (exchange.outcome != RequestOutcome::kRan) {
     exchange.reply.status = 0;
   }
   if (exchange.reply.status == kTemporaryRedirect) {
     const Poco::URI uri{std::string(exchange.reply.Field("Location"))};
-    return Call(uri.getAuthority(), method, path, body, fields);
+    return Call(uri.getAuthority(), method, path, body, fields, timeout);
   }
   return exchange.reply;
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -75,12 +75,14 @@
   // Log files of all processes of the product.
   [[nodiscard]] std::vector<std::string> logs() const;
 
-  // Makes one call, following a redirect; status 0 without an answer.
+  // Makes one call, following a redirect; status 0 without an answer before the
+  // timeout.
   static HttpReply Call(const std::string& address,
                         const std::string& method,
                         const std::string& path,
                         const std::string& body,
-                        const std::vector<HttpField>& fields = {});
+                        const std::vector<HttpField>& fields = {},
+                        Duration timeout = std::chrono::seconds(6));
   // Makes an operator call through any replica that answers.
   HttpReply Operate(const std::string& method,
                     const std::string& path,
