Tests: known red: a late sync of an ended incarnation ends the living one

After a step of the clock between two incarnations the order of their starts no longer keeps the ended one out: a replica that was frozen relays its last sync, the leader admits it again, and the tasks of the living one are placed elsewhere.

--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -474,6 +474,26 @@
   CPPUNIT_ASSERT(fixture.table().FindWorker(successor.life) != nullptr);
 }
 
+// Guards against two runs of a task at once: a replica that was frozen relays a
+// sync of an incarnation that has ended, and the clock stepped back before the
+// next one.
+void LateSyncOfEndedIncarnationEndsNoOther() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1", 8));
+  WorkerSync departure;
+  departure.info = SampleWorker("w1", 8);
+  departure.gone = true;
+  fixture.Sync(departure);
+  fixture.Join(SampleWorker("w1", 3));
+  fixture.Commit(SampleGraph("g", {SampleStep(1)}));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.RunsOn("w1").size());
+  WorkerSync late;
+  late.info = SampleWorker("w1", 8);
+  fixture.Sync(late);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.RunsOn("w1").size());
+}
+
 }  // namespace
 
 Section GraphLeaderStory() {
@@ -481,7 +501,9 @@
   story
       .With(Section("an incarnation")
                 .Then("ends once the worker answers as another one",
-                      UnansweredIncarnationEndsNoOther))
+                      UnansweredIncarnationEndsNoOther)
+                .Then("is not ended by a late sync of one that has ended",
+                      LateSyncOfEndedIncarnationEndsNoOther))
       .With(
           Section("placement")
               .Then("respects every worker's capacity",
