Consensus: log learners that wait and a cell that bears too few losses

Logs of the time before can't tell whether a replica that is back was a learner, what it lacked, or what its promotion waited for, and nothing tells that the next loss will end the cell.

Change: learner-waiting after 2 s, with lag and obstacle; losses-short once the cell has borne fewer losses than it has to for longer than the catch-up time; the promotion in member-changed has the time as a learner and the lag. The number of losses comes with the settings (losses_required, from the platform's tolerated machines). Gauges cell_losses_required, cell_learners and cell_learner_lag. No decision of the consensus depends on it.

--- a/include/banyan/consensus.h
+++ b/include/banyan/consensus.h
@@ -4,6 +4,7 @@
 // Umbrella header of the Raft consensus and its storage.
 
 #include "banyan/consensus/membership_plan.h"
+#include "banyan/consensus/membership_watch.h"
 #include "banyan/consensus/raft_core.h"
 #include "banyan/consensus/raft_log.h"
 #include "banyan/consensus/raft_storage.h"
--- a/include/banyan/consensus/membership_plan.h
+++ b/include/banyan/consensus/membership_plan.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -24,6 +25,10 @@
   bool is_caught_up = false;
   // Whether the member has announced that it shuts down.
   bool is_leaving = false;
+  // When the leader was elected or the member was added.
+  Time added_at{};
+  // Number of entries of the leader's log that the member is not known to hold.
+  std::uint64_t lag = 0;
 };
 
 // Timeouts of membership changes.
@@ -47,6 +52,20 @@
 
 [[nodiscard]] std::string_view ToString(MembershipChangeKind kind) noexcept;
 
+// Why a learner is not promoted.
+enum class PromotionObstacle : std::uint8_t {
+  // Nothing but a change of the membership that is not committed yet.
+  kNone,
+  // The learner has not replied lately, or leaves.
+  kNotPresent,
+  // It does not hold enough of the log.
+  kLag,
+  // The leader can't tell whether some voter is present or gone.
+  kDoubtfulVoter,
+};
+
+[[nodiscard]] std::string_view ToString(PromotionObstacle obstacle) noexcept;
+
 // A change of one member. Majorities of the memberships before and after it
 // always intersect.
 struct MembershipChange {
@@ -79,11 +98,19 @@
 // gone, or once it has departed.
 [[nodiscard]] std::optional<MembershipChange> PlanMembershipChange(
     const Membership& membership,
-    const std::vector<MemberStatus>& others,
+    std::span<const MemberStatus> others,
     const std::vector<MemberId>& joining,
     const MembershipTimings& timings,
     Time now);
 
+// Returns what the promotion of a learner waits for.
+[[nodiscard]] PromotionObstacle FindPromotionObstacle(
+    const Membership& membership,
+    std::span<const MemberStatus> others,
+    const MemberId& learner,
+    const MembershipTimings& timings,
+    Time now);
+
 }  // namespace banyan
 
 #endif  // BANYAN_CONSENSUS_MEMBERSHIP_PLAN_H_
--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_CONSENSUS_RAFT_CORE_H_
 #define BANYAN_CONSENSUS_RAFT_CORE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -12,6 +13,7 @@
 
 #include "banyan/base/random.h"
 #include "banyan/consensus/membership_plan.h"
+#include "banyan/consensus/membership_watch.h"
 #include "banyan/consensus/raft_log.h"
 #include "banyan/consensus/raft_types.h"
 #include "banyan/consensus/voter_health.h"
@@ -102,6 +104,9 @@
   [[nodiscard]] std::int64_t HeardVoters(Time now) const {
     return health_.HeardVoters(now, log_.membership());
   }
+  // The greatest number of entries that a learner is not known to hold; 0 if
+  // there is no learner or this replica isn't the leader.
+  [[nodiscard]] std::uint64_t LearnerLag() const;
   // How many of the voters that are heard can be lost before the majority is
   // lost. A negative number is what the majority lacks.
   [[nodiscard]] std::int64_t LossesBorne(Time now) const {
@@ -115,6 +120,8 @@
     std::uint64_t next = 1;
     // Last index known to be replicated on the member.
     std::uint64_t match = 0;
+    // When the leader was elected or the member was added.
+    Time added_at;
     // Whether the leader is searching for the last index at which the logs
     // agree. Only one request is in flight meanwhile.
     bool is_probing = false;
@@ -182,6 +189,11 @@
   // Asks all replicas that may know the leader for admission.
   void RequestAdmission(Time now);
   [[nodiscard]] std::vector<MemberStatus> StatusOfOthers();
+  [[nodiscard]] MembershipTimings membership_timings() const;
+  // Returns the number of entries that a member is not known to hold.
+  [[nodiscard]] std::uint64_t LagOf(const Progress& progress) const noexcept {
+    return log_.last_index() - std::min(progress.match, log_.last_index());
+  }
   void Replicate(Time now);
   void HandleAppendRejection(const MemberId& from,
                              Progress& progress,
@@ -209,6 +221,7 @@
   HardState hard_state_;
   Random random_;
   VoterHealth health_;
+  MembershipWatch watch_;
   RaftRole role_ = RaftRole::kFollower;
   std::string leader_;
   // The replica that last addressed an earlier incarnation of this one; empty
--- a/include/banyan/consensus/raft_types.h
+++ b/include/banyan/consensus/raft_types.h
@@ -88,6 +88,9 @@
   // Whether the configured members may bootstrap a new cell when the logs of
   // all of them are empty.
   bool may_bootstrap = true;
+  // How many losses of voters at a time the cell has to bear. The leader logs
+  // when it bears fewer for longer than the catch-up time.
+  std::int64_t losses_required = 0;
   RaftTimings timings;
   std::uint64_t seed = 1;
 };
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -117,6 +117,9 @@
   kJoinWaiting = 1513,
   kLogRefused = 1514,
   kLogSetAside = 1515,
+  kLearnerWaiting = 1516,
+  kLossesShort = 1517,
+  kLossesRestored = 1518,
 };
 
 // An entry of the event catalogue.
--- a/include/banyan/settings/settings.h
+++ b/include/banyan/settings/settings.h
@@ -41,6 +41,8 @@
   // Time after the start of a successor, or of a replica that is back, within
   // which the cell tolerates the next failure again.
   Duration catch_up;
+  // How many losses of replicas at a time the cell has to bear.
+  std::int64_t losses_required = 0;
   Duration lease;
   std::uint64_t snapshot_interval_entries = 0;
   SchedulingPolicy scheduling;
@@ -74,6 +76,7 @@
   Duration election_timeout;
   // As in ControlSettings.
   Duration catch_up;
+  std::int64_t losses_required = 0;
   // Duration of a worker lease.
   Duration lease;
   std::uint64_t snapshot_interval_entries = 0;
--- a/src/consensus/membership_plan.cc
+++ b/src/consensus/membership_plan.cc
@@ -16,7 +16,7 @@
 class Planner {
  public:
   Planner(const Membership& membership,
-          const std::vector<MemberStatus>& others,
+          std::span<const MemberStatus> others,
           const MembershipTimings& timings,
           Time now)
       : membership_(membership), others_(others), timings_(timings), now_(now) {
@@ -34,8 +34,7 @@
     if (gone != nullptr && IsRemovable(*gone, ready != nullptr)) {
       return RemoveVoter(gone->member);
     }
-    const bool is_odd = membership_.voters.size() % 2 != 0;
-    if (ready != nullptr && (!is_odd || !HasDoubtfulVoter())) {
+    if (ready != nullptr && !IsHeldUpByDoubt()) {
       return Promote(ready->member);
     }
     if (auto change = Admit(joining)) {
@@ -44,6 +43,18 @@
     return RemoveSilentLearner();
   }
 
+  [[nodiscard]] PromotionObstacle FindObstacle(const MemberId& learner) const {
+    const MemberStatus* status = Find(learner);
+    if (status == nullptr || !IsPresent(*status) || status->is_leaving) {
+      return PromotionObstacle::kNotPresent;
+    }
+    if (!status->is_caught_up) {
+      return PromotionObstacle::kLag;
+    }
+    return IsHeldUpByDoubt() ? PromotionObstacle::kDoubtfulVoter
+                             : PromotionObstacle::kNone;
+  }
+
  private:
   [[nodiscard]] const MemberStatus* Find(const MemberId& member) const {
     const auto found = std::find_if(
@@ -128,6 +139,12 @@
                        });
   }
 
+  // Whether a promotion waits since it would enlarge the majority while some
+  // voter may be gone.
+  [[nodiscard]] bool IsHeldUpByDoubt() const {
+    return membership_.voters.size() % 2 != 0 && HasDoubtfulVoter();
+  }
+
   // Returns the number of voters that are present and stay, the leader
   // included.
   [[nodiscard]] std::size_t CountPresentVoters() const {
@@ -140,10 +157,10 @@
 
   [[nodiscard]] const MemberStatus* FindReadyLearner() const {
     for (const MemberId& learner : membership_.learners) {
-      const MemberStatus* status = Find(learner);
-      if (status != nullptr && IsPresent(*status) && status->is_caught_up &&
-          !status->is_leaving) {
-        return status;
+      const PromotionObstacle obstacle = FindObstacle(learner);
+      if (obstacle == PromotionObstacle::kNone ||
+          obstacle == PromotionObstacle::kDoubtfulVoter) {
+        return Find(learner);
       }
     }
     return nullptr;
@@ -205,7 +222,7 @@
   }
 
   const Membership& membership_;
-  const std::vector<MemberStatus>& others_;
+  std::span<const MemberStatus> others_;
   const MembershipTimings& timings_;
   Time now_;
   std::vector<const MemberStatus*> other_voters_;
@@ -227,13 +244,35 @@
   return "";
 }
 
+std::string_view ToString(PromotionObstacle obstacle) noexcept {
+  switch (obstacle) {
+    case PromotionObstacle::kNone:
+      return "nothing";
+    case PromotionObstacle::kNotPresent:
+      return "reply";
+    case PromotionObstacle::kLag:
+      return "log";
+    case PromotionObstacle::kDoubtfulVoter:
+      return "doubtful-voter";
+  }
+  return "";
+}
+
 std::optional<MembershipChange> PlanMembershipChange(
     const Membership& membership,
-    const std::vector<MemberStatus>& others,
+    std::span<const MemberStatus> others,
     const std::vector<MemberId>& joining,
     const MembershipTimings& timings,
     Time now) {
   return Planner(membership, others, timings, now).Plan(joining);
 }
 
+PromotionObstacle FindPromotionObstacle(const Membership& membership,
+                                        std::span<const MemberStatus> others,
+                                        const MemberId& learner,
+                                        const MembershipTimings& timings,
+                                        Time now) {
+  return Planner(membership, others, timings, now).FindObstacle(learner);
+}
+
 }  // namespace banyan
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -444,7 +444,9 @@
     Progress& progress = progress_[other];
     progress.next = log_.last_index() + 1;
     progress.last_reply_at = now;
+    progress.added_at = now;
   }
+  watch_.Reset();
   term_start_index_ = log_.last_index() + 1;
   AppendEntry({hard_state_.term, term_start_index_, EntryKind::kCommand,
                Encode(LoggedCommand{})});
@@ -483,6 +485,12 @@
     SendAppend(other, progress_[other]);
   }
   ReconcileMembership(now);
+  const std::vector<MemberStatus> others = StatusOfOthers();
+  watch_.Observe(
+      now,
+      {log_.membership(), others, membership_timings(), LossesBorne(now),
+       options_.losses_required, options_.timings.catch_up},
+      out_.events);
 }
 
 void RaftCore::AppendEntry(LogEntry entry) {
@@ -503,18 +511,23 @@
 void RaftCore::ProposeMembership(Time now, const MembershipChange& change) {
   Membership next = change.next;
   std::sort(next.voters.begin(), next.voters.end());
-  Event event = Event(EventId::kMemberChanged)
-                    .With("voters", next.voters.size())
-                    .With("learners", next.learners.size())
-                    .With("voter_ids", ToText(next.voters))
-                    .With("learner_ids", ToText(next.learners))
-                    .With("change", ToString(change.kind))
-                    .With("member", ToText(change.member));
+  out_.events.push_back(Event(EventId::kMemberChanged)
+                            .With("voters", next.voters.size())
+                            .With("learners", next.learners.size())
+                            .With("voter_ids", ToText(next.voters))
+                            .With("learner_ids", ToText(next.learners))
+                            .With("change", ToString(change.kind))
+                            .With("member", ToText(change.member)));
   const bool is_removal = change.kind == MembershipChangeKind::kRemoveVoter;
-  out_.events.push_back(
-      is_removal ? std::move(event).With("silent_ms", ToMillis(health_.Silence(
-                                                          now, change.member)))
-                 : std::move(event));
+  if (is_removal) {
+    std::move(out_.events.back())
+        .With("silent_ms", ToMillis(health_.Silence(now, change.member)));
+  } else if (change.kind == MembershipChangeKind::kPromoteLearner) {
+    const Progress& progress = progress_[change.member];
+    std::move(out_.events.back())
+        .With("learner_ms", ToMillis(now - progress.added_at))
+        .With("lag", LagOf(progress));
+  }
   AppendEntry({hard_state_.term, log_.last_index() + 1, EntryKind::kMembership,
                Encode(next)});
   removed_voter_ = is_removal ? change.member : MemberId{};
@@ -539,6 +552,8 @@
     status.is_caught_up =
         progress.match + kMaxPromotionLag >= log_.last_index();
     status.is_leaving = progress.is_leaving;
+    status.added_at = progress.added_at;
+    status.lag = LagOf(progress);
     statuses.push_back(std::move(status));
   }
   return statuses;
@@ -554,12 +569,8 @@
   for (const auto& [id, peer] : join_requests_) {
     joining.push_back(peer.first);
   }
-  const Duration silence = options_.timings.voter_silence();
-  const MembershipTimings timings{
-      options_.timings.election_timeout / 2, silence,
-      std::max(options_.timings.catch_up, silence * 2)};
   const auto change = PlanMembershipChange(log_.membership(), StatusOfOthers(),
-                                           joining, timings, now);
+                                           joining, membership_timings(), now);
   if (!change) {
     return;
   }
@@ -569,10 +580,28 @@
     progress = Progress{};
     progress.next = log_.last_index() + 1;
     progress.last_reply_at = now;
+    progress.added_at = now;
   }
   ProposeMembership(now, *change);
 }
 
+MembershipTimings RaftCore::membership_timings() const {
+  const Duration silence = options_.timings.voter_silence();
+  return {options_.timings.election_timeout / 2, silence,
+          std::max(options_.timings.catch_up, silence * 2)};
+}
+
+std::uint64_t RaftCore::LearnerLag() const {
+  std::uint64_t lag = 0;
+  for (const MemberId& learner : log_.membership().learners) {
+    const auto found = progress_.find(learner);
+    if (found != progress_.end()) {
+      lag = std::max(lag, LagOf(found->second));
+    }
+  }
+  return lag;
+}
+
 void RaftCore::Replicate(Time now) {
   if (!must_replicate_ || role_ != RaftRole::kLeader) {
     must_replicate_ = false;
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -252,6 +252,17 @@
      "The data folder holds files of a damaged log under other names; the "
      "replica has started without them and asks for admission. Repeated at "
      "each start."},
+    {EventId::kLearnerWaiting, "learner-waiting",
+     "A replica has been a learner for over 2 s: how long, how many entries it "
+     "lacks, whether it keeps up with the log, and what its promotion waits "
+     "for. Repeated every 5 s."},
+    {EventId::kLossesShort, "losses-short",
+     "The cell has borne fewer losses than it has to for longer than the "
+     "catch-up time; with the voters, learners and losses borne. Repeated "
+     "every 5 s."},
+    {EventId::kLossesRestored, "losses-restored",
+     "The cell again bears the losses that it has to, with the time for which "
+     "it did not."},
 });
 
 // Returns whether the event numbers of the catalogue are strictly ascending.
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -52,6 +52,7 @@
   options.raft.timings.max_clock_drift =
       settings.election_timeout / kMarginDivisor;
   options.raft.timings.catch_up = settings.catch_up;
+  options.raft.losses_required = settings.losses_required;
   options.raft.seed = NewIncarnation();
   options.lease = settings.lease;
   options.lease_margin = settings.lease / kMarginDivisor;
@@ -449,6 +450,13 @@
                     static_cast<double>(core_->raft().HeardVoters(now)));
   metrics_.SetGauge("cell_losses_borne",
                     static_cast<double>(core_->raft().LossesBorne(now)));
+  metrics_.SetGauge("cell_losses_required",
+                    static_cast<double>(settings_.losses_required));
+  metrics_.SetGauge(
+      "cell_learners",
+      static_cast<double>(core_->raft().log().membership().learners.size()));
+  metrics_.SetGauge("cell_learner_lag",
+                    static_cast<double>(core_->raft().LearnerLag()));
   metrics_.SetGauge("instances", static_cast<double>(state.instances().size()));
   metrics_.SetGauge("jobs", static_cast<double>(state.jobs().size()));
   metrics_.SetGauge("suspects",
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -14,6 +14,7 @@
 constexpr std::int64_t kDefaultElectionTimeoutMs = 800;
 constexpr Duration kMinCatchUp = std::chrono::seconds(1);
 constexpr Duration kMaxCatchUp = std::chrono::minutes(10);
+constexpr std::int64_t kMaxLossesRequired = 10;
 constexpr std::int64_t kMinLeaseMs = 2000;
 constexpr std::int64_t kMaxLeaseMs = 60000;
 constexpr std::int64_t kDefaultLeaseMs = 10000;
@@ -112,6 +113,8 @@
   settings.catch_up =
       reader.Seconds("catch_up_s", kMinCatchUp, kMaxCatchUp,
                      kElectionTimeoutsPerCatchUp * settings.election_timeout);
+  settings.losses_required =
+      reader.Integer("losses_required", 0, kMaxLossesRequired, 1);
   settings.lease = Millis(
       reader.Integer("lease_ms", kMinLeaseMs, kMaxLeaseMs, default_lease_ms));
   settings.snapshot_interval_entries =
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -72,6 +72,7 @@
       .With(ConsensusStory())
       .With(CellWorldStory())
       .With(MembershipPlanStory())
+      .With(MembershipWatchStory())
       .With(ControlCoreStory())
       .With(ControlStateStory())
       .With(SchedulerStory())
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -61,6 +61,17 @@
   CPPUNIT_ASSERT(set->catch_up == Millis(4500));
 }
 
+void LossesRequiredAreRead() {
+  Reason reason;
+  const std::string valid = ValidControlSettings();
+  const auto defaults = LoadControlSettings(WriteSettingsFile(valid), reason);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, defaults->losses_required);
+  const auto set = LoadControlSettings(
+      WriteSettingsFile(valid + "losses_required: 2\n"), reason);
+  CPPUNIT_ASSERT_MESSAGE(ToString(reason), set.has_value());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, set->losses_required);
+}
+
 void MechanismsCanBeDisabled() {
   Reason reason;
   const auto defaults =
@@ -102,6 +113,8 @@
             })
       .Then("take the catch-up time from the elections unless it is given",
             CatchUpTimeFollowsElections)
+      .Then("the losses that a cell has to bear are read",
+            LossesRequiredAreRead)
       .Then("reject a catch-up time out of range",
             [] {
               ExpectError(ValidControlSettings() + "catch_up_s: 0.5\n", 8,
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -70,6 +70,7 @@
 Section ConsensusStory();
 Section CellWorldStory();
 Section MembershipPlanStory();
+Section MembershipWatchStory();
 Section ControlCoreStory();
 Section ControlStateStory();
 Section SchedulerStory();
