Tests: known red: replicas that are back and don't vote while the log grows

What callers saw: the cell of the large site has no majority for good (CONFIG, LOST). The world of the cell gets a load: entries in bursts, disks that sync all that was written meanwhile, a slow disk of whoever has just started, and messages that wait. Losses come as soon as the promise allows them.

Two stories of their own: a removed voter that is fed the log and never asks for its admission, and a former leader that gives up 1,000 entries one by one.

--- a/tests/support/cell_world.cc
+++ b/tests/support/cell_world.cc
@@ -1,6 +1,7 @@
 #include "tests/support/cell_world.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "banyan/wire/codec.h"
@@ -14,13 +15,8 @@
 constexpr Duration kTickInterval = Millis(10);
 constexpr Duration kCheckInterval = Millis(20);
 constexpr Duration kWaitStep = Millis(10);
-constexpr Duration kProposalInterval = Millis(100);
 constexpr Duration kMinDelay{500};
-constexpr Duration kMaxDelay{2000};
-constexpr Duration kMinSync = Millis(3);
-constexpr Duration kMaxSync = Millis(5);
 constexpr Duration kSnapshotWrite = Millis(30);
-constexpr std::uint64_t kSnapshotEntries = 60;
 constexpr Duration kComesBackEmptyAfter = seconds(1);
 constexpr Duration kCalmAtEnd = seconds(8);
 // By then all replicas have what a leader has acknowledged.
@@ -49,9 +45,13 @@
 
 }  // namespace
 
-CellWorld::CellWorld(int size, int losses, std::uint64_t seed)
+CellWorld::CellWorld(int size,
+                     int losses,
+                     std::uint64_t seed,
+                     const CellLoad& load)
     : size_(size),
       losses_(losses),
+      load_(load),
       random_(seed),
       now_(kStart),
       disturbed_at_(kStart) {}
@@ -112,7 +112,7 @@
     Start(seeds, "");
   }
   After(kCheckInterval, [this] { Check(); });
-  After(kProposalInterval, [this] { ProposeAtLeaders(); });
+  ProposeAtLeaders();
   for (int i = static_cast<int>(kSeeds); i < size_; ++i) {
     RunUntil(kFormBound, [&] { return !Leader().empty(); });
     const std::string id = Start(seeds, "");
@@ -180,7 +180,9 @@
   replica.applied = 0;
   replica.digest = 0;
   replica.snapshot_at = 0;
-  replica.disk_free_at = now_;
+  replica.unwritten.clear();
+  replica.is_syncing = false;
+  replica.slow_until = has_formed_ ? now_ + kCellCatchUp : Time{};
   RaftOptions options;
   options.self = {replica.id, replica.disk->incarnation()};
   options.configured_ids = replica.seeds;
@@ -330,27 +332,39 @@
 }
 
 void CellWorld::Persist(Replica& replica, std::vector<PersistBatch> batches) {
-  replica.disk_free_at =
-      std::max(replica.disk_free_at, now_) + Between(kMinSync, kMaxSync);
-  After(replica.disk_free_at - now_,
-        [this, id = replica.id, life = replica.life,
-         batches = std::move(batches)] {
-          Replica& writing = replicas_.at(id);
-          if (writing.life != life) {
-            return;
-          }
-          for (const PersistBatch& batch : batches) {
-            writing.disk->Write(batch);
-          }
-          RunAwake(writing, [this, id, seq = batches.back().seq] {
-            replicas_.at(id).core->OnPersisted(now_, seq);
-            Flush(replicas_.at(id));
-          });
-        });
+  std::move(batches.begin(), batches.end(),
+            std::back_inserter(replica.unwritten));
+  Sync(replica);
+}
+
+void CellWorld::Sync(Replica& replica) {
+  if (replica.is_syncing || replica.unwritten.empty()) {
+    return;
+  }
+  replica.is_syncing = true;
+  const Duration sync = load_.returning_sync && now_ < replica.slow_until
+                            ? *load_.returning_sync
+                            : Between(load_.min_sync, load_.max_sync);
+  After(sync, [this, id = replica.id, life = replica.life,
+               batches = std::exchange(replica.unwritten, {})] {
+    Replica& writing = replicas_.at(id);
+    if (writing.life != life) {
+      return;
+    }
+    for (const PersistBatch& batch : batches) {
+      writing.disk->Write(batch);
+    }
+    writing.is_syncing = false;
+    Sync(writing);
+    RunAwake(writing, [this, id, seq = batches.back().seq] {
+      replicas_.at(id).core->OnPersisted(now_, seq);
+      Flush(replicas_.at(id));
+    });
+  });
 }
 
 void CellWorld::TakeSnapshot(Replica& replica) {
-  if (replica.applied < replica.snapshot_at + kSnapshotEntries) {
+  if (replica.applied < replica.snapshot_at + load_.snapshot_entries) {
     return;
   }
   std::optional<Snapshot> snapshot =
@@ -380,7 +394,7 @@
     return;
   }
   Time& arrival = from.last_arrival[outbound.to];
-  arrival = std::max(arrival, now_ + Between(kMinDelay, kMaxDelay));
+  arrival = std::max(arrival, now_ + Between(kMinDelay, load_.max_delay));
   const Sender sender{from.id, from.disk->incarnation()};
   After(arrival - now_,
         [this, sender, to = outbound.to, life = found->second.life,
@@ -418,11 +432,19 @@
 }
 
 void CellWorld::ProposeAtLeaders() {
-  After(kProposalInterval, [this] { ProposeAtLeaders(); });
+  After(Duration(seconds(1)) * load_.burst_entries / load_.entries_per_second,
+        [this] { ProposeAtLeaders(); });
+  const std::uint64_t count =
+      load_.burst_entries == 1
+          ? 1
+          : random_.NextBelow(
+                2 * static_cast<std::uint64_t>(load_.burst_entries) + 1);
   for (auto& [id, replica] : replicas_) {
     if (replica.core != nullptr && !replica.is_frozen &&
         replica.core->role() == RaftRole::kLeader) {
-      replica.core->Propose(now_, "p" + std::to_string(next_proposal_++));
+      for (std::uint64_t i = 0; i < count; ++i) {
+        replica.core->Propose(now_, "p" + std::to_string(next_proposal_++));
+      }
       Flush(replica);
     }
   }
@@ -915,7 +937,7 @@
 
 CellWorldResult PlayCellWorld(const CellWorldOptions& options,
                               std::uint64_t seed) {
-  CellWorld world(options.size, options.losses, seed);
+  CellWorld world(options.size, options.losses, seed, options.load);
   world.Form();
   world.Play(options);
   return world.result();
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -42,11 +42,29 @@
   bool transfers = false;
 };
 
+// How much a cell has to do, and what it has to do it with.
+struct CellLoad {
+  // Number of entries that the leader gets in a second, on average. They come
+  // in bursts of up to twice `burst_entries`.
+  int entries_per_second = 10;
+  int burst_entries = 1;
+  // Number of applied entries between two snapshots of a replica.
+  std::uint64_t snapshot_entries = 60;
+  // Time that one sync of a disk takes.
+  Duration min_sync = Millis(3);
+  Duration max_sync = Millis(5);
+  // The same while its replica counts as lost since it has just started.
+  std::optional<Duration> returning_sync = std::nullopt;
+  // Longest time from the sending of a message until it is handled.
+  Duration max_delay{2000};
+};
+
 // What a play of a cell is made of.
 struct CellWorldOptions {
   int size = 3;
   // How many replicas may count as lost at a time.
   int losses = 1;
+  CellLoad load = {};
   CellEvents events;
   int event_count = 8;
   // Whether a replica is also hit while it counts as lost for an earlier event
@@ -69,8 +87,8 @@
 };
 
 // The replicas of one cell under virtual time, each a RaftCore on a disk that
-// syncs after some milliseconds. Messages go by address, in order between two
-// replicas.
+// syncs after some milliseconds all that was written meanwhile. Messages go by
+// address, in order between two replicas.
 //
 // Each place of the cell has one replica, and a lost replica's successor takes
 // its place. A place counts as lost while its replica is down, frozen or cut
@@ -89,7 +107,10 @@
 // - no term has two leaders, and no two replicas hold a lease.
 class CellWorld {
  public:
-  CellWorld(int size, int losses, std::uint64_t seed);
+  CellWorld(int size,
+            int losses,
+            std::uint64_t seed,
+            const CellLoad& load = {});
   ~CellWorld();
 
   // Starts the cell of the first three replicas, then the others, and runs
@@ -160,7 +181,11 @@
     std::vector<std::function<void()>> held;
     // Rises with every start and end of the process.
     std::uint64_t life = 0;
-    Time disk_free_at;
+    // Batches that wait for the disk, and whether it is in a sync.
+    std::vector<PersistBatch> unwritten;
+    bool is_syncing = false;
+    // Until when the disk takes CellLoad::returning_sync.
+    Time slow_until;
     // When the latest message to each receiver arrives.
     std::map<std::string, Time> last_arrival;
     std::uint64_t applied = 0;
@@ -211,6 +236,8 @@
   void Tick(const std::string& id, std::uint64_t life);
   void Flush(Replica& replica);
   void Persist(Replica& replica, std::vector<PersistBatch> batches);
+  // Writes all batches that wait, unless the disk is in a sync.
+  void Sync(Replica& replica);
   void TakeSnapshot(Replica& replica);
   void Send(Replica& from, Outbound outbound);
   void Arrive(const Sender& from,
@@ -268,6 +295,7 @@
 
   int size_;
   int losses_;
+  CellLoad load_;
   Random random_;
   Time now_;
   std::uint64_t next_order_ = 0;
--- a/tests/unit/cell_world_test.cc
+++ b/tests/unit/cell_world_test.cc
@@ -130,6 +130,62 @@
   return section;
 }
 
+// Guards against replicas that come back and don't become voters again while
+// the log grows: a count of entries that they may lack is hardly ever met.
+constexpr CellLoad kHeavyLoad{
+    .entries_per_second = 400,
+    .burst_entries = 4,
+    .snapshot_entries = 2000,
+    .min_sync = Millis(4),
+    .max_sync = Millis(30),
+};
+
+// The same with messages that wait behind others.
+constexpr CellLoad kBusyReplicas{
+    .entries_per_second = 400,
+    .burst_entries = 8,
+    .snapshot_entries = 2000,
+    .min_sync = Millis(4),
+    .max_sync = Millis(30),
+    .max_delay = Millis(120),
+};
+
+// The same with a disk that is slower than all others where it matters.
+constexpr CellLoad kSlowReturningDisk{
+    .entries_per_second = 400,
+    .burst_entries = 4,
+    .snapshot_entries = 2000,
+    .min_sync = Millis(4),
+    .max_sync = Millis(30),
+    .returning_sync = Millis(300),
+};
+
+// The series that a cell goes through while its log grows.
+Section LoadStory(int size) {
+  const std::string name = "a cell of " + std::to_string(size);
+  const auto series = [size](const CellEvents& events, const CellLoad& load) {
+    return [size, events, load] {
+      Play({.size = size,
+            .losses = LossesOf(size),
+            .load = load,
+            .events = events});
+    };
+  };
+  Section section(name + " under load");
+  section
+      .Then(name + " under load bears what keeps all disks",
+            series(kAllDisksKept, kHeavyLoad))
+      .Then(name + " under load bears losses among freezes and cuts",
+            series(kFreezesAndCuts, kHeavyLoad))
+      .Then(name + " under load bears everything together",
+            series(kEverything, kHeavyLoad))
+      .Then(name + " of busy replicas bears everything together",
+            series(kEverything, kBusyReplicas))
+      .Then(name + " bears that the disk of a returning replica is slow",
+            series(kEverything, kSlowReturningDisk));
+  return section;
+}
+
 // A replica that runs and isn't the leader.
 std::string AnyFollower(const CellWorld& world) {
   for (const std::string& id : world.Running()) {
@@ -232,6 +288,22 @@
                          !IsListed(world.membership().learners, added));
 }
 
+// Guards against a replica that is fed the log as a former voter for as long as
+// the log grows, and never asks for its admission.
+void RemovedVoterComesBackUnderLoad() {
+  CellWorld world(5, 2, 1, kBusyReplicas);
+  world.Form();
+  const std::string silent = AnyFollower(world);
+  world.Freeze(silent, true);
+  world.RunUntil(seconds(10),
+                 [&] { return !IsListed(world.membership().voters, silent); });
+  world.Thaw(silent);
+  world.Run(kCellCatchUp);
+  CPPUNIT_ASSERT_MESSAGE("a removed voter isn't admitted again",
+                         world.IsVoterNow(silent));
+  AssertNoViolation(world);
+}
+
 // Guards against join requests that followers keep to themselves.
 void NewcomerWhoseSeedsDoNotLead() {
   CellWorld world(5, 2, 1);
@@ -268,11 +340,16 @@
               "a voter that was removed without a sign of life isn't admitted "
               "as a learner",
               RemovedVoterIsNoLearner)
+          .Then("a voter that was removed comes back while the log grows",
+                RemovedVoterComesBackUnderLoad)
           .Then("a newcomer whose seeds don't lead is admitted",
                 NewcomerWhoseSeedsDoNotLead));
   for (const int size : {3, 4, 5, 6, 7}) {
     section.With(SizeStory(size));
   }
+  for (const int size : {3, 5}) {
+    section.With(LoadStory(size));
+  }
   return section;
 }
 
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -592,6 +592,29 @@
   CPPUNIT_ASSERT_EQUAL(voter_ids, events[2].Field("voter_ids"));
 }
 
+// Guards against a former leader that gives up the entries that it alone has
+// one by one, each at the cost of a message to it and back.
+void LongConflictIsFoundAtOnce() {
+  constexpr int kEntries = 1000;
+  ThreeReplicaCell cell;
+  cell.Run(seconds(4));
+  const int former = cell.LeaderPosition();
+  const std::string id = "c" + std::to_string(former);
+  for (int i = 0; i < kEntries; ++i) {
+    CPPUNIT_ASSERT(cell.replica(former).Propose(cell.now(), "lost"));
+  }
+  cell.Run(seconds(6), {id});
+  const int leader = cell.LeaderPosition();
+  CPPUNIT_ASSERT(leader != former);
+  for (int i = 0; i < kEntries; ++i) {
+    CPPUNIT_ASSERT(cell.replica(leader).Propose(cell.now(), "kept"));
+  }
+  cell.Run(seconds(1), {id});
+  cell.Run(seconds(1));
+  CPPUNIT_ASSERT_EQUAL(cell.replica(leader).commit_index(),
+                       cell.replica(former).commit_index());
+}
+
 constexpr std::size_t kMebibyte = 1U << 20U;
 constexpr std::size_t kLargeEntryBytes = kMebibyte / 4;
 constexpr std::uint64_t kLargeEntries = 100;
@@ -687,6 +710,8 @@
               .Then("commits a command on every replica", CommitsOnAllReplicas)
               .Then("updates a lagging replica with few messages",
                     LaggingReplicaCatchesUpWithFewMessages)
+              .Then("finds where a long conflict begins with few messages",
+                    LongConflictIsFoundAtOnce)
               .Then("transfers the leadership on request",
                     TransferMovesLeadership))
       .With(Section("memory")
