Consensus: promote learners by rounds of catch-up, not by their lag

Cause: a learner was promoted when it lacked at most eight entries at a heartbeat. The large site logs 300 to 400 entries a second in bursts, and the check comes right after the leader has appended what it decided, so a learner that is as fast as any voter hardly ever passes. A cell that voted out two silent replicas goes on with three voters for as long as it is busy, and the next loss that it has to bear takes two of them. Class: a wait for a count that load can keep from being met.

Change: a learner may vote once it has held, within an election timeout, all that the log held at the start of that time; after a quarter of the catch-up time it may vote without that, if its log still advances.

Why it works: a round takes as long as an entry takes to the learner, whatever the log's growth. The latter rule is for a disk slower than that. An early vote costs no entry: commits need a majority that holds them, and an election the longer log.

--- a/include/banyan/consensus.h
+++ b/include/banyan/consensus.h
@@ -3,6 +3,7 @@
 
 // Umbrella header of the Raft consensus and its storage.
 
+#include "banyan/consensus/catch_up_rounds.h"
 #include "banyan/consensus/membership_plan.h"
 #include "banyan/consensus/membership_watch.h"
 #include "banyan/consensus/raft_core.h"
--- a/include/banyan/consensus/membership_plan.h
+++ b/include/banyan/consensus/membership_plan.h
@@ -21,7 +21,7 @@
   Time last_reply_at;
   // Whether the member has replied in this term.
   bool has_replied = false;
-  // Whether the member holds nearly all entries of the leader's log.
+  // Whether the member may vote as far as the log is concerned.
   bool is_caught_up = false;
   // Whether the member has announced that it shuts down.
   bool is_leaving = false;
--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "banyan/base/random.h"
+#include "banyan/consensus/catch_up_rounds.h"
 #include "banyan/consensus/membership_plan.h"
 #include "banyan/consensus/membership_watch.h"
 #include "banyan/consensus/raft_log.h"
@@ -122,6 +123,9 @@
     std::uint64_t match = 0;
     // When the leader was elected or the member was added.
     Time added_at;
+    // When `match` last advanced.
+    Time advanced_at;
+    CatchUpRounds rounds;
     // Whether the leader is searching for the last index at which the logs
     // agree. Only one request is in flight meanwhile.
     bool is_probing = false;
@@ -188,8 +192,15 @@
   void NotifyRemovedVoter();
   // Asks all replicas that may know the leader for admission.
   void RequestAdmission(Time now);
-  [[nodiscard]] std::vector<MemberStatus> StatusOfOthers();
+  [[nodiscard]] std::vector<MemberStatus> StatusOfOthers(Time now);
   [[nodiscard]] MembershipTimings membership_timings() const;
+  // Starts to track a member from this replica's election, or from when the
+  // member was added.
+  void StartProgress(Time now, const MemberId& member);
+  // Whether a learner may vote: it keeps up with the log, or it has been a
+  // learner for a quarter of the catch-up time and still advances. What a voter
+  // lacks can delay commits, but the cell must not miss its vote for longer.
+  [[nodiscard]] bool IsCaughtUp(Time now, const Progress& progress) const;
   // Returns the number of entries that a member is not known to hold.
   [[nodiscard]] std::uint64_t LagOf(const Progress& progress) const noexcept {
     return log_.last_index() - std::min(progress.match, log_.last_index());
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -26,8 +26,6 @@
 constexpr std::size_t kMaxCommittedBytes = 1U << 20U;
 // Interval between join requests of a replica outside a cell.
 constexpr Duration kJoinInterval = Millis(300);
-// A learner may lag at most this many entries to be promoted to voter.
-constexpr std::uint64_t kMaxPromotionLag = 8;
 // Maximum number of heartbeat rounds whose send times are stored.
 constexpr std::size_t kMaxTrackedRounds = 128;
 
@@ -441,10 +439,7 @@
   rounds_.clear();
   join_requests_.clear();
   for (const MemberId& other : OtherMembers()) {
-    Progress& progress = progress_[other];
-    progress.next = log_.last_index() + 1;
-    progress.last_reply_at = now;
-    progress.added_at = now;
+    StartProgress(now, other);
   }
   watch_.Reset();
   term_start_index_ = log_.last_index() + 1;
@@ -485,7 +480,7 @@
     SendAppend(other, progress_[other]);
   }
   ReconcileMembership(now);
-  const std::vector<MemberStatus> others = StatusOfOthers();
+  const std::vector<MemberStatus> others = StatusOfOthers(now);
   watch_.Observe(
       now,
       {log_.membership(), others, membership_timings(), LossesBorne(now),
@@ -541,7 +536,25 @@
   removed_voter_ = MemberId{};
 }
 
-std::vector<MemberStatus> RaftCore::StatusOfOthers() {
+void RaftCore::StartProgress(Time now, const MemberId& member) {
+  Progress& progress = progress_[member];
+  progress = Progress{};
+  progress.next = log_.last_index() + 1;
+  progress.last_reply_at = now;
+  progress.added_at = now;
+  progress.advanced_at = now;
+  progress.rounds =
+      CatchUpRounds(now, log_.last_index(), options_.timings.election_timeout);
+}
+
+bool RaftCore::IsCaughtUp(Time now, const Progress& progress) const {
+  const RaftTimings& timings = options_.timings;
+  const bool is_overdue = progress.added_at + timings.catch_up / 4 <= now;
+  const bool advances = progress.advanced_at + timings.voter_silence() > now;
+  return progress.rounds.KeepsUp(now) || (is_overdue && advances);
+}
+
+std::vector<MemberStatus> RaftCore::StatusOfOthers(Time now) {
   std::vector<MemberStatus> statuses;
   for (const MemberId& other : OtherMembers()) {
     const Progress& progress = progress_[other];
@@ -549,8 +562,7 @@
     status.member = other;
     status.last_reply_at = progress.last_reply_at;
     status.has_replied = progress.has_replied;
-    status.is_caught_up =
-        progress.match + kMaxPromotionLag >= log_.last_index();
+    status.is_caught_up = IsCaughtUp(now, progress);
     status.is_leaving = progress.is_leaving;
     status.added_at = progress.added_at;
     status.lag = LagOf(progress);
@@ -569,18 +581,15 @@
   for (const auto& [id, peer] : join_requests_) {
     joining.push_back(peer.first);
   }
-  const auto change = PlanMembershipChange(log_.membership(), StatusOfOthers(),
-                                           joining, membership_timings(), now);
+  const auto change =
+      PlanMembershipChange(log_.membership(), StatusOfOthers(now), joining,
+                           membership_timings(), now);
   if (!change) {
     return;
   }
   if (change->kind == MembershipChangeKind::kAddLearner) {
     join_requests_.erase(change->member.id);
-    Progress& progress = progress_[change->member];
-    progress = Progress{};
-    progress.next = log_.last_index() + 1;
-    progress.last_reply_at = now;
-    progress.added_at = now;
+    StartProgress(now, change->member);
   }
   ProposeMembership(now, *change);
 }
@@ -763,9 +772,14 @@
     return;
   }
   const bool has_advanced = reply.match_index > progress.match;
+  if (has_advanced) {
+    progress.advanced_at = now;
+  }
   progress.is_probing = false;
   progress.match = std::max(progress.match, reply.match_index);
   progress.next = std::max(progress.next, progress.match + 1);
+  progress.rounds.OnMatch(now, progress.match, log_.last_index(),
+                          options_.timings.election_timeout);
   CommitByMajority(now);
   if (has_advanced && progress.next <= log_.last_index()) {
     SendAppend(from, progress);
