Consensus: stop feeding former members the log

Cause: the leader kept the progress of a member that it had removed, and answered each of its confirmations with the entries that had come meanwhile. While the log grows that exchange never ends, so the removed voter follows its leader for good and never asks for its admission. Class: load that keeps a wait from ending.

The story "a voter that was removed comes back while the log grows" failed. The users saw a frozen replica that was not a learner within 10 s.

Change: once a membership is committed, and the removed voter was told of it, the leader forgets all who are not members.

Why it works: a replica without a leader's message for an election timeout asks for its admission, whatever its log says of it.

--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -824,6 +824,12 @@
   AdvanceCommit(index);
   if (was_changing && log_.membership_index() <= commit_index_) {
     NotifyRemovedVoter();
+    // A former member that was sent the log any longer would take itself for a
+    // member and not ask for its admission.
+    std::erase_if(progress_, [&](const auto& entry) {
+      return !IsVoter(log_.membership(), entry.first) &&
+             !IsLearner(log_.membership(), entry.first);
+    });
     // A removal and the promotion that follows it should be close together.
     ReconcileMembership(now);
   }
