Soak: lost disks and slow replicas on a cell of five

The case in soak_test.cc compiles but was not run in banyan-tests; the code before the fixes was not played.

--- a/tests/soak/platform_cluster.cc
+++ b/tests/soak/platform_cluster.cc
@@ -23,7 +23,7 @@
 constexpr const char* kHost = "soak.example";
 constexpr const char* kPrefix = "/jobs/";
 constexpr const char* kService = "soak";
-constexpr std::array kDataCentres = {"dc-a", "dc-b", "dc-c"};
+constexpr std::array kDataCentres = {"dc-a", "dc-b", "dc-c", "dc-d", "dc-e"};
 // Ports of each machine: callers, readiness, control, peers and worker.
 constexpr int kFrontPort = 26000;
 constexpr int kReadyPort = 26001;
@@ -33,6 +33,10 @@
 constexpr Duration kCallTimeout = Millis(3000);
 constexpr Duration kOperatorTimeout = Millis(1000);
 constexpr Duration kRestartDelay = Millis(500);
+// A throttled replica is stopped for the first part of each period.
+constexpr Duration kThrottlePeriod = Millis(100);
+constexpr Duration kThrottleStop = Millis(40);
+constexpr Duration kThrottleStep = Millis(5);
 
 std::string At(const std::string& ip, int port) {
   return ip + ":" + std::to_string(port);
@@ -61,6 +65,15 @@
 
 }  // namespace
 
+PlatformShape FiveReplicaShape() {
+  PlatformShape shape;
+  shape.replicas = 5;
+  shape.data_centres = 5;
+  shape.losses_required = 2;
+  shape.catch_up = std::chrono::seconds(6);
+  return shape;
+}
+
 std::string PlanDocument(std::int64_t version, int routes) {
   json queue = {{"name", "jobs"},         {"host", kHost},
                 {"path-prefix", kPrefix}, {"kind", "unsafe"},
@@ -128,7 +141,7 @@
     options.name = "w" + std::to_string(i);
     options.service = kService;
     options.data_centre =
-        kDataCentres[static_cast<std::size_t>(i) % kDataCentres.size()];
+        kDataCentres[static_cast<std::size_t>(i % shape_.data_centres)];
     options.address = At(ip, kWorkerPort);
     options.agent_address = At(ip, kControlPort);
     AddProcess("agent", i, ip,
@@ -141,6 +154,10 @@
 }
 
 PlatformCluster::~PlatformCluster() {
+  must_end_ = true;
+  if (throttle_thread_.joinable()) {
+    throttle_thread_.join();
+  }
   workers_.clear();
   for (const auto& [name, process] : processes_) {
     KillAndWait(process.pid);
@@ -156,19 +173,26 @@
   // What the template of the deploy file makes of a machine's settings.
   std::ofstream(path)
       << "id: \"" << name << "\"\ndata_centre: \""
-      << kDataCentres[static_cast<std::size_t>(index) % kDataCentres.size()]
+      << kDataCentres[static_cast<std::size_t>(index % shape_.data_centres)]
       << "\"\nip: \"" << ip << "\"\npeer_port: " << kPeerPort << "\nseeds: ["
       << seeds_ << "]\nbootstrap: true\n"
-      << settings
-      << "drain_ms: 5500\nelection_ms: 500\ncatch_up_s: 4\nlease_ms: 5800\n";
-  processes_[name] = {role, path, 0, {}, {}};
+      << settings << "drain_ms: 5500\nelection_ms: 500\ncatch_up_s: "
+      << ToMillis(shape_.catch_up) / 1000
+      << "\nlosses_required: " << shape_.losses_required
+      << "\nlease_ms: 5800\n";
+  Process& process = processes_[name];
+  process.role = role;
+  process.settings_path = path;
 }
 
 void PlatformCluster::StartOne(const std::string& name) {
+  const std::lock_guard lock(mutex_);
   Process& process = processes_.at(name);
   if (process.pid > 0) {
     return;
   }
+  process.is_frozen = false;
+  process.is_throttled = false;
   const bool is_lossy =
       !process.data_folder.empty() && shape_.sync_time > Duration(0);
   process.pid = Spawn(
@@ -180,15 +204,62 @@
 }
 
 void PlatformCluster::Kill(const std::string& name) {
+  pid_t pid = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    Process& process = processes_.at(name);
+    pid = std::exchange(process.pid, 0);
+    process.restart_at.reset();
+  }
+  KillAndWait(pid);
+}
+
+void PlatformCluster::Signal(const std::string& name, int signal) {
+  const std::lock_guard lock(mutex_);
   Process& process = processes_.at(name);
-  KillAndWait(std::exchange(process.pid, 0));
-  process.restart_at.reset();
+  if (process.pid > 0) {
+    ::kill(process.pid, signal);
+    process.is_frozen = signal == SIGSTOP;
+  }
 }
 
-void PlatformCluster::Signal(const std::string& name, int signal) const {
-  const pid_t pid = processes_.at(name).pid;
-  if (pid > 0) {
-    ::kill(pid, signal);
+void PlatformCluster::EmptyDisk(const std::string& name) {
+  const Process& process = processes_.at(name);
+  std::filesystem::remove_all(process.data_folder);
+  std::filesystem::remove_all(process.data_folder + ".unsynced");
+  std::filesystem::create_directories(process.data_folder);
+  std::ifstream file(process.settings_path);
+  std::string settings{std::istreambuf_iterator<char>(file), {}};
+  const std::string bootstrap = "bootstrap: true";
+  if (const auto at = settings.find(bootstrap); at != std::string::npos) {
+    settings.replace(at, bootstrap.size(), "bootstrap: false");
+    std::ofstream(process.settings_path) << settings;
+  }
+}
+
+void PlatformCluster::ThrottleReplicas() {
+  throttle_thread_ = std::thread([this] { RunThrottle(); });
+}
+
+void PlatformCluster::RunThrottle() {
+  while (!must_end_) {
+    Duration phase = MonotonicClock::now().time_since_epoch();
+    {
+      const std::lock_guard lock(mutex_);
+      for (auto& [name, process] : processes_) {
+        if (process.data_folder.empty()) {
+          continue;
+        }
+        const bool must_stop = phase % kThrottlePeriod < kThrottleStop;
+        phase += kThrottlePeriod / shape_.replicas;
+        if (process.pid > 0 && !process.is_frozen &&
+            process.is_throttled != must_stop) {
+          ::kill(process.pid, must_stop ? SIGSTOP : SIGCONT);
+          process.is_throttled = must_stop;
+        }
+      }
+    }
+    std::this_thread::sleep_for(kThrottleStep);
   }
 }
 
@@ -217,11 +288,14 @@
 void PlatformCluster::RestartEndedReplicas() {
   const Time now = MonotonicClock::now();
   for (auto& [name, process] : processes_) {
-    if (!process.data_folder.empty() && process.pid > 0 &&
-        ::waitpid(process.pid, nullptr, WNOHANG) == process.pid) {
-      process.pid = 0;
-      process.restart_at = now + kRestartDelay;
-      ++ended_replicas_;
+    if (!process.data_folder.empty()) {
+      const std::lock_guard lock(mutex_);
+      if (process.pid > 0 &&
+          ::waitpid(process.pid, nullptr, WNOHANG) == process.pid) {
+        process.pid = 0;
+        process.restart_at = now + kRestartDelay;
+        ++ended_replicas_;
+      }
     }
     if (process.restart_at && now >= *process.restart_at) {
       process.restart_at.reset();
--- a/tests/soak/platform_cluster.h
+++ b/tests/soak/platform_cluster.h
@@ -3,10 +3,13 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "banyan/base/random.h"
@@ -18,9 +21,14 @@
 namespace banyan {
 
 // How many machines of each kind there are, in the data centres dc-a, dc-b and
-// dc-c by turns.
+// so on by turns.
 struct PlatformShape {
   int replicas = 3;
+  int data_centres = 3;
+  // How many replicas may be lost at a time, and how long after their return
+  // the next ones may be.
+  int losses_required = 1;
+  Duration catch_up = std::chrono::seconds(4);
   int entries = 2;
   int workers = 6;
   // How long a sync of a replica takes, on a disk that loses what was not
@@ -30,6 +38,9 @@
   int snapshot_interval_entries = 0;
 };
 
+// Returns the shape of a cell of five replicas that bears two losses.
+[[nodiscard]] PlatformShape FiveReplicaShape();
+
 // Returns a configuration with so many routes beside the one of the jobs.
 [[nodiscard]] std::string PlanDocument(std::int64_t version, int routes);
 
@@ -55,7 +66,13 @@
   // that runs is not started again.
   void StartOne(const std::string& name);
   void Kill(const std::string& name);
-  void Signal(const std::string& name, int signal) const;
+  void Signal(const std::string& name, int signal);
+  // Empties the data folder of a replica that does not run. From now on it
+  // starts like a machine that is new to the cell.
+  void EmptyDisk(const std::string& name);
+  // Stops and continues the replicas in turn until the cluster goes, so that
+  // each has only a share of a processor.
+  void ThrottleReplicas();
   // Returns whether a replica has written so much without a sync.
   [[nodiscard]] bool HasUnsynced(std::uint64_t bytes) const;
   // Kills all replicas at the same moment and takes what their disks lose with
@@ -88,8 +105,10 @@
     std::string role;
     std::string settings_path;
     pid_t pid = 0;
+    bool is_frozen = false;
     // Of a replica.
     std::string data_folder;
+    bool is_throttled = false;
     std::optional<Time> restart_at;
   };
 
@@ -98,11 +117,15 @@
                   const std::string& ip,
                   const std::string& settings);
   [[nodiscard]] bool InstallPlan(Time deadline) const;
+  void RunThrottle();
 
   const std::string binaries_;
   const std::string folder_;
   const PlatformShape shape_;
   std::string seeds_;
+  // Guards the process ids and what they are signalled, since the throttle must
+  // not signal an id that is free again.
+  std::mutex mutex_;
   std::map<std::string, Process> processes_;
   std::vector<std::string> controls_;
   std::vector<std::string> fronts_;
@@ -110,6 +133,8 @@
   int ended_replicas_ = 0;
   RunHistory history_;
   std::vector<std::unique_ptr<PlatformWorker>> workers_;
+  std::atomic<bool> must_end_{false};
+  std::thread throttle_thread_;
 };
 
 }  // namespace banyan
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -32,6 +33,12 @@
 constexpr Duration kLargeRecordTimeout = Millis(500);
 // After a loss of power the cell serves within this time.
 constexpr Duration kRecoverTimeout = std::chrono::seconds(12);
+// The final fault lasts so long, and the configuration is read back within the
+// timeout from its start.
+constexpr Duration kFinalOff = Millis(1000);
+constexpr Duration kFinalTimeout = std::chrono::seconds(15);
+// Without an acknowledged change the final fault comes all the same.
+constexpr Duration kFinalChangeTimeout = std::chrono::seconds(10);
 
 // Hands in jobs and remembers those that were accepted. Thread-safe.
 class JobLoad {
@@ -93,7 +100,7 @@
 // Draws the faults of one soak from its seed.
 class FaultPlayer {
  public:
-  // `configs` is null without losses of power.
+  // `configs` is null without losses of power or of disks.
   FaultPlayer(PlatformCluster& cluster,
               ConfigLoad* configs,
               const SoakOptions& options)
@@ -106,8 +113,13 @@
     add(options.faults.foreign_reports, &FaultPlayer::ReportForeign);
     add(options.faults.worker_restarts, &FaultPlayer::RestartWorker);
     add(options.faults.agents, &FaultPlayer::DisturbAgent);
-    add(options.faults.replicas, &FaultPlayer::DisturbReplica);
+    add(options.faults.replicas && !options.faults.lost_disks,
+        &FaultPlayer::DisturbReplica);
     add(options.faults.power_losses, &FaultPlayer::LosePower);
+    add(options.faults.lost_disks, &FaultPlayer::LoseReplicas);
+    for (int i = 0; i < cluster.shape().replicas; ++i) {
+      lost_until_["control-" + std::to_string(i)] = Time();
+    }
   }
 
   // Plays faults for the span, then ends those that last.
@@ -116,19 +128,51 @@
     Time next = MonotonicClock::now();
     while (MonotonicClock::now() < end || !later_.empty()) {
       const Time now = MonotonicClock::now();
-      RunDue(now);
-      cluster_.RestartEndedReplicas();
+      Step();
       if (now >= next && now < end && !kinds_.empty()) {
         next = now + Between(100, 1200);
         ++count_;
         (this->*kinds_[random_.NextBelow(kinds_.size())])();
       }
-      std::this_thread::sleep_for(kStepInterval);
+    }
+  }
+
+  // Plays the final fault as soon as no replica counts as lost, and returns
+  // when its read back is judged.
+  void PlayFinal() {
+    while (CountLost() > 0 || configs_->IsReadBackPending()) {
+      Step();
+    }
+    const std::int64_t version = configs_->acknowledged();
+    const Time deadline = MonotonicClock::now() + kFinalChangeTimeout;
+    while (configs_->acknowledged() == version &&
+           MonotonicClock::now() < deadline) {
+      std::this_thread::sleep_for(Millis(1));
+    }
+    ++count_;
+    configs_->ExpectReadBack(MonotonicClock::now() + kFinalTimeout);
+    cluster_.LosePowerOfReplicas(random_);
+    // Those that have been voters without a break lose their disks.
+    std::vector<std::string> names = ShuffledReplicas();
+    std::stable_sort(names.begin(), names.end(),
+                     [&](const std::string& a, const std::string& b) {
+                       return lost_until_[a] < lost_until_[b];
+                     });
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      const std::string& name = names[i];
+      if (static_cast<int>(i) < cluster_.shape().losses_required) {
+        EmptyDisk(name);
+      }
+      After(kFinalOff, name, [this, name] { cluster_.StartOne(name); });
+    }
+    while (!later_.empty() || configs_->IsReadBackPending()) {
+      Step();
     }
   }
 
   [[nodiscard]] int count() const { return count_; }
   [[nodiscard]] int power_losses() const { return power_losses_; }
+  [[nodiscard]] int lost_disks() const { return lost_disks_; }
 
  private:
   struct Later {
@@ -152,6 +196,67 @@
     });
   }
 
+  void Step() {
+    RunDue(MonotonicClock::now());
+    cluster_.RestartEndedReplicas();
+    std::this_thread::sleep_for(kStepInterval);
+  }
+
+  [[nodiscard]] int CountLost() const {
+    const Time now = MonotonicClock::now();
+    return static_cast<int>(
+        std::count_if(lost_until_.begin(), lost_until_.end(),
+                      [&](const auto& item) { return item.second > now; }));
+  }
+
+  std::vector<std::string> ShuffledReplicas() {
+    std::vector<std::string> names;
+    for (const auto& [name, until] : lost_until_) {
+      names.insert(names.begin() + static_cast<std::ptrdiff_t>(
+                                       random_.NextBelow(names.size() + 1)),
+                   name);
+    }
+    return names;
+  }
+
+  void EmptyDisk(const std::string& name) {
+    cluster_.EmptyDisk(name);
+    ++lost_disks_;
+  }
+
+  void MarkLost(const std::string& name, Duration off) {
+    lost_until_[name] =
+        std::max(lost_until_[name],
+                 MonotonicClock::now() + off + cluster_.shape().catch_up);
+  }
+
+  void LoseReplicas() {
+    const int bearable = cluster_.shape().losses_required - CountLost();
+    const int wanted = Chance(70) ? 2 : 1;
+    const Time now = MonotonicClock::now();
+    int lost = 0;
+    for (const std::string& name : ShuffledReplicas()) {
+      if (lost < std::min(bearable, wanted) && lost_until_[name] <= now) {
+        ++lost;
+        LoseReplica(name, Between(2000, 5000));
+      }
+    }
+  }
+
+  void LoseReplica(const std::string& name, Duration off) {
+    MarkLost(name, off);
+    if (Chance(33)) {
+      cluster_.Signal(name, SIGSTOP);
+      After(off, name, [this, name] { cluster_.Signal(name, SIGCONT); });
+      return;
+    }
+    cluster_.Kill(name);
+    if (Chance(50)) {
+      EmptyDisk(name);
+    }
+    After(off, name, [this, name] { cluster_.StartOne(name); });
+  }
+
   void RunDue(Time now) {
     for (std::size_t i = 0; i < later_.size();) {
       if (later_[i].at > now) {
@@ -253,6 +358,7 @@
     configs_->ExpectReadBack(MonotonicClock::now() + off + kRecoverTimeout);
     for (int i = 0; i < cluster_.shape().replicas; ++i) {
       const std::string name = "control-" + std::to_string(i);
+      MarkLost(name, off);
       After(off, name, [this, name] { cluster_.StartOne(name); });
     }
     if (is_followed) {
@@ -265,6 +371,9 @@
   ConfigLoad* const configs_;
   Random random_;
   int power_losses_ = 0;
+  int lost_disks_ = 0;
+  // Until when a replica counts as lost.
+  std::map<std::string, Time> lost_until_;
   std::vector<void (FaultPlayer::*)()> kinds_;
   std::vector<Later> later_;
   int count_ = 0;
@@ -299,7 +408,9 @@
                    const SoakOptions& options) {
   SoakResult result;
   PlatformShape shape = options.shape;
-  if (options.faults.power_losses) {
+  const bool has_configs =
+      options.faults.power_losses || options.faults.lost_disks;
+  if (has_configs) {
     Random random(options.seed);
     shape.sync_time =
         Millis(4 + static_cast<std::int64_t>(random.NextBelow(12)));
@@ -311,13 +422,19 @@
     result.violations.emplace_back("the cluster does not start");
     return result;
   }
+  if (options.faults.slow_replicas) {
+    cluster.ThrottleReplicas();
+  }
   JobLoad load(cluster);
   std::optional<ConfigLoad> configs;
-  if (options.faults.power_losses) {
+  if (has_configs) {
     configs.emplace(cluster, options.seed);
   }
   FaultPlayer player(cluster, configs ? &*configs : nullptr, options);
   player.Play(options.span);
+  if (options.faults.lost_disks) {
+    player.PlayFinal();
+  }
   load.Stop();
   if (configs) {
     result.violations = configs->Stop();
@@ -330,6 +447,7 @@
     result.violations.push_back(std::move(line));
   }
   result.power_losses = player.power_losses();
+  result.lost_disks = player.lost_disks();
   result.ended_replicas = cluster.ended_replicas();
   result.refused_logs = cluster.CountRefusedLogs();
   if (result.refused_logs > 0) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,13 @@
   // All replicas lose their power at the same moment, also a second time before
   // they have settled, under changes of a large configuration.
   bool power_losses = true;
+  // As many replicas as the cell has to bear lose their disks, are killed or
+  // freeze; takes the place of `replicas`. At the end, right after an
+  // acknowledged change, so many lose their disks while all others lose their
+  // power. Needs FiveReplicaShape().
+  bool lost_disks = false;
+  // Replicas have only a share of a processor.
+  bool slow_replicas = false;
 };
 
 struct SoakOptions {
@@ -41,6 +48,8 @@
   std::vector<std::string> violations;
   int faults = 0;
   int power_losses = 0;
+  // How often a replica lost its disk, also in the final fault.
+  int lost_disks = 0;
   // How often a replica ended by itself, and refused its log.
   int ended_replicas = 0;
   int refused_logs = 0;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -13,7 +13,12 @@
 constexpr const char* kUsage =
     "usage: banyan-soak BINARIES FOLDER FIRST-SEED COUNT SECONDS\n"
     "       [FAULTS [REPLICAS [ENTRIES [WORKERS]]]]\n"
-    "FAULTS are all, or some of reports,workers,agents,replicas,power.\n";
+    "FAULTS are all, or some of reports,workers,agents,replicas,power; disks\n"
+    "and slow are not part of all. With disks, REPLICAS are five in five data\n"
+    "centres: up to two at a time lose their disks, are killed or freeze, and\n"
+    "two lose their disks at the end. With slow, replicas have a share of a\n"
+    "processor. For example\n"
+    "  banyan-soak build /tmp/soak 1 50 20 workers,agents,disks,slow\n";
 
 banyan::SoakFaults ReadFaults(const std::string& names) {
   const auto has = [&](const char* name) {
@@ -25,7 +30,10 @@
           .worker_restarts = has("workers"),
           .agents = has("agents"),
           .replicas = has("replicas"),
-          .power_losses = has("power")};
+          .power_losses = has("power"),
+          // The cell of three replicas does not bear these.
+          .lost_disks = names != "all" && has("disks"),
+          .slow_replicas = names != "all" && has("slow")};
 }
 
 }  // namespace
@@ -38,6 +46,9 @@
   banyan::SoakOptions options;
   int word = kMinWords;
   options.faults = ReadFaults(argc > word ? argv[word] : "all");
+  if (options.faults.lost_disks) {
+    options.shape = banyan::FiveReplicaShape();
+  }
   for (int* const machines : {&options.shape.replicas, &options.shape.entries,
                               &options.shape.workers}) {
     if (argc > ++word) {
@@ -54,8 +65,8 @@
         banyan::RunSoak(argv[1], argv[2], options);
     std::cout << "seed " << seed << ": " << result.faults << " faults, "
               << result.power_losses << " losses of power, "
-              << result.config_version << " configurations, "
-              << result.refused_logs << " refused logs, "
+              << result.lost_disks << " lost disks, " << result.config_version
+              << " configurations, " << result.refused_logs << " refused logs, "
               << result.ended_replicas << " ended replicas, " << result.jobs
               << " jobs, " << result.runs << " runs, "
               << result.violations.size() << " violations" << std::endl;
--- a/tests/unit/soak_test.cc
+++ b/tests/unit/soak_test.cc
@@ -57,6 +57,22 @@
   Soak("soak-power", options);
 }
 
+// Guards against replicas that are back and don't vote before the next loss.
+void LostDisksLeaveAMajority() {
+  SoakOptions options;
+  options.seed = 4;
+  options.span = std::chrono::seconds(6);
+  options.shape = FiveReplicaShape();
+  options.faults = {.foreign_reports = false,
+                    .worker_restarts = false,
+                    .agents = false,
+                    .replicas = false,
+                    .power_losses = false,
+                    .lost_disks = true,
+                    .slow_replicas = true};
+  Soak("soak-disks", options);
+}
+
 }  // namespace
 
 Section SoakStory() {
@@ -67,7 +83,9 @@
       .Then("loses nothing and runs nothing twice among all faults",
             OverlappingFaultsLoseNothing)
       .Then("restores everything acknowledged after losses of power",
-            PowerLossesLoseNothingAcknowledged);
+            PowerLossesLoseNothingAcknowledged)
+      .Then("has replicas that are back vote before the next disks are lost",
+            LostDisksLeaveAMajority);
   return story;
 }
 
