Consensus: keep several candidates from splitting the votes under load

What callers saw: in the world of the cell, busy replicas without a leader for 4 s and more after the loss of one, and so with a voter that is gone or a replica that is back and not a voter when the next loss comes.

Cause: a replica that passed the pre-vote of another one went on to its own election. With up to 120 ms for a message and 30 ms for a sync, the request for the vote takes longer to arrive than the others' deadlines lie apart, so that two or three candidates pass the pre-vote and split the votes, term after term.

Change: a replica that grants a pre-vote puts its own election off by half an election timeout. A pre-candidate that grants one to a newer log, or to an equal log and a lower id, gives up its own.

Why it works: one candidate's request for votes arrives before the others have started. Of two that cross, only one gives way. Nothing that a vote depends on has changed, and a candidate that hears no reply puts the others off by half a timeout while its own attempts are at least a whole one apart.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -226,6 +226,11 @@
   void ResetElectionDeadline(Time now);
   void SetHardState(std::uint64_t term, const MemberId& voted_for);
   [[nodiscard]] bool IsUpToDate(const VoteRequest& request) const noexcept;
+  // Leaves an election to a candidate whose pre-vote request this replica
+  // grants, so that the two don't split the votes.
+  void StandAside(Time now,
+                  const MemberId& candidate,
+                  const VoteRequest& request);
   [[nodiscard]] std::vector<MemberId> OtherMembers() const;
   [[nodiscard]] bool IsSelfVoter() const noexcept;
   // Returns the latest time that `field` reaches on a majority of voters. This
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -360,6 +360,22 @@
   return request.last_index >= log_.last_index();
 }
 
+void RaftCore::StandAside(Time now,
+                          const MemberId& candidate,
+                          const VoteRequest& request) {
+  // No longer than the request for the vote should take: a candidate that hears
+  // no reply must not keep the others from an election.
+  election_deadline_ =
+      std::max(election_deadline_, now + options_.timings.election_timeout / 2);
+  const bool has_newer_log = request.last_term != log_.last_term() ||
+                             request.last_index != log_.last_index();
+  if (role_ == RaftRole::kPreCandidate &&
+      (has_newer_log || candidate < options_.self)) {
+    role_ = RaftRole::kFollower;
+    votes_.clear();
+  }
+}
+
 void RaftCore::Handle(Time now,
                       const MemberId& from,
                       const VoteRequest& request) {
@@ -376,6 +392,9 @@
   }
   if (request.pre_vote) {
     const bool granted = request.term > hard_state_.term && IsUpToDate(request);
+    if (granted) {
+      StandAside(now, from, request);
+    }
     Send(from,
          VoteReply{granted ? request.term : hard_state_.term, true, granted});
     return;
--- a/tests/unit/cell_world_test.cc
+++ b/tests/unit/cell_world_test.cc
@@ -304,6 +304,23 @@
   AssertNoViolation(world);
 }
 
+// Guards against candidates that split the votes again and again: under load
+// several pass the pre-vote before the first request for a vote arrives.
+void BusyCellElectsInTime() {
+  constexpr std::uint64_t kSeeds = 20;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CellWorld world(5, 2, seed, kBusyReplicas);
+    world.Form();
+    world.Freeze(world.Leader(), true);
+    // The lease of the leader that stands still runs out.
+    world.Run(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE(
+        "no leader with seed " + std::to_string(seed),
+        world.RunUntil(Millis(800), [&] { return !world.Leader().empty(); }));
+    AssertNoViolation(world);
+  }
+}
+
 // Guards against join requests that followers keep to themselves.
 void NewcomerWhoseSeedsDoNotLead() {
   CellWorld world(5, 2, 1);
@@ -342,6 +359,8 @@
               RemovedVoterIsNoLearner)
           .Then("a voter that was removed comes back while the log grows",
                 RemovedVoterComesBackUnderLoad)
+          .Then("a cell of busy replicas elects a leader in time",
+                BusyCellElectsInTime)
           .Then("a newcomer whose seeds don't lead is admitted",
                 NewcomerWhoseSeedsDoNotLead));
   for (const int size : {3, 4, 5, 6, 7}) {
