Consensus: look a member up again after a commit may have removed it

Found by the review, by reading: the handler of a confirmation kept a reference to the member's progress across CommitByMajority(), which forgets former members since the commit on former members. No message was found that reaches it, since a confirmation of a former member changes no majority; nothing but that reasoning kept the reference valid. No change of behaviour.

--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -810,8 +810,11 @@
   progress.rounds.OnMatch(now, progress.match, log_.last_index(),
                           options_.timings.election_timeout);
   CommitByMajority(now);
-  if (has_advanced && progress.next <= log_.last_index()) {
-    SendAppend(from, progress);
+  // What was committed may have removed the member.
+  const auto member = progress_.find(from);
+  if (member != progress_.end() && has_advanced &&
+      member->second.next <= log_.last_index()) {
+    SendAppend(from, member->second);
   }
 }
 
