--- a/tests/unit/soak_test.cc
+++ b/tests/unit/soak_test.cc
@@ -57,7 +57,8 @@
   Soak("soak-power", options);
 }
 
-// Guards against replicas that are back and don't vote before the next loss.
+// Guards against losses of disks, of two replicas at a time and at last beside
+// a loss of power, that leave slow replicas without a majority.
 void LostDisksLeaveAMajority() {
   SoakOptions options;
   options.seed = 4;
@@ -84,7 +85,7 @@
             OverlappingFaultsLoseNothing)
       .Then("restores everything acknowledged after losses of power",
             PowerLossesLoseNothingAcknowledged)
-      .Then("has replicas that are back vote before the next disks are lost",
+      .Then("keeps a majority of slow replicas among losses of disks",
             LostDisksLeaveAMajority);
   return story;
 }
