Plans: log why a replica is left, who lacks the plan, calls of operators

What callers saw: entries that refuse for a minute, and a configuration that isn't read back. Of the four hypotheses of the incident the logs could tell apart only one.

Change, without any change of logic: - E1018 replica-left at gateways and agents: the reason, how long they waited; - E1407 plan-behind and E1408 plan-caught-up at the replica that a process is attached to; gauges plan_peers, plan_peers_behind and plan_lag_seconds; - the setting plan_bound_ms, from the platform's bound on configurations; - calls of operators are logged as answered, at replicas and relays, with their status, size and time.

--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -15,6 +15,7 @@
 #include "banyan/control/scheduler.h"
 #include "banyan/events/event.h"
 #include "banyan/graph/graph_leader.h"
+#include "banyan/graph/plan_watch.h"
 #include "banyan/wire/message.h"
 
 namespace banyan {
@@ -33,6 +34,8 @@
   // the snapshots are larger. A replica stores up to two intervals and two
   // snapshots at a time.
   std::uint64_t snapshot_interval_bytes = std::uint64_t{8} << 20U;
+  // Time after which a process that lacks the plan in force is reported.
+  Duration plan_bound = Millis(3000);
   GraphLeaderOptions graphs;
 };
 
@@ -125,6 +128,9 @@
   [[nodiscard]] const Scheduler& scheduler() const noexcept {
     return scheduler_;
   }
+  [[nodiscard]] const PlanWatch& plan_watch() const noexcept {
+    return plan_watch_;
+  }
   // Entry processes of the whole cell by id. Maintained by the leader only.
   [[nodiscard]] const std::map<std::string, EntryVersions>& entries()
       const noexcept {
@@ -210,7 +216,7 @@
                                           const std::string& key) const;
   void ScheduleGraphs(Time now, WallMillis wall);
   void CollectGraphOutputs(Time now, WallMillis wall);
-  void BroadcastPlan();
+  void BroadcastPlan(Time now);
   void SendMembers(const std::string& peer);
   // Stops reported tasks that are not placed on the instance, and starts again
   // placed tasks that it does not report.
@@ -270,6 +276,8 @@
   // is sent.
   bool has_restored_plan_ = false;
   std::map<std::string, AttachedProcess> attached_;
+  PlanWatch plan_watch_;
+  Time next_plan_check_;
   // Replica through which each attached process is reached, by process id.
   // Maintained by the leader only.
   std::map<std::string, Origin> routes_;
--- a/include/banyan/graph/cell_link.h
+++ b/include/banyan/graph/cell_link.h
@@ -2,13 +2,25 @@
 #define BANYAN_GRAPH_CELL_LINK_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "banyan/base/time.h"
 
 namespace banyan {
 
+// A change from one replica to another.
+struct ReplicaSwitch {
+  std::string from;
+  std::string to;
+  std::string_view reason;
+  // How long the process had waited for a connection or an answer.
+  Duration waited{0};
+};
+
 // Selects the replica of the control cell that a process connects to. Starts
 // from seeds, which may be outdated, and learns the members from any replica.
 class CellLink {
@@ -36,8 +48,13 @@
   // it did; the caller must then close the previous connection.
   [[nodiscard]] bool Tick(Time now);
 
+  // Returns the last change of the replica, once.
+  [[nodiscard]] std::optional<ReplicaSwitch> TakeSwitch() {
+    return std::exchange(switch_, std::nullopt);
+  }
+
  private:
-  void Switch(Time now);
+  void Switch(Time now, std::string_view reason);
 
   std::vector<std::string> seeds_;
   std::vector<std::string> members_;
@@ -47,6 +64,9 @@
   bool is_awaiting_answer_ = false;
   // When the pending answer or connection times out.
   Time answer_deadline_;
+  // When the wait for the answer or connection began.
+  Time waiting_since_;
+  std::optional<ReplicaSwitch> switch_;
 };
 
 }  // namespace banyan
--- a/include/banyan/process/program.h
+++ b/include/banyan/process/program.h
@@ -10,6 +10,7 @@
 #include "banyan/base/error_kind.h"
 #include "banyan/events/event.h"
 #include "banyan/events/json_log.h"
+#include "banyan/graph/cell_link.h"
 #include "banyan/metrics/metrics.h"
 #include "banyan/net/http.h"
 #include "banyan/process/pending.h"
@@ -44,6 +45,13 @@
 // Prints why the settings are invalid and returns the exit code for that.
 [[nodiscard]] int ReportBadSettings(const Reason& reason);
 
+// Logs the final answer to a call of an operator, which began at `start`.
+void LogOperatorCall(const HttpCall& call, const HttpReply& reply, Time start);
+
+// Logs that a process has turned to another replica, if it has since the last
+// call.
+void LogSwitch(CellLink& link);
+
 // Blocks SIGTERM, SIGINT and SIGHUP, so that Wait() receives them, and ignores
 // SIGPIPE. Create it before any thread starts, because threads inherit the
 // signal mask.
--- a/include/banyan/settings/settings.h
+++ b/include/banyan/settings/settings.h
@@ -43,6 +43,9 @@
   Duration catch_up;
   // How many losses of replicas at a time the cell has to bear.
   std::int64_t losses_required = 0;
+  // Time from the acknowledgement of a plan until every process that needs it
+  // has to hold it.
+  Duration plan_bound{0};
   Duration lease;
   std::uint64_t snapshot_interval_entries = 0;
   SchedulingPolicy scheduling;
@@ -77,6 +80,7 @@
   // As in ControlSettings.
   Duration catch_up;
   std::int64_t losses_required = 0;
+  Duration plan_bound{0};
   // Duration of a worker lease.
   Duration lease;
   std::uint64_t snapshot_interval_entries = 0;
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -18,6 +18,8 @@
 constexpr Duration kGraphInterval = Millis(10);
 // Interval between two decisions on job graphs while no task is ready.
 constexpr Duration kIdleGraphInterval = Millis(100);
+// Interval between checks of which processes lack the plan in force.
+constexpr Duration kPlanCheckInterval = Millis(100);
 
 }  // namespace
 
@@ -26,7 +28,9 @@
       raft_(options_.raft, std::move(restored), now),
       graphs_(options_.graphs),
       next_schedule_(now),
-      restored_index_(raft_.log().last_index()) {
+      restored_index_(raft_.log().last_index()),
+      plan_watch_(options_.plan_bound),
+      next_plan_check_(now) {
   // Writing a snapshot slows down log syncs. If all replicas wrote theirs at
   // the same entry, commits would be slow too, so their snapshots are
   // staggered.
@@ -44,6 +48,12 @@
     RunScheduler(now, wall);
   }
   ScheduleGraphs(now, wall);
+  if (now >= next_plan_check_) {
+    next_plan_check_ = now + kPlanCheckInterval;
+    Events events = plan_watch_.Tick(now);
+    std::move(events.begin(), events.end(),
+              std::back_inserter(outputs_.events));
+  }
 }
 
 void ControlCore::ScheduleGraphs(Time now, WallMillis wall) {
@@ -137,6 +147,7 @@
   }
   if (const auto* status = std::get_if<EntryStatus>(&message)) {
     attached.receives_plan = true;
+    plan_watch_.OnHeld(now, from.id, status->plan_version);
     if (status->plan_version < state_.graphs().plan().version) {
       outputs_.messages.push_back(
           {from.id, PlanUpdate{state_.graphs().plan()}});
@@ -161,6 +172,7 @@
 
 void ControlCore::OnPeerDisconnected(const std::string& peer) {
   attached_.erase(peer);
+  plan_watch_.Remove(peer);
 }
 
 void ControlCore::SendNewerVersions(const std::string& peer,
@@ -719,7 +731,7 @@
     if (applied.graph->plan_changed && applied_index_ < restored_index_) {
       has_restored_plan_ = true;
     } else if (applied.graph->plan_changed) {
-      BroadcastPlan();
+      BroadcastPlan(now);
     }
     if (is_leading_) {
       graphs_.OnApplied(now, state_.graphs(), command.command, *applied.graph);
@@ -750,8 +762,9 @@
   }
 }
 
-void ControlCore::BroadcastPlan() {
+void ControlCore::BroadcastPlan(Time now) {
   const ServicePlan& plan = state_.graphs().plan();
+  plan_watch_.OnInForce(now, plan.version);
   outputs_.events.push_back(Event(EventId::kPlanInForce)
                                 .With("version", plan.version)
                                 .With("queues", plan.queues.size()));
@@ -817,7 +830,7 @@
     HandleRaftOutputs(now, raft_.TakeOutputs(now));
   } while (raft_.HasMoreCommitted());
   if (std::exchange(has_restored_plan_, false)) {
-    BroadcastPlan();
+    BroadcastPlan(now);
   }
 }
 
@@ -831,7 +844,7 @@
       snapshot_index_ = applied_index_;
       snapshot_log_bytes_ = state_.log_bytes();
       BroadcastConfig();
-      BroadcastPlan();
+      BroadcastPlan(now);
     } else {
       outputs_.events.push_back(
           Event(EventId::kPeerMessageRefused)
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -33,6 +33,10 @@
      "The disk accepted a write that it had rejected before."},
     {EventId::kDiskLost, "disk-lost",
      "The process exits because the contents of its disk are unknown."},
+    {EventId::kReplicaLeft, "replica-left",
+     "A process turned from its replica to another one, with the reason and "
+     "how "
+     "long it had waited."},
     {EventId::kRequestRouted, "request-routed",
      "Routing decision: the endpoint chosen for an attempt, with the reason."},
     {EventId::kRequestAnswered, "request-answered",
@@ -210,6 +214,12 @@
     {EventId::kOrderAbandoned, "order-abandoned",
      "An operator's order was not carried out, since its caller had given up; "
      "with the time since its arrival."},
+    {EventId::kPlanBehind, "plan-behind",
+     "An attached process has lacked a version of the operator's plan for "
+     "longer "
+     "than plan_bound_ms: what it holds and how long. Repeated every 5 s."},
+    {EventId::kPlanCaughtUp, "plan-caught-up",
+     "An attached process that was behind holds the plan in force again."},
     {EventId::kElectionStarted, "election-started",
      "A replica asked its peers for their votes."},
     {EventId::kLeaderElected, "leader-elected",
--- a/src/graph/cell_link.cc
+++ b/src/graph/cell_link.cc
@@ -41,19 +41,21 @@
   if (id == current_) {
     is_connected_ = true;
     is_awaiting_answer_ = false;
+    waiting_since_ = now;
     answer_deadline_ = now + kAnswerTimeout;
   }
 }
 
 void CellLink::OnDown(Time now, const std::string& id) {
   if (id == current_ && is_connected_) {
-    Switch(now);
+    Switch(now, "the connection was lost");
   }
 }
 
 void CellLink::OnSent(Time now) {
   if (!is_awaiting_answer_) {
     is_awaiting_answer_ = true;
+    waiting_since_ = now;
     answer_deadline_ = now + kAnswerTimeout;
   }
 }
@@ -64,23 +66,26 @@
 
 bool CellLink::Tick(Time now) {
   if (answer_deadline_ == Time{}) {
+    waiting_since_ = now;
     answer_deadline_ = now + kAnswerTimeout;
   }
   const bool is_timed_out =
       (!is_connected_ || is_awaiting_answer_) && answer_deadline_ <= now;
   if (is_timed_out) {
-    Switch(now);
+    Switch(now, is_connected_ ? "no answer" : "no connection");
   }
   return is_timed_out;
 }
 
-void CellLink::Switch(Time now) {
+void CellLink::Switch(Time now, std::string_view reason) {
   // Seeds that are not members come after the members, in case all known
   // members are gone.
   std::vector<std::string> candidates = members_;
   AddMissing(seeds_, candidates);
   is_connected_ = false;
   is_awaiting_answer_ = false;
+  switch_ = ReplicaSwitch{current_, "", reason, now - waiting_since_};
+  waiting_since_ = now;
   answer_deadline_ = now + kAnswerTimeout;
   if (candidates.empty()) {
     return;
@@ -93,6 +98,7 @@
   } else {
     current_ = candidates[position_ % candidates.size()];
   }
+  switch_->to = current_;
 }
 
 }  // namespace banyan
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -53,6 +53,7 @@
       settings.election_timeout / kMarginDivisor;
   options.raft.timings.catch_up = settings.catch_up;
   options.raft.losses_required = settings.losses_required;
+  options.plan_bound = settings.plan_bound;
   options.raft.seed = NewIncarnation();
   options.lease = settings.lease;
   options.lease_margin = settings.lease / kMarginDivisor;
@@ -174,11 +175,13 @@
     return *std::move(common);
   }
   if (api_) {
+    const Time start = MonotonicClock::now();
     const CellCallFunction call_cell = [this](CellCall cell_call,
                                               Time deadline) {
       return CallCell(std::move(cell_call), deadline);
     };
     if (auto reply = api_(call, call_cell)) {
+      LogOperatorCall(call, *reply, start);
       return *std::move(reply);
     }
   }
@@ -457,6 +460,13 @@
       static_cast<double>(core_->raft().log().membership().learners.size()));
   metrics_.SetGauge("cell_learner_lag",
                     static_cast<double>(core_->raft().LearnerLag()));
+  metrics_.SetGauge("plan_peers",
+                    static_cast<double>(core_->plan_watch().peers()));
+  metrics_.SetGauge("plan_peers_behind",
+                    static_cast<double>(core_->plan_watch().PeersBehind(now)));
+  metrics_.SetGauge("plan_lag_seconds", std::chrono::duration<double>(
+                                            core_->plan_watch().LongestLag(now))
+                                            .count());
   metrics_.SetGauge("instances", static_cast<double>(state.instances().size()));
   metrics_.SetGauge("jobs", static_cast<double>(state.jobs().size()));
   metrics_.SetGauge("suspects",
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -168,8 +168,10 @@
 }
 
 HttpReply GatewayProcess::ServeOperators(const HttpCall& call) {
+  const Time start = MonotonicClock::now();
   if (apis_.operators) {
     if (auto reply = apis_.operators(call, MakeCellCallFunction())) {
+      LogOperatorCall(call, *reply, start);
       return *std::move(reply);
     }
   }
@@ -222,6 +224,7 @@
     client_.Tick(now);
     ApplyOutputs(client_.TakeOutputs());
     is_fresh_ = client_.IsFresh(now);
+    LogSwitch(client_.link());
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {client_.link().current()});
--- a/src/process/program.cc
+++ b/src/process/program.cc
@@ -91,6 +91,29 @@
   return std::nullopt;
 }
 
+void LogOperatorCall(const HttpCall& call, const HttpReply& reply, Time start) {
+  WriteEvent(
+      Event(EventId::kCallAnswered)
+          .With("method", call.method)
+          .With("path", call.path)
+          .With("status", reply.status)
+          .With("request_bytes", call.body.size())
+          .With("reply_bytes", reply.body.size())
+          .With("age_ms", ToMillis(start - call.arrived_at.value_or(start)))
+          .With("took_ms", ToMillis(MonotonicClock::now() - start))
+          .With("reason", reply.Field("Banyan-Error")));
+}
+
+void LogSwitch(CellLink& link) {
+  if (const auto change = link.TakeSwitch()) {
+    WriteEvent(Event(EventId::kReplicaLeft)
+                   .With("replica", change->from)
+                   .With("next", change->to)
+                   .With("reason", change->reason)
+                   .With("waited_ms", ToMillis(change->waited)));
+  }
+}
+
 SignalWaiter::SignalWaiter() {
   sigemptyset(&signals_);
   sigaddset(&signals_, SIGTERM);
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -120,6 +120,7 @@
     if (link_.Tick(now)) {
       network_.Disconnect(previous_replica);
     }
+    LogSwitch(link_);
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {link_.current()});
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -15,6 +15,9 @@
 constexpr Duration kMinCatchUp = std::chrono::seconds(1);
 constexpr Duration kMaxCatchUp = std::chrono::minutes(10);
 constexpr std::int64_t kMaxLossesRequired = 10;
+constexpr std::int64_t kMinPlanBoundMs = 100;
+constexpr std::int64_t kMaxPlanBoundMs = 600000;
+constexpr std::int64_t kDefaultPlanBoundMs = 3000;
 constexpr std::int64_t kMinLeaseMs = 2000;
 constexpr std::int64_t kMaxLeaseMs = 60000;
 constexpr std::int64_t kDefaultLeaseMs = 10000;
@@ -115,6 +118,8 @@
                      kElectionTimeoutsPerCatchUp * settings.election_timeout);
   settings.losses_required =
       reader.Integer("losses_required", 0, kMaxLossesRequired, 1);
+  settings.plan_bound = Millis(reader.Integer(
+      "plan_bound_ms", kMinPlanBoundMs, kMaxPlanBoundMs, kDefaultPlanBoundMs));
   settings.lease = Millis(
       reader.Integer("lease_ms", kMinLeaseMs, kMaxLeaseMs, default_lease_ms));
   settings.snapshot_interval_entries =
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -72,6 +72,17 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, set->losses_required);
 }
 
+void PlanBoundIsRead() {
+  Reason reason;
+  const std::string valid = ValidControlSettings();
+  const auto defaults = LoadControlSettings(WriteSettingsFile(valid), reason);
+  CPPUNIT_ASSERT(defaults->plan_bound == Millis(3000));
+  const auto set = LoadControlSettings(
+      WriteSettingsFile(valid + "plan_bound_ms: 2000\n"), reason);
+  CPPUNIT_ASSERT_MESSAGE(ToString(reason), set.has_value());
+  CPPUNIT_ASSERT(set->plan_bound == Millis(2000));
+}
+
 void MechanismsCanBeDisabled() {
   Reason reason;
   const auto defaults =
@@ -115,6 +126,7 @@
             CatchUpTimeFollowsElections)
       .Then("the losses that a cell has to bear are read",
             LossesRequiredAreRead)
+      .Then("the bound on changes of the plan is read", PlanBoundIsRead)
       .Then("reject a catch-up time out of range",
             [] {
               ExpectError(ValidControlSettings() + "catch_up_s: 0.5\n", 8,
