Tests: known red: large plans on links of 2 Mbit/s

A gateway at the end of a link of 2 Mbit/s and three replicas under virtual time. On this code all seven cases fail: a plan of 1,800 routes (750 kB as it is sent) has not arrived after 60 s, one of 750 routes neither if the gateway gets it while it waits for an answer; the gateway goes round the replicas.

--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -89,6 +89,7 @@
       .With(InterferenceStory())
       .With(OverloadedWorkerStory())
       .With(PacerStory())
+      .With(PlanTransferStory())
       .With(PlanWatchStory())
       .With(CellClientStory())
       .With(HttpClientStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -87,6 +87,7 @@
 Section InterferenceStory();
 Section OverloadedWorkerStory();
 Section PacerStory();
+Section PlanTransferStory();
 Section PlanWatchStory();
 Section CellClientStory();
 Section HttpClientStory();
