Plans: send them to gateways in parts that are kept, compressed

Cause: a gateway leaves a replica 800 ms after a heartbeat without an acknowledgement, which waits behind the plan on the same connection. A plan of 750 routes took 235 kB, sent in one message, a second or more at 2 Mbit/s. The gateway dropped it with what had arrived, went to the next replica, and that one sent it from its start; meanwhile each heartbeat with an old version made the replica send one more copy. A deadline for a whole transfer, where the promise is about progress, and a transfer begun anew at each failure.

Change: - a plan is encoded once a version for all gateways, without the operator's document, compressed: 1,800 routes 31 kB instead of 564 kB, 750 routes 13 kB instead of 235 kB; - a replica offers a version; the gateway fetches it in parts of 4 kB, 16 kB of them on their way at a time, so that acknowledgements and answers come between them, and only one copy is on its way; - parts are kept when the connection is lost; any replica goes on with them; - a version in transfer stays available to the gateway that fetches it, so that transfers finish while changes go on; - parts that bring the transfer forward put off the time limit for an answer, unless the replica has said that it is cut off from its leader. A replica that sends nothing is left after 800 ms as before.

Gateways of earlier builds, which don't ask for parts, get whole plans as before; gateways of this build take whole plans from earlier replicas.

E1409 plan-received and E1410 plan-interrupted tell what has arrived.

--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -15,6 +15,7 @@
 #include "banyan/control/scheduler.h"
 #include "banyan/events/event.h"
 #include "banyan/graph/graph_leader.h"
+#include "banyan/graph/plan_sender.h"
 #include "banyan/graph/plan_watch.h"
 #include "banyan/wire/message.h"
 
@@ -142,8 +143,8 @@
   struct AttachedProcess {
     std::uint64_t incarnation = 0;
     bool is_entry = false;
-    // Whether the process is sent updates of the service plan.
-    bool receives_plan = false;
+    // How the process takes the service plan.
+    PlanDelivery plan_delivery = PlanDelivery::kNone;
     std::uint64_t table_version = 0;
   };
 
@@ -217,6 +218,11 @@
   void ScheduleGraphs(Time now, WallMillis wall);
   void CollectGraphOutputs(Time now, WallMillis wall);
   void BroadcastPlan(Time now);
+  void HandleStatus(Time now,
+                    const std::string& peer,
+                    const EntryStatus& status);
+  // Sends the plan in force to a process, or tells it the version.
+  void AnnouncePlan(const std::string& peer, PlanDelivery delivery);
   void SendMembers(const std::string& peer);
   // Stops reported tasks that are not placed on the instance, and starts again
   // placed tasks that it does not report.
@@ -276,6 +282,7 @@
   // is sent.
   bool has_restored_plan_ = false;
   std::map<std::string, AttachedProcess> attached_;
+  PlanSender plan_sender_;
   PlanWatch plan_watch_;
   Time next_plan_check_;
   // Replica through which each attached process is reached, by process id.
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -105,6 +105,8 @@
   kOrderAbandoned = 1406,
   kPlanBehind = 1407,
   kPlanCaughtUp = 1408,
+  kPlanReceived = 1409,
+  kPlanInterrupted = 1410,
   kElectionStarted = 1501,
   kLeaderElected = 1502,
   kLeaderStepped = 1503,
--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -16,6 +16,8 @@
 #include "banyan/graph/interference.h"
 #include "banyan/graph/pacer.h"
 #include "banyan/graph/placement_wait.h"
+#include "banyan/graph/plan_receiver.h"
+#include "banyan/graph/plan_sender.h"
 #include "banyan/graph/plan_watch.h"
 #include "banyan/graph/queue_match.h"
 #include "banyan/graph/run_call.h"
--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -12,6 +12,7 @@
 
 #include "banyan/base/time.h"
 #include "banyan/graph/cell_link.h"
+#include "banyan/graph/plan_receiver.h"
 #include "banyan/wire/command.h"
 #include "banyan/wire/message.h"
 
@@ -34,6 +35,7 @@
   std::optional<std::string> drop;
   // A newer version of the operator's plan.
   std::optional<ServicePlan> plan;
+  Events events;
 };
 
 // Sends calls to the control cell, without I/O: retries them until they are
@@ -41,8 +43,10 @@
 // must be idempotent.
 class CellClient {
  public:
-  CellClient(std::vector<std::string> seeds, std::uint64_t seed)
-      : link_(std::move(seeds), seed) {}
+  CellClient(std::vector<std::string> seeds,
+             std::uint64_t seed,
+             PlanDelivery delivery = PlanDelivery::kParts)
+      : link_(std::move(seeds), seed), delivery_(delivery) {}
 
   // Starts a call, which is answered under `ticket` by its deadline.
   void Open(Time now, std::uint64_t ticket, CellCall call, Time deadline);
@@ -59,9 +63,7 @@
   // Retries calls, fails expired ones and sends heartbeats.
   void Tick(Time now);
 
-  [[nodiscard]] CellClientOutputs TakeOutputs() {
-    return std::exchange(out_, CellClientOutputs{});
-  }
+  [[nodiscard]] CellClientOutputs TakeOutputs();
 
   [[nodiscard]] CellLink& link() noexcept { return link_; }
   // Returns whether a replica with a live leader answered recently.
@@ -92,7 +94,8 @@
   // The ticket of each request, by sequence number.
   std::map<std::uint64_t, std::uint64_t> sends_;
   std::uint64_t next_seq_ = 1;
-  std::uint64_t plan_version_ = 0;
+  PlanDelivery delivery_;
+  PlanReceiver plans_;
   Time next_status_at_;
   Time fresh_until_;
   // When the last call has to be answered.
--- a/include/banyan/graph/cell_link.h
+++ b/include/banyan/graph/cell_link.h
@@ -43,6 +43,12 @@
   // Record a message that the replica must answer, or its answer.
   void OnSent(Time now);
   void OnAnswer();
+  // Records an answer of a replica that is cut off from its leader. It counts
+  // as none, whatever else the replica sends.
+  void OnStaleAnswer();
+  // Records that parts of a larger message arrive, which the answer may have to
+  // wait for.
+  void OnProgress(Time now);
 
   // Selects another replica if the selected one has timed out. Returns whether
   // it did; the caller must then close the previous connection.
@@ -62,6 +68,7 @@
   std::string current_;
   bool is_connected_ = false;
   bool is_awaiting_answer_ = false;
+  bool is_stale_ = false;
   // When the pending answer or connection times out.
   Time answer_deadline_;
   // When the wait for the answer or connection began.
--- a/include/banyan/wire.h
+++ b/include/banyan/wire.h
@@ -10,6 +10,7 @@
 #include "banyan/wire/instance.h"
 #include "banyan/wire/job.h"
 #include "banyan/wire/message.h"
+#include "banyan/wire/plan_codec.h"
 #include "banyan/wire/preset.h"
 
 #endif  // BANYAN_WIRE_H_
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -442,11 +442,22 @@
   std::string key;
 };
 
+// How a gateway takes the operator's plan from its replica.
+enum class PlanDelivery : std::uint8_t {
+  // In a PlanUpdate; for gateways that don't know the parts.
+  kWhole,
+  // In parts, on request.
+  kParts,
+  // Not at all.
+  kNone,
+};
+
 // Heartbeat of an entry with the version of its active plan.
 struct EntryStatus {
   static constexpr const char* kType = "entry-status";
   std::uint64_t seq = 0;
   std::uint64_t plan_version = 0;
+  PlanDelivery delivery = PlanDelivery::kWhole;
 };
 
 // Answers an EntryStatus.
@@ -463,6 +474,35 @@
   ServicePlan plan;
 };
 
+// Tells a gateway which version of the plan its replica has.
+struct PlanOffer {
+  static constexpr const char* kType = "plan-offer";
+  std::uint64_t version = 0;
+  // The version that a PlanRequest asked for and the replica doesn't have; 0 if
+  // the offer answers no request.
+  std::uint64_t missing = 0;
+};
+
+// Asks for bytes of an encoded plan. A replica that doesn't have the version
+// answers with a PlanOffer.
+struct PlanRequest {
+  static constexpr const char* kType = "plan-request";
+  std::uint64_t version = 0;
+  std::uint64_t offset = 0;
+  std::uint64_t length = 0;
+};
+
+// Consecutive bytes of an encoded plan (EncodedPlan).
+struct PlanPart {
+  static constexpr const char* kType = "plan-part";
+  std::uint64_t version = 0;
+  // Of the whole encoded plan.
+  std::uint64_t size = 0;
+  std::uint32_t checksum = 0;
+  std::uint64_t offset = 0;
+  std::string bytes;
+};
+
 // Addresses of the cell's replicas, sent by a replica to connected processes.
 struct CellMembers {
   static constexpr const char* kType = "cell-members";
--- a/include/banyan/wire/message.h
+++ b/include/banyan/wire/message.h
@@ -394,6 +394,9 @@
                              EntryStatus,
                              EntryStatusAck,
                              PlanUpdate,
+                             PlanOffer,
+                             PlanRequest,
+                             PlanPart,
                              CellMembers>;
 
 // Identifies the sender of a message.
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -128,7 +128,8 @@
              std::holds_alternative<CommandRequest>(message) ||
              std::holds_alternative<WorkerSync>(message) ||
              std::holds_alternative<CellQuery>(message) ||
-             std::holds_alternative<EntryStatus>(message)) {
+             std::holds_alternative<EntryStatus>(message) ||
+             std::holds_alternative<PlanRequest>(message)) {
     ReceiveAttached(now, wall, from, message);
   } else {
     raft_.Receive(now, from, message);
@@ -146,14 +147,15 @@
     SendMembers(from.id);
   }
   if (const auto* status = std::get_if<EntryStatus>(&message)) {
-    attached.receives_plan = true;
-    plan_watch_.OnHeld(now, from.id, status->plan_version);
-    if (status->plan_version < state_.graphs().plan().version) {
-      outputs_.messages.push_back(
-          {from.id, PlanUpdate{state_.graphs().plan()}});
+    attached.plan_delivery = status->delivery;
+    HandleStatus(now, from.id, *status);
+    return;
+  }
+  if (const auto* request = std::get_if<PlanRequest>(&message)) {
+    for (Message& part :
+         plan_sender_.Answer(from.id, *request, state_.graphs().plan())) {
+      outputs_.messages.push_back({from.id, std::move(part)});
     }
-    outputs_.messages.push_back(
-        {from.id, EntryStatusAck{status->seq, raft_.IsFresh(now)}});
     return;
   }
   if (const auto* entry = std::get_if<EntryHeartbeat>(&message)) {
@@ -170,8 +172,31 @@
                   message);
 }
 
+void ControlCore::HandleStatus(Time now,
+                               const std::string& peer,
+                               const EntryStatus& status) {
+  if (status.delivery != PlanDelivery::kNone) {
+    plan_watch_.OnHeld(now, peer, status.plan_version);
+    if (status.plan_version < state_.graphs().plan().version) {
+      AnnouncePlan(peer, status.delivery);
+    }
+  }
+  outputs_.messages.push_back(
+      {peer, EntryStatusAck{status.seq, raft_.IsFresh(now)}});
+}
+
+void ControlCore::AnnouncePlan(const std::string& peer, PlanDelivery delivery) {
+  const ServicePlan& plan = state_.graphs().plan();
+  if (delivery == PlanDelivery::kWhole) {
+    outputs_.messages.push_back({peer, PlanUpdate{plan}});
+  } else if (delivery == PlanDelivery::kParts) {
+    outputs_.messages.push_back({peer, PlanOffer{plan.version}});
+  }
+}
+
 void ControlCore::OnPeerDisconnected(const std::string& peer) {
   attached_.erase(peer);
+  plan_sender_.Remove(peer);
   plan_watch_.Remove(peer);
 }
 
@@ -769,9 +794,7 @@
                                 .With("version", plan.version)
                                 .With("queues", plan.queues.size()));
   for (const auto& [peer, attached] : attached_) {
-    if (attached.receives_plan) {
-      outputs_.messages.push_back({peer, PlanUpdate{plan}});
-    }
+    AnnouncePlan(peer, attached.plan_delivery);
   }
 }
 
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -220,6 +220,13 @@
      "than plan_bound_ms: what it holds and how long. Repeated every 5 s."},
     {EventId::kPlanCaughtUp, "plan-caught-up",
      "An attached process that was behind holds the plan in force again."},
+    {EventId::kPlanReceived, "plan-received",
+     "A gateway has received a version of the operator's plan: its bytes, the "
+     "connections that brought them and the time."},
+    {EventId::kPlanInterrupted, "plan-interrupted",
+     "The connection was lost during the transfer of a plan, which goes on "
+     "with "
+     "the next replica after the bytes received."},
     {EventId::kElectionStarted, "election-started",
      "A replica asked its peers for their votes."},
     {EventId::kLeaderElected, "leader-elected",
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -65,6 +65,9 @@
 }
 
 void CellClient::OnDown(Time now, const std::string& id) {
+  if (id == link_.current()) {
+    plans_.OnDisconnected();
+  }
   link_.OnDown(now, id);
 }
 
@@ -76,12 +79,20 @@
     if (ack->fresh) {
       link_.OnAnswer();
       fresh_until_ = now + kFreshnessPeriod;
+    } else {
+      link_.OnStaleAnswer();
     }
   } else if (const auto* update = std::get_if<PlanUpdate>(&message)) {
-    if (update->plan.version > plan_version_) {
-      plan_version_ = update->plan.version;
+    if (update->plan.version > plans_.held()) {
+      plans_.OnWhole(update->plan.version);
       out_.plan = update->plan;
     }
+  } else if (const auto* offer = std::get_if<PlanOffer>(&message)) {
+    plans_.OnOffer(now, *offer);
+  } else if (const auto* part = std::get_if<PlanPart>(&message)) {
+    if (plans_.OnPart(now, *part)) {
+      link_.OnProgress(now);
+    }
   } else if (const auto* members = std::get_if<CellMembers>(&message)) {
     link_.SetMembers(members->addresses);
   }
@@ -159,13 +170,27 @@
   }
   if (link_.connected() && next_status_at_ <= now) {
     next_status_at_ = now + kStatusInterval;
-    out_.to_control.emplace_back(EntryStatus{next_seq_++, plan_version_});
+    out_.to_control.emplace_back(
+        EntryStatus{next_seq_++, plans_.held(), delivery_});
     link_.OnSent(now);
   }
+  plans_.Tick(now);
   const std::string previous = link_.current();
   if (link_.Tick(now)) {
     out_.drop = previous;
+    plans_.OnDisconnected();
+  }
+}
+
+CellClientOutputs CellClient::TakeOutputs() {
+  for (const PlanRequest& request : plans_.TakeRequests()) {
+    out_.to_control.emplace_back(request);
+  }
+  if (auto plan = plans_.TakePlan()) {
+    out_.plan = std::move(plan);
   }
+  out_.events = plans_.TakeEvents();
+  return std::exchange(out_, CellClientOutputs{});
 }
 
 }  // namespace banyan
--- a/src/graph/cell_link.cc
+++ b/src/graph/cell_link.cc
@@ -41,6 +41,7 @@
   if (id == current_) {
     is_connected_ = true;
     is_awaiting_answer_ = false;
+    is_stale_ = false;
     waiting_since_ = now;
     answer_deadline_ = now + kAnswerTimeout;
   }
@@ -62,6 +63,17 @@
 
 void CellLink::OnAnswer() {
   is_awaiting_answer_ = false;
+  is_stale_ = false;
+}
+
+void CellLink::OnStaleAnswer() {
+  is_stale_ = true;
+}
+
+void CellLink::OnProgress(Time now) {
+  if (is_awaiting_answer_ && !is_stale_) {
+    answer_deadline_ = now + kAnswerTimeout;
+  }
 }
 
 bool CellLink::Tick(Time now) {
@@ -84,6 +96,7 @@
   AddMissing(seeds_, candidates);
   is_connected_ = false;
   is_awaiting_answer_ = false;
+  is_stale_ = false;
   switch_ = ReplicaSwitch{current_, "", reason, now - waiting_since_};
   waiting_since_ = now;
   answer_deadline_ = now + kAnswerTimeout;
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -264,6 +264,7 @@
 }
 
 void GatewayProcess::ApplyOutputs(CellClientOutputs outputs) {
+  WriteEvents(outputs.events);
   if (outputs.plan) {
     WriteEvent(Event(EventId::kPlanInForce)
                    .With("version", outputs.plan->version)
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "src/wire/from_cbor.h"
 #include "src/wire/json_types.h"
 
 namespace banyan {
@@ -15,27 +16,6 @@
   return bytes;
 }
 
-// Parses CBOR and converts it with `read`. Returns nullopt and sets `reason` on
-// failure.
-template <typename T, typename Reader>
-std::optional<T> FromCbor(std::string_view bytes,
-                          Reason& reason,
-                          const Reader& read) {
-  try {
-    const json value = ParseCbor(bytes);
-    T out;
-    read(value, out);
-    return out;
-  } catch (const UnknownTypeError& error) {
-    reason = {ErrorKind::kUnknownMessage, error.what(), {}};
-  } catch (const InvalidValueError& error) {
-    reason = {ErrorKind::kBadMessage, error.what(), {}};
-  } catch (const json::exception& error) {
-    reason = {ErrorKind::kBadMessage, error.what(), {}};
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
 std::string Encode(const Envelope& envelope) {
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -25,6 +25,10 @@
   ReadEnum(json, CellQueryKind::kEvacuations, value);
 }
 
+inline void from_json(const nlohmann::json& json, PlanDelivery& value) {
+  ReadEnum(json, PlanDelivery::kNone, value);
+}
+
 inline void to_json(nlohmann::json& json, const Resources& r) {
   json = {{"cpu_millis", r.cpu_millis},
           {"memory_mib", r.memory_mib},
@@ -253,9 +257,28 @@
                                    stops,
                                    paces)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellQuery, seq, kind, key)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryStatus, seq, plan_version)
+inline void to_json(nlohmann::json& json, const EntryStatus& status) {
+  json = {{"seq", status.seq},
+          {"plan_version", status.plan_version},
+          {"delivery", status.delivery}};
+}
+inline void from_json(const nlohmann::json& json, EntryStatus& status) {
+  json.at("seq").get_to(status.seq);
+  json.at("plan_version").get_to(status.plan_version);
+  if (json.contains("delivery")) {
+    json.at("delivery").get_to(status.delivery);
+  }
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryStatusAck, seq, fresh)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlanUpdate, plan)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlanOffer, version, missing)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlanRequest, version, offset, length)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlanPart,
+                                   version,
+                                   size,
+                                   checksum,
+                                   offset,
+                                   bytes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellMembers, addresses)
 
 }  // namespace banyan
--- a/tests/unit/decoder_fuzz_test.cc
+++ b/tests/unit/decoder_fuzz_test.cc
@@ -448,6 +448,10 @@
           append,
           InstallSnapshot{},
           PlanUpdate{SamplePlan()},
+          EntryStatus{1, 2, PlanDelivery::kParts},
+          PlanOffer{2, 1},
+          PlanRequest{2, 0, 4096},
+          PlanPart{2, 9, 7, 0, "some part"},
           CellQuery{}};
 }
 
