Gateways: send operators with the configuration to a replica

Cause: the document, and on a change the parsed plan beside it, crossed the gateway's link of 2 Mbit/s within the 900 ms of a read and the 1.8 s of a change: 226 kB and 450 kB at most. Each such gateway was sent the plan as well, which it doesn't use, over the same link as the entry of its instance.

Evidence: by reading and by sums, from the code; that the users' record has it is not shown.

Change: a gateway for operators answers a call that carries the configuration with 307 to its replica while that has a live leader, and takes no plan.

Tests: two cases of a gateway for operators; the first fails on the code before, which has no such redirection.

--- a/include/banyan/process/gateway_process.h
+++ b/include/banyan/process/gateway_process.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <variant>
@@ -38,6 +39,10 @@
 struct GatewayApis {
   QueueApiHandler queues;
   CellApiHandler operators;
+  // Whether a call of an operator carries a document, in either direction. Its
+  // caller is sent to the replica, so that the document does not cross the
+  // gateway's link, which may be thin.
+  std::function<bool(const HttpCall&)> carries_document;
 };
 
 // A stateless front end of the control cell. Serves callers of job graphs or,
@@ -82,10 +87,16 @@
   [[nodiscard]] CellCallFunction MakeCellCallFunction();
   CommandResult CallCell(CellCall call, Time deadline);
   [[nodiscard]] std::shared_ptr<const ServicePlan> plan() const;
+  // Returns a redirection to the connected replica; nullopt unless it has
+  // recently confirmed that its leader is live.
+  [[nodiscard]] std::optional<HttpReply> RedirectToReplica(
+      const HttpCall& call) const;
   // Stops all servers at the same time. Returns whether every call that was
   // handled got its answer.
   bool StopServers(Time deadline);
   void RunCore();
+  // Tells the threads of the servers which replica the core has selected.
+  void ShareReplica(bool is_fresh);
   void HandleInput(Time now, Input input);
   void ApplyOutputs(CellClientOutputs outputs);
 
@@ -100,8 +111,11 @@
   HttpServer ready_;
   HttpServer control_;
   HttpServer metrics_server_;
-  mutable std::mutex plan_mutex_;
+  // Guards what the core thread tells the threads of the servers.
+  mutable std::mutex shared_mutex_;
   std::shared_ptr<const ServicePlan> plan_;
+  // The id of the replica, which is its address for other processes.
+  std::string replica_;
   std::thread core_thread_;
   std::atomic<bool> is_fresh_{false};
   std::atomic<bool> is_leaving_{false};
--- a/src/graph/plan_receiver.cc
+++ b/src/graph/plan_receiver.cc
@@ -69,8 +69,8 @@
     return false;
   }
   const bool is_other_encoding =
-      transfer_->size && (part.size != *transfer_->size ||
-                          part.checksum != transfer_->checksum);
+      transfer_->size &&
+      (part.size != *transfer_->size || part.checksum != transfer_->checksum);
   if (is_other_encoding) {
     // Another build may encode the same plan to other bytes.
     transfer_->size.reset();
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -35,6 +35,7 @@
 constexpr Duration kPlanVersionTimeout = Millis(900);
 constexpr int kReadyThreads = 4;
 constexpr std::int64_t kMaxOperatorBodyBytes = 8 << 20;
+constexpr int kTemporaryRedirect = 307;
 
 }  // namespace
 
@@ -53,7 +54,9 @@
 GatewayProcess::GatewayProcess(CellSettings settings, GatewayApis apis)
     : settings_(std::move(settings)),
       apis_(std::move(apis)),
-      client_(settings_.seeds, NewIncarnation()),
+      client_(settings_.seeds,
+              NewIncarnation(),
+              apis_.queues ? PlanDelivery::kParts : PlanDelivery::kNone),
       inputs_(kRingCapacity),
       network_(settings_.id, NewIncarnation(), [this](PeerEvent&& event) {
         PushOrLog(inputs_, std::move(event), kRingName);
@@ -140,7 +143,7 @@
 }
 
 std::shared_ptr<const ServicePlan> GatewayProcess::plan() const {
-  const std::lock_guard lock(plan_mutex_);
+  const std::lock_guard lock(shared_mutex_);
   return plan_;
 }
 
@@ -169,6 +172,12 @@
 
 HttpReply GatewayProcess::ServeOperators(const HttpCall& call) {
   const Time start = MonotonicClock::now();
+  if (apis_.carries_document && apis_.carries_document(call)) {
+    if (auto reply = RedirectToReplica(call)) {
+      LogOperatorCall(call, *reply, start);
+      return *std::move(reply);
+    }
+  }
   if (apis_.operators) {
     if (auto reply = apis_.operators(call, MakeCellCallFunction())) {
       LogOperatorCall(call, *reply, start);
@@ -178,6 +187,24 @@
   return ErrorReply(ErrorKind::kNotFound, "no such thing: " + call.path);
 }
 
+std::optional<HttpReply> GatewayProcess::RedirectToReplica(
+    const HttpCall& call) const {
+  if (!is_fresh_) {
+    return std::nullopt;
+  }
+  const std::string_view control_address = settings_.control_address;
+  HttpReply reply;
+  reply.status = kTemporaryRedirect;
+  const std::lock_guard lock(shared_mutex_);
+  // All replicas serve operators at the port of this process.
+  reply.fields.push_back(
+      {"Location",
+       "http://" + replica_.substr(0, replica_.rfind(':')) +
+           std::string(control_address.substr(control_address.rfind(':'))) +
+           call.path + (call.query.empty() ? "" : "?" + call.query)});
+  return reply;
+}
+
 HttpReply GatewayProcess::ServeReady(const HttpCall& call) {
   if (auto common = ServeHealthAndMetrics(call, is_leaving_, metrics_)) {
     return *std::move(common);
@@ -185,7 +212,7 @@
   if (is_leaving_) {
     return ErrorReply(ErrorKind::kLeaving, "this process is stopping");
   }
-  if (!plan()) {
+  if (apis_.queues && !plan()) {
     return ErrorReply(ErrorKind::kStale, "no plan is known yet");
   }
   if (!is_fresh_) {
@@ -223,7 +250,7 @@
     const Time now = MonotonicClock::now();
     client_.Tick(now);
     ApplyOutputs(client_.TakeOutputs());
-    is_fresh_ = client_.IsFresh(now);
+    ShareReplica(client_.IsFresh(now));
     LogSwitch(client_.link());
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
@@ -232,6 +259,16 @@
   }
 }
 
+void GatewayProcess::ShareReplica(bool is_fresh) {
+  {
+    const std::lock_guard lock(shared_mutex_);
+    if (replica_ != client_.link().current()) {
+      replica_ = client_.link().current();
+    }
+  }
+  is_fresh_ = is_fresh;
+}
+
 void GatewayProcess::HandleInput(Time now, Input input) {
   if (auto* call = std::get_if<CallInput>(&input)) {
     client_.Open(now, call->ticket, std::move(call->call), call->deadline);
@@ -271,7 +308,7 @@
                    .With("queues", outputs.plan->queues.size()));
     metrics_.SetGauge("plan_version",
                       static_cast<double>(outputs.plan->version));
-    const std::lock_guard lock(plan_mutex_);
+    const std::lock_guard lock(shared_mutex_);
     plan_ = std::make_shared<const ServicePlan>(*std::move(outputs.plan));
   }
   for (const Message& message : outputs.to_control) {
--- a/src/wire/plan_codec.cc
+++ b/src/wire/plan_codec.cc
@@ -23,9 +23,9 @@
 
 // Queues occur in large numbers, so they become arrays.
 json ToRow(const QueueSpec& queue) {
-  return {queue.name,       queue.host,   queue.path_prefix,
-          queue.service,    queue.timeout_ms, queue.slo_ms,
-          queue.stretch,    queue.priority,   queue.max_attempts};
+  return {queue.name,    queue.host,       queue.path_prefix,
+          queue.service, queue.timeout_ms, queue.slo_ms,
+          queue.stretch, queue.priority,   queue.max_attempts};
 }
 
 QueueSpec ReadQueue(const json& row) {
@@ -101,15 +101,15 @@
     reason = {ErrorKind::kBadMessage, "a plan can't be decompressed", {}};
     return std::nullopt;
   }
-  return FromCbor<ServicePlan>(
-      *inflated, reason, [](const json& value, ServicePlan& out) {
-        value.at("version").get_to(out.version);
-        for (const json& row : value.at("queues")) {
-          out.queues.push_back(ReadQueue(row));
-        }
-        value.at("pools").get_to(out.pools);
-        value.at("limits").get_to(out.limits);
-      });
+  return FromCbor<ServicePlan>(*inflated, reason,
+                               [](const json& value, ServicePlan& out) {
+                                 value.at("version").get_to(out.version);
+                                 for (const json& row : value.at("queues")) {
+                                   out.queues.push_back(ReadQueue(row));
+                                 }
+                                 value.at("pools").get_to(out.pools);
+                                 value.at("limits").get_to(out.limits);
+                               });
 }
 
 }  // namespace banyan
--- a/tests/unit/gateway_process_test.cc
+++ b/tests/unit/gateway_process_test.cc
@@ -111,7 +111,7 @@
                            const ServicePlan* /*plan*/) {
                     return probe.Serve(call, cell);
                   },
-                  nullptr});
+                  nullptr, nullptr});
   Reason reason;
   CPPUNIT_ASSERT(gateway.Start(reason));
   std::vector<std::unique_ptr<HttpClient>> clients;
@@ -172,7 +172,7 @@
                            const ServicePlan* /*plan*/) {
                     return probe.Serve(call, cell);
                   },
-                  nullptr});
+                  nullptr, nullptr});
   Reason reason;
   CPPUNIT_ASSERT(gateway.Start(reason));
   // The gateway connects to the replica and hears of its leader.
@@ -200,10 +200,77 @@
                          stop_took < kShortDrainTimeout);
 }
 
+// A gateway for operators, whose documents are at "/document".
+class Relay {
+ public:
+  Relay() { settings_.control_address = address_; }
+
+  void Start() {
+    Reason reason;
+    gateway_ = std::make_unique<GatewayProcess>(
+        settings_,
+        GatewayApis{
+            nullptr,
+            [](const HttpCall& /*call*/, const CellCallFunction& /*cell*/) {
+              return std::optional(JsonReply("{\"served\":true}"));
+            },
+            [](const HttpCall& call) { return call.path == "/document"; }});
+    CPPUNIT_ASSERT(gateway_->Start(reason));
+  }
+
+  [[nodiscard]] std::string replica() const { return settings_.seeds.front(); }
+  [[nodiscard]] std::string port() const {
+    return address_.substr(address_.rfind(':'));
+  }
+
+  HttpReply Get(const std::string& path) {
+    HttpExchange exchange = Send(client_, path);
+    CPPUNIT_ASSERT_MESSAGE(exchange.text,
+                           exchange.outcome == RequestOutcome::kRan);
+    return std::move(exchange.reply);
+  }
+
+ private:
+  const std::string address_ = FreeAddress();
+  CellSettings settings_ = SettingsOf("");
+  HttpClient client_{address_};
+  std::unique_ptr<GatewayProcess> gateway_;
+};
+
+// Guards against documents that cross a link that can't carry them in time.
+void SendsCallersOfDocumentsToTheReplica() {
+  Relay relay;
+  const SilentReplica replica(relay.replica());
+  relay.Start();
+  HttpReply reply;
+  const Time end = MonotonicClock::now() + kExchangeTimeout;
+  while (reply.status != 307 && MonotonicClock::now() < end) {
+    reply = relay.Get("/document?page=2");
+  }
+  CPPUNIT_ASSERT_EQUAL(307, reply.status);
+  const std::string host =
+      relay.replica().substr(0, relay.replica().rfind(':'));
+  CPPUNIT_ASSERT_EQUAL("http://" + host + relay.port() + "/document?page=2",
+                       std::string(reply.Field("Location")));
+  CPPUNIT_ASSERT_EQUAL(200, relay.Get("/order").status);
+}
+
+// Guards against callers that are sent to a replica that may be gone.
+void ServesDocumentsItselfWithoutAReplica() {
+  Relay relay;
+  relay.Start();
+  CPPUNIT_ASSERT_EQUAL(200, relay.Get("/document").status);
+}
+
 }  // namespace
 
 Section GatewayProcessStory() {
   Section story("Gateway");
+  story.With(Section("for operators")
+                 .Then("sends callers of documents to its replica",
+                       SendsCallersOfDocumentsToTheReplica)
+                 .Then("handles them itself while it knows no current replica",
+                       ServesDocumentsItselfWithoutAReplica));
   story.With(
       Section("that stops")
           .With(Section("while the cell has no leader")
