Plans: refuse one that can't be in force everywhere in time

What callers saw: nothing yet. A configuration of up to 8 MiB was acknowledged, although the links to the entries can't carry what it takes within the bound on changes; requests on its routes would then be refused by entries in touch.

Cause: no limit stated the largest plan that can keep the promise.

The limit is half of what 2 Mbit/s carry in 2.5 s.

Tests: the largest plan arrives in time behind another one; a larger one is refused and not handed to the cell. Both fail on the code before, which has no limit.

--- a/include/banyan/graph/queue_match.h
+++ b/include/banyan/graph/queue_match.h
@@ -32,6 +32,11 @@
 // Returns why a plan is invalid; empty when it is valid.
 [[nodiscard]] std::optional<std::string> ValidatePlan(const ServicePlan& plan);
 
+// Returns why a valid plan is too large to reach all gateways within the bound
+// on changes; empty when it is not.
+[[nodiscard]] std::optional<std::string> ValidatePlanSize(
+    const ServicePlan& plan);
+
 // Returns why a job graph is invalid; empty when it is valid.
 [[nodiscard]] std::optional<std::string> ValidateGraph(const GraphSpec& spec);
 
--- a/include/banyan/wire/plan_codec.h
+++ b/include/banyan/wire/plan_codec.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_WIRE_PLAN_CODEC_H_
 #define BANYAN_WIRE_PLAN_CODEC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +21,12 @@
   std::uint32_t checksum = 0;
 };
 
+// Largest encoded plan that is accepted, in bytes: half of what the thinnest
+// link, 2 Mbit/s, carries within the tightest bound on a change where there are
+// such links, 2.5 s. The plan before it may still be in transfer; the rest is
+// for acknowledgements, callers and the decoding.
+inline constexpr std::size_t kMaxEncodedPlanBytes = 250'000;
+
 // Encodes a plan. Replicas of the same build encode a version to the same
 // bytes.
 [[nodiscard]] EncodedPlan EncodePlan(const ServicePlan& plan);
--- a/src/graph/queue_match.cc
+++ b/src/graph/queue_match.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "banyan/wire/field_limits.h"
+#include "banyan/wire/plan_codec.h"
 
 namespace banyan {
 namespace {
@@ -130,6 +131,16 @@
   return std::nullopt;
 }
 
+std::optional<std::string> ValidatePlanSize(const ServicePlan& plan) {
+  const std::size_t bytes = EncodePlan(plan).bytes.size();
+  if (bytes <= kMaxEncodedPlanBytes) {
+    return std::nullopt;
+  }
+  return "the plan takes " + std::to_string(bytes) +
+         " bytes to send, and gateways are reached in time by " +
+         std::to_string(kMaxEncodedPlanBytes);
+}
+
 std::optional<std::string> ValidateGraph(const GraphSpec& spec) {
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
     return "the number of steps is out of range";
--- a/tests/unit/plan_transfer_test.cc
+++ b/tests/unit/plan_transfer_test.cc
@@ -10,6 +10,7 @@
 
 #include "banyan/control/control_core.h"
 #include "banyan/graph/cell_client.h"
+#include "banyan/graph/queue_match.h"
 #include "banyan/wire/codec.h"
 #include "tests/support/graph_samples.h"
 #include "tests/unit/story.h"
@@ -377,6 +378,32 @@
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, link.held_version());
 }
 
+// Returns the number of routes of the largest plan that is accepted.
+std::size_t MostRoutes() {
+  std::size_t accepted = 1;
+  std::size_t refused = 50000;
+  while (refused - accepted > 100) {
+    const std::size_t routes = (accepted + refused) / 2;
+    (ValidatePlanSize(PlanWithRoutes(1, routes)) ? refused : accepted) = routes;
+  }
+  return accepted;
+}
+
+// Guards against plans that are acknowledged and can't be in force in time,
+// also right after another one of that size.
+void LargestAcceptedPlanArrivesInTime() {
+  const std::size_t routes = MostRoutes();
+  CPPUNIT_ASSERT(ValidatePlanSize(PlanWithRoutes(1, routes + 100)).has_value());
+  ThinLink link;
+  link.Install(PlanWithRoutes(1, routes));
+  link.Run(Millis(200));
+  link.Install(PlanWithRoutes(2, routes));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, link.held_version());
+  CPPUNIT_ASSERT(link.AwaitPlan(2) <= kPlanBound);
+  CPPUNIT_ASSERT_EQUAL(routes + 2, link.plan()->queues.size());
+  CPPUNIT_ASSERT_EQUAL(0, link.switches());
+}
+
 }  // namespace
 
 Section PlanTransferStory() {
@@ -387,6 +414,9 @@
                       LargePlanArrivesFromOneReplica)
                 .Then("is sent once", PlanIsSentOnce)
                 .Then("leaves room for calls", CallsAreAnsweredDuringTransfer))
+      .With(Section("with as many routes as are accepted")
+                .Then("arrives within the bound, behind another one",
+                      LargestAcceptedPlanArrivesInTime))
       .With(Section("under changes")
                 .Then("is followed by a small change in time",
                       SmallChangeAfterLargePlanArrivesInTime)
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -6,8 +6,10 @@
 #include <utility>
 #include <vector>
 
+#include "banyan/base/random.h"
 #include "banyan/graph/queue_match.h"
 #include "banyan/wire/field_limits.h"
+#include "platform/http_apis.h"
 #include "tests/unit/story.h"
 
 namespace banyan::platform {
@@ -199,6 +201,32 @@
                               "\"max-body-bytes\":18446744073709551615"));
 }
 
+// Guards against a configuration that is acknowledged although the links to the
+// gateways can't carry it within the bound on changes.
+void RefusesPlansThatAreTooLarge() {
+  constexpr int kRoutes = 30000;
+  Random random(1);
+  std::string routes;
+  for (int i = 0; i < kRoutes; ++i) {
+    routes += R"({"name":"r)" + std::to_string(i) +
+              R"(","host":"a.example","path-prefix":"/)" +
+              std::to_string(random.NextBelow(1ULL << 60U)) +
+              R"(/","kind":"unsafe","timeout-ms":3000,"slo-ms":250,)"
+              R"("priority":0,"service":"s1","max-attempts":4,"stretch":1.5},)";
+  }
+  HttpCall call;
+  call.method = "PUT";
+  call.path = "/config";
+  call.body = Replaced(kPlan, "\"routes\":[", "\"routes\":[" + routes);
+  int commands = 0;
+  const auto cell = [&](const CellCall& /*call*/, Time /*deadline*/) {
+    ++commands;
+    return CommandResult{};
+  };
+  CPPUNIT_ASSERT_EQUAL(413, ServeOperators(call, cell)->status);
+  CPPUNIT_ASSERT_EQUAL(0, commands);
+}
+
 void ReadsAReport() {
   Reason reason;
   const auto report = ReadReport(kReport, "w1", kNow, reason);
@@ -483,7 +511,9 @@
                 .Then("is refused when it makes no sense",
                       p::RefusesPlansThatMakeNoSense)
                 .Then("is refused with a number out of range",
-                      p::RefusesPlansOutOfRange))
+                      p::RefusesPlansOutOfRange)
+                .Then("is refused when it can't reach all gateways in time",
+                      p::RefusesPlansThatAreTooLarge))
       .With(Section("a job")
                 .Then("is read with its steps", p::ReadsAGraph)
                 .Then("is refused with a number out of range",
