--- a/src/graph/plan_sender.cc
+++ b/src/graph/plan_sender.cc
@@ -30,8 +30,9 @@
   std::vector<Message> parts;
   while (offset < end) {
     const std::uint64_t length = std::min(kPartBytes, end - offset);
-    parts.push_back(PlanPart{transfer->version, size, transfer->checksum,
-                             offset, transfer->bytes.substr(offset, length)});
+    parts.emplace_back(PlanPart{transfer->version, size, transfer->checksum,
+                                offset,
+                                transfer->bytes.substr(offset, length)});
     offset += length;
   }
   return parts;
