Plans: a late offer of the replica before doesn't hold up the next transfer

What callers would see: a gateway that changes its replica and still has an offer of the one before to read asks for the plan, but is connected to nobody. It asked again only after 3 s, later than the bound on changes.

Cause: the state of a transfer was reset when a replica was left, not when the next one was connected.

Change: the receiver starts afresh with each connection and keeps the parts; a request without an answer is repeated after 1 s, within the bound.

Tests besides: parts that arrive keep a gateway with its replica, but not with one whose leader is gone.

--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -56,6 +56,8 @@
   if (id != link_.current()) {
     return;
   }
+  // An offer of the replica before may have come after it was left.
+  plans_.OnDisconnected();
   next_status_at_ = now;
   for (auto& [ticket, call] : calls_) {
     if (now < std::min(call.deadline, end_)) {
--- a/src/graph/plan_receiver.cc
+++ b/src/graph/plan_receiver.cc
@@ -14,7 +14,7 @@
 // Time without a part after which the request is repeated. Connections deliver
 // what was sent on them, so only a replica that has dropped it needs this. Also
 // the time until a plan that can't be read is fetched again.
-constexpr Duration kAnswerTimeout = Millis(3000);
+constexpr Duration kAnswerTimeout = Millis(1000);
 
 }  // namespace
 
--- a/tests/unit/plan_transfer_test.cc
+++ b/tests/unit/plan_transfer_test.cc
@@ -364,6 +364,57 @@
   CPPUNIT_ASSERT(link.AwaitPlan(1) <= kPlanBound);
 }
 
+// Guards against a transfer that an offer of the replica before holds up: what
+// it asks for goes nowhere.
+void LateOfferOfFormerReplicaIsHarmless() {
+  CellClient client({"10.0.0.1:7", "10.0.0.2:7"}, 0);
+  Time now(std::chrono::seconds(50));
+  client.OnUp(now, "10.0.0.1:7");
+  client.OnDown(now, "10.0.0.1:7");
+  client.Receive(now, PlanOffer{3});
+  static_cast<void>(client.TakeOutputs());
+  now += Millis(100);
+  client.OnUp(now, "10.0.0.2:7");
+  client.Receive(now, PlanOffer{3});
+  const CellClientOutputs out = client.TakeOutputs();
+  CPPUNIT_ASSERT(std::any_of(
+      out.to_control.begin(), out.to_control.end(), [](const Message& message) {
+        return std::holds_alternative<PlanRequest>(message);
+      }));
+}
+
+// Sends a client a part of a plan each 50 ms, and answers its heartbeats, if at
+// all, as a replica whose leader is gone. Returns whether the client stays.
+bool StaysWhilePartsArrive(bool has_answers) {
+  constexpr Duration kInterval = Millis(50);
+  constexpr std::uint64_t kSize = 1 << 20;
+  CellClient client({"10.0.0.1:7", "10.0.0.2:7"}, 0);
+  const Time start(std::chrono::seconds(50));
+  client.OnUp(start, "10.0.0.1:7");
+  client.Receive(start, PlanOffer{3});
+  std::uint64_t offset = 0;
+  for (Time now = start; now < start + Millis(3000); now += kInterval) {
+    client.Receive(now, PlanPart{3, kSize, 0, offset++, "x"});
+    client.Tick(now);
+    for (const Message& message : client.TakeOutputs().to_control) {
+      if (has_answers && std::holds_alternative<EntryStatus>(message)) {
+        client.Receive(now, EntryStatusAck{0, false});
+      }
+    }
+  }
+  return client.link().current() == "10.0.0.1:7";
+}
+
+// Guards against a replica that is left while an answer waits behind parts.
+void ArrivingPartsKeepTheReplica() {
+  CPPUNIT_ASSERT(StaysWhilePartsArrive(false));
+}
+
+// Guards against parts that keep a gateway with a replica without a leader.
+void ArrivingPartsDoNotKeepAReplicaWithoutLeader() {
+  CPPUNIT_ASSERT(!StaysWhilePartsArrive(true));
+}
+
 // Guards against calls that wait behind a plan.
 void CallsAreAnsweredDuringTransfer() {
   ThinLink link;
@@ -425,6 +476,12 @@
       .With(Section("under faults")
                 .Then("goes on after a lost connection",
                       TransferGoesOnAfterLostConnection)
+                .Then("keeps the gateway with its replica while parts arrive",
+                      ArrivingPartsKeepTheReplica)
+                .Then("does not keep it with a replica without a leader",
+                      ArrivingPartsDoNotKeepAReplicaWithoutLeader)
+                .Then("is not held up by a late offer of the replica before",
+                      LateOfferOfFormerReplicaIsHarmless)
                 .Then("does not hide a frozen replica",
                       FrozenReplicaIsLeftDuringTransfer));
   return story;
