Consensus: send what a probe carries once, until it is known to be lost

What callers see: a replica that is back, or a new one, behind a link that is slow or full doesn't catch up for tens of seconds, or never, while the leader fills its own link; a cell that has to bear the next loss meanwhile may lose its majority.

Cause: while the leader searches for the last index at which two logs agree, it doesn't advance the next index, so each heartbeat, eight an election timeout, carried up to 1 MiB of the same entries again until the first reply.

Heartbeats go behind their end meanwhile. Connections deliver in order, so a heartbeat that is rejected there shows that the probe was lost, and it is sent again from what the member has; a success of any of them ends the search.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -116,6 +116,15 @@
 
  private:
   // The leader's replication state of another member.
+  // Entries or a snapshot that were sent while the leader searches for the last
+  // index at which the logs agree.
+  struct Probe {
+    // The heartbeat round in which they were sent.
+    std::uint64_t round = 0;
+    // The first index after them.
+    std::uint64_t end = 0;
+  };
+
   struct Progress {
     // Index of the next entry to send.
     std::uint64_t next = 1;
@@ -127,8 +136,11 @@
     Time advanced_at;
     CatchUpRounds rounds;
     // Whether the leader is searching for the last index at which the logs
-    // agree. Only one request is in flight meanwhile.
+    // agree. Only one request with entries is in flight meanwhile.
     bool is_probing = false;
+    // That request. Heartbeats follow its end: connections deliver in order, so
+    // one that is rejected shows that the request was lost.
+    std::optional<Probe> probe;
     // When the leader sent the latest heartbeat round that the member
     // acknowledged.
     Time acked_round_sent_at;
@@ -211,6 +223,11 @@
   // skipped, as far as they are not known to be committed.
   [[nodiscard]] std::uint64_t LastIndexToTry(
       const AppendRequest& request) const;
+  // Whether a rejection is to be ignored. When several requests are in flight,
+  // only the first rejection is handled; handling the later ones would send the
+  // same entries repeatedly.
+  [[nodiscard]] static bool IsStaleRejection(const Progress& progress,
+                                             const AppendReply& reply);
   void HandleAppendRejection(const MemberId& from,
                              Progress& progress,
                              const AppendReply& reply);
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -646,7 +646,9 @@
 }
 
 void RaftCore::SendAppend(const MemberId& to, Progress& progress) {
-  const auto prev_term = log_.TermAt(progress.next - 1);
+  const std::uint64_t from =
+      progress.probe ? progress.probe->end : progress.next;
+  const auto prev_term = log_.TermAt(from - 1);
   if (!prev_term) {
     SendInstall(to, progress);
     return;
@@ -654,16 +656,19 @@
   AppendRequest request;
   request.target = to.incarnation;
   request.term = hard_state_.term;
-  request.prev_index = progress.next - 1;
+  request.prev_index = from - 1;
   request.prev_term = *prev_term;
   request.commit = commit_index_;
   request.round = heartbeat_round_;
-  if (progress.next <= progress.match + kMaxInFlightEntries) {
+  if (!progress.probe &&
+      progress.next <= progress.match + kMaxInFlightEntries) {
     request.entries =
         log_.Slice(progress.next, kMaxAppendEntries, kMaxAppendBytes);
   }
   if (!progress.is_probing) {
     progress.next += request.entries.size();
+  } else if (!request.entries.empty()) {
+    progress.probe = Probe{heartbeat_round_, from + request.entries.size()};
   }
   Send(to, std::move(request));
 }
@@ -679,6 +684,8 @@
   request.membership = snapshot.membership;
   request.state = snapshot.state;
   progress.next = snapshot.last_index + 1;
+  progress.is_probing = true;
+  progress.probe = Probe{heartbeat_round_, progress.next};
   Send(to, std::move(request));
 }
 
@@ -804,9 +811,12 @@
   if (has_advanced) {
     progress.advanced_at = now;
   }
-  progress.is_probing = false;
   progress.match = std::max(progress.match, reply.match_index);
   progress.next = std::max(progress.next, progress.match + 1);
+  if (const auto probe = std::exchange(progress.probe, std::nullopt)) {
+    progress.next = std::max(progress.next, probe->end);
+  }
+  progress.is_probing = false;
   progress.rounds.OnMatch(now, progress.match, log_.last_index(),
                           options_.timings.election_timeout);
   CommitByMajority(now);
@@ -818,18 +828,35 @@
   }
 }
 
+bool RaftCore::IsStaleRejection(const Progress& progress,
+                                const AppendReply& reply) {
+  if (reply.prev_index <= progress.match) {
+    return true;
+  }
+  if (!progress.is_probing) {
+    return false;
+  }
+  const bool is_of_next = reply.prev_index + 1 == progress.next;
+  if (!progress.probe) {
+    return !is_of_next;
+  }
+  const Probe& probe = *progress.probe;
+  if (reply.round > probe.round) {
+    return reply.prev_index + 1 != probe.end;
+  }
+  // A snapshot is not rejected, so this answers a request before it.
+  const bool is_snapshot = probe.end == progress.next;
+  return reply.round < probe.round || is_snapshot || !is_of_next;
+}
+
 void RaftCore::HandleAppendRejection(const MemberId& from,
                                      Progress& progress,
                                      const AppendReply& reply) {
-  // When several requests are in flight, only the first rejection is handled;
-  // handling the later ones would send the same entries repeatedly.
-  const bool is_stale =
-      reply.prev_index <= progress.match ||
-      (progress.is_probing && reply.prev_index + 1 != progress.next);
-  if (is_stale) {
+  if (IsStaleRejection(progress, reply)) {
     return;
   }
   progress.is_probing = true;
+  progress.probe.reset();
   progress.next = std::max(reply.match_index, progress.match) + 1;
   SendAppend(from, progress);
 }
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -6,6 +7,7 @@
 #include <vector>
 
 #include "banyan/consensus/raft_core.h"
+#include "banyan/wire/codec.h"
 #include "tests/unit/story.h"
 
 namespace banyan {
@@ -695,6 +697,85 @@
   CPPUNIT_ASSERT_EQUAL(kLargeEntries + 1, last);
 }
 
+// Guards against copies of the same entries that queue on the link to a replica
+// which has yet to answer the first.
+void LaggingReplicaBehindSlowLinkGetsEntriesOnce() {
+  // 20 Mbit/s, in bytes a millisecond.
+  constexpr double kRate = 2500;
+  constexpr std::size_t kEntryBytes = 20000;
+  constexpr std::uint64_t kEntries = 150;
+  Membership members;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    members.voters.push_back({"c" + std::to_string(i), i + 1});
+  }
+  std::vector<RaftCore> replicas;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    RaftOptions options;
+    options.self = members.voters[i];
+    options.configured_ids = {"c0", "c1", "c2"};
+    options.timings.election_timeout = Millis(500);
+    options.timings.heartbeat_interval = Millis(500) / 8;
+    options.timings.max_clock_drift = Millis(50);
+    options.seed = i + 1;
+    RestoredLog restored;
+    restored.hard_state.term = 1;
+    restored.entries.push_back({1, 1, EntryKind::kMembership, Encode(members)});
+    // The last replica lacks all but the first entry.
+    for (std::uint64_t index = 2; i < 2 && index < kEntries + 2; ++index) {
+      restored.entries.push_back(
+          {1, index, EntryKind::kCommand, std::string(kEntryBytes, 'x')});
+    }
+    replicas.emplace_back(options, std::move(restored), kStart);
+  }
+  struct Arrival {
+    Time at;
+    Sender from;
+    Message message;
+  };
+  std::vector<std::deque<Arrival>> links(3);
+  Time now = kStart;
+  Time link_free_at = now;
+  std::size_t sent_bytes = 0;
+  const auto step = [&](std::size_t i) {
+    for (; !links[i].empty() && links[i].front().at <= now;
+         links[i].pop_front()) {
+      replicas[i].Receive(now, links[i].front().from, links[i].front().message);
+    }
+    replicas[i].Tick(now);
+    RaftOutputs out = replicas[i].TakeOutputs(now);
+    for (; !out.messages.empty() || !out.persists.empty();
+         out = replicas[i].TakeOutputs(now)) {
+      for (Outbound& outbound : out.messages) {
+        const auto to = static_cast<std::size_t>(outbound.to[1] - '0');
+        Time at = now + Millis(1);
+        if (to == 2) {
+          const std::size_t bytes = Encode(outbound.message).size();
+          sent_bytes += bytes;
+          link_free_at = std::max(link_free_at, now) +
+                         Duration(static_cast<std::int64_t>(
+                             static_cast<double>(bytes) / kRate * 1000));
+          at = link_free_at + Millis(1);
+        }
+        links[to].push_back(
+            {at,
+             {members.voters[i].id, members.voters[i].incarnation},
+             std::move(outbound.message)});
+      }
+      for (const PersistBatch& batch : out.persists) {
+        replicas[i].OnPersisted(now, batch.seq);
+      }
+    }
+  };
+  for (; now < kStart + seconds(20); now += Millis(5)) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      step(i);
+    }
+  }
+  CPPUNIT_ASSERT(replicas[2].log().last_index() > kEntries);
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(sent_bytes) + " bytes",
+                         sent_bytes < 2 * kEntries * kEntryBytes);
+}
+
 }  // namespace
 
 Section ConsensusStory() {
@@ -710,6 +791,8 @@
               .Then("commits a command on every replica", CommitsOnAllReplicas)
               .Then("updates a lagging replica with few messages",
                     LaggingReplicaCatchesUpWithFewMessages)
+              .Then("sends a lagging replica its entries once",
+                    LaggingReplicaBehindSlowLinkGetsEntriesOnce)
               .Then("finds where a long conflict begins with few messages",
                     LongConflictIsFoundAtOnce)
               .Then("transfers the leadership on request",
--- a/tests/unit/plan_watch_test.cc
+++ b/tests/unit/plan_watch_test.cc
@@ -55,6 +55,40 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, watch.peers());
 }
 
+// Guards against a process that never gets the plan and is never reported, since
+// it turns from replica to replica sooner than the bound.
+void ReportsPeerThatReconnects() {
+  PlanWatch watch(kBound);
+  watch.OnInForce(kStart, 1);
+  std::size_t reports = 0;
+  Time now = kStart;
+  while (now < kStart + std::chrono::seconds(60)) {
+    watch.OnHeld(now, "edge-0", 0);
+    now += Millis(1300);
+    reports += watch.Tick(now).size();
+    watch.Remove("edge-0");
+    now += Millis(100);
+    reports += watch.Tick(now).size();
+  }
+  CPPUNIT_ASSERT(reports > 0);
+}
+
+// Guards against reports of a process that gets each version within the bound
+// while newer ones come into force.
+void DoesNotReportPeerThatKeepsUp() {
+  PlanWatch watch(kBound);
+  watch.OnInForce(kStart, 1);
+  watch.OnHeld(kStart, "edge-0", 1);
+  for (std::uint64_t version = 2; version < 30; ++version) {
+    const Time in_force_at = kStart + version * Millis(1000);
+    watch.OnInForce(in_force_at, version);
+    CPPUNIT_ASSERT(watch.Tick(in_force_at).empty());
+    // The version before, 1.2 s after it came into force.
+    watch.OnHeld(in_force_at + Millis(200), "edge-0", version - 1);
+    CPPUNIT_ASSERT(watch.Tick(in_force_at + Millis(200)).empty());
+  }
+}
+
 }  // namespace
 
 Section PlanWatchStory() {
@@ -64,6 +98,10 @@
           .Then("reports it after the bound and again every 5 s",
                 ReportsPeerThatStaysBehind)
           .Then("reports that it has caught up", ReportsPeerThatHasCaughtUp)
+          .Then("reports one that reconnects within the bound",
+                ReportsPeerThatReconnects)
+          .Then("does not report one that gets each version in time",
+                DoesNotReportPeerThatKeepsUp)
           .Then("counts from when the process was attached",
                 CountsFromTheAttachment));
   return story;
