Plans: keep the last four encodings for gateways that reconnect

What callers would see: a gateway whose connections last for less than a transfer keeps an old plan as long as the configuration changes meanwhile.

Cause: a version that a newer one has replaced was available to a gateway on its connection only.

Change: the last four versions that a replica has encoded stay available to all. A gateway that comes to a replica that never encoded its version still starts with the newest one.

--- a/include/banyan/graph/plan_sender.h
+++ b/include/banyan/graph/plan_sender.h
@@ -2,6 +2,7 @@
 #define BANYAN_GRAPH_PLAN_SENDER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,11 +28,14 @@
   void Remove(const std::string& peer) { transfers_.erase(peer); }
 
  private:
-  [[nodiscard]] std::shared_ptr<const EncodedPlan> Encoded(
+  // Returns a version; null unless it is in force or was encoded recently.
+  [[nodiscard]] std::shared_ptr<const EncodedPlan> Find(
+      std::uint64_t version,
       const ServicePlan& plan);
 
-  // The version that was last encoded.
-  std::shared_ptr<const EncodedPlan> newest_;
+  // The versions that were last encoded, the newest last. A gateway that has
+  // lost its connection may go on with one.
+  std::deque<std::shared_ptr<const EncodedPlan>> recent_;
   // The version that each gateway fetches.
   std::map<std::string, std::shared_ptr<const EncodedPlan>> transfers_;
 };
--- a/src/graph/plan_sender.cc
+++ b/src/graph/plan_sender.cc
@@ -11,6 +11,9 @@
 // Most bytes that one request is answered with.
 constexpr std::uint64_t kMaxRequestBytes = std::uint64_t{64} << 10U;
 
+// Number of versions that are kept for gateways that have lost a connection.
+constexpr std::size_t kRecentPlans = 4;
+
 }  // namespace
 
 std::vector<Message> PlanSender::Answer(const std::string& peer,
@@ -18,10 +21,10 @@
                                         const ServicePlan& plan) {
   std::shared_ptr<const EncodedPlan>& transfer = transfers_[peer];
   if (!transfer || transfer->version != request.version) {
-    if (plan.version != request.version) {
+    transfer = Find(request.version, plan);
+    if (!transfer) {
       return {PlanOffer{plan.version, request.version}};
     }
-    transfer = Encoded(plan);
   }
   const std::uint64_t size = transfer->bytes.size();
   std::uint64_t offset = std::min(request.offset, size);
@@ -38,12 +41,22 @@
   return parts;
 }
 
-std::shared_ptr<const EncodedPlan> PlanSender::Encoded(
-    const ServicePlan& plan) {
-  if (!newest_ || newest_->version != plan.version) {
-    newest_ = std::make_shared<const EncodedPlan>(EncodePlan(plan));
+std::shared_ptr<const EncodedPlan> PlanSender::Find(std::uint64_t version,
+                                                    const ServicePlan& plan) {
+  const auto found = std::find_if(
+      recent_.begin(), recent_.end(),
+      [&](const auto& encoded) { return encoded->version == version; });
+  if (found != recent_.end()) {
+    return *found;
+  }
+  if (version != plan.version) {
+    return nullptr;
+  }
+  recent_.push_back(std::make_shared<const EncodedPlan>(EncodePlan(plan)));
+  if (recent_.size() > kRecentPlans) {
+    recent_.pop_front();
   }
-  return newest_;
+  return recent_.back();
 }
 
 }  // namespace banyan
