Gateways: send operators only to a replica that has answered

What callers saw: for 1.2 s after a replica has gone, a relay answers calls on the configuration with 307 to it or to the next candidate, which may be a seed that is no replica, even the relay itself. A document between 1 and 8 MiB was taken by relays and refused by replicas.

Cause: the relay took the selected replica for the connected one, and the last answer of the former one for its own. Two limits for the same body.

Change: a relay redirects to the replica that has confirmed on this connection that its leader is live, and otherwise refuses at once with Retry-After: a document that it fetched itself would take longer than its caller waits. What a former replica has sent, but answers to calls, is ignored. One limit, 1 MiB, for both.

--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -66,6 +66,11 @@
   [[nodiscard]] CellClientOutputs TakeOutputs();
 
   [[nodiscard]] CellLink& link() noexcept { return link_; }
+  // The id of the connected replica, once it has confirmed on this connection
+  // that its leader is live; empty otherwise.
+  [[nodiscard]] const std::string& confirmed_replica() const noexcept {
+    return confirmed_replica_;
+  }
   // Returns whether a replica with a live leader answered recently.
   [[nodiscard]] bool IsFresh(Time now) const noexcept {
     return fresh_until_ > now;
@@ -98,6 +103,7 @@
   PlanReceiver plans_;
   Time next_status_at_;
   Time fresh_until_;
+  std::string confirmed_replica_;
   // When the last call has to be answered.
   Time end_ = Time::max();
   CellClientOutputs out_;
--- a/include/banyan/net/http.h
+++ b/include/banyan/net/http.h
@@ -14,6 +14,9 @@
 
 namespace banyan {
 
+// The status of a redirection that keeps the method and the body.
+inline constexpr int kTemporaryRedirect = 307;
+
 // A header field of a request or response.
 struct HttpField {
   std::string name;
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -27,6 +27,9 @@
 // Exit code of a control process after a disk failure (EX_IOERR).
 inline constexpr int kDiskFailureExitCode = 74;
 
+// Largest body of an operator's call, in bytes, at replicas and relays alike.
+inline constexpr std::int64_t kMaxOperatorBodyBytes = 1 << 20;
+
 // Sends a call to the control cell and blocks until the result arrives or the
 // deadline passes.
 using CellCallFunction = std::function<CommandResult(CellCall, Time deadline)>;
--- a/include/banyan/process/gateway_process.h
+++ b/include/banyan/process/gateway_process.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <thread>
 #include <variant>
@@ -40,8 +39,8 @@
   QueueApiHandler queues;
   CellApiHandler operators;
   // Whether a call of an operator carries a document, in either direction. Its
-  // caller is sent to the replica, so that the document does not cross the
-  // gateway's link, which may be thin.
+  // caller is sent to the replica, since the gateway's link may be too thin to
+  // pass a document on in time.
   std::function<bool(const HttpCall&)> carries_document;
 };
 
@@ -87,10 +86,9 @@
   [[nodiscard]] CellCallFunction MakeCellCallFunction();
   CommandResult CallCell(CellCall call, Time deadline);
   [[nodiscard]] std::shared_ptr<const ServicePlan> plan() const;
-  // Returns a redirection to the connected replica; nullopt unless it has
+  // Returns a redirection to the connected replica, or a refusal unless it has
   // recently confirmed that its leader is live.
-  [[nodiscard]] std::optional<HttpReply> RedirectToReplica(
-      const HttpCall& call) const;
+  [[nodiscard]] HttpReply RedirectToReplica(const HttpCall& call) const;
   // Stops all servers at the same time. Returns whether every call that was
   // handled got its answer.
   bool StopServers(Time deadline);
@@ -114,7 +112,7 @@
   // Guards what the core thread tells the threads of the servers.
   mutable std::mutex shared_mutex_;
   std::shared_ptr<const ServicePlan> plan_;
-  // The id of the replica, which is its address for other processes.
+  // CellClient::confirmed_replica(); an id is an address for other processes.
   std::string replica_;
   std::thread core_thread_;
   std::atomic<bool> is_fresh_{false};
--- a/src/bin/banyanctl.cc
+++ b/src/bin/banyanctl.cc
@@ -32,7 +32,6 @@
 constexpr Duration kRetryDelay = Millis(300);
 constexpr int kMaxCallRounds = 10;
 constexpr int kFirstNonSuccessStatus = 300;
-constexpr int kTemporaryRedirect = 307;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -58,6 +58,7 @@
   }
   // An offer of the replica before may have come after it was left.
   plans_.OnDisconnected();
+  confirmed_replica_.clear();
   next_status_at_ = now;
   for (auto& [ticket, call] : calls_) {
     if (now < std::min(call.deadline, end_)) {
@@ -69,6 +70,7 @@
 void CellClient::OnDown(Time now, const std::string& id) {
   if (id == link_.current()) {
     plans_.OnDisconnected();
+    confirmed_replica_.clear();
   }
   link_.OnDown(now, id);
 }
@@ -81,8 +83,12 @@
     if (ack->fresh) {
       link_.OnAnswer();
       fresh_until_ = now + kFreshnessPeriod;
+      if (link_.connected()) {
+        confirmed_replica_ = link_.current();
+      }
     } else {
       link_.OnStaleAnswer();
+      confirmed_replica_.clear();
     }
   } else if (const auto* update = std::get_if<PlanUpdate>(&message)) {
     if (update->plan.version > plans_.held()) {
@@ -181,6 +187,7 @@
   if (link_.Tick(now)) {
     out_.drop = previous;
     plans_.OnDisconnected();
+    confirmed_replica_.clear();
   }
 }
 
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -25,8 +25,6 @@
 // Longest wait for the reply to an operator's command or query.
 constexpr Duration kCommandTimeout = std::chrono::seconds(5);
 constexpr int kApiThreads = 16;
-constexpr std::int64_t kMaxApiBodyBytes = 1 << 20;
-constexpr int kTemporaryRedirect = 307;
 // Set in the tickets of cell calls to tell them from operator API tickets.
 constexpr std::uint64_t kCellTicketBit = 1ULL << 62U;
 
@@ -114,7 +112,7 @@
   snapshot_thread_ = std::thread([this] { RunSnapshots(); });
   core_thread_ = std::thread([this] { RunCore(); });
   return server_.Start(
-      settings_.api, {kApiThreads, kMaxApiBodyBytes},
+      settings_.api, {kApiThreads, kMaxOperatorBodyBytes},
       [this](const HttpCall& call) { return Serve(call); }, reason);
 }
 
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -34,8 +34,6 @@
 // Time-out of the query for the current plan version.
 constexpr Duration kPlanVersionTimeout = Millis(900);
 constexpr int kReadyThreads = 4;
-constexpr std::int64_t kMaxOperatorBodyBytes = 8 << 20;
-constexpr int kTemporaryRedirect = 307;
 
 }  // namespace
 
@@ -173,10 +171,9 @@
 HttpReply GatewayProcess::ServeOperators(const HttpCall& call) {
   const Time start = MonotonicClock::now();
   if (apis_.carries_document && apis_.carries_document(call)) {
-    if (auto reply = RedirectToReplica(call)) {
-      LogOperatorCall(call, *reply, start);
-      return *std::move(reply);
-    }
+    HttpReply reply = RedirectToReplica(call);
+    LogOperatorCall(call, reply, start);
+    return reply;
   }
   if (apis_.operators) {
     if (auto reply = apis_.operators(call, MakeCellCallFunction())) {
@@ -187,15 +184,14 @@
   return ErrorReply(ErrorKind::kNotFound, "no such thing: " + call.path);
 }
 
-std::optional<HttpReply> GatewayProcess::RedirectToReplica(
-    const HttpCall& call) const {
-  if (!is_fresh_) {
-    return std::nullopt;
+HttpReply GatewayProcess::RedirectToReplica(const HttpCall& call) const {
+  const std::lock_guard lock(shared_mutex_);
+  if (!is_fresh_ || replica_.empty()) {
+    return ErrorReply(ErrorKind::kNoQuorum, "no current replica is reachable");
   }
   const std::string_view control_address = settings_.control_address;
   HttpReply reply;
   reply.status = kTemporaryRedirect;
-  const std::lock_guard lock(shared_mutex_);
   // All replicas serve operators at the port of this process.
   reply.fields.push_back(
       {"Location",
@@ -262,8 +258,8 @@
 void GatewayProcess::ShareReplica(bool is_fresh) {
   {
     const std::lock_guard lock(shared_mutex_);
-    if (replica_ != client_.link().current()) {
-      replica_ = client_.link().current();
+    if (replica_ != client_.confirmed_replica()) {
+      replica_ = client_.confirmed_replica();
     }
   }
   is_fresh_ = is_fresh;
@@ -294,9 +290,16 @@
       client_.OnDown(now, event.sender.id);
       return;
     }
-    case PeerEvent::Kind::kMessage:
-      client_.Receive(now, event.message);
+    case PeerEvent::Kind::kMessage: {
+      // Answers to calls count whichever replica they are from; what else a
+      // former replica has sent is about that one.
+      const bool is_current = client_.link().connected() &&
+                              event.sender.id == client_.link().current();
+      if (is_current || std::holds_alternative<CommandReply>(event.message)) {
+        client_.Receive(now, event.message);
+      }
       return;
+    }
   }
 }
 
