Tests: known red: records whose sync failed, relied on by the next start

Cause: after a sync that failed, Linux takes the record for written: it can be read, and no later sync writes it. The truncation before the end of the process can fail or be cut short by a kill; the next start then syncs the segment, which does nothing, relies on the record and goes on behind it. The next loss of power takes the record and leaves a gap. The same happens if the sync of a start fails and the start after it succeeds.

Tests: the short story (the truncation done, refused, and cut short by a kill), a start that can't sync, and the script of all operations with faults of different steps that may meet, and with faults of starts.

--- a/tests/unit/power_loss_test.cc
+++ b/tests/unit/power_loss_test.cc
@@ -234,6 +234,98 @@
   CheckEntries(log, {EntryOf(1)});
 }
 
+// What becomes of a record whose sync has failed before its process ends.
+enum class AfterFailedSync : std::uint8_t {
+  kTruncated,
+  kTruncationRefused,
+  kKilledBeforeTruncation,
+};
+
+// Plays a sync that fails, the end of the process, the next start, which goes
+// on with another record, and losses of power at each operation from the start
+// on.
+void PlayFailedSync(AfterFailedSync fate) {
+  const std::string folder = NewFolderPath();
+  DiskJournal journal(folder);
+  {
+    RaftStorage storage;
+    static_cast<void>(OpenOrFail(storage, folder));
+    WriteOrFail(storage, BatchOf({EntryOf(1)}));
+    journal.Refuse(DiskCall::kSync, EIO, "log-");
+    if (fate == AfterFailedSync::kTruncationRefused) {
+      journal.Refuse(DiskCall::kTruncate, EIO, "log-");
+    } else if (fate == AfterFailedSync::kKilledBeforeTruncation) {
+      // The record is written, its sync fails.
+      journal.KillAfter(2);
+    }
+    Reason reason;
+    CPPUNIT_ASSERT(!WriteBatch(storage, BatchOf({EntryOf(2, 3000)}), reason));
+    CPPUNIT_ASSERT(reason.kind == ErrorKind::kDiskFailed);
+    CPPUNIT_ASSERT_EQUAL(fate == AfterFailedSync::kKilledBeforeTruncation,
+                         journal.is_killed());
+  }
+  journal.RefuseNothing();
+  journal.Restart();
+  const std::size_t start = journal.size();
+  RaftStorage storage;
+  std::vector<LogEntry> entries = OpenOrFail(storage, folder).entries;
+  const std::size_t opened = journal.size();
+  CheckEntries(RestoreAfterLoss(journal, opened, kAllGone), entries);
+  const std::vector<LogEntry> returned = entries;
+  entries.push_back(EntryOf(entries.size() + 1, 700));
+  WriteOrFail(storage, BatchOf({entries.back()}));
+  CheckEntries(RestoreAfterLoss(journal, journal.size(), kAllGone), entries);
+  constexpr std::uint64_t kLosses = 40;
+  for (std::size_t at = start; at <= journal.size(); ++at) {
+    for (std::uint64_t seed = 1; seed <= kLosses; ++seed) {
+      const RestoredLog log = RestoreAfterLoss(journal, at, {seed});
+      const std::string where = "operation " + std::to_string(at) + ", loss " +
+                                std::to_string(seed) + ": " + Text(log);
+      CPPUNIT_ASSERT_MESSAGE(where, !log.entries.empty());
+      CPPUNIT_ASSERT_MESSAGE(where, log.entries.front() == EntryOf(1));
+      if (at == journal.size()) {
+        CPPUNIT_ASSERT_MESSAGE(where, log.entries == entries);
+      } else if (at >= opened) {
+        CPPUNIT_ASSERT_MESSAGE(
+            where, log.entries == returned || log.entries == entries);
+      }
+    }
+  }
+}
+
+// Guards against a log with a gap: a start relies on a record that is in the
+// cache of the disk alone, goes on behind it, and a loss of power takes it.
+void KeepsRecordsAfterFailedSync() {
+  PlayFailedSync(AfterFailedSync::kTruncated);
+  PlayFailedSync(AfterFailedSync::kTruncationRefused);
+  PlayFailedSync(AfterFailedSync::kKilledBeforeTruncation);
+}
+
+// Guards against a start that relies on a record since its sync succeeds, after
+// that of the start before it has failed.
+void KeepsRecordAfterFailedSyncOfStart() {
+  const std::string folder = NewFolderPath();
+  DiskJournal journal(folder);
+  {
+    RaftStorage storage;
+    static_cast<void>(OpenOrFail(storage, folder));
+    WriteOrFail(storage, BatchOf({EntryOf(1)}));
+    // The record is written, the process killed before its sync.
+    journal.KillAfter(1);
+    Reason reason;
+    CPPUNIT_ASSERT(!WriteBatch(storage, BatchOf({EntryOf(2, 3000)}), reason));
+  }
+  journal.Restart();
+  journal.Refuse(DiskCall::kSync, EIO);
+  Reason reason;
+  CPPUNIT_ASSERT(!RaftStorage().Open(folder, reason));
+  CPPUNIT_ASSERT(reason.kind == ErrorKind::kDiskFailed);
+  const RestoredLog log = RestoreOrFail(folder);
+  CheckEntries(log, {EntryOf(1), EntryOf(2, 3000)});
+  CheckEntries(RestoreAfterLoss(journal, journal.size(), kAllGone),
+               log.entries);
+}
+
 // Guards against a removed segment that comes back, without the later one that
 // truncated its entries, and that makes acknowledged entries disappear.
 void IgnoresRemovedSegmentsThatComeBack() {
@@ -506,12 +598,20 @@
   return states;
 }
 
+// Whether faults of different steps of a script may meet, and faults meet
+// starts.
+enum class Faults : std::uint8_t { kOneAtATime, kCoinciding };
+
 // Plays a storage under a seeded script, on a disk that refuses calls and with
 // kills of the process, and then loses power at each of its operations.
 class StoragePlay {
  public:
-  explicit StoragePlay(std::uint64_t seed)
-      : seed_(seed), random_(seed), journal_(folder_) {}
+  StoragePlay(std::uint64_t seed, Faults faults)
+      : seed_(seed),
+        faults_(faults),
+        random_(seed),
+        start_random_(~seed),
+        journal_(folder_) {}
 
   void Run(int steps) {
     Expect(0, {Expected{}});
@@ -620,6 +720,9 @@
       static_cast<void>(RaftStorage().Open(folder_, ignored));
       journal_.Restart();
     }
+    if (faults_ == Faults::kCoinciding) {
+      StartWithFault();
+    }
     const std::string where = "seed " + std::to_string(seed_) +
                               ", restart after operation " +
                               std::to_string(journal_.size()) + ": ";
@@ -638,11 +741,31 @@
     Expect(journal_.size(), {state_});
   }
 
-  void Step() {
-    // One fault at a time: a record whose sync fails can't be cut off if the
-    // truncation is refused as well, or if the process is killed before it.
-    journal_.Restart();
+  // Starts the storage on a disk that may refuse a call, and ends it.
+  void StartWithFault() {
+    constexpr DiskCall kCalls[] = {DiskCall::kCreate,   DiskCall::kWrite,
+                                   DiskCall::kTruncate, DiskCall::kRename,
+                                   DiskCall::kSync,     DiskCall::kSyncFolder};
+    const DiskCall call = kCalls[start_random_.NextBelow(std::size(kCalls))];
+    const bool is_sync =
+        call == DiskCall::kSync || call == DiskCall::kSyncFolder;
+    journal_.Refuse(call, is_sync ? EIO : ENOSPC, "",
+                    start_random_.NextBelow(2), !is_sync);
+    Reason reason;
+    if (!RaftStorage().Open(folder_, reason)) {
+      CPPUNIT_ASSERT_MESSAGE(ToString(reason),
+                             reason.kind != ErrorKind::kCorruptLog);
+    }
     journal_.RefuseNothing();
+  }
+
+  void Step() {
+    // A record whose sync fails can't be cut off if the truncation is refused
+    // as well, or if the process is killed before it.
+    if (faults_ == Faults::kOneAtATime) {
+      journal_.Restart();
+      journal_.RefuseNothing();
+    }
     const std::uint64_t draw = random_.NextBelow(100);
     if (draw < 8) {
       journal_.KillAfter(random_.NextBelow(7));
@@ -739,7 +862,7 @@
         return;
       }
       if (reason.kind != ErrorKind::kDiskFull) {
-        has_failed_sync_ = true;
+        has_failed_sync_ = faults_ == Faults::kOneAtATime;
         Reopen();
         return;
       }
@@ -788,7 +911,10 @@
   static constexpr std::uint64_t kFirst = 1;
 
   std::uint64_t seed_;
+  Faults faults_;
   Random random_;
+  // Draws of its own, so that the steps of a seed are the same for all faults.
+  Random start_random_;
   std::string folder_ = NewFolderPath();
   DiskJournal journal_;
   std::unique_ptr<RaftStorage> storage_;
@@ -809,24 +935,40 @@
   return value != nullptr ? std::strtoull(value, nullptr, 10) : otherwise;
 }
 
-// Guards against faults of the storage that need a series of events. Plays
-// BANYAN_WORLD_SEEDS seeds, of which BANYAN_WORLD_FIRST is the first.
-void KeepsWhatWasReliedOn() {
-  constexpr std::uint64_t kPlays = 12;
+void PlayStorage(std::uint64_t seed, Faults faults) {
   constexpr int kSteps = 40;
   constexpr std::size_t kLossesPerPlay = 60;
+  StoragePlay play(seed, faults);
+  play.Run(kSteps);
+  Random random(seed);
+  for (std::size_t i = 0; i < kLossesPerPlay; ++i) {
+    play.LosePower(random.NextBelow(play.operations() + 1), random.Next());
+  }
+}
+
+// Plays BANYAN_WORLD_SEEDS seeds, of which BANYAN_WORLD_FIRST is the first.
+void PlayStorages(Faults faults) {
+  constexpr std::uint64_t kPlays = 12;
   const std::uint64_t first = FromEnvironment("BANYAN_WORLD_FIRST", 1);
   const std::uint64_t plays = FromEnvironment("BANYAN_WORLD_SEEDS", kPlays);
   for (std::uint64_t seed = first; seed < first + plays; ++seed) {
-    StoragePlay play(seed);
-    play.Run(kSteps);
-    Random random(seed);
-    for (std::size_t i = 0; i < kLossesPerPlay; ++i) {
-      play.LosePower(random.NextBelow(play.operations() + 1), random.Next());
-    }
+    PlayStorage(seed, faults);
   }
 }
 
+// Guards against faults of the storage that need a series of events.
+void KeepsWhatWasReliedOn() {
+  PlayStorages(Faults::kOneAtATime);
+}
+
+// Guards against faults that need several faults of the disk and the process at
+// once: seed 253 kills a process between a failed sync and the truncation.
+void KeepsWhatWasReliedOnUnderCoincidingFaults() {
+  constexpr std::uint64_t kKilledAfterFailedSync = 253;
+  PlayStorage(kKilledAfterFailedSync, Faults::kCoinciding);
+  PlayStorages(Faults::kCoinciding);
+}
+
 }  // namespace
 
 Section PowerLossStory() {
@@ -846,6 +988,10 @@
                       RestoresAfterPartialRecordWasCutOff)
                 .Then("leave no record whose sync failed",
                       DropsRecordWhoseSyncFailed)
+                .Then("keep the records that follow one whose sync failed",
+                      KeepsRecordsAfterFailedSync)
+                .Then("keep a record that a start could not sync",
+                      KeepsRecordAfterFailedSyncOfStart)
                 .Then("never take an unreadable file for an empty one",
                       RefusesFilesThatCannotBeRead))
       .With(Section("while files are removed or renamed")
@@ -857,7 +1003,9 @@
                       ContinuesSegmentOfEarlierVersion))
       .With(Section("at each operation of a storage")
                 .Then("keep what was acknowledged or returned",
-                      KeepsWhatWasReliedOn));
+                      KeepsWhatWasReliedOn)
+                .Then("keep it when faults coincide",
+                      KeepsWhatWasReliedOnUnderCoincidingFaults));
   return section;
 }
 
