Consensus: a start writes the last segment anew before it relies on it

In the tests, a replica forgets votes and entries that it has confirmed, or refuses its log, after a failed sync, a restart and a loss of power.

Cause: Open() took a sync of the segment for a proof that what it had read is on disk. After a sync that failed, Linux takes the pages for written, and a later sync of the same bytes writes nothing. The truncation before the end of the process can't be relied on: a kill or a refusal leaves the record. The same holds for a sync that fails in Open() itself. Class: durability that is inferred from a sync which had nothing to write.

Change: Open() copies the last segment into `segment.new`, syncs it, reads the records from the copy, cuts off a torn end and syncs the cut, renames the copy and syncs the folder. Reading the copy matters: clean pages that were never written may be dropped from the cache between two reads. If there is no room, the bytes are written in place, so that a full disk keeps no replica from its start. Only the last segment can hold such a record: each earlier one ended with a sync that succeeded, or was written anew by a start.

New: a start on a full disk.

One more sync, and the room of the last segment until the rename.

--- a/include/banyan/consensus/raft_storage.h
+++ b/include/banyan/consensus/raft_storage.h
@@ -20,6 +20,7 @@
 //   snapshot         the latest snapshot, replaced atomically by a rename
 //   log-00000001 ... log segments, deleted once a snapshot covers them
 //   damaged-*        files of an earlier incarnation that could not be read
+//   *.new            what is being written, without effect before its rename
 //
 // The log is a sequence of records. Each holds the batches of one Write() in
 // CBOR and is synced before the next one is written, so that a crash or a loss
@@ -36,8 +37,9 @@
   RaftStorage& operator=(const RaftStorage&) = delete;
 
   // Opens or creates the folder and returns its contents, all of which is
-  // durable then. An incomplete last record is truncated; any other invalid
-  // record fails with kCorruptLog.
+  // durable then: the last segment, which alone can hold a record that was not
+  // synced, is written anew. An incomplete last record is truncated; any other
+  // invalid record fails with kCorruptLog.
   [[nodiscard]] std::optional<RestoredLog> Open(const std::string& folder,
                                                 Reason& reason);
 
@@ -115,8 +117,10 @@
   [[nodiscard]] bool LoadSegments(std::span<const std::string> names,
                                   RestoredLog& log,
                                   Reason& reason);
-  // Returns whether the segment could be read. `is_appendable` tells whether
-  // records may be appended to it, which segments of earlier versions refuse.
+  // Returns whether the segment could be read. The last one is written anew
+  // before it is read, which takes the time and the room of its bytes.
+  // `is_appendable` tells whether records may be appended to it, which segments
+  // of earlier versions refuse.
   [[nodiscard]] bool LoadSegment(Segment& segment,
                                  bool is_last,
                                  RestoredLog& log,
--- a/src/consensus/data_files.cc
+++ b/src/consensus/data_files.cc
@@ -33,6 +33,22 @@
   return true;
 }
 
+bool WriteAt(int fd, std::string_view bytes, std::uint64_t offset) {
+  while (!bytes.empty()) {
+    const ssize_t written =
+        ::pwrite(fd, bytes.data(), bytes.size(), static_cast<off_t>(offset));
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written < 0) {
+      return false;
+    }
+    bytes.remove_prefix(static_cast<std::size_t>(written));
+    offset += static_cast<std::uint64_t>(written);
+  }
+  return true;
+}
+
 bool ReadAt(int fd, std::span<char> bytes, std::uint64_t offset) {
   while (!bytes.empty()) {
     const ssize_t count =
--- a/src/consensus/data_files.h
+++ b/src/consensus/data_files.h
@@ -16,6 +16,8 @@
 inline constexpr std::string_view kIncarnationFile = "incarnation";
 inline constexpr std::string_view kSnapshotFile = "snapshot";
 inline constexpr std::string_view kSegmentPrefix = "log-";
+// The copy of a segment that a start makes. Its name is none of a segment.
+inline constexpr std::string_view kRewrittenSegment = "segment.new";
 // What SetAsideDamagedFiles() puts before a file's name.
 inline constexpr std::string_view kDamagedPrefix = "damaged-";
 
@@ -29,6 +31,12 @@
 // Writes all bytes. Returns false, with errno set, if some were not written.
 [[nodiscard]] bool WriteAll(int fd, std::string_view bytes);
 
+// Writes all bytes at an offset of a file. Returns false, with errno set, if
+// some were not written.
+[[nodiscard]] bool WriteAt(int fd,
+                           std::string_view bytes,
+                           std::uint64_t offset);
+
 // Fills `bytes` with those at an offset of a file. Returns false, with errno
 // set, if they can't be read or the file ends before.
 [[nodiscard]] bool ReadAt(int fd, std::span<char> bytes, std::uint64_t offset);
--- a/src/consensus/raft_storage.cc
+++ b/src/consensus/raft_storage.cc
@@ -112,6 +112,45 @@
   return std::nullopt;
 }
 
+// Writes the first bytes of one file to the same place in another one, or in
+// the same one. Returns false, with errno set, if that fails.
+bool CopyBytes(int from, int to, std::uint64_t size) {
+  constexpr std::uint64_t kChunkBytes = std::uint64_t{256} << 10U;
+  std::string chunk;
+  for (std::uint64_t at = 0; at < size; at += chunk.size()) {
+    chunk.resize(static_cast<std::size_t>(std::min(kChunkBytes, size - at)));
+    if (!ReadAt(from, chunk, at) || !WriteAt(to, chunk, at)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Writes a segment into a new file and syncs it. Returns its descriptor, or -1
+// with errno set if that fails.
+//
+// That a record can be read doesn't tell that it is on disk: after a sync that
+// failed, no later one writes it. So a start writes what it relies on.
+int CopySegment(int from, std::uint64_t size, const std::string& path) {
+  const int copy =
+      ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
+  if (copy < 0 || (CopyBytes(from, copy, size) && ::fsync(copy) == 0)) {
+    return copy;
+  }
+  const int error = errno;
+  ::close(copy);
+  ::unlink(path.c_str());
+  errno = error;
+  return -1;
+}
+
+// Does the same without a new file, as a full disk must not keep a replica from
+// its start: bytes that replace the same bytes take no room, and a loss of
+// power can't change them. Returns false, with errno set, if that fails.
+bool RewriteInPlace(int fd, std::uint64_t size) {
+  return CopyBytes(fd, fd, size) && ::fsync(fd) == 0;
+}
+
 // Returns an error of contents that are as they were written, but not by this
 // version.
 Reason UnknownFormatError(const std::string& path,
@@ -280,6 +319,7 @@
   bool is_appendable = false;
   for (std::size_t i = 0; i < segments_.size(); ++i) {
     if (!LoadSegment(segments_[i], i + 1 >= last, log, is_appendable, reason)) {
+      ::unlink(PathOf(kRewrittenSegment).c_str());
       return false;
     }
   }
@@ -293,7 +333,8 @@
   if (log_fd_ < 0) {
     return false;
   }
-  if (!is_appendable && !SyncFolder(folder_)) {
+  // Makes the names of rewritten and new segments durable, and all others.
+  if (!SyncFolder(folder_)) {
     reason = DiskFailedError("can't sync " + folder_);
     return false;
   }
@@ -319,45 +360,53 @@
                               Reason& reason) {
   const std::string path = SegmentPath(segment.number);
   const ScopedFd file(::open(path.c_str(), O_RDWR | O_CLOEXEC));
-  const off_t size = file.get() < 0 ? -1 : ::lseek(file.get(), 0, SEEK_END);
-  std::string start(
-      std::min(kSegmentMagic.size(),
-               static_cast<std::size_t>(std::max<off_t>(size, 0))),
-      '\0');
-  if (size < 0 || !ReadAt(file.get(), start, 0)) {
+  const off_t end = file.get() < 0 ? -1 : ::lseek(file.get(), 0, SEEK_END);
+  if (end < 0) {
+    reason = DiskFailedError("can't read " + path);
+    return false;
+  }
+  const auto size = static_cast<std::uint64_t>(end);
+  restored_bytes_ += size;
+  // What is relied on is read from what this start has written and synced.
+  const std::string copied_path = PathOf(kRewrittenSegment);
+  const ScopedFd copy(is_last ? CopySegment(file.get(), size, copied_path)
+                              : -1);
+  const bool has_copy = copy.get() >= 0;
+  if (is_last && !has_copy &&
+      (errno == EIO || !RewriteInPlace(file.get(), size))) {
+    reason = DiskFailedError("can't rewrite " + path);
+    return false;
+  }
+  LoadedSegment loaded{path, has_copy ? copy.get() : file.get(), segment, size,
+                       0};
+  std::string start(std::min<std::uint64_t>(kSegmentMagic.size(), size), '\0');
+  if (!ReadAt(loaded.fd, start, 0)) {
     reason = DiskFailedError("can't read " + path);
     return false;
   }
-  restored_bytes_ += static_cast<std::uint64_t>(size);
-  LoadedSegment loaded{path, file.get(), segment,
-                       static_cast<std::uint64_t>(size), 0};
   is_appendable = !IsOldSegment(start);
   if (is_appendable) {
-    if (!LoadRecords(SectorReader(file.get(), loaded.size), loaded, is_last,
-                     log, reason)) {
+    if (!LoadRecords(SectorReader(loaded.fd, size), loaded, is_last, log,
+                     reason)) {
       return false;
     }
   } else {
-    const auto bytes = ReadWholeFile(path, reason);
+    const auto bytes = ReadWholeFile(has_copy ? copied_path : path, reason);
     if (!bytes ||
         !LoadRecords(WholeRecordReader(*bytes), loaded, is_last, log, reason)) {
       return false;
     }
   }
-  if (!is_last) {
-    return true;
-  }
-  if (loaded.end < loaded.size) {
-    truncated_bytes_ += loaded.size - loaded.end;
-    if (::ftruncate(file.get(), static_cast<off_t>(loaded.end)) != 0) {
+  if (loaded.end < size && is_last) {
+    truncated_bytes_ += size - loaded.end;
+    if (::ftruncate(loaded.fd, static_cast<off_t>(loaded.end)) != 0 ||
+        ::fsync(loaded.fd) != 0) {
       reason = DiskFailedError("can't cut the torn end of " + path);
       return false;
     }
   }
-  // A process that was killed may not have synced its last record, on which
-  // the cell relies from now on.
-  if (::fsync(file.get()) != 0) {
-    reason = DiskFailedError("can't sync " + path);
+  if (has_copy && std::rename(copied_path.c_str(), path.c_str()) != 0) {
+    reason = DiskFailedError("can't replace " + path);
     return false;
   }
   return true;
--- a/tests/unit/power_loss_test.cc
+++ b/tests/unit/power_loss_test.cc
@@ -326,6 +326,45 @@
                log.entries);
 }
 
+// Guards against a replica that can't start on a full disk, or that loses what
+// it has read when it does.
+void StartsOnFullDisk() {
+  for (const DiskCall call : {DiskCall::kCreate, DiskCall::kWrite}) {
+    const std::string folder = NewFolderPath();
+    DiskJournal journal(folder);
+    {
+      RaftStorage storage;
+      static_cast<void>(OpenOrFail(storage, folder));
+      WriteOrFail(storage, BatchOf({EntryOf(1)}));
+      WriteOrFail(storage, BatchOf({EntryOf(2, 3000)}));
+      // The sync fails, and the process is killed before the truncation.
+      journal.Refuse(DiskCall::kSync, EIO, "log-");
+      journal.KillAfter(2);
+      Reason reason;
+      CPPUNIT_ASSERT(!WriteBatch(storage, BatchOf({EntryOf(3, 3000)}), reason));
+    }
+    journal.RefuseNothing();
+    journal.Restart();
+    const std::size_t start = journal.size();
+    journal.Refuse(call, ENOSPC, ".new", 0, true);
+    const RestoredLog log = RestoreOrFail(folder);
+    const std::vector<LogEntry> all = {EntryOf(1), EntryOf(2, 3000),
+                                       EntryOf(3, 3000)};
+    CheckEntries(log, all);
+    CheckEntries(RestoreAfterLoss(journal, journal.size(), kAllGone), all);
+    constexpr std::uint64_t kLosses = 60;
+    for (std::size_t at = start; at <= journal.size(); ++at) {
+      for (std::uint64_t seed = 1; seed <= kLosses; ++seed) {
+        const RestoredLog left = RestoreAfterLoss(journal, at, {seed});
+        const bool has_all = at == journal.size() || left.entries.size() == 3;
+        CheckEntries(left, has_all ? all
+                                   : std::vector<LogEntry>{EntryOf(1),
+                                                           EntryOf(2, 3000)});
+      }
+    }
+  }
+}
+
 // Guards against a removed segment that comes back, without the later one that
 // truncated its entries, and that makes acknowledged entries disappear.
 void IgnoresRemovedSegmentsThatComeBack() {
@@ -992,6 +1031,8 @@
                       KeepsRecordsAfterFailedSync)
                 .Then("keep a record that a start could not sync",
                       KeepsRecordAfterFailedSyncOfStart)
+                .Then("keep all that a start on a full disk has read",
+                      StartsOnFullDisk)
                 .Then("never take an unreadable file for an empty one",
                       RefusesFilesThatCannotBeRead))
       .With(Section("while files are removed or renamed")
