Soak: thin links, large configurations, relays

Change: a link of 2 Mbit/s and 1 ms in front of each entry and relay (thin_link.h), which all connections of a process share; a preloaded connect() sends those to replicas' peer ports through it. Rounds of faults alternate with calm ones (no fault within 5 s, no replica that counts as lost): then each entry has to serve a route of each acknowledged version, or a newer one, within config-ms, 3 s. The final fault follows a change of 1,800 routes; within 15 s of the last replica's return every entry has to serve it and every replica and relay to show it. Rules that were there hold.

--- a/tests/soak/platform_cluster.cc
+++ b/tests/soak/platform_cluster.cc
@@ -30,8 +30,16 @@
 constexpr int kControlPort = 26002;
 constexpr int kPeerPort = 26003;
 constexpr int kWorkerPort = 26004;
+// Where the link of machine 0 begins, at the address of each replica.
+constexpr int kFirstLinkPort = 26100;
+constexpr std::int64_t kThinLinkBytesPerS = 250'000;
+constexpr Duration kThinLinkDelay = Millis(1);
 constexpr Duration kCallTimeout = Millis(3000);
+constexpr Duration kProbeTimeout = Millis(1000);
 constexpr Duration kOperatorTimeout = Millis(1000);
+// Operators give a large document longer.
+constexpr Duration kLargeOperatorTimeout = Millis(2000);
+constexpr std::size_t kLargeDocumentBytes = 65536;
 constexpr Duration kRestartDelay = Millis(500);
 // A throttled replica is stopped for the first part of each period.
 constexpr Duration kThrottlePeriod = Millis(100);
@@ -50,6 +58,23 @@
          std::to_string(machine + 1);
 }
 
+// Returns the name of the route of a version; of a time before the first, one
+// that is as unique.
+std::string MarkerOf(std::int64_t version) {
+  return (version < 0 ? "before-" : "version-") +
+         std::to_string(std::abs(version));
+}
+
+// Draws eight hexadecimal digits.
+std::string Digits(Random& random) {
+  constexpr std::uint64_t kDigits = 8;
+  std::string digits;
+  while (digits.size() < kDigits) {
+    digits += "0123456789abcdef"[random.NextBelow(16)];
+  }
+  return digits;
+}
+
 // Makes a call as a caller of queues or an operator would.
 HttpReply Call(const std::string& address,
                const std::string& method,
@@ -74,6 +99,14 @@
   return shape;
 }
 
+PlatformShape ThinLinkShape() {
+  PlatformShape shape = FiveReplicaShape();
+  shape.relays = 1;
+  shape.entries = 3;
+  shape.link = {kThinLinkBytesPerS, kThinLinkDelay};
+  return shape;
+}
+
 std::string PlanDocument(std::int64_t version, int routes) {
   json queue = {{"name", "jobs"},         {"host", kHost},
                 {"path-prefix", kPrefix}, {"kind", "unsafe"},
@@ -82,8 +115,17 @@
                 {"max-attempts", 4},      {"stretch", 2.0}};
   json all = json::array({queue});
   for (int i = 0; i < routes; ++i) {
-    queue["name"] = "other-" + std::to_string(i);
-    queue["path-prefix"] = "/other-" + std::to_string(i) + "/";
+    if (i < kMarkedVersions) {
+      const std::string marker = MarkerOf(version - i);
+      queue["name"] = marker;
+      queue["path-prefix"] = "/" + marker + "/";
+    } else {
+      // Like the names of users, these hardly compress.
+      Random random(static_cast<std::uint64_t>(i));
+      queue["name"] = "queue-" + Digits(random);
+      queue["host"] = Digits(random) + "." + kHost;
+      queue["path-prefix"] = "/" + Digits(random) + "/";
+    }
     all.push_back(queue);
   }
   const json service = {{"name", kService},  {"health-path", "/health"},
@@ -127,12 +169,22 @@
     processes_.at("control-" + std::to_string(i)).data_folder = data_folder;
     ++machine;
   }
+  for (int i = 0; i < shape_.relays; ++i) {
+    const std::string name = "relay-" + std::to_string(i);
+    controls_.push_back(At(IpOf(machine), kControlPort));
+    AddProcess("relay", i, IpOf(machine),
+               "control: \"" + controls_.back() + "\"\n");
+    processes_.at(name).role = "control";
+    AddThinLink(name, machine);
+    ++machine;
+  }
   for (int i = 0; i < shape_.entries; ++i) {
     fronts_.push_back(At(IpOf(machine), kFrontPort));
     readies_.push_back(At(IpOf(machine), kReadyPort));
     AddProcess("entry", i, IpOf(machine),
                "front: \"" + fronts_.back() + "\"\nready: \"" +
                    readies_.back() + "\"\n");
+    AddThinLink("entry-" + std::to_string(i), machine);
     ++machine;
   }
   for (int i = 0; i < shape_.workers; ++i) {
@@ -185,6 +237,19 @@
   process.settings_path = path;
 }
 
+void PlatformCluster::AddThinLink(const std::string& name, int machine) {
+  if (shape_.link.bytes_per_s == 0) {
+    return;
+  }
+  std::vector<std::string> replica_ips;
+  replica_ips.reserve(static_cast<std::size_t>(shape_.replicas));
+  for (int i = 0; i < shape_.replicas; ++i) {
+    replica_ips.push_back(IpOf(i));
+  }
+  processes_.at(name).link = std::make_unique<ThinLink>(
+      replica_ips, kPeerPort, kFirstLinkPort + machine, shape_.link);
+}
+
 void PlatformCluster::StartOne(const std::string& name) {
   const std::lock_guard lock(mutex_);
   Process& process = processes_.at(name);
@@ -193,14 +258,15 @@
   }
   process.is_frozen = false;
   process.is_throttled = false;
-  const bool is_lossy =
-      !process.data_folder.empty() && shape_.sync_time > Duration(0);
-  process.pid = Spawn(
-      {binaries_ + "/banyanchute", process.role, "--settings",
-       process.settings_path},
-      folder_ + "/" + name + ".log",
-      is_lossy ? LossyDiskEnvironment(process.data_folder, shape_.sync_time)
-               : std::map<std::string, std::string>());
+  std::map<std::string, std::string> environment;
+  if (process.link) {
+    environment = process.link->Environment();
+  } else if (!process.data_folder.empty() && shape_.sync_time > Duration(0)) {
+    environment = LossyDiskEnvironment(process.data_folder, shape_.sync_time);
+  }
+  process.pid = Spawn({binaries_ + "/banyanchute", process.role, "--settings",
+                       process.settings_path},
+                      folder_ + "/" + name + ".log", environment);
 }
 
 void PlatformCluster::Kill(const std::string& name) {
@@ -362,11 +428,20 @@
               kPrefix + id, body, kCallTimeout);
 }
 
-HttpReply PlatformCluster::CallConfig(int replica,
+HttpReply PlatformCluster::CallConfig(int instance,
                                       const std::string& method,
                                       const std::string& body) const {
-  return Call(controls_[static_cast<std::size_t>(replica) % controls_.size()],
-              method, "/config", body, kOperatorTimeout);
+  return Call(controls_[static_cast<std::size_t>(instance) % controls_.size()],
+              method, "/config", body,
+              body.size() > kLargeDocumentBytes ? kLargeOperatorTimeout
+                                                : kOperatorTimeout);
+}
+
+bool PlatformCluster::ServesVersion(int entry, std::int64_t version) const {
+  constexpr int kOk = 200;
+  return Call(fronts_[static_cast<std::size_t>(entry)], "GET",
+              "/" + MarkerOf(version) + "/", "", kProbeTimeout)
+             .status == kOk;
 }
 
 }  // namespace banyan
--- a/tests/soak/platform_cluster.h
+++ b/tests/soak/platform_cluster.h
@@ -17,6 +17,7 @@
 #include "banyan/net/http.h"
 #include "tests/soak/platform_worker.h"
 #include "tests/soak/run_history.h"
+#include "tests/soak/thin_link.h"
 
 namespace banyan {
 
@@ -29,8 +30,12 @@
   // the next ones may be.
   int losses_required = 1;
   Duration catch_up = std::chrono::seconds(4);
+  // Instances of control without a disk, which lead operators to the cell.
+  int relays = 0;
   int entries = 2;
   int workers = 6;
+  // The link of each relay and entry to the cell.
+  LinkQuality link;
   // How long a sync of a replica takes, on a disk that loses what was not
   // synced with its power; 0 for the disk of this machine.
   Duration sync_time{0};
@@ -41,7 +46,15 @@
 // Returns the shape of a cell of five replicas that bears two losses.
 [[nodiscard]] PlatformShape FiveReplicaShape();
 
-// Returns a configuration with so many routes beside the one of the jobs.
+// Returns the shape of a cell of five replicas with a relay, and with links of
+// 2 Mbit/s to relays and entries.
+[[nodiscard]] PlatformShape ThinLinkShape();
+
+// So many versions of the configuration have a route of each version.
+inline constexpr std::int64_t kMarkedVersions = 64;
+
+// Returns a configuration with so many routes beside the one of the jobs. The
+// first of them are the routes of this version and of those before it.
 [[nodiscard]] std::string PlanDocument(std::int64_t version, int routes);
 
 // The processes of the deploy file on loopback, each machine at an address of
@@ -89,10 +102,14 @@
                                     const std::string& method,
                                     const std::string& id,
                                     const std::string& body = "") const;
-  // Makes a call on the configuration at a replica; status 0 without an answer.
-  [[nodiscard]] HttpReply CallConfig(int replica,
+  // Makes a call on the configuration at a replica or, after these, a relay,
+  // and follows its redirection; status 0 without an answer.
+  [[nodiscard]] HttpReply CallConfig(int instance,
                                      const std::string& method,
                                      const std::string& body = "") const;
+  // Returns whether an entry serves the route of a version, which it also does
+  // if it holds one of the next kMarkedVersions - 1.
+  [[nodiscard]] bool ServesVersion(int entry, std::int64_t version) const;
 
   [[nodiscard]] std::vector<std::unique_ptr<PlatformWorker>>& workers() {
     return workers_;
@@ -110,12 +127,15 @@
     std::string data_folder;
     bool is_throttled = false;
     std::optional<Time> restart_at;
+    // Null at the speed of loopback.
+    std::unique_ptr<ThinLink> link;
   };
 
   void AddProcess(const std::string& role,
                   int index,
                   const std::string& ip,
                   const std::string& settings);
+  void AddThinLink(const std::string& name, int machine);
   [[nodiscard]] bool InstallPlan(Time deadline) const;
   void RunThrottle();
 
@@ -127,6 +147,7 @@
   // not signal an id that is free again.
   std::mutex mutex_;
   std::map<std::string, Process> processes_;
+  // Where operators call: the replicas, then the relays.
   std::vector<std::string> controls_;
   std::vector<std::string> fronts_;
   std::vector<std::string> readies_;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -37,6 +37,13 @@
 // timeout from its start.
 constexpr Duration kFinalOff = Millis(1000);
 constexpr Duration kFinalTimeout = std::chrono::seconds(15);
+// On thin links, faults are played for so long at a time, and no fault is near
+// when the last one is so long ago. Then changes are judged for so long.
+constexpr Duration kFaultRound = std::chrono::seconds(6);
+constexpr Duration kContact = std::chrono::seconds(5);
+constexpr Duration kCalmRound = std::chrono::seconds(4);
+// Once the last replica is back, the whole site serves within this time.
+constexpr Duration kRecoverTarget = std::chrono::seconds(15);
 // Without an acknowledged change the final fault comes all the same.
 constexpr Duration kFinalChangeTimeout = std::chrono::seconds(10);
 
@@ -137,20 +144,48 @@
     }
   }
 
+  // Lets no fault happen until none is near, and then has changes judged.
+  void PlayCalm() {
+    const Time calm_at =
+        MonotonicClock::now() + (count_ > 0 ? kContact : Duration(0));
+    while (CountLost() > 0 || MonotonicClock::now() < calm_at) {
+      Step();
+    }
+    configs_->SetCalm(true);
+    const Time end = MonotonicClock::now() + kCalmRound;
+    while (MonotonicClock::now() < end) {
+      Step();
+    }
+    configs_->SetCalm(false);
+    while (configs_->IsAnyPending()) {
+      Step();
+    }
+  }
+
   // Plays the final fault as soon as no replica counts as lost, and returns
   // when its read back is judged.
   void PlayFinal() {
     while (CountLost() > 0 || configs_->IsReadBackPending()) {
       Step();
     }
-    const std::int64_t version = configs_->acknowledged();
+    const bool has_thin_links = cluster_.shape().link.bytes_per_s > 0;
+    if (has_thin_links) {
+      configs_->UseLargest();
+    }
+    // The first change from here on may be one that was already on its way.
+    const std::int64_t version =
+        configs_->acknowledged() + (has_thin_links ? 2 : 1);
     const Time deadline = MonotonicClock::now() + kFinalChangeTimeout;
-    while (configs_->acknowledged() == version &&
+    while (configs_->acknowledged() < version &&
            MonotonicClock::now() < deadline) {
       std::this_thread::sleep_for(Millis(1));
     }
     ++count_;
     configs_->ExpectReadBack(MonotonicClock::now() + kFinalTimeout);
+    if (has_thin_links) {
+      configs_->ExpectEverywhere(MonotonicClock::now() + kFinalOff +
+                                 kRecoverTarget);
+    }
     cluster_.LosePowerOfReplicas(random_);
     // Those that have been voters without a break lose their disks.
     std::vector<std::string> names = ShuffledReplicas();
@@ -165,7 +200,8 @@
       }
       After(kFinalOff, name, [this, name] { cluster_.StartOne(name); });
     }
-    while (!later_.empty() || configs_->IsReadBackPending()) {
+    while (!later_.empty() || configs_->IsReadBackPending() ||
+           configs_->IsAnyPending()) {
       Step();
     }
   }
@@ -431,7 +467,16 @@
     configs.emplace(cluster, options.seed);
   }
   FaultPlayer player(cluster, configs ? &*configs : nullptr, options);
-  player.Play(options.span);
+  if (shape.link.bytes_per_s > 0) {
+    player.PlayCalm();
+    for (Duration left = options.span; left > Duration(0);
+         left -= kFaultRound) {
+      player.Play(std::min(left, kFaultRound));
+      player.PlayCalm();
+    }
+  } else {
+    player.Play(options.span);
+  }
   if (options.faults.lost_disks) {
     player.PlayFinal();
   }
@@ -439,6 +484,7 @@
   if (configs) {
     result.violations = configs->Stop();
     result.config_version = configs->acknowledged();
+    result.slowest_change = configs->slowest_change();
   }
   const std::set<std::string> accepted = load.accepted();
   result.faults = player.count();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -38,13 +38,17 @@
   // How long faults occur.
   Duration span = std::chrono::seconds(20);
   SoakFaults faults;
+  // With thin links, which need `lost_disks`, configurations have up to 1,800
+  // routes, and rounds of faults alternate with calm ones, in which every entry
+  // has to serve each change in time.
   PlatformShape shape;
 };
 
 struct SoakResult {
   // Broken rules, a line each: tasks that ran twice, accepted jobs that did not
   // end in time, a configuration that is not read back after a loss of power,
-  // a log that its replica refuses, a cluster that does not start.
+  // a log that its replica refuses, an entry without a configuration in force,
+  // a cluster that does not start.
   std::vector<std::string> violations;
   int faults = 0;
   int power_losses = 0;
@@ -55,6 +59,8 @@
   int refused_logs = 0;
   // The last configuration that was acknowledged.
   std::int64_t config_version = 0;
+  // How long an entry took at most, in calm time, to serve a change.
+  Duration slowest_change{0};
   std::size_t jobs = 0;
   std::size_t runs = 0;
 };
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -9,22 +9,26 @@
 namespace {
 
 constexpr int kMinWords = 6;
-constexpr int kMaxWords = 10;
+constexpr int kMaxWords = 11;
 constexpr const char* kUsage =
     "usage: banyan-soak BINARIES FOLDER FIRST-SEED COUNT SECONDS\n"
-    "       [FAULTS [REPLICAS [ENTRIES [WORKERS]]]]\n"
-    "FAULTS are all, or some of reports,workers,agents,replicas,power; disks\n"
-    "and slow are not part of all. With disks, REPLICAS are five in five data\n"
+    "       [FAULTS [REPLICAS [ENTRIES [WORKERS [RELAYS]]]]]\n"
+    "FAULTS are all, or some of reports,workers,agents,replicas,power; disks,\n"
+    "slow and thin are not part of all. With disks, REPLICAS are five in five "
+    "data\n"
     "centres: up to two at a time lose their disks, are killed or freeze, and\n"
     "two lose their disks at the end. With slow, replicas have a share of a\n"
-    "processor. For example\n"
+    "processor. With thin, which needs disks, relays and entries are behind\n"
+    "links of 2 Mbit/s. For example\n"
     "  banyan-soak build /tmp/soak 1 50 20 workers,agents,disks,slow\n";
 
+bool HasFault(const std::string& names, const std::string& name) {
+  return ("," + names + ",").find("," + name + ",") != std::string::npos;
+}
+
 banyan::SoakFaults ReadFaults(const std::string& names) {
   const auto has = [&](const char* name) {
-    return names == "all" ||
-           ("," + names + ",").find("," + std::string(name) + ",") !=
-               std::string::npos;
+    return names == "all" || HasFault(names, name);
   };
   return {.foreign_reports = has("reports"),
           .worker_restarts = has("workers"),
@@ -49,8 +53,11 @@
   if (options.faults.lost_disks) {
     options.shape = banyan::FiveReplicaShape();
   }
+  if (options.faults.lost_disks && HasFault(argv[kMinWords], "thin")) {
+    options.shape = banyan::ThinLinkShape();
+  }
   for (int* const machines : {&options.shape.replicas, &options.shape.entries,
-                              &options.shape.workers}) {
+                              &options.shape.workers, &options.shape.relays}) {
     if (argc > ++word) {
       *machines = std::atoi(argv[word]);
     }
@@ -66,7 +73,9 @@
     std::cout << "seed " << seed << ": " << result.faults << " faults, "
               << result.power_losses << " losses of power, "
               << result.lost_disks << " lost disks, " << result.config_version
-              << " configurations, " << result.refused_logs << " refused logs, "
+              << " configurations, in force after at most "
+              << banyan::ToMillis(result.slowest_change) << " ms, "
+              << result.refused_logs << " refused logs, "
               << result.ended_replicas << " ended replicas, " << result.jobs
               << " jobs, " << result.runs << " runs, "
               << result.violations.size() << " violations" << std::endl;
--- a/tests/unit/soak_test.cc
+++ b/tests/unit/soak_test.cc
@@ -74,6 +74,23 @@
   Soak("soak-disks", options);
 }
 
+// Guards against large configurations that do not get through thin links to
+// entries and relays: a link that is left while it carries one, copies that are
+// begun anew or sent twice.
+void LargeConfigurationsReachThinLinks() {
+  SoakOptions options;
+  options.seed = 5;
+  options.span = std::chrono::seconds(6);
+  options.shape = ThinLinkShape();
+  options.faults = {.foreign_reports = false,
+                    .worker_restarts = false,
+                    .agents = false,
+                    .replicas = false,
+                    .power_losses = true,
+                    .lost_disks = true};
+  Soak("soak-thin", options);
+}
+
 }  // namespace
 
 Section SoakStory() {
@@ -86,7 +103,9 @@
       .Then("restores everything acknowledged after losses of power",
             PowerLossesLoseNothingAcknowledged)
       .Then("keeps a majority of slow replicas among losses of disks",
-            LostDisksLeaveAMajority);
+            LostDisksLeaveAMajority)
+      .Then("gets large configurations through thin links in time",
+            LargeConfigurationsReachThinLinks);
   return story;
 }
 
