Consensus: name the part of the catch-up time that one member may take

`catch_up / 4` stood in RaftTimings::voter_silence() and in RaftCore::IsCaughtUp(); it is RaftTimings::member_patience() now. No change of behaviour.

--- a/include/banyan/consensus/raft_types.h
+++ b/include/banyan/consensus/raft_types.h
@@ -72,11 +72,20 @@
   // which the cell tolerates the next failure again.
   Duration catch_up = kElectionTimeoutsPerCatchUp * Millis(800);
 
+  // The part of the catch-up time that a leader waits for a single member: for
+  // a silent voter before it may be voted out, or for a learner to keep up with
+  // the log before it may vote without that. The rest is left for what comes
+  // before and after.
+  [[nodiscard]] constexpr Duration member_patience() const noexcept {
+    constexpr int kWaitsPerCatchUp = 4;
+    return catch_up / kWaitsPerCatchUp;
+  }
+
   // How long a voter must not have replied before it may be voted out: as long
-  // as a leader goes without a majority before it steps down, or a quarter of
-  // the catch-up time if that is longer.
+  // as a leader goes without a majority before it steps down, or the patience
+  // with one member if that is longer.
   [[nodiscard]] constexpr Duration voter_silence() const noexcept {
-    return std::max(election_timeout * 2, catch_up / 4);
+    return std::max(election_timeout * 2, member_patience());
   }
 };
 
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -568,7 +568,7 @@
 
 bool RaftCore::IsCaughtUp(Time now, const Progress& progress) const {
   const RaftTimings& timings = options_.timings;
-  const bool is_overdue = progress.added_at + timings.catch_up / 4 <= now;
+  const bool is_overdue = progress.added_at + timings.member_patience() <= now;
   const bool advances = progress.advanced_at + timings.voter_silence() > now;
   return progress.rounds.KeepsUp(now) || (is_overdue && advances);
 }
