--- a/tests/support/cell_world.cc
+++ b/tests/support/cell_world.cc
@@ -668,7 +668,10 @@
 void CellWorld::PlayCut(const std::string& id) {
   constexpr CutKind kKinds[] = {CutKind::kBoth, CutKind::kIncoming,
                                 CutKind::kOutgoing};
-  Cut(id, kKinds[random_.NextBelow(std::size(kKinds))], Chance(50));
+  // Drawn one after the other: the order of arguments is up to the compiler.
+  const CutKind kind = kKinds[random_.NextBelow(std::size(kKinds))];
+  const bool keeps_messages = Chance(50);
+  Cut(id, kind, keeps_messages);
   After(Between(Millis(500), seconds(8)), [this, id] { EndCut(id); });
 }
 
