Tests: known red: a candidate that hears nothing keeps the others from an election

The test shows one such replica; it fails. Two others, of candidates that hear each other and of a candidate after the next leader, hold already and must go on to hold.

--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -285,6 +285,78 @@
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, follower.term());
 }
 
+// A voter whose pre-votes cross those of another candidate.
+class CrossedCandidate {
+ public:
+  // Starts an election and then gets the other candidate's request.
+  void CrossElections() {
+    now_ += seconds(2);
+    core_.Tick(now_);
+    CPPUNIT_ASSERT(core_.role() == RaftRole::kPreCandidate);
+    VoteRequest request;
+    request.target = 2;
+    request.term = 3;
+    request.pre_vote = true;
+    request.last_index = 3;
+    request.last_term = 2;
+    core_.Receive(now_, {"c0", 1}, request);
+  }
+
+  // Gets the grant of a voter for its own pre-vote.
+  void ReceiveGrant(const Sender& voter) {
+    now_ += Millis(50);
+    core_.Receive(now_, voter, VoteReply{3, true, true});
+  }
+
+  // Hears from a leader of the same term, and no more.
+  void HearLeader() {
+    AppendRequest request;
+    request.target = 2;
+    request.term = 2;
+    request.prev_index = 3;
+    request.prev_term = 2;
+    core_.Receive(now_, {"c2", 3}, request);
+  }
+
+  [[nodiscard]] RaftRole role() const { return core_.role(); }
+
+ private:
+  Time now_ = kStart;
+  RaftCore core_ = MakeFollowerWithLog();
+};
+
+// Guards against an election that a candidate keeps from all others: its
+// requests arrive, but no reply reaches it.
+void CandidateThatHearsNothingIsFavoredOnce() {
+  CrossedCandidate voter;
+  voter.CrossElections();
+  CPPUNIT_ASSERT(voter.role() == RaftRole::kFollower);
+  voter.CrossElections();
+  voter.ReceiveGrant({"c2", 3});
+  CPPUNIT_ASSERT(voter.role() == RaftRole::kCandidate);
+}
+
+// Guards against votes that two candidates which hear each other split.
+void CandidateThatAnswersIsFavoredAgain() {
+  CrossedCandidate voter;
+  voter.CrossElections();
+  voter.ReceiveGrant({"c0", 1});
+  voter.CrossElections();
+  CPPUNIT_ASSERT(voter.role() == RaftRole::kFollower);
+  voter.ReceiveGrant({"c2", 3});
+  CPPUNIT_ASSERT(voter.role() == RaftRole::kFollower);
+}
+
+// Guards against a candidate that is ignored for what was before the latest
+// leader.
+void CandidateIsFavoredOnceMoreAfterLeader() {
+  CrossedCandidate voter;
+  voter.CrossElections();
+  voter.HearLeader();
+  voter.CrossElections();
+  CPPUNIT_ASSERT(voter.role() == RaftRole::kFollower);
+}
+
 // A leader of term 3 must not commit an entry of term 2 by counting replicas: a
 // later leader could still overwrite it.
 void EntryOfEarlierTermIsNotCommittedByCounting() {
@@ -816,7 +888,15 @@
               .Then("a request for another incarnation is ignored",
                     RequestForOtherIncarnationIsIgnored)
               .Then("a leader commits only by counting entries of its own term",
-                    EntryOfEarlierTermIsNotCommittedByCounting))
+                    EntryOfEarlierTermIsNotCommittedByCounting)
+              .Then("an election is left only once to a candidate that hears "
+                    "nothing",
+                    CandidateThatHearsNothingIsFavoredOnce)
+              .Then("an election is left again to a candidate that answers",
+                    CandidateThatAnswersIsFavoredAgain)
+              .Then("an election is left once more to a candidate after a "
+                    "leader",
+                    CandidateIsFavoredOnceMoreAfterLeader))
       .With(
           Section("failures")
               .Then("an isolated leader loses its lease before a new election",
