Consensus: leave no election to a candidate that hears nothing

Cause: a voter that asks for pre-votes itself gives its election up to a candidate of an equal log and a lower id, or of a longer log, each time that this candidate's request arrives. The former leader has the longest log and asks every 0.5 to 1 s, but gets no grant, so it ends the elections of the others without winning one.

Change: a replica remembers who left its requests for votes unanswered when it asked the time before, until it has a leader. It still grants the pre-votes of such a candidate, but neither gives way nor puts its own election off for it.

Why it works: a candidate that hears nothing answers nothing, so it costs each replica one election at most.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -185,6 +186,8 @@
   void BootstrapIfAllEmpty(Time now);
   void BecomeFollower(Time now, std::uint64_t term, const std::string& leader);
   void StartElection(Time now, bool pre_vote, bool transfer);
+  // Forgets which voters left requests for votes unanswered.
+  void ForgetSilentVoters();
   void CountVotes(Time now);
   void BecomeLeader(Time now);
   void FollowLeader(Time now, const MemberId& from, std::uint64_t term);
@@ -244,7 +247,9 @@
   void SetHardState(std::uint64_t term, const MemberId& voted_for);
   [[nodiscard]] bool IsUpToDate(const VoteRequest& request) const noexcept;
   // Leaves an election to a candidate whose pre-vote request this replica
-  // grants, so that the two don't split the votes.
+  // grants, so that the two don't split the votes. A candidate that leaves this
+  // replica's own requests unanswered may hear nothing; it keeps nobody from an
+  // election.
   void StandAside(Time now,
                   const MemberId& candidate,
                   const VoteRequest& request);
@@ -275,6 +280,11 @@
   Time next_heartbeat_;
   Time next_join_request_;
   std::map<MemberId, bool> votes_;
+  // Since this replica last had a leader: the voters that haven't answered its
+  // latest request for votes, and those that didn't answer the one before while
+  // it was the latest, nor any since.
+  std::set<MemberId> asked_;
+  std::set<MemberId> silent_;
   std::map<MemberId, Progress> progress_;
   std::deque<HeartbeatRound> rounds_;
   std::uint64_t heartbeat_round_ = 0;
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -339,10 +339,12 @@
   request.transfer = transfer;
   request.last_index = log_.last_index();
   request.last_term = log_.last_term();
+  silent_ = std::exchange(asked_, {});
   for (const MemberId& voter : log_.membership().voters) {
     if (voter == options_.self) {
       continue;
     }
+    asked_.insert(voter);
     request.target = voter.incarnation;
     if (pre_vote) {
       Send(voter, request);
@@ -353,6 +355,11 @@
   CountVotes(now);
 }
 
+void RaftCore::ForgetSilentVoters() {
+  asked_.clear();
+  silent_.clear();
+}
+
 bool RaftCore::IsUpToDate(const VoteRequest& request) const noexcept {
   if (request.last_term != log_.last_term()) {
     return request.last_term > log_.last_term();
@@ -363,8 +370,10 @@
 void RaftCore::StandAside(Time now,
                           const MemberId& candidate,
                           const VoteRequest& request) {
-  // No longer than the request for the vote should take: a candidate that hears
-  // no reply must not keep the others from an election.
+  if (silent_.contains(candidate)) {
+    return;
+  }
+  // No longer than the request for the vote should take.
   election_deadline_ =
       std::max(election_deadline_, now + options_.timings.election_timeout / 2);
   const bool has_newer_log = request.last_term != log_.last_term() ||
@@ -415,6 +424,8 @@
 }
 
 void RaftCore::Handle(Time now, const MemberId& from, const VoteReply& reply) {
+  asked_.erase(from);
+  silent_.erase(from);
   if (reply.term > hard_state_.term && !(reply.pre_vote && reply.granted)) {
     BecomeFollower(now, reply.term, "");
     return;
@@ -450,6 +461,7 @@
 }
 
 void RaftCore::BecomeLeader(Time now) {
+  ForgetSilentVoters();
   role_ = RaftRole::kLeader;
   leader_ = options_.self.id;
   is_transferring_ = false;
@@ -696,6 +708,7 @@
       leader_ != from.id) {
     BecomeFollower(now, term, from.id);
   }
+  ForgetSilentVoters();
   ResetElectionDeadline(now);
   vote_allowed_at_ = now + options_.timings.election_timeout;
 }
