Consensus: end on a failed sync of a cut, instead of trying it again

What callers saw: nothing reported. In the tests, a replica refuses its log ("bad record at byte 163") after a full disk, a failed sync and a loss of power.

Cause: a record that a full disk took in part is cut off, and the cut synced. If that sync failed, it counted as a refusal of the full disk and was tried again: the file has its size by then, so that the second sync has nothing to write and succeeds, and the next record is written over bytes that are still on disk.

Change: only the truncation is tried again; a sync of it that fails is kDiskFailed, as any other sync of the log. The process ends, and the next start writes the segment anew.

Tests: the model of a loss of power doesn't take a truncation to the size that a file has for a change, which a sync could write.

--- a/src/consensus/raft_storage.cc
+++ b/src/consensus/raft_storage.cc
@@ -584,13 +584,17 @@
   if (!has_partial_record_) {
     return true;
   }
-  // Without the sync a loss of power could leave bytes of the partial record
-  // where the next one was not written.
-  if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
-      ::fsync(log_fd_) != 0) {
+  if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0) {
     reason = DiskFullError("can't cut the log in " + folder_);
     return false;
   }
+  // Without the sync a loss of power could leave bytes of the partial record
+  // where the next one was not written. If it fails, a later one has nothing
+  // left to write; the next start writes the segment anew.
+  if (::fsync(log_fd_) != 0) {
+    reason = DiskFailedError("can't sync the cut of the log in " + folder_);
+    return false;
+  }
   has_partial_record_ = false;
   return true;
 }
@@ -626,9 +630,12 @@
   if (!WriteAll(log_fd_, bytes)) {
     reason = DiskFullError("can't write the log in " + folder_);
     has_partial_record_ = true;
-    // If the truncation fails, the next Write() retries it.
-    Reason ignored;
-    static_cast<void>(TruncatePartialRecord(ignored));
+    // If the truncation is refused, the next Write() retries it.
+    Reason refusal;
+    if (!TruncatePartialRecord(refusal) &&
+        refusal.kind == ErrorKind::kDiskFailed) {
+      reason = refusal;
+    }
     return false;
   }
   if (::fsync(log_fd_) != 0) {
--- a/tests/support/disk_journal.cc
+++ b/tests/support/disk_journal.cc
@@ -7,6 +7,7 @@
 
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -413,8 +414,10 @@
   if (IsKilledNow()) {
     return Fail(EIO);
   }
+  struct stat before {};
+  const bool is_change = ::fstat(fd, &before) != 0 || before.st_size != size;
   const int result = LibcTruncate(fd, size);
-  if (result == 0) {
+  if (result == 0 && is_change) {
     Record({Kind::kTruncate, *file.file, file.name, "",
             static_cast<std::uint64_t>(size), ""});
   }
--- a/tests/unit/power_loss_test.cc
+++ b/tests/unit/power_loss_test.cc
@@ -326,6 +326,42 @@
                log.entries);
 }
 
+// Guards against bytes of a partial record that stay on disk since the sync of
+// their truncation has failed, and a later one has nothing left to write.
+void CutsOffPartialRecordThoughSyncFails() {
+  const std::string folder = NewFolderPath();
+  DiskJournal journal(folder);
+  auto storage = std::make_unique<RaftStorage>();
+  static_cast<void>(OpenOrFail(*storage, folder));
+  WriteOrFail(*storage, BatchOf({EntryOf(1)}));
+  const std::size_t start = journal.size();
+  journal.Refuse(DiskCall::kWrite, ENOSPC, "log-", 0, true);
+  journal.Refuse(DiskCall::kSync, EIO, "log-");
+  LogEntry other = EntryOf(2, 6000);
+  std::fill(other.data.begin() + 10, other.data.end(), 'y');
+  // As a process does that ends on a failed disk, and retries on a full one.
+  Reason reason;
+  PersistBatch batch = BatchOf({EntryOf(2, 20000)});
+  while (!WriteBatch(*storage, batch, reason)) {
+    if (reason.kind == ErrorKind::kDiskFailed) {
+      storage = std::make_unique<RaftStorage>();
+      CheckEntries(OpenOrFail(*storage, folder), {EntryOf(1)});
+    }
+    batch = BatchOf({other});
+  }
+  constexpr std::uint64_t kLosses = 60;
+  for (std::size_t at = start; at <= journal.size(); ++at) {
+    for (std::uint64_t seed = 1; seed <= kLosses; ++seed) {
+      const RestoredLog log = RestoreAfterLoss(journal, at, {seed});
+      if (at < journal.size() && log.entries.size() == 1) {
+        CheckEntries(log, {EntryOf(1)});
+      } else {
+        CheckEntries(log, {EntryOf(1), other});
+      }
+    }
+  }
+}
+
 // Guards against a replica that can't start on a full disk, or that loses what
 // it has read when it does.
 void StartsOnFullDisk() {
@@ -1025,6 +1061,8 @@
       .With(Section("on a disk that refuses calls")
                 .Then("leave nothing of a partial record",
                       RestoresAfterPartialRecordWasCutOff)
+                .Then("cut off a partial record though a sync fails",
+                      CutsOffPartialRecordThoughSyncFails)
                 .Then("leave no record whose sync failed",
                       DropsRecordWhoseSyncFailed)
                 .Then("keep the records that follow one whose sync failed",
