--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -14,12 +14,11 @@
     "usage: banyan-soak BINARIES FOLDER FIRST-SEED COUNT SECONDS\n"
     "       [FAULTS [REPLICAS [ENTRIES [WORKERS [RELAYS]]]]]\n"
     "FAULTS are all, or some of reports,workers,agents,replicas,power; disks,\n"
-    "slow and thin are not part of all. With disks, REPLICAS are five in five "
-    "data\n"
-    "centres: up to two at a time lose their disks, are killed or freeze, and\n"
-    "two lose their disks at the end. With slow, replicas have a share of a\n"
-    "processor. With thin, which needs disks, relays and entries are behind\n"
-    "links of 2 Mbit/s. For example\n"
+    "slow and thin are not part of all. With disks, REPLICAS are five in five\n"
+    "data centres: up to two at once lose their disks, are killed or freeze,\n"
+    "and two lose their disks at the end. With slow, replicas have a share of\n"
+    "a processor. With thin, which needs disks, relays and entries are behind\n"
+    "links of 2 Mbit/s and configurations are large. For example\n"
     "  banyan-soak build /tmp/soak 1 50 20 workers,agents,disks,slow\n";
 
 bool HasFault(const std::string& names, const std::string& name) {
