Placement: split Choose into what builds, orders and places

Change: candidate_worker builds the candidates, placement_order has the usage of the pools and the order; GraphPlacement places. The behaviour is unchanged.

--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -2,13 +2,17 @@
 #define BANYAN_GRAPH_CANDIDATE_WORKER_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "banyan/base/resources.h"
+#include "banyan/base/time.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/interference.h"
 #include "banyan/graph/worker_suspicion.h"
+#include "banyan/graph/worker_view.h"
+#include "banyan/settings/scheduling_policy.h"
 
 namespace banyan {
 
@@ -52,6 +56,34 @@
   bool is_last = false;
 };
 
+// Returns CPU time, in thousandths of a processor, as a fraction of the
+// worker's CPU capacity.
+[[nodiscard]] double CpuFraction(const GraphWorker& worker,
+                                 std::int64_t cpu_millis) noexcept;
+
+// Whether the interference of a best-effort image with any latency-sensitive
+// task on the worker is uncertain.
+[[nodiscard]] bool IsUncertain(const CandidateWorker& candidate,
+                               const std::string& image,
+                               const InterferenceModel& model);
+
+// Adds a task on the worker to the co-located tasks that interference is
+// estimated for.
+void AddColocated(CandidateWorker& candidate,
+                  const TaskRef& task,
+                  const StepSpec& step,
+                  const InterferenceModel& model,
+                  const SchedulingPolicy& policy);
+
+// Returns the workers that may get runs, by id: reachable ones that hold a
+// lease, don't drain and are in a data centre in service.
+[[nodiscard]] std::map<std::string, CandidateWorker> BuildCandidates(
+    Time now,
+    const GraphTable& table,
+    const std::map<std::string, GraphWorkerView>& views,
+    const InterferenceModel& model,
+    const SchedulingPolicy& policy);
+
 }  // namespace banyan
 
 #endif  // BANYAN_GRAPH_CANDIDATE_WORKER_H_
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -24,11 +24,6 @@
 
 namespace banyan {
 
-// Returns CPU time, in thousandths of a processor, as a fraction of the
-// worker's CPU capacity.
-[[nodiscard]] double CpuFraction(const GraphWorker& worker,
-                                 std::int64_t cpu_millis) noexcept;
-
 // CPU share, in percent, at which a best-effort task starts on a worker where
 // the interference of its image is uncertain.
 inline constexpr std::int64_t kExplorationPercent = 50;
@@ -213,11 +208,6 @@
   // Records the wait of a long-running task and counts it as starved if it goes
   // on in spite of room.
   void RecordLongRunningWait(const TaskRequest& request, const Search& search);
-  // Adds a task on the worker to the co-located tasks that interference is
-  // estimated for.
-  void AddColocated(CandidateWorker& candidate,
-                    const TaskRef& task,
-                    const StepSpec& step) const;
   // Deducts a placed task from the worker's free capacity.
   void Reserve(CandidateWorker& candidate,
                const TaskRef& task,
@@ -226,11 +216,6 @@
   // Rates a worker for a step by the tasks co-located there.
   [[nodiscard]] Colocation ColocationOf(const CandidateWorker& candidate,
                                         const StepSpec& step) const;
-  // Whether the interference of a best-effort image with any latency-sensitive
-  // task on the worker is uncertain.
-  [[nodiscard]] bool IsUncertain(const CandidateWorker& candidate,
-                                 const std::string& image) const;
-
   SchedulingPolicy policy_;
   Time now_;
   const InterferenceModel* model_ = nullptr;
--- /dev/null
+++ b/include/banyan/graph/placement_order.h
@@ -0,0 +1,56 @@
+#ifndef BANYAN_GRAPH_PLACEMENT_ORDER_H_
+#define BANYAN_GRAPH_PLACEMENT_ORDER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "banyan/base/time.h"
+#include "banyan/graph/graph_table.h"
+#include "banyan/graph/urgency.h"
+
+namespace banyan {
+
+// A pool counts as busy if at least this part of its CPU time is committed.
+// Waiting for a suitable worker is then due to overload, not to starvation.
+inline constexpr double kBusyPoolFraction = 0.5;
+
+// The workers of a service, with CPU time in thousandths of a processor.
+struct PoolUsage {
+  std::size_t workers = 0;
+  std::int64_t capacity = 0;
+  std::int64_t committed = 0;
+  // CPU time that best-effort tasks have, or could have.
+  std::int64_t drain_rate = 0;
+
+  [[nodiscard]] bool is_busy() const noexcept {
+    return static_cast<double>(committed) >=
+           kBusyPoolFraction * static_cast<double>(capacity);
+  }
+};
+
+// Returns the usage of each pool that has workers, by service.
+[[nodiscard]] std::map<std::string_view, PoolUsage> PoolUsages(
+    const GraphTable& table);
+
+// A graph with ready tasks.
+struct ReadyGraph {
+  Urgency urgency;
+  const std::string* id = nullptr;
+  const Graph* graph = nullptr;
+};
+
+// Returns the graphs with ready tasks in placement order. With the forecast,
+// best-effort graphs that would be late behind others count as late.
+[[nodiscard]] std::vector<ReadyGraph> OrderReadyGraphs(
+    const GraphTable& table,
+    const std::map<std::string_view, PoolUsage>& pools,
+    bool uses_forecast,
+    WallMillis wall);
+
+}  // namespace banyan
+
+#endif  // BANYAN_GRAPH_PLACEMENT_ORDER_H_
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -5,9 +5,8 @@
 #include <tuple>
 #include <utility>
 
-#include "banyan/graph/backlog.h"
+#include "banyan/graph/placement_order.h"
 #include "banyan/graph/serving_rank.h"
-#include "banyan/graph/urgency.h"
 
 namespace banyan {
 namespace {
@@ -29,8 +28,6 @@
 constexpr std::size_t kMaxBatch = 256;
 // Interval at which the wait of one graph is logged.
 constexpr Duration kWaitLogInterval = Millis(2000);
-// Workers whose lease expires sooner than this get no new runs.
-constexpr Duration kMinRemainingLease = Millis(1000);
 // Number of tasks of a step without a suitable worker after which the rest of
 // the step is skipped.
 constexpr int kMaxMissesPerStep = 2;
@@ -41,12 +38,6 @@
 using Preference =
     std::tuple<Exclusion, int, WorkerAccess, bool, int, std::int64_t>;
 
-// Latency that latency-sensitive tasks have to keep beside best-effort tasks,
-// as a fraction of their target.
-constexpr double kLatencyGoal = 0.8;
-// Factor by which the load of a latency-sensitive task may grow while a
-// best-effort task runs.
-constexpr double kLoadMargin = 1.2;
 // Occupancies are compared in levels of 1/20, so that idle CPU time decides
 // between workers of about equal occupancy.
 constexpr double kOccupancyLevels = 20;
@@ -62,38 +53,6 @@
 // After this wait a long-running task is placed on any worker that can run it.
 // It must not wait for 3 s while there is room.
 constexpr Duration kMaxLongRunningWait = Millis(1500);
-// Lower bound of the expected CPU utilisation of a latency-sensitive task, as a
-// fraction of its committed CPU time.
-constexpr double kMinServingUtilisation = 0.35;
-// Upper bound of the same utilisation.
-constexpr double kMaxServingUtilisation = 0.9;
-// Factor from the current occupancy of a latency-sensitive task to its expected
-// CPU utilisation.
-constexpr double kServingUtilisationMargin = 1.1;
-
-// A pool counts as busy if at least this part of its CPU time is committed.
-// Waiting for a suitable worker is then due to overload, not to starvation.
-constexpr double kBusyPoolFraction = 0.5;
-
-// Lower bound of the part of its CPU time that a pool gives to best-effort
-// tasks in the forecast: the number that run says little about the number that
-// could.
-constexpr double kMinDrainFraction = 0.15;
-
-// The workers of a service, with CPU time in thousandths of a processor.
-struct PoolUsage {
-  std::size_t workers = 0;
-  std::int64_t capacity = 0;
-  std::int64_t committed = 0;
-  // CPU time that best-effort tasks have, or could have.
-  std::int64_t drain_rate = 0;
-
-  [[nodiscard]] bool is_busy() const noexcept {
-    return static_cast<double>(committed) >=
-           kBusyPoolFraction * static_cast<double>(capacity);
-  }
-};
-
 // Whether an occurrence of a graph may start.
 bool IsDue(const Graph& graph, std::int64_t occurrence, WallMillis wall) {
   return graph.spec.occurrences == 0 ||
@@ -122,20 +81,6 @@
                    step.required_label) != info.labels.end();
 }
 
-// Whether a worker runs a suspect whose start it may not have survived yet.
-bool HasTrial(const GraphTable& table,
-              const GraphWorker& worker,
-              const GraphWorkerView& view,
-              Time now) {
-  return !table.suspects().empty() &&
-         std::any_of(worker.runs.begin(), worker.runs.end(),
-                     [&](const RunRef& run) {
-                       return table.suspects().contains(run.task) &&
-                              table.IsCurrent(run, worker.info.life) &&
-                              !view.HasSurvived(run, now);
-                     });
-}
-
 bool HasRunningTask(const Graph& graph) {
   for (const OccurrenceProgress& occurrence : graph.occurrences) {
     for (const StepProgress& step : occurrence) {
@@ -150,75 +95,8 @@
   return false;
 }
 
-// Returns the part of a latency-sensitive task's committed CPU time that it is
-// expected to leave unused at the given occupancy, in thousandths of a
-// processor.
-std::int64_t UnusedCpuMillis(const StepSpec& step, double occupancy) {
-  const double utilisation =
-      std::clamp(kServingUtilisationMargin * occupancy, kMinServingUtilisation,
-                 kMaxServingUtilisation);
-  return static_cast<std::int64_t>((1 - utilisation) *
-                                   static_cast<double>(step.needs.cpu_millis));
-}
-
-// A graph with ready tasks.
-struct ReadyGraph {
-  Urgency urgency;
-  const std::string* id = nullptr;
-  const Graph* graph = nullptr;
-};
-
-// Whether any step of a graph is best-effort.
-bool IsBestEffort(const Graph& graph) {
-  return std::any_of(graph.spec.steps.begin(), graph.spec.steps.end(),
-                     [](const StepSpec& step) { return step.best_effort; });
-}
-
-// Returns the graphs with ready tasks in placement order. With the forecast,
-// best-effort graphs that would be late behind others count as late.
-std::vector<ReadyGraph> PlacementOrder(
-    const GraphTable& table,
-    const std::map<std::string_view, PoolUsage>& pools,
-    bool uses_forecast,
-    WallMillis wall) {
-  std::vector<ReadyGraph> order;
-  for (const std::string& id : table.ready_graphs()) {
-    const auto graph = table.graphs().find(id);
-    order.push_back(
-        {ComputeUrgency(graph->second, wall), &graph->first, &graph->second});
-  }
-  const auto earlier = [](const ReadyGraph& a, const ReadyGraph& b) {
-    return a.urgency < b.urgency;
-  };
-  std::sort(order.begin(), order.end(), earlier);
-  if (!uses_forecast) {
-    return order;
-  }
-  std::map<std::string_view, Backlog> backlogs;
-  for (const auto& [service, pool] : pools) {
-    backlogs.emplace(service, Backlog(pool.drain_rate));
-  }
-  for (ReadyGraph& ready : order) {
-    const auto backlog = backlogs.find(ready.graph->queue.service);
-    if (ready.urgency.feasibility == Feasibility::kOnTime &&
-        IsBestEffort(*ready.graph) && backlog != backlogs.end() &&
-        !backlog->second.TryAdd(ready.urgency, wall)) {
-      ready.urgency.feasibility = Feasibility::kLate;
-    }
-  }
-  std::sort(order.begin(), order.end(), earlier);
-  return order;
-}
-
 }  // namespace
 
-double CpuFraction(const GraphWorker& worker,
-                   std::int64_t cpu_millis) noexcept {
-  return static_cast<double>(cpu_millis) /
-         static_cast<double>(
-             std::max<std::int64_t>(worker.info.capacity.cpu_millis, 1));
-}
-
 void GraphPlacement::Avoid(Time now,
                            const TaskRef& task,
                            const std::string& worker,
@@ -265,54 +143,11 @@
     last_pass_at_ = now;
     return placements;
   }
-  candidates_.clear();
-  std::map<std::string_view, PoolUsage> pools;
-  for (const auto& [id, worker] : table.workers()) {
-    PoolUsage& pool = pools[worker.info.service];
-    ++pool.workers;
-    pool.capacity += worker.info.capacity.cpu_millis;
-    pool.committed += worker.committed.cpu_millis;
-    pool.drain_rate +=
-        std::max(worker.fill_cpu_millis,
-                 static_cast<std::int64_t>(
-                     kMinDrainFraction *
-                     static_cast<double>(worker.info.capacity.cpu_millis)));
-    const auto view = views.find(id);
-    const bool is_usable =
-        view != views.end() && view->second.life == worker.info.life &&
-        view->second.reachable && !view->second.drop_proposed &&
-        view->second.lease_deadline > now + kMinRemainingLease &&
-        !worker.info.draining &&
-        !table.evacuated().contains(worker.info.data_centre);
-    if (!is_usable) {
-      continue;
-    }
-    CandidateWorker candidate;
-    candidate.worker = &worker;
-    candidate.usable = view->second.UsableCapacity(worker.info.capacity);
-    candidate.free = candidate.usable - worker.committed;
-    candidate.idle_cpu_millis =
-        candidate.free.cpu_millis - worker.fill_cpu_millis;
-    candidate.access = view->second.suspicion.AccessAt(now, worker.runs);
-    candidate.has_only_suspects = std::all_of(
-        worker.runs.begin(), worker.runs.end(),
-        [&](const RunRef& run) { return table.suspects().contains(run.task); });
-    candidate.has_trial = HasTrial(table, worker, view->second, now);
-    for (const RunRef& run : worker.runs) {
-      const StepSpec* step = table.FindStep(run.task);
-      if (step != nullptr) {
-        AddColocated(candidate, run.task, *step);
-      }
-    }
-    for (const BestEffortNeighbour& neighbour : candidate.best_effort) {
-      candidate.exploring_tasks +=
-          IsUncertain(candidate, neighbour.image) ? 1 : 0;
-    }
-    candidates_.emplace(id, std::move(candidate));
-  }
+  candidates_ = BuildCandidates(now, table, views, model, policy_);
+  std::map<std::string_view, PoolUsage> pools = PoolUsages(table);
   PlaceSuspects(wall, table, placements);
   for (const auto& [urgency, id, graph] :
-       PlacementOrder(table, pools, policy_.backlog_forecast, wall)) {
+       OrderReadyGraphs(table, pools, policy_.backlog_forecast, wall)) {
     if (placements.size() >= kMaxBatch) {
       break;
     }
@@ -699,8 +534,9 @@
   }
   const Colocation colocation = ColocationOf(candidate, step);
   if (!colocation.is_suitable && !is_relaxed_) {
-    return {IsUncertain(candidate, step.image) ? Exclusion::kUncertain
-                                               : Exclusion::kInterference,
+    return {IsUncertain(candidate, step.image, *model_)
+                ? Exclusion::kUncertain
+                : Exclusion::kInterference,
             colocation.rank};
   }
   if (step.best_effort && !is_relaxed_ && !candidate.best_effort.empty() &&
@@ -791,8 +627,8 @@
   if (!step.best_effort || candidate.serving.empty()) {
     return {};
   }
-  const bool is_exploring =
-      candidate.exploring_tasks == 0 && IsUncertain(candidate, step.image);
+  const bool is_exploring = candidate.exploring_tasks == 0 &&
+                            IsUncertain(candidate, step.image, *model_);
   const std::int64_t share = is_exploring ? kExplorationPercent : kFullPercent;
   const BestEffortNeighbour added{
       step.image, CpuFraction(*candidate.worker,
@@ -829,42 +665,15 @@
   return {kOverLimitRank + level, false};
 }
 
-bool GraphPlacement::IsUncertain(const CandidateWorker& candidate,
-                                 const std::string& image) const {
-  return std::any_of(candidate.serving.begin(), candidate.serving.end(),
-                     [&](const ColocatedTask& serving_task) {
-                       return model_->IsUncertain(serving_task.image, image);
-                     });
-}
-
-void GraphPlacement::AddColocated(CandidateWorker& candidate,
-                                  const TaskRef& task,
-                                  const StepSpec& step) const {
-  if (step.latency_target_ms > 0) {
-    const double occupancy = model_->BaseOccupancy(task.graph, step.image);
-    candidate.serving.push_back(
-        {step.image, kLoadMargin * occupancy,
-         model_->OccupancyAtLatency(step.image, kLatencyGoal),
-         step.per_worker_limit > 0});
-    candidate.idle_cpu_millis +=
-        UnusedCpuMillis(step, policy_.load_dependent_slack ? occupancy : 0);
-  }
-  if (step.best_effort) {
-    // Counted at its full share, since a throttled task is expected to return
-    // to it.
-    candidate.best_effort.push_back(
-        {step.image, CpuFraction(*candidate.worker, step.needs.cpu_millis)});
-  }
-}
-
 void GraphPlacement::Reserve(CandidateWorker& candidate,
                              const TaskRef& task,
                              const StepSpec& step) const {
   candidate.free -= ReservedResources(step);
   candidate.idle_cpu_millis -= step.needs.cpu_millis;
-  AddColocated(candidate, task, step);
+  AddColocated(candidate, task, step, *model_, policy_);
   if (step.best_effort) {
-    candidate.exploring_tasks += IsUncertain(candidate, step.image) ? 1 : 0;
+    candidate.exploring_tasks +=
+        IsUncertain(candidate, step.image, *model_) ? 1 : 0;
   }
   candidate.has_probe =
       candidate.has_probe ||
--- /dev/null
+++ b/src/graph/placement_order.cc
@@ -0,0 +1,73 @@
+#include "banyan/graph/placement_order.h"
+
+#include <algorithm>
+
+#include "banyan/graph/backlog.h"
+
+namespace banyan {
+namespace {
+
+// Lower bound of the part of its CPU time that a pool gives to best-effort
+// tasks in the forecast: the number that run says little about the number that
+// could.
+constexpr double kMinDrainFraction = 0.15;
+
+// Whether any step of a graph is best-effort.
+bool IsBestEffort(const Graph& graph) {
+  return std::any_of(graph.spec.steps.begin(), graph.spec.steps.end(),
+                     [](const StepSpec& step) { return step.best_effort; });
+}
+
+}  // namespace
+
+std::map<std::string_view, PoolUsage> PoolUsages(const GraphTable& table) {
+  std::map<std::string_view, PoolUsage> pools;
+  for (const auto& [id, worker] : table.workers()) {
+    PoolUsage& pool = pools[worker.info.service];
+    ++pool.workers;
+    pool.capacity += worker.info.capacity.cpu_millis;
+    pool.committed += worker.committed.cpu_millis;
+    pool.drain_rate +=
+        std::max(worker.fill_cpu_millis,
+                 static_cast<std::int64_t>(
+                     kMinDrainFraction *
+                     static_cast<double>(worker.info.capacity.cpu_millis)));
+  }
+  return pools;
+}
+
+std::vector<ReadyGraph> OrderReadyGraphs(
+    const GraphTable& table,
+    const std::map<std::string_view, PoolUsage>& pools,
+    bool uses_forecast,
+    WallMillis wall) {
+  std::vector<ReadyGraph> order;
+  for (const std::string& id : table.ready_graphs()) {
+    const auto graph = table.graphs().find(id);
+    order.push_back(
+        {ComputeUrgency(graph->second, wall), &graph->first, &graph->second});
+  }
+  const auto earlier = [](const ReadyGraph& a, const ReadyGraph& b) {
+    return a.urgency < b.urgency;
+  };
+  std::sort(order.begin(), order.end(), earlier);
+  if (!uses_forecast) {
+    return order;
+  }
+  std::map<std::string_view, Backlog> backlogs;
+  for (const auto& [service, pool] : pools) {
+    backlogs.emplace(service, Backlog(pool.drain_rate));
+  }
+  for (ReadyGraph& ready : order) {
+    const auto backlog = backlogs.find(ready.graph->queue.service);
+    if (ready.urgency.feasibility == Feasibility::kOnTime &&
+        IsBestEffort(*ready.graph) && backlog != backlogs.end() &&
+        !backlog->second.TryAdd(ready.urgency, wall)) {
+      ready.urgency.feasibility = Feasibility::kLate;
+    }
+  }
+  std::sort(order.begin(), order.end(), earlier);
+  return order;
+}
+
+}  // namespace banyan
