Settings: switches and events of the parts for hard load

Cause: five parts are built side by side and would each change the same lists.

Change: SchedulingPolicy has a switch for each part, off by default, and the event catalogue has their events. Nothing reads the switches yet.

--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -200,6 +200,31 @@
     {EventId::kSuccessorRefuted, "successor-refuted",
      "The worker is not the incarnation that a report named; the agent ignores "
      "the report."},
+    {EventId::kCopyPlaced, "copy-placed",
+     "Placement decision: a second run of a speculative task, on another "
+     "worker, with the cause."},
+    {EventId::kCopyWon, "copy-won",
+     "A copy of a speculative task was done before the first run, or took its "
+     "place when it ended."},
+    {EventId::kCopyDropped, "copy-dropped",
+     "A run of a copied task is not needed any more; with the processor time "
+     "that it used."},
+    {EventId::kRunPreempted, "run-preempted",
+     "Placement decision: a run is stopped to make room for urgent tasks, with "
+     "the task that waits, the resource that lacks and the work that is lost."},
+    {EventId::kRunTimesLearned, "run-times-learned",
+     "What a queue's real run times are beside the declared ones, at "
+     "intervals."},
+    {EventId::kReservationMade, "reservation-made",
+     "Placement decision: workers are reserved for a graph that waits, with "
+     "the time at which they are due."},
+    {EventId::kReservationUsed, "reservation-used",
+     "The graph that workers were reserved for was placed on one of them."},
+    {EventId::kReservationBroken, "reservation-broken",
+     "A reservation was given up, with the reason."},
+    {EventId::kForecastMissed, "forecast-missed",
+     "Counts accepted graphs that failed or were late, and refused ones, "
+     "against the forecast at admission."},
     {EventId::kConfigInForce, "config-in-force",
      "This process now uses a newer configuration version."},
     {EventId::kCommandAccepted, "command-accepted",
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -100,6 +100,11 @@
   read_flag("careful_starts", policy.careful_starts);
   read_flag("starved_moves", policy.starved_moves);
   read_flag("worker_suspicion", policy.worker_suspicion);
+  read_flag("speculative_copies", policy.speculative_copies);
+  read_flag("room_for_urgent", policy.room_for_urgent);
+  read_flag("learned_run_times", policy.learned_run_times);
+  read_flag("look_ahead", policy.look_ahead);
+  read_flag("admission_forecast", policy.admission_forecast);
   static_cast<void>(section->Finish(reason));
   return policy;
 }
