Placement: room for urgent tasks

Cause: after a data centre went out of service, long-running tasks took all processors of the remaining workers, and quick tasks of the same priority found no worker for up to 20 s.

Change, only with `room_for_urgent`: - UrgentRoom chooses runs to stop for ready tasks of priority 0 that have found no room for 150 ms: best-effort ones in the way of memory, then ones of lower priority, last long-running ones within `max_unavailable`. - A long-running task leaves headroom on its worker until no urgent task has waited for 5 s. After 1.5 s it is placed as before if the free capacity holds it twice. - In a pool short of room, quick graphs of priority 0 precede long-running ones.

--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -24,6 +24,7 @@
 #include "banyan/graph/run_event.h"
 #include "banyan/graph/serving_rank.h"
 #include "banyan/graph/urgency.h"
+#include "banyan/graph/urgent_room.h"
 #include "banyan/graph/worker_agent.h"
 #include "banyan/graph/worker_suspicion.h"
 #include "banyan/graph/worker_validation.h"
--- a/include/banyan/graph/exclusion.h
+++ b/include/banyan/graph/exclusion.h
@@ -10,6 +10,8 @@
 // last one counts.
 enum class Exclusion : std::uint8_t {
   kNone,
+  // The capacity is kept for urgent tasks.
+  kHeadroom,
   // Too little idle CPU time for a best-effort task.
   kBusy,
   // A co-located latency-sensitive task would miss its target.
@@ -56,6 +58,8 @@
   switch (exclusion) {
     case Exclusion::kNone:
       return "none";
+    case Exclusion::kHeadroom:
+      return "headroom";
     case Exclusion::kBusy:
       return "busy";
     case Exclusion::kInterference:
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -15,6 +15,7 @@
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/pacer.h"
+#include "banyan/graph/urgent_room.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/settings/scheduling_policy.h"
 #include "banyan/wire/command.h"
@@ -143,7 +144,13 @@
   // Clears the worker's suspicion if a long-running run that started after its
   // last failure has been at work for long enough.
   void FindSoundRuns(Time now, const GraphTable& table, GraphWorkerView& view);
+  // Logs the waits that the last placement pass recorded.
+  void LogWaits(Time now);
   void LogLongRunningWait(Time now, const LongRunningWait& wait);
+  // Stops runs for urgent tasks that found no room in the last placement pass.
+  void StopForUrgent(Time now,
+                     const GraphTable& table,
+                     std::span<const RunPlacement> placed);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
   // Returns the view of a worker's incarnation. The view of an earlier
@@ -170,6 +177,7 @@
   std::uint64_t fencing_token_ = 0;
   std::map<std::string, GraphWorkerView> views_;
   GraphPlacement placement_{options_.scheduling};
+  UrgentRoom urgent_room_;
   Pacer pacer_;
   // Workers that stopped answering, with the time of the report of it.
   std::vector<std::pair<WorkerIncarnation, Time>> losses_;
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -19,6 +19,7 @@
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/interference.h"
 #include "banyan/graph/placement_wait.h"
+#include "banyan/graph/urgent_room.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/settings/scheduling_policy.h"
 
@@ -81,6 +82,20 @@
   // was room for them twice over.
   [[nodiscard]] Duration starved_time() const noexcept { return starved_time_; }
 
+  // Sets the free capacity that long-running tasks leave on each worker. One
+  // that has waited for kMaxLongRunningWait takes it if the free capacity holds
+  // the task twice.
+  void KeepHeadroom(HeadroomByService headroom) {
+    headroom_ = std::move(headroom);
+  }
+
+  // Returns and clears the urgent tasks that found no worker in the last pass
+  // for lack of processors or memory: of priority 0, neither long-running nor
+  // best-effort. Of a step there may be only the first ones.
+  [[nodiscard]] std::vector<TaskRef> TakeUnfit() {
+    return std::exchange(unfit_, {});
+  }
+
   // Drops the avoided workers of a task that is done.
   void Forget(const TaskRef& task) { avoided_.erase(task); }
 
@@ -145,6 +160,13 @@
     // Number of times that the task fits on the workers without a binding
     // exclusion.
     std::int64_t room = 0;
+
+    // Whether the task found no worker and at least one lacks only processors
+    // or memory, as far as the search has looked.
+    [[nodiscard]] bool lacks_room() const noexcept {
+      return best == nullptr &&
+             rejected[static_cast<std::size_t>(Exclusion::kUnfit)] > 0;
+    }
   };
 
   // Places the suspects that are ready and reserves a worker of each pool for
@@ -205,6 +227,10 @@
   [[nodiscard]] static bool IsAllowed(const CandidateWorker& candidate,
                                       Isolation isolation);
   void RecordWait(const TaskRequest& request, const Search& search);
+  // Whether a long-running task would take capacity that is kept for urgent
+  // tasks.
+  [[nodiscard]] bool TakesHeadroom(const TaskRequest& request,
+                                   const CandidateWorker& candidate) const;
   // Records the wait of a long-running task and counts it as starved if it goes
   // on in spite of room.
   void RecordLongRunningWait(const TaskRequest& request, const Search& search);
@@ -229,6 +255,8 @@
   std::map<TaskRef, Time> suspect_waiting_since_;
   // Since when a long-running task has been ready.
   std::map<TaskRef, Time> long_running_since_;
+  HeadroomByService headroom_;
+  std::vector<TaskRef> unfit_;
   std::vector<PlacementWait> waits_;
   // When a graph's wait was last recorded.
   std::map<std::string, Time> wait_recorded_at_;
--- a/include/banyan/graph/placement_order.h
+++ b/include/banyan/graph/placement_order.h
@@ -11,6 +11,7 @@
 #include "banyan/base/time.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/urgency.h"
+#include "banyan/settings/scheduling_policy.h"
 
 namespace banyan {
 
@@ -25,6 +26,8 @@
   std::int64_t committed = 0;
   // CPU time that best-effort tasks have, or could have.
   std::int64_t drain_rate = 0;
+  // Whether urgent tasks have found no room lately.
+  bool is_short = false;
 
   [[nodiscard]] bool is_busy() const noexcept {
     return static_cast<double>(committed) >=
@@ -44,11 +47,14 @@
 };
 
 // Returns the graphs with ready tasks in placement order. With the forecast,
-// best-effort graphs that would be late behind others count as late.
+// best-effort graphs that would be late behind others count as late. With room
+// for urgent tasks, quick graphs of priority 0 precede long-running ones in a
+// pool that is short of room, and graphs that have waited for more than their
+// objective precede equally feasible ones.
 [[nodiscard]] std::vector<ReadyGraph> OrderReadyGraphs(
     const GraphTable& table,
     const std::map<std::string_view, PoolUsage>& pools,
-    bool uses_forecast,
+    const SchedulingPolicy& policy,
     WallMillis wall);
 
 }  // namespace banyan
--- a/include/banyan/graph/urgency.h
+++ b/include/banyan/graph/urgency.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 
 #include "banyan/base/time.h"
 #include "banyan/graph/graph_table.h"
@@ -11,6 +12,11 @@
 
 // Whether a graph can still meet its latency objective, best first.
 enum class Feasibility : std::uint8_t {
+  // Can meet its latency objective, has neither long-running nor best-effort
+  // tasks, and its pool is short of room.
+  kUrgent,
+  // The same with a late result that still counts.
+  kUrgentLate,
   // Has long-running tasks, which are useful as soon as they run.
   kLongRunning,
   // Can meet its latency objective.
@@ -26,6 +32,9 @@
 struct Urgency {
   std::int64_t priority = 0;
   Feasibility feasibility = Feasibility::kOnTime;
+  // Submission order of a graph that has waited for more than its objective, so
+  // that graphs with more work don't starve; otherwise the largest value.
+  std::uint64_t overdue_order = std::numeric_limits<std::uint64_t>::max();
   // CPU time that its steps still need by their declared run times, in
   // milliseconds of a thousandth of a processor.
   std::int64_t remaining_work = 0;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -63,6 +63,7 @@
   fencing_token_ = fencing_token;
   views_.clear();
   placement_ = GraphPlacement(options_.scheduling);
+  urgent_room_.Reset(now);
   placement_proposed_at_.reset();
   losses_.clear();
   out_ = GraphLeaderOutputs{};
@@ -864,21 +865,11 @@
     return;
   }
   placement_proposed_at_.reset();
+  placement_.KeepHeadroom(urgent_room_.Headroom(now, table));
   std::vector<RunPlacement> placements =
       placement_.Choose(now, wall, table, views_, pacer_.model());
-  for (const PlacementWait& wait : placement_.TakeWaits()) {
-    out_.events.push_back(Event(EventId::kGraphWaiting)
-                              .With("request", wait.graph)
-                              .With("image", wait.image)
-                              .With("unfit", wait.unfit)
-                              .With("busy", wait.busy)
-                              .With("interference", wait.interference)
-                              .With("uncertain", wait.uncertain)
-                              .With("excluded", wait.excluded));
-  }
-  for (const LongRunningWait& wait : placement_.TakeLongRunningWaits()) {
-    LogLongRunningWait(now, wait);
-  }
+  LogWaits(now);
+  StopForUrgent(now, table, placements);
   if (!placements.empty()) {
     placement_proposed_at_ = now;
     out_.proposals.emplace_back(PlaceRuns{std::move(placements)});
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -74,13 +74,6 @@
   return key;
 }
 
-// Whether a worker has the label that a step requires.
-bool HasLabel(const WorkerInfo& info, const StepSpec& step) {
-  return step.required_label.empty() ||
-         std::find(info.labels.begin(), info.labels.end(),
-                   step.required_label) != info.labels.end();
-}
-
 bool HasRunningTask(const Graph& graph) {
   for (const OccurrenceProgress& occurrence : graph.occurrences) {
     for (const StepProgress& step : occurrence) {
@@ -130,6 +123,7 @@
     const InterferenceModel& model) {
   now_ = now;
   model_ = &model;
+  unfit_.clear();
   std::erase_if(long_running_since_,
                 [&](const auto& item) { return !IsReady(table, item.first); });
   if (avoided_swept_at_ + kSweepInterval <= now) {
@@ -145,9 +139,12 @@
   }
   candidates_ = BuildCandidates(now, table, views, model, policy_);
   std::map<std::string_view, PoolUsage> pools = PoolUsages(table);
+  for (auto& [service, pool] : pools) {
+    pool.is_short = headroom_.contains(service);
+  }
   PlaceSuspects(wall, table, placements);
   for (const auto& [urgency, id, graph] :
-       OrderReadyGraphs(table, pools, policy_.backlog_forecast, wall)) {
+       OrderReadyGraphs(table, pools, policy_, wall)) {
     if (placements.size() >= kMaxBatch) {
       break;
     }
@@ -496,6 +493,11 @@
       best_preference = preference;
     }
   }
+  // Headroom that holds the task less than twice may be kept for longer.
+  if (search.best != nullptr && search.room < kAmpleRoom && !step.gang &&
+      std::get<Exclusion>(best_preference) == Exclusion::kHeadroom) {
+    search.best = nullptr;
+  }
   return search;
 }
 
@@ -543,7 +545,9 @@
       candidate.idle_cpu_millis < step.needs.cpu_millis) {
     return {Exclusion::kBusy, colocation.rank};
   }
-  return {Exclusion::kNone, colocation.rank};
+  return {TakesHeadroom(request, candidate) ? Exclusion::kHeadroom
+                                            : Exclusion::kNone,
+          colocation.rank};
 }
 
 bool GraphPlacement::IsAllowed(const CandidateWorker& candidate,
@@ -561,8 +565,20 @@
   return false;
 }
 
+bool GraphPlacement::TakesHeadroom(const TaskRequest& request,
+                                   const CandidateWorker& candidate) const {
+  const auto kept = headroom_.find(request.graph.queue.service);
+  return request.step.long_running && kept != headroom_.end() &&
+         !Fits(request.step.needs + kept->second, candidate.free);
+}
+
 void GraphPlacement::RecordWait(const TaskRequest& request,
                                 const Search& search) {
+  if (search.lacks_room() && request.graph.queue.priority == 0 &&
+      request.isolation == Isolation::kNone && !request.step.long_running &&
+      !request.step.best_effort) {
+    unfit_.push_back(request.task);
+  }
   const auto [recorded, is_new] =
       wait_recorded_at_.try_emplace(request.task.graph, now_);
   if (!is_new && recorded->second + kWaitLogInterval > now_) {
--- a/src/graph/placement_order.cc
+++ b/src/graph/placement_order.cc
@@ -18,6 +18,28 @@
                      [](const StepSpec& step) { return step.best_effort; });
 }
 
+// Moves a graph ahead of long-running ones in a pool that is short of room, and
+// ahead of equally feasible ones after its objective.
+void Prefer(const Graph& graph,
+            bool is_short,
+            WallMillis wall,
+            Urgency& urgency) {
+  if (urgency.feasibility == Feasibility::kLongRunning) {
+    return;
+  }
+  if (wall > urgency.objective_deadline) {
+    urgency.overdue_order = urgency.submission_order;
+  }
+  if (!is_short || urgency.priority != 0 || IsBestEffort(graph)) {
+    return;
+  }
+  if (urgency.feasibility == Feasibility::kOnTime) {
+    urgency.feasibility = Feasibility::kUrgent;
+  } else if (urgency.feasibility == Feasibility::kLate) {
+    urgency.feasibility = Feasibility::kUrgentLate;
+  }
+}
+
 }  // namespace
 
 std::map<std::string_view, PoolUsage> PoolUsages(const GraphTable& table) {
@@ -39,19 +61,24 @@
 std::vector<ReadyGraph> OrderReadyGraphs(
     const GraphTable& table,
     const std::map<std::string_view, PoolUsage>& pools,
-    bool uses_forecast,
+    const SchedulingPolicy& policy,
     WallMillis wall) {
   std::vector<ReadyGraph> order;
   for (const std::string& id : table.ready_graphs()) {
     const auto graph = table.graphs().find(id);
     order.push_back(
         {ComputeUrgency(graph->second, wall), &graph->first, &graph->second});
+    if (policy.room_for_urgent) {
+      const auto pool = pools.find(graph->second.queue.service);
+      Prefer(graph->second, pool != pools.end() && pool->second.is_short, wall,
+             order.back().urgency);
+    }
   }
   const auto earlier = [](const ReadyGraph& a, const ReadyGraph& b) {
     return a.urgency < b.urgency;
   };
   std::sort(order.begin(), order.end(), earlier);
-  if (!uses_forecast) {
+  if (!policy.backlog_forecast) {
     return order;
   }
   std::map<std::string_view, Backlog> backlogs;
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -98,6 +98,7 @@
 Section DecoderFuzzStory();
 Section ServingRankStory();
 Section UrgencyStory();
+Section UrgentRoomStory();
 Section AuditStory();
 Section ReplayStory();
 Section MatrixStory();
