--- a/tests/support/graph_world.cc
+++ b/tests/support/graph_world.cc
@@ -293,7 +293,9 @@
   }
 
   void StartLeader() {
-    leader_ = std::make_unique<GraphLeader>(GraphLeaderOptions{});
+    GraphLeaderOptions options;
+    options.scheduling.room_for_urgent = faults_.room_for_urgent;
+    leader_ = std::make_unique<GraphLeader>(options);
     leader_->Reset(now_, table_, ++fencing_token_);
     Write("", "leader " + std::to_string(fencing_token_));
   }
@@ -385,7 +387,10 @@
     Resources reserved;
     for (Time at = kStart + Millis(100); faults_.long_running && at < kLoadEnd;
          at += Between(500, 4000)) {
-      const SubmitGraph graph = DrawLongRunningGraph(random_, NextGraph());
+      SubmitGraph graph = DrawLongRunningGraph(random_, NextGraph());
+      if (faults_.room_for_urgent) {
+        graph.spec.steps.front().max_unavailable = 1;
+      }
       if (!Fits(reserved + TotalNeeds(graph), most)) {
         continue;
       }
@@ -1184,6 +1189,7 @@
   // Records the product's events about runs and workers.
   void WriteEvents(const Events& events) {
     for (const Event& event : events) {
+      result_.preemptions += event.id() == EventId::kRunPreempted ? 1 : 0;
       const std::string graph = event.Field("request");
       if (graph.empty() || !event.Field("run").empty()) {
         Write(graph.empty() ? ""
--- a/tests/support/graph_world.h
+++ b/tests/support/graph_world.h
@@ -45,6 +45,9 @@
   bool foreign_reports = false;
   // Wall clocks of workers step back while they are down.
   bool clock_steps = false;
+  // The leader makes room for urgent tasks, and each long-running step allows
+  // for one unavailable task. Not a fault.
+  bool room_for_urgent = false;
 };
 
 // What became of a world.
@@ -61,6 +64,8 @@
   int deadly_graphs = 0;
   // The number of long-running tasks that were accepted.
   int long_running_tasks = 0;
+  // The number of runs that were stopped for urgent tasks.
+  int preemptions = 0;
   // All that was recorded, one line each.
   std::string history;
 };
--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -259,6 +259,27 @@
   Play(faults);
 }
 
+// Guards against long-running tasks that wait for the room that is kept for
+// urgent ones, and against runs that are stopped for these and then run twice.
+void LongRunningAndUrgentTasks() {
+  Play({.long_running = true,
+        .best_effort = true,
+        .failing_tasks = true,
+        .room_for_urgent = true});
+  GraphFaults faults = kAllFaults;
+  faults.capacity_changes = true;
+  faults.long_running = true;
+  faults.best_effort = true;
+  faults.room_for_urgent = true;
+  Play(faults);
+  // A world without stops would show nothing.
+  int preemptions = 0;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    preemptions += PlayGraphWorld(faults, seed).preemptions;
+  }
+  CPPUNIT_ASSERT(preemptions > 0);
+}
+
 // Guards against a violation that can't be played again.
 void SameSeedSameHistory() {
   const auto play = [] { return PlayGraphWorld(kAllFaults, 1).history; };
@@ -326,6 +347,8 @@
                       LongRunningAndShrinkingCapacities)
                 .Then("runs while there is room if no task fails",
                       LongRunningAndSoundTasks)
+                .Then("runs while there is room though others are urgent",
+                      LongRunningAndUrgentTasks)
                 .Then("runs while there is room with all faults together",
                       LongRunningAndAllFaults));
   return story;
