Placement: quick tasks leave workers to best-effort work

Cause: a task that is neither best-effort nor latency-sensitive nor long-running ranks all workers alike and takes the one with the most idle CPU time, which is the room that best-effort work needs.

Change: with look_ahead, workers rank for such a task by the number of best-effort images, waiting or running in the pool, that their latency-sensitive tasks tolerate; those without latency-sensitive tasks are last. A worker without enough idle CPU time for the task ranks behind all that have it. The tolerated images are counted once per worker and pass. Without the switch nothing changes.

The time of a pass is not measured yet.

--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -14,6 +14,7 @@
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/interference.h"
+#include "banyan/graph/look_ahead.h"
 #include "banyan/graph/pacer.h"
 #include "banyan/graph/placement_wait.h"
 #include "banyan/graph/plan_receiver.h"
--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -41,6 +41,9 @@
   std::vector<BestEffortNeighbour> best_effort;
   // Best-effort tasks whose interference here is uncertain.
   int exploring_tasks = 0;
+  // Number of best-effort images that could use the worker, counted if
+  // placement looks ahead.
+  int best_effort_images = 0;
   // Whether the worker is suspected and gets no run, or a single one.
   WorkerAccess access = WorkerAccess::kOpen;
   // Whether it has got that run.
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -18,6 +18,7 @@
 #include "banyan/graph/exclusion.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/interference.h"
+#include "banyan/graph/look_ahead.h"
 #include "banyan/graph/placement_wait.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/settings/scheduling_policy.h"
@@ -211,7 +212,7 @@
   // Deducts a placed task from the worker's free capacity.
   void Reserve(CandidateWorker& candidate,
                const TaskRef& task,
-               const StepSpec& step) const;
+               const StepSpec& step);
 
   // Rates a worker for a step by the tasks co-located there.
   [[nodiscard]] Colocation ColocationOf(const CandidateWorker& candidate,
@@ -220,6 +221,7 @@
   Time now_;
   const InterferenceModel* model_ = nullptr;
   std::map<std::string, CandidateWorker> candidates_;
+  BestEffortDemand demand_;
   std::map<TaskRef, std::map<std::string, Avoidance>> avoided_;
   // When those of tasks that are gone were last dropped.
   Time avoided_swept_at_;
--- a/include/banyan/graph/interference.h
+++ b/include/banyan/graph/interference.h
@@ -106,6 +106,10 @@
       const std::string& image,
       const std::string& neighbour) const;
 
+  // Whether the pair is likely to interfere, or its interference is uncertain.
+  [[nodiscard]] bool MayInterfere(const std::string& image,
+                                  const std::string& neighbour) const;
+
   // Whether the reports so far do not show if the pair interferes.
   [[nodiscard]] bool IsUncertain(const std::string& image,
                                  const std::string& neighbour) const;
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -144,6 +144,9 @@
     return placements;
   }
   candidates_ = BuildCandidates(now, table, views, model, policy_);
+  if (policy_.look_ahead) {
+    demand_.Start(table, candidates_, model);
+  }
   std::map<std::string_view, PoolUsage> pools = PoolUsages(table);
   PlaceSuspects(wall, table, placements);
   for (const auto& [urgency, id, graph] :
@@ -624,6 +627,9 @@
     return {policy_.image_packing ? ServingRank(pool_workers_, candidate, step)
                                   : 0};
   }
+  if (policy_.look_ahead && IsQuick(step)) {
+    return {QuickRank(candidate, step)};
+  }
   if (!step.best_effort || candidate.serving.empty()) {
     return {};
   }
@@ -667,10 +673,13 @@
 
 void GraphPlacement::Reserve(CandidateWorker& candidate,
                              const TaskRef& task,
-                             const StepSpec& step) const {
+                             const StepSpec& step) {
   candidate.free -= ReservedResources(step);
   candidate.idle_cpu_millis -= step.needs.cpu_millis;
   AddColocated(candidate, task, step, *model_, policy_);
+  if (policy_.look_ahead && step.latency_target_ms > 0) {
+    demand_.Update(candidate);
+  }
   if (step.best_effort) {
     candidate.exploring_tasks +=
         IsUncertain(candidate, step.image, *model_) ? 1 : 0;
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -170,6 +170,11 @@
                                : AgedTo(known->second, latest_);
 }
 
+bool InterferenceModel::MayInterfere(const std::string& image,
+                                     const std::string& neighbour) const {
+  return EstimateFor(image, neighbour).probability > kUnlikelyProbability;
+}
+
 bool InterferenceModel::IsUncertain(const std::string& image,
                                     const std::string& neighbour) const {
   const double probability = EstimateFor(image, neighbour).probability;
