Admission: refuse what can't end in time, and submissions without a cell

Cause: no submission is ever refused for a backlog, so a caller whose work can't end in time is told nothing. While the cell can't decide, a gateway keeps a new submission for 500 ms, sends it to a replica without a leader and answers with Retry-After 3.

Change: AdmissionForecast measures the declared work that a pool has done while tasks waited (over 5 to 10 s) and refuses a best-effort or quick graph if the unstarted work placed before it takes longer than three times its objective at twice that rate. Graphs of its own priority that expire before their turn are not counted. It is asked only while the leader holds its lease and if `admission_forecast` is on (off by default). Ids that were admitted and are not applied yet are never refused. A gateway that has had no fresh replica for 500 ms fails an unsent submission at once (503, Retry-After 1) and never sends it; this has no switch.

Taken out singly, the guards of resent ids, the measured span, the spread, the kinds of steps and the expiry each fail one test; the factor of two does not. Without the gateway's change "refuses a submission at once and never sends it" fails.

--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -3,6 +3,7 @@
 
 // Umbrella header: scheduling of job graphs on workers, without I/O.
 
+#include "banyan/graph/admission_forecast.h"
 #include "banyan/graph/backlog.h"
 #include "banyan/graph/candidate_worker.h"
 #include "banyan/graph/cell_client.h"
--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -48,7 +48,8 @@
              PlanDelivery delivery = PlanDelivery::kParts)
       : link_(std::move(seeds), seed), delivery_(delivery) {}
 
-  // Starts a call, which is answered under `ticket` by its deadline.
+  // Starts a call, which is answered under `ticket` by its deadline. A
+  // submission is not sent but fails at once while the cell can't decide.
   void Open(Time now, std::uint64_t ticket, CellCall call, Time deadline);
 
   // Answers all calls by `deadline`, also those that are opened later. Calls
@@ -87,12 +88,19 @@
     std::set<std::uint64_t> pending;
     // Whether the outcome of an earlier request is unknown.
     bool is_uncertain = false;
+    // Whether any request was sent, answered or not.
+    bool was_sent = false;
     std::string last_error_text;
   };
 
   void Send(Time now, std::uint64_t ticket, Call& call);
   void OnCommandReply(Time now, const CommandReply& reply);
   void FailCall(std::uint64_t ticket, const Call& call);
+  // Whether no replica with a live leader has been known for long enough that
+  // submissions are refused.
+  [[nodiscard]] bool HasLostCell(Time now) const noexcept;
+  // Whether a call is a submission that was not sent.
+  [[nodiscard]] static bool IsUnsentSubmission(const Call& call);
 
   CellLink link_;
   std::map<std::uint64_t, Call> calls_;
@@ -103,6 +111,9 @@
   PlanReceiver plans_;
   Time next_status_at_;
   Time fresh_until_;
+  // Since when no replica has been fresh; empty while one is, or before the
+  // first tick.
+  std::optional<Time> stale_since_;
   std::string confirmed_replica_;
   // When the last call has to be answered.
   Time end_ = Time::max();
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -12,6 +12,7 @@
 
 #include "banyan/base/time.h"
 #include "banyan/events/event.h"
+#include "banyan/graph/admission_forecast.h"
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/pacer.h"
@@ -67,9 +68,14 @@
                  const GraphApplyResult& applied);
 
   // Returns the refusal of a submission; empty if it is admitted.
+  // `may_forecast` says whether the leader holds its own lease: otherwise
+  // another leader may have accepted the same submission.
   [[nodiscard]] std::optional<CommandResult> CheckAdmission(
+      Time now,
+      WallMillis wall,
       const GraphTable& table,
-      const SubmitGraph& submit);
+      const SubmitGraph& submit,
+      bool may_forecast);
 
   // Expires leases, stops stuck runs and places ready tasks.
   void Decide(Time now, WallMillis wall, const GraphTable& table);
@@ -170,6 +176,7 @@
   std::uint64_t fencing_token_ = 0;
   std::map<std::string, GraphWorkerView> views_;
   GraphPlacement placement_{options_.scheduling};
+  AdmissionForecast forecast_{options_.scheduling};
   Pacer pacer_;
   // Workers that stopped answering, with the time of the report of it.
   std::vector<std::pair<WorkerIncarnation, Time>> losses_;
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -529,7 +529,8 @@
       ReplyError(origin, request.seq, ErrorKind::kBadRequest, *fault);
       return;
     }
-    if (auto refusal = graphs_.CheckAdmission(state_.graphs(), *submit)) {
+    if (auto refusal = graphs_.CheckAdmission(now, wall, state_.graphs(),
+                                              *submit, raft_.HoldsLease(now))) {
       CollectGraphOutputs(now, wall);
       Reply(origin, request.seq, *std::move(refusal));
       return;
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -17,6 +17,11 @@
 constexpr Duration kUnreachableTimeout = Millis(500);
 // How long a replica's confirmation that its leader is live stays valid.
 constexpr Duration kFreshnessPeriod = Millis(1500);
+// Time without a fresh replica after which new submissions are refused. A
+// successful election takes less.
+constexpr Duration kCellLossTimeout = Millis(500);
+// When the caller of a refused submission may return.
+constexpr std::int64_t kCellLossRetryAfterMs = 1000;
 
 }  // namespace
 
@@ -29,12 +34,29 @@
   entry.deadline = deadline;
   entry.unreachable_at = now + kUnreachableTimeout;
   entry.retry_at = now;
+  if (IsUnsentSubmission(entry) && HasLostCell(now)) {
+    FailCall(ticket, entry);
+    calls_.erase(ticket);
+    return;
+  }
   if (link_.connected() && now < std::min(deadline, end_)) {
     Send(now, ticket, entry);
   }
 }
 
+bool CellClient::HasLostCell(Time now) const noexcept {
+  return stale_since_ && *stale_since_ + kCellLossTimeout <= now &&
+         !IsFresh(now);
+}
+
+bool CellClient::IsUnsentSubmission(const Call& call) {
+  const auto* command = std::get_if<Command>(&call.body);
+  return !call.was_sent && command != nullptr &&
+         std::holds_alternative<SubmitGraph>(*command);
+}
+
 void CellClient::Send(Time now, std::uint64_t ticket, Call& call) {
+  call.was_sent = true;
   const std::uint64_t seq = next_seq_++;
   sends_[seq] = ticket;
   call.pending.insert(seq);
@@ -83,6 +105,7 @@
     if (ack->fresh) {
       link_.OnAnswer();
       fresh_until_ = now + kFreshnessPeriod;
+      stale_since_.reset();
       if (link_.connected()) {
         confirmed_replica_ = link_.current();
       }
@@ -153,6 +176,9 @@
                      : ErrorKind::kUnknownOutcome;
   result.text = call.last_error_text.empty() ? "the control cell did not answer"
                                              : call.last_error_text;
+  if (IsUnsentSubmission(call)) {
+    result.retry_after_ms = kCellLossRetryAfterMs;
+  }
   out_.answers.push_back({ticket, std::move(result)});
   for (const std::uint64_t seq : call.pending) {
     sends_.erase(seq);
@@ -160,13 +186,20 @@
 }
 
 void CellClient::Tick(Time now) {
+  if (IsFresh(now)) {
+    stale_since_.reset();
+  } else if (!stale_since_) {
+    stale_since_ = now;
+  }
+  const bool has_lost_cell = HasLostCell(now);
   for (auto it = calls_.begin(); it != calls_.end();) {
     // Without a replica that has a live leader the call can't be served. Fail
     // it early, so that the caller can retry before its own deadline.
     const bool is_unreachable =
         it->second.unreachable_at <= now && !IsFresh(now);
     const Time deadline = std::min(it->second.deadline, end_);
-    if (deadline <= now || is_unreachable) {
+    if (deadline <= now || is_unreachable ||
+        (has_lost_cell && IsUnsentSubmission(it->second))) {
       FailCall(it->first, it->second);
       it = calls_.erase(it);
       continue;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -63,6 +63,7 @@
   fencing_token_ = fencing_token;
   views_.clear();
   placement_ = GraphPlacement(options_.scheduling);
+  forecast_.Reset(now);
   placement_proposed_at_.reset();
   losses_.clear();
   out_ = GraphLeaderOutputs{};
@@ -612,6 +613,7 @@
   if (std::holds_alternative<PlaceRuns>(command)) {
     placement_proposed_at_.reset();
   }
+  forecast_.OnApplied(now, table, command);
   std::map<std::string, WorkerOrders> orders;
   const auto orders_for = [&](const GraphWorker& worker) -> WorkerOrders& {
     const auto [it, is_new] = orders.try_emplace(worker.info.life.id);
@@ -696,39 +698,23 @@
 }
 
 std::optional<CommandResult> GraphLeader::CheckAdmission(
+    Time now,
+    WallMillis wall,
     const GraphTable& table,
-    const SubmitGraph& submit) {
+    const SubmitGraph& submit,
+    bool may_forecast) {
   const QueueSpec* queue = table.FindQueue(submit.spec.queue);
   if (table.FindGraph(submit.id) != nullptr || queue == nullptr) {
     return std::nullopt;
   }
-  bool has_worker = false;
-  std::vector<bool> fits(submit.spec.steps.size(), false);
-  for (const auto& [id, worker] : table.workers()) {
-    if (worker.info.service != queue->service) {
-      continue;
-    }
-    has_worker = true;
-    // A capacity that has shrunk may grow again.
-    const auto view = views_.find(id);
-    const Resources capacity =
-        view == views_.end() || view->second.life != worker.info.life
-            ? worker.info.capacity
-            : Max(worker.info.capacity, view->second.largest_capacity);
-    for (std::size_t s = 0; s < fits.size(); ++s) {
-      fits[s] =
-          fits[s] || Fits(ReservedResources(submit.spec.steps[s]), capacity);
-    }
-  }
-  // Without any worker the capacity of future workers is unknown.
-  const auto unfit_step = std::find(fits.begin(), fits.end(), false);
-  if (!has_worker || unfit_step == fits.end()) {
-    return std::nullopt;
+  const auto step = FindOversizedStep(table, views_, *queue, submit.spec);
+  if (!step) {
+    return may_forecast ? forecast_.Check(now, wall, table, submit, out_.events)
+                        : std::nullopt;
   }
   CommandResult refusal;
   refusal.error = ErrorKind::kOverloaded;
-  refusal.text = "no worker is large enough for step " +
-                 std::to_string(unfit_step - fits.begin());
+  refusal.text = "no worker is large enough for step " + std::to_string(*step);
   refusal.retry_after_ms = kOversizedRetryAfterMs;
   out_.events.push_back(Event(EventId::kGraphRefused)
                             .With("request", submit.id)
@@ -857,6 +843,7 @@
 }
 
 void GraphLeader::Decide(Time now, WallMillis wall, const GraphTable& table) {
+  forecast_.Observe(now, table, out_.events);
   ExpireLeases(now, table);
   StopStuckRuns(now, table);
   if (placement_proposed_at_ &&
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -122,6 +122,11 @@
     return applied.result;
   }
 
+  // Returns the leader's refusal of a submission; empty if it is admitted.
+  std::optional<CommandResult> CheckAdmission(const SubmitGraph& submit) {
+    return leader_.CheckAdmission(now_, wall_, table_, submit, true);
+  }
+
   // Delivers a worker's report as its agent would.
   void Sync(WorkerSync sync) {
     sync.seq = ++seq_;
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -193,6 +193,62 @@
   CPPUNIT_ASSERT(fixture.answers().at(0).result.error == ErrorKind::kNoQuorum);
 }
 
+// Returns a client that is connected and has had no fresh replica for 500 ms,
+// after one that was fresh for up to 1.5 s.
+ClientFixture ClientWithoutCell() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(100));
+  fixture.set_auto_fresh(false);
+  fixture.Advance(Millis(2050));
+  fixture.Connect();
+  return fixture;
+}
+
+// Guards against callers that wait while the cell can't decide, and against a
+// submission that is sent after its caller was told that it does not run.
+void SubmissionIsRefusedWithoutCell() {
+  ClientFixture fixture = ClientWithoutCell();
+  fixture.Open(Command(SubmitGraph{"g", {}}), Millis(3000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+  const CommandResult& result = fixture.answers()[0].result;
+  CPPUNIT_ASSERT(result.error == ErrorKind::kNoQuorum);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, result.retry_after_ms);
+  fixture.set_auto_fresh(true);
+  fixture.Connect();
+  fixture.Advance(Millis(3000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.requests());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+}
+
+// Guards against queries of state that are refused as submissions are.
+void QueryIsSentWithoutCell() {
+  ClientFixture fixture = ClientWithoutCell();
+  fixture.Open(CellQuery{0, CellQueryKind::kGraph, "g"}, Millis(3000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+  CPPUNIT_ASSERT(fixture.answers().empty());
+}
+
+// Guards against "not run" for a submission that may have been accepted before
+// the cell was lost.
+void SentSubmissionHasUnknownOutcomeWithoutCell() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(100));
+  fixture.set_auto_fresh(false);
+  fixture.Advance(Millis(1300));
+  // The replica without a leader has been left by now.
+  fixture.Connect();
+  fixture.Open(Command(SubmitGraph{"g", {}}), Millis(3000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+  fixture.Advance(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+  CPPUNIT_ASSERT(fixture.answers()[0].result.error ==
+                 ErrorKind::kUnknownOutcome);
+}
+
 void UsesReportedMembers() {
   ClientFixture fixture;
   fixture.Connect();
@@ -229,6 +285,12 @@
                       CallFailsEarlyWithoutReplica)
                 .Then("is not refused while an earlier request may succeed",
                       LateRefusalDoesNotSettleEarlierRequest))
+      .With(Section("while the cell can't decide")
+                .Then("refuses a submission at once and never sends it",
+                      SubmissionIsRefusedWithoutCell)
+                .Then("sends a query", QueryIsSentWithoutCell)
+                .Then("reports an unknown outcome for what was sent",
+                      SentSubmissionHasUnknownOutcomeWithoutCell))
       .With(Section("at the end of its process")
                 .Then("fails a call that was sent with an unknown outcome",
                       CallThatWasSentHasUnknownOutcomeAtEnd)
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -398,14 +398,13 @@
 void OversizedJobIsRefusedAtOnce() {
   LeaderHarness fixture;
   const SubmitGraph large = SampleGraph("g", {SampleStep(1, 4001)});
-  CPPUNIT_ASSERT(!fixture.leader().CheckAdmission(fixture.table(), large));
+  CPPUNIT_ASSERT(!fixture.CheckAdmission(large));
   fixture.Join(SampleWorker("w1"));
-  const auto refusal = fixture.leader().CheckAdmission(fixture.table(), large);
+  const auto refusal = fixture.CheckAdmission(large);
   CPPUNIT_ASSERT(refusal.has_value());
   CPPUNIT_ASSERT(refusal->error == ErrorKind::kOverloaded);
   CPPUNIT_ASSERT(refusal->retry_after_ms > 0);
-  CPPUNIT_ASSERT(!fixture.leader().CheckAdmission(
-      fixture.table(), SampleGraph("h", {SampleStep(1)})));
+  CPPUNIT_ASSERT(!fixture.CheckAdmission(SampleGraph("h", {SampleStep(1)})));
 }
 
 // Returns the runs whose start the leader has ordered since the last call.
@@ -447,7 +446,7 @@
   sync.info.capacity = {};
   fixture.Sync(sync);
   const SubmitGraph graph = SampleGraph("g", {SampleStep(1, 4000)});
-  CPPUNIT_ASSERT(!fixture.leader().CheckAdmission(fixture.table(), graph));
+  CPPUNIT_ASSERT(!fixture.CheckAdmission(graph));
   fixture.Commit(graph);
   fixture.AdvanceTime(kTimeStep);
   CPPUNIT_ASSERT(fixture.RunsOn("w1").empty());
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -77,6 +77,7 @@
       .With(ControlStateStory())
       .With(SchedulerStory())
       .With(RoutingStory())
+      .With(AdmissionForecastStory())
       .With(AgentStory())
       .With(GraphPlacementStory())
       .With(GraphTableStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -75,6 +75,7 @@
 Section ControlStateStory();
 Section SchedulerStory();
 Section RoutingStory();
+Section AdmissionForecastStory();
 Section AgentStory();
 Section GraphPlacementStory();
 Section GraphTableStory();
