Job graphs: a second run of a speculative task in the table

Change: TaskProgress::copy holds the number and the worker of a second run. It is placed by the new log command PlaceCopies, which is appended to the commands, and only for steps that may be copied, within the attempts of the queue and on another worker. Either run's end "done" ends the task; after any other end the other run stays. Run numbers of ended copies are not used again. HasLabel moves to candidate_worker.

Result: nothing places copies yet.

--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -56,6 +56,9 @@
   bool is_last = false;
 };
 
+// Whether a worker has the label that a step requires.
+[[nodiscard]] bool HasLabel(const WorkerInfo& info, const StepSpec& step);
+
 // Returns CPU time, in thousandths of a processor, as a fraction of the
 // worker's CPU capacity.
 [[nodiscard]] double CpuFraction(const GraphWorker& worker,
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_GRAPH_GRAPH_TABLE_H_
 #define BANYAN_GRAPH_GRAPH_TABLE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -25,16 +26,36 @@
 // State of one task of a graph.
 enum class TaskPhase : std::uint8_t { kWaiting, kReady, kRunning, kDone };
 
+// The second run of a speculative task.
+struct TaskCopy {
+  // Number of the copy placed last; 0 before the first. Kept after its end,
+  // since run numbers are not reused.
+  std::int64_t run = 0;
+  // Empty id unless the copy is active.
+  WorkerIncarnation worker;
+};
+
 // Progress of one task, with its latest run.
 struct TaskProgress {
   TaskPhase phase = TaskPhase::kWaiting;
-  // Number of the run placed last; 0 before the first.
+  // Number of the first run; 0 before it is placed. A copy that outlives the
+  // first run becomes the first run.
   std::int64_t run = 0;
   std::int64_t failures = 0;
   WorkerIncarnation worker;
   // The latest checkpoint committed to the log; empty to start from scratch.
   std::string checkpoint;
   CrashRecord crashes;
+  TaskCopy copy;
+
+  // Whether a copy is active beside the first run.
+  [[nodiscard]] bool has_copy() const noexcept {
+    return !copy.worker.id.empty();
+  }
+  // Number of the run placed last; 0 before the first.
+  [[nodiscard]] std::int64_t last_run() const noexcept {
+    return std::max(run, copy.run);
+  }
 };
 
 // Progress of one step in one occurrence.
@@ -113,6 +134,10 @@
   GraphApplyResult Apply(const AdmitWorker& command, WallMillis now);
   GraphApplyResult Apply(const DropWorker& command, WallMillis now);
   GraphApplyResult Apply(const PlaceRuns& command, WallMillis now);
+  // Ignores copies that are not allowed: of tasks that have no active run, have
+  // a copy, are suspects or could exceed their attempts, of steps that may not
+  // be copied, and on the worker of the first run.
+  GraphApplyResult Apply(const PlaceCopies& command, WallMillis now);
   GraphApplyResult Apply(const EndRuns& command, WallMillis now);
   GraphApplyResult Apply(const RecordCrashes& command, WallMillis now);
 
@@ -155,9 +180,13 @@
   [[nodiscard]] const StepSpec* FindStep(const TaskRef& task) const;
   // Returns the progress of a task; null if its graph is terminal or unknown.
   [[nodiscard]] const TaskProgress* FindTask(const TaskRef& task) const;
-  // Returns whether the run is its task's active run, on this worker.
+  // Returns whether the run is its task's active run or its active copy, on
+  // this worker.
   [[nodiscard]] bool IsCurrent(const RunRef& run,
                                const WorkerIncarnation& incarnation) const;
+  // Returns whether another run of the task may be started beside its active
+  // one.
+  [[nodiscard]] bool MayCopy(const TaskRef& task) const;
   // Returns the plan's queue of this name; null if there is none.
   [[nodiscard]] const QueueSpec* FindQueue(std::string_view name) const;
   // Returns the number of accepted graphs of a queue with no run started.
@@ -178,6 +207,11 @@
               const EndedRun& row,
               WallMillis now,
               GraphApplyResult& applied);
+  // Records the placement of a run that its task's progress names already.
+  void AddRun(const RunPlacement& placement,
+              GraphWorker& worker,
+              WallMillis now,
+              GraphApplyResult& applied);
   void FinishTask(const std::string& id,
                   Graph& graph,
                   const TaskRef& ref,
--- a/include/banyan/wire/command.h
+++ b/include/banyan/wire/command.h
@@ -148,7 +148,8 @@
                              DropWorker,
                              PlaceRuns,
                              EndRuns,
-                             RecordCrashes>;
+                             RecordCrashes,
+                             PlaceCopies>;
 
 // A command as stored in the replicated log.
 struct LoggedCommand {
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -348,6 +348,12 @@
   std::vector<RunPlacement> runs;
 };
 
+// Places second runs of speculative tasks on other workers.
+struct PlaceCopies {
+  static constexpr const char* kType = "place-copies";
+  std::vector<RunPlacement> runs;
+};
+
 // Records the ended runs that a worker listed.
 struct EndRuns {
   static constexpr const char* kType = "end-runs";
--- a/src/graph/candidate_worker.cc
+++ b/src/graph/candidate_worker.cc
@@ -50,6 +50,12 @@
 
 }  // namespace
 
+bool HasLabel(const WorkerInfo& info, const StepSpec& step) {
+  return step.required_label.empty() ||
+         std::find(info.labels.begin(), info.labels.end(),
+                   step.required_label) != info.labels.end();
+}
+
 double CpuFraction(const GraphWorker& worker,
                    std::int64_t cpu_millis) noexcept {
   return static_cast<double>(cpu_millis) /
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -74,13 +74,6 @@
   return key;
 }
 
-// Whether a worker has the label that a step requires.
-bool HasLabel(const WorkerInfo& info, const StepSpec& step) {
-  return step.required_label.empty() ||
-         std::find(info.labels.begin(), info.labels.end(),
-                   step.required_label) != info.labels.end();
-}
-
 bool HasRunningTask(const Graph& graph) {
   for (const OccurrenceProgress& occurrence : graph.occurrences) {
     for (const StepProgress& step : occurrence) {
@@ -229,8 +222,8 @@
     StepDistribution distribution = DistributionOf(
         graph.occurrences[static_cast<std::size_t>(ref.occurrence)]
                          [static_cast<std::size_t>(ref.step)]);
-    if (auto placed = PlaceTask(graph, ref, step, task.run + 1, isolation,
-                                is_overdue, distribution)) {
+    if (auto placed = PlaceTask(graph, ref, step, task.last_run() + 1,
+                                isolation, is_overdue, distribution)) {
       MarkTrials({&*placed, 1});
       long_running_since_.erase(ref);
       placements.push_back(*std::move(placed));
@@ -328,6 +321,9 @@
       continue;
     }
     ++distribution.tasks[task.worker.id];
+    if (task.has_copy()) {
+      ++distribution.tasks[task.copy.worker.id];
+    }
     const auto candidate = candidates_.find(task.worker.id);
     if (candidate != candidates_.end()) {
       distribution.rack = candidate->second.worker->info.rack;
@@ -357,7 +353,7 @@
     if (!is_overdue && miss_count >= kMaxMissesPerStep) {
       continue;
     }
-    const auto placed = PlaceTask(graph, ref, step, task.run + 1,
+    const auto placed = PlaceTask(graph, ref, step, task.last_run() + 1,
                                   Isolation::kNone, is_overdue, distribution);
     if (!placed) {
       ++miss_count;
@@ -389,7 +385,7 @@
     if (task.phase != TaskPhase::kReady) {
       return;
     }
-    run = std::max(run, task.run);
+    run = std::max(run, task.last_run());
   }
   const StepSpec& step = graph.spec.steps[static_cast<std::size_t>(first.step)];
   // Restored unless all members can be placed.
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -74,8 +74,25 @@
 bool GraphTable::IsCurrent(const RunRef& run,
                            const WorkerIncarnation& incarnation) const {
   const TaskProgress* task = FindTask(run.task);
-  return task != nullptr && task->phase == TaskPhase::kRunning &&
-         task->run == run.run && task->worker == incarnation;
+  if (task == nullptr || task->phase != TaskPhase::kRunning) {
+    return false;
+  }
+  return (task->run == run.run && task->worker == incarnation) ||
+         (task->has_copy() && task->copy.run == run.run &&
+          task->copy.worker == incarnation);
+}
+
+bool GraphTable::MayCopy(const TaskRef& ref) const {
+  const TaskProgress* task = FindTask(ref);
+  if (task == nullptr || task->phase != TaskPhase::kRunning ||
+      task->has_copy() || task->crashes.is_suspect()) {
+    return false;
+  }
+  const StepSpec& step = *FindStep(ref);
+  // The active run and the copy may both fail.
+  return step.speculative && !step.best_effort && !step.long_running &&
+         !step.gang &&
+         task->failures + 2 <= FindGraph(ref.graph)->queue.max_attempts;
 }
 
 const QueueSpec* GraphTable::FindQueue(std::string_view name) const {
@@ -360,28 +377,52 @@
   for (const RunPlacement& placement : command.runs) {
     TaskProgress* task = MutableTask(placement.run.task);
     GraphWorker* worker = MutableWorker(placement.worker);
-    const bool is_possible = task != nullptr &&
-                             task->phase == TaskPhase::kReady &&
-                             placement.run.run > task->run && worker != nullptr;
+    const bool is_possible =
+        task != nullptr && task->phase == TaskPhase::kReady &&
+        placement.run.run > task->last_run() && worker != nullptr;
     if (!is_possible) {
       continue;
     }
     const std::string& id = placement.run.task.graph;
     Graph& graph = graphs_.at(id);
-    const StepSpec& step = *FindStep(placement.run.task);
     task->run = placement.run.run;
     task->worker = placement.worker;
     SetPhase(id, graph, *task, TaskPhase::kRunning);
     MarkRunning(graph);
-    graph.changed_at = now;
-    worker->committed += ReservedResources(step);
-    worker->fill_cpu_millis += step.best_effort ? step.needs.cpu_millis : 0;
-    worker->runs.insert(placement.run);
-    applied.placed.push_back(placement);
+    AddRun(placement, *worker, now, applied);
   }
   return applied;
 }
 
+GraphApplyResult GraphTable::Apply(const PlaceCopies& command, WallMillis now) {
+  GraphApplyResult applied;
+  applied.result.ok = true;
+  for (const RunPlacement& placement : command.runs) {
+    TaskProgress* task = MutableTask(placement.run.task);
+    GraphWorker* worker = MutableWorker(placement.worker);
+    if (worker == nullptr || !MayCopy(placement.run.task) ||
+        placement.run.run <= task->last_run() ||
+        placement.worker.id == task->worker.id) {
+      continue;
+    }
+    task->copy = {placement.run.run, placement.worker};
+    AddRun(placement, *worker, now, applied);
+  }
+  return applied;
+}
+
+void GraphTable::AddRun(const RunPlacement& placement,
+                        GraphWorker& worker,
+                        WallMillis now,
+                        GraphApplyResult& applied) {
+  const StepSpec& step = *FindStep(placement.run.task);
+  graphs_.at(placement.run.task.graph).changed_at = now;
+  worker.committed += ReservedResources(step);
+  worker.fill_cpu_millis += step.best_effort ? step.needs.cpu_millis : 0;
+  worker.runs.insert(placement.run);
+  applied.placed.push_back(placement);
+}
+
 GraphApplyResult GraphTable::Apply(const EndRuns& command, WallMillis now) {
   GraphApplyResult applied;
   GraphWorker* worker = MutableWorker(command.worker);
@@ -420,7 +461,7 @@
   TaskProgress* task = MutableTask(ref);
   const bool is_counted = task == nullptr || task->phase == TaskPhase::kDone ||
                           crash.run.run <= task->crashes.last_run;
-  if (is_counted || crash.run.run > task->run) {
+  if (is_counted || crash.run.run > task->last_run()) {
     return;
   }
   // A long-running task that got to work was not to blame for earlier crashes.
@@ -498,11 +539,27 @@
     task.checkpoint = row.checkpoint;
   }
   graph->second.changed_at = now;
+  const bool is_copy = task.has_copy() && row.run.run == task.copy.run;
   if (row.reason == RunEndReason::kDone && !step.long_running) {
+    if (task.has_copy()) {
+      // The other run must be stopped.
+      applied.affected_workers.insert(is_copy ? task.worker.id
+                                              : task.copy.worker.id);
+      task.copy.worker = WorkerIncarnation{};
+    }
     FinishTask(graph->first, graph->second, row.run.task, now, applied);
     return;
   }
-  SetPhase(graph->first, graph->second, task, TaskPhase::kReady);
+  if (task.has_copy()) {
+    // The other run stays, as the first run.
+    if (!is_copy) {
+      task.run = task.copy.run;
+      task.worker = task.copy.worker;
+    }
+    task.copy.worker = WorkerIncarnation{};
+  } else {
+    SetPhase(graph->first, graph->second, task, TaskPhase::kReady);
+  }
   if (row.reason == RunEndReason::kFailed && !step.long_running) {
     RecordFailure(graph->first, graph->second, row.run, task, now, applied);
   }
@@ -556,7 +613,9 @@
     }
     failures = step.gang_failures;
   }
-  if (failures >= graph.queue.max_attempts) {
+  // Another run of the task may be active and may still be done.
+  if (failures >= graph.queue.max_attempts &&
+      task.phase != TaskPhase::kRunning) {
     graph.failure = "task " + std::to_string(run.task.index) + " of step " +
                     std::to_string(run.task.step) + " failed " +
                     std::to_string(failures) + " times";
@@ -575,6 +634,9 @@
       for (const TaskProgress& task : step.tasks) {
         if (task.phase == TaskPhase::kRunning) {
           applied.affected_workers.insert(task.worker.id);
+          if (task.has_copy()) {
+            applied.affected_workers.insert(task.copy.worker.id);
+          }
         }
       }
     }
--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -21,12 +21,16 @@
 inline void from_json(const nlohmann::json& json, TaskPhase& value) {
   ReadEnum(json, TaskPhase::kDone, value);
 }
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskCopy, run, worker)
 inline void to_json(nlohmann::json& json, const TaskProgress& task) {
   json = {task.phase, task.run, task.failures, task.worker, task.checkpoint};
   // Few tasks were ever on a worker that crashed.
-  if (task.crashes.last_run > 0) {
+  if (task.crashes.last_run > 0 || task.copy.run > 0) {
     json.push_back(task.crashes);
   }
+  if (task.copy.run > 0) {
+    json.push_back(task.copy);
+  }
 }
 inline void from_json(const nlohmann::json& json, TaskProgress& task) {
   json.at(0).get_to(task.phase);
@@ -37,6 +41,10 @@
   if (json.size() > 5) {
     json.at(5).get_to(task.crashes);
   }
+  // Absent in snapshots of earlier versions, and for tasks without a copy.
+  if (json.size() > 6) {
+    json.at(6).get_to(task.copy);
+  }
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StepProgress,
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -217,6 +217,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdmitWorker, info, agent)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DropWorker, life, cause, last_seen)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRuns, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceCopies, runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndRuns, worker, rows)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordCrashes, worker, rows)
 inline void to_json(nlohmann::json& json, const WorkerSync& sync) {
