Placement: copies of speculative tasks

Change: Speculation decides which runs get a copy: those on workers that have not reported for 1.2 s, those far behind their step, and those whose objective leaves no time for a second run. Copies use at most 10% of a pool's processors, and only what first runs leave free. The leader proposes them after the first runs of a pass, logs E1360 to E1362 and counts the copies and the wasted time.

The virtual-time world has copies as a fault kind. Its judge allows two runs at once, and a start up to 1 s after an end that was taken note of, for speculative steps only; all other tasks are judged as before.

In a first run the test of a new leader failed: the leader took the runs that it found for new ones and copied them. It now uses the start of a run only if it has placed the run. The effect on the deployments has not been measured.

--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -23,6 +23,7 @@
 #include "banyan/graph/run_call.h"
 #include "banyan/graph/run_event.h"
 #include "banyan/graph/serving_rank.h"
+#include "banyan/graph/speculation.h"
 #include "banyan/graph/urgency.h"
 #include "banyan/graph/worker_agent.h"
 #include "banyan/graph/worker_suspicion.h"
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -15,6 +15,7 @@
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/pacer.h"
+#include "banyan/graph/speculation.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/settings/scheduling_policy.h"
 #include "banyan/wire/command.h"
@@ -80,6 +81,12 @@
     return placement_.starved_time();
   }
 
+  // Returns what copies of speculative tasks have gained and cost in this
+  // leadership.
+  [[nodiscard]] const CopyCounters& copy_counters() const noexcept {
+    return speculation_.counters();
+  }
+
   [[nodiscard]] GraphLeaderOutputs TakeOutputs() {
     return std::exchange(out_, GraphLeaderOutputs{});
   }
@@ -143,7 +150,6 @@
   // Clears the worker's suspicion if a long-running run that started after its
   // last failure has been at work for long enough.
   void FindSoundRuns(Time now, const GraphTable& table, GraphWorkerView& view);
-  void LogLongRunningWait(Time now, const LongRunningWait& wait);
   void ExpireLeases(Time now, const GraphTable& table);
   void StopStuckRuns(Time now, const GraphTable& table);
   // Returns the view of a worker's incarnation. The view of an earlier
@@ -170,6 +176,7 @@
   std::uint64_t fencing_token_ = 0;
   std::map<std::string, GraphWorkerView> views_;
   GraphPlacement placement_{options_.scheduling};
+  Speculation speculation_{options_.scheduling};
   Pacer pacer_;
   // Workers that stopped answering, with the time of the report of it.
   std::vector<std::pair<WorkerIncarnation, Time>> losses_;
--- a/include/banyan/graph/placement_wait.h
+++ b/include/banyan/graph/placement_wait.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "banyan/base/time.h"
+#include "banyan/events/event.h"
 #include "banyan/graph/exclusion.h"
 #include "banyan/wire/graph.h"
 
@@ -73,6 +74,9 @@
   std::vector<RejectedWorker> rejected;
 };
 
+// Returns the event that logs the wait of a long-running task.
+[[nodiscard]] Event LongRunningWaitEvent(Time now, const LongRunningWait& wait);
+
 }  // namespace banyan
 
 #endif  // BANYAN_GRAPH_PLACEMENT_WAIT_H_
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -47,6 +47,9 @@
   // When the leader may consider the worker's lease expired.
   Time lease_deadline;
   bool reachable = false;
+  // When the worker last answered its agent, as reported, or when the leader
+  // took over; empty before the first report.
+  Time reported_at;
   // The capacity last reported; empty before the first report.
   std::optional<Resources> capacity;
   // The largest capacity that was reported.
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -63,6 +63,7 @@
   fencing_token_ = fencing_token;
   views_.clear();
   placement_ = GraphPlacement(options_.scheduling);
+  speculation_ = Speculation(options_.scheduling);
   placement_proposed_at_.reset();
   losses_.clear();
   out_ = GraphLeaderOutputs{};
@@ -70,6 +71,7 @@
     GraphWorkerView& view = views_[id];
     view.life = worker.info.life;
     view.lease_deadline = LeaseExpiry(now);
+    view.reported_at = now;
   }
 }
 
@@ -183,6 +185,7 @@
     losses_.emplace_back(incarnation, now);
   }
   view.reachable = sync.reachable;
+  view.reported_at = sync.reachable ? now : view.reported_at;
   view.capacity = sync.info.capacity;
   view.largest_capacity = Max(view.largest_capacity, sync.info.capacity);
   view.is_new_list = sync.lists != view.lists;
@@ -609,7 +612,10 @@
                             const GraphTable& table,
                             const Command& command,
                             const GraphApplyResult& applied) {
-  if (std::holds_alternative<PlaceRuns>(command)) {
+  speculation_.OnApplied(now, table, command, applied, out_.events);
+  if ((std::holds_alternative<PlaceRuns>(command) ||
+       std::holds_alternative<PlaceCopies>(command)) &&
+      !speculation_.is_pending()) {
     placement_proposed_at_.reset();
   }
   std::map<std::string, WorkerOrders> orders;
@@ -837,25 +843,6 @@
   }
 }
 
-void GraphLeader::LogLongRunningWait(Time now, const LongRunningWait& wait) {
-  std::string rejected;
-  for (const RejectedWorker& worker : wait.rejected) {
-    rejected += (rejected.empty() ? "" : ",") + worker.id + ":" +
-                ToString(worker.exclusion);
-  }
-  out_.events.push_back(Event(EventId::kLongRunningWaited)
-                            .With("request", wait.task.graph)
-                            .With("occurrence", wait.task.occurrence)
-                            .With("step", wait.task.step)
-                            .With("task", wait.task.index)
-                            .With("waited_ms", ToMillis(now - wait.since))
-                            .With("room", wait.room)
-                            .With("workers", wait.pool_workers)
-                            .With("usable", wait.usable_workers)
-                            .With("chosen", wait.chosen)
-                            .With("rejected", rejected));
-}
-
 void GraphLeader::Decide(Time now, WallMillis wall, const GraphTable& table) {
   ExpireLeases(now, table);
   StopStuckRuns(now, table);
@@ -877,12 +864,18 @@
                               .With("excluded", wait.excluded));
   }
   for (const LongRunningWait& wait : placement_.TakeLongRunningWaits()) {
-    LogLongRunningWait(now, wait);
+    out_.events.push_back(LongRunningWaitEvent(now, wait));
   }
+  std::optional<PlaceCopies> copies = speculation_.Propose(
+      now, wall, table, views_, pacer_.model(), placements);
   if (!placements.empty()) {
     placement_proposed_at_ = now;
     out_.proposals.emplace_back(PlaceRuns{std::move(placements)});
   }
+  if (copies) {
+    placement_proposed_at_ = now;
+    out_.proposals.emplace_back(*std::move(copies));
+  }
 }
 
 }  // namespace banyan
--- a/tests/support/graph_world.h
+++ b/tests/support/graph_world.h
@@ -45,6 +45,9 @@
   bool foreign_reports = false;
   // Wall clocks of workers step back while they are down.
   bool clock_steps = false;
+  // Some steps of the batch load are speculative, and the leader runs copies of
+  // their tasks. No disruption.
+  bool copies = false;
 };
 
 // What became of a world.
@@ -61,6 +64,8 @@
   int deadly_graphs = 0;
   // The number of long-running tasks that were accepted.
   int long_running_tasks = 0;
+  // The number of runs that started beside another one of their task.
+  int copies = 0;
   // All that was recorded, one line each.
   std::string history;
 };
@@ -68,8 +73,9 @@
 // Plays the graph path under virtual time: a log with one table, the leader,
 // and an agent with a stand-in worker on each machine. The load and the faults
 // last 24 s, the calm time after them 36 s, or 96 s with deadly tasks. Judges
-// by what the workers see, not by the table: two runs of a task at once, a
-// start after an end that was taken note of, more reserved than the capacity, a
+// by what the workers see, not by the table: two runs of a task at once, or
+// three of a speculative one, a start after an end that was taken note of, or a
+// second later for a speculative task, more reserved than the capacity, a
 // third start of a task after it has crashed three workers, and graphs that
 // aren't completed, or aren't failed if one of their tasks crashes its workers.
 // A graph may be failed as well if its workers saw one of its tasks fail as
--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -41,6 +41,17 @@
                          failed == 0);
 }
 
+// Plays each seed with copies, and fails also if there are hardly any.
+void PlayWithCopies(GraphFaults faults) {
+  faults.copies = true;
+  Play(faults);
+  int copies = 0;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    copies += PlayGraphWorld(faults, seed).copies;
+  }
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(copies), copies >= 3);
+}
+
 // Plays a seed that failed once and is too rare for Play().
 void PlayRareSeed(const GraphFaults& faults, std::uint64_t seed) {
   const GraphWorldResult result = PlayGraphWorld(faults, seed);
@@ -259,6 +270,25 @@
   Play(faults);
 }
 
+// Guards against more runs of a task than two, against a second run of a task
+// that isn't speculative, and against jobs that are never completed.
+void CopiesAndCuts() {
+  PlayWithCopies({.leaves = true, .cuts = true, .failing_tasks = true});
+}
+
+// Guards against the same with leaders that didn't place the copies.
+void CopiesAndLeaderChanges() {
+  PlayWithCopies({.leader_changes = true, .worker_restarts = true});
+}
+
+// Guards against what only a combination of faults brings about.
+void CopiesAndAllFaults() {
+  GraphFaults faults = kAllFaults;
+  faults.capacity_changes = true;
+  faults.failing_tasks = true;
+  PlayWithCopies(faults);
+}
+
 // Guards against a violation that can't be played again.
 void SameSeedSameHistory() {
   const auto play = [] { return PlayGraphWorld(kAllFaults, 1).history; };
@@ -297,6 +327,13 @@
                       DeadlyTasksAndCuts)
                 .Then("is given up with all faults together",
                       DeadlyTasksAndAllFaults))
+      .With(Section("A speculative task")
+                .Then("runs twice at most though agents lose their connection",
+                      CopiesAndCuts)
+                .Then("runs twice at most though the leader changes",
+                      CopiesAndLeaderChanges)
+                .Then("runs twice at most with all faults together",
+                      CopiesAndAllFaults))
       .With(Section("A worker whose capacity shrinks")
                 .Then("is not filled beyond it", ShrinkingCapacities)
                 .Then("is not filled beyond it while others fail",
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -99,6 +99,7 @@
       .With(PlatformCodecStory())
       .With(DecoderFuzzStory())
       .With(ServingRankStory())
+      .With(SpeculationStory())
       .With(UrgencyStory())
       .With(AuditStory())
       .With(ReplayStory());
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -97,6 +97,7 @@
 Section PlatformCodecStory();
 Section DecoderFuzzStory();
 Section ServingRankStory();
+Section SpeculationStory();
 Section UrgencyStory();
 Section AuditStory();
 Section ReplayStory();
