--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -16,6 +16,7 @@
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/pacer.h"
+#include "banyan/graph/speculation.h"
 #include "banyan/graph/urgent_room.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/settings/scheduling_policy.h"
@@ -87,6 +88,12 @@
     return placement_.starved_time();
   }
 
+  // Returns what copies of speculative tasks have gained and cost in this
+  // leadership.
+  [[nodiscard]] const CopyCounters& copy_counters() const noexcept {
+    return speculation_.counters();
+  }
+
   [[nodiscard]] GraphLeaderOutputs TakeOutputs() {
     return std::exchange(out_, GraphLeaderOutputs{});
   }
@@ -152,7 +159,6 @@
   void FindSoundRuns(Time now, const GraphTable& table, GraphWorkerView& view);
   // Logs the waits that the last placement pass recorded.
   void LogWaits(Time now);
-  void LogLongRunningWait(Time now, const LongRunningWait& wait);
   // Stops runs for urgent tasks that found no room in the last placement pass.
   void StopForUrgent(Time now,
                      const GraphTable& table,
@@ -185,6 +191,7 @@
   GraphPlacement placement_{options_.scheduling};
   UrgentRoom urgent_room_;
   AdmissionForecast forecast_{options_.scheduling};
+  Speculation speculation_{options_.scheduling};
   Pacer pacer_;
   // Workers that stopped answering, with the time of the report of it.
   std::vector<std::pair<WorkerIncarnation, Time>> losses_;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -65,6 +65,7 @@
   placement_ = GraphPlacement(options_.scheduling);
   urgent_room_.Reset(now);
   forecast_.Reset(now);
+  speculation_ = Speculation(options_.scheduling);
   placement_proposed_at_.reset();
   losses_.clear();
   out_ = GraphLeaderOutputs{};
@@ -72,6 +73,7 @@
     GraphWorkerView& view = views_[id];
     view.life = worker.info.life;
     view.lease_deadline = LeaseExpiry(now);
+    view.reported_at = now;
   }
 }
 
@@ -185,6 +187,7 @@
     losses_.emplace_back(incarnation, now);
   }
   view.reachable = sync.reachable;
+  view.reported_at = sync.reachable ? now : view.reported_at;
   view.capacity = sync.info.capacity;
   view.largest_capacity = Max(view.largest_capacity, sync.info.capacity);
   view.is_new_list = sync.lists != view.lists;
@@ -611,7 +614,10 @@
                             const GraphTable& table,
                             const Command& command,
                             const GraphApplyResult& applied) {
-  if (std::holds_alternative<PlaceRuns>(command)) {
+  speculation_.OnApplied(now, table, command, applied, out_.events);
+  if ((std::holds_alternative<PlaceRuns>(command) ||
+       std::holds_alternative<PlaceCopies>(command)) &&
+      !speculation_.is_pending()) {
     placement_proposed_at_.reset();
   }
   forecast_.OnApplied(now, table, command);
@@ -824,25 +830,6 @@
   }
 }
 
-void GraphLeader::LogLongRunningWait(Time now, const LongRunningWait& wait) {
-  std::string rejected;
-  for (const RejectedWorker& worker : wait.rejected) {
-    rejected += (rejected.empty() ? "" : ",") + worker.id + ":" +
-                ToString(worker.exclusion);
-  }
-  out_.events.push_back(Event(EventId::kLongRunningWaited)
-                            .With("request", wait.task.graph)
-                            .With("occurrence", wait.task.occurrence)
-                            .With("step", wait.task.step)
-                            .With("task", wait.task.index)
-                            .With("waited_ms", ToMillis(now - wait.since))
-                            .With("room", wait.room)
-                            .With("workers", wait.pool_workers)
-                            .With("usable", wait.usable_workers)
-                            .With("chosen", wait.chosen)
-                            .With("rejected", rejected));
-}
-
 void GraphLeader::Decide(Time now, WallMillis wall, const GraphTable& table) {
   forecast_.Observe(now, table, out_.events);
   ExpireLeases(now, table);
@@ -857,10 +844,16 @@
       placement_.Choose(now, wall, table, views_, pacer_.model());
   LogWaits(now);
   StopForUrgent(now, table, placements);
+  std::optional<PlaceCopies> copies = speculation_.Propose(
+      now, wall, table, views_, pacer_.model(), placements);
   if (!placements.empty()) {
     placement_proposed_at_ = now;
     out_.proposals.emplace_back(PlaceRuns{std::move(placements)});
   }
+  if (copies) {
+    placement_proposed_at_ = now;
+    out_.proposals.emplace_back(*std::move(copies));
+  }
 }
 
 }  // namespace banyan
--- a/src/graph/graph_leader_urgent.cc
+++ b/src/graph/graph_leader_urgent.cc
@@ -20,7 +20,7 @@
                               .With("excluded", wait.excluded));
   }
   for (const LongRunningWait& wait : placement_.TakeLongRunningWaits()) {
-    LogLongRunningWait(now, wait);
+    out_.events.push_back(LongRunningWaitEvent(now, wait));
   }
 }
 
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -229,8 +229,8 @@
     StepDistribution distribution = DistributionOf(
         graph.occurrences[static_cast<std::size_t>(ref.occurrence)]
                          [static_cast<std::size_t>(ref.step)]);
-    if (auto placed = PlaceTask(graph, ref, step, task.run + 1, isolation,
-                                is_overdue, distribution)) {
+    if (auto placed = PlaceTask(graph, ref, step, task.last_run() + 1,
+                                isolation, is_overdue, distribution)) {
       MarkTrials({&*placed, 1});
       long_running_since_.erase(ref);
       placements.push_back(*std::move(placed));
@@ -328,6 +328,9 @@
       continue;
     }
     ++distribution.tasks[task.worker.id];
+    if (task.has_copy()) {
+      ++distribution.tasks[task.copy.worker.id];
+    }
     const auto candidate = candidates_.find(task.worker.id);
     if (candidate != candidates_.end()) {
       distribution.rack = candidate->second.worker->info.rack;
@@ -357,7 +360,7 @@
     if (!is_overdue && miss_count >= kMaxMissesPerStep) {
       continue;
     }
-    const auto placed = PlaceTask(graph, ref, step, task.run + 1,
+    const auto placed = PlaceTask(graph, ref, step, task.last_run() + 1,
                                   Isolation::kNone, is_overdue, distribution);
     if (!placed) {
       ++miss_count;
@@ -389,7 +392,7 @@
     if (task.phase != TaskPhase::kReady) {
       return;
     }
-    run = std::max(run, task.run);
+    run = std::max(run, task.last_run());
   }
   const StepSpec& step = graph.spec.steps[static_cast<std::size_t>(first.step)];
   // Restored unless all members can be placed.
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -106,6 +106,9 @@
     leader_.Reset(now_, table_, 7);
   }
 
+  explicit LeaderHarness(SchedulingPolicy scheduling)
+      : LeaderHarness(GraphLeaderOptions{.scheduling = scheduling}) {}
+
   // Applies a command and the leader's proposals that result from it.
   CommandResult Commit(const Command& command) {
     const GraphApplyResult applied = std::visit(
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -101,6 +101,7 @@
       .With(DecoderFuzzStory())
       .With(ServingRankStory())
       .With(LookAheadStory())
+      .With(SpeculationStory())
       .With(UrgencyStory())
       .With(UrgentRoomStory())
       .With(AuditStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -99,6 +99,7 @@
 Section DecoderFuzzStory();
 Section ServingRankStory();
 Section LookAheadStory();
+Section SpeculationStory();
 Section UrgencyStory();
 Section UrgentRoomStory();
 Section AuditStory();
