Run times: simpler moments; test of runs from checkpoints

Cause: the bound on outliers in RunningMoments had no test that failed without it: a step's mean over its tasks already dilutes runs that take seven times as long. No test showed that runs from checkpoints are left out.

Change: the bound is removed; the test is added. It fails if the observer ignores the checkpoint.

--- a/include/banyan/graph/run_time_model.h
+++ b/include/banyan/graph/run_time_model.h
@@ -25,7 +25,7 @@
 };
 
 // Running mean and variance. Recent values count more once there are
-// kMaxWeight, and outliers count as the largest plausible value.
+// kMaxWeight.
 class RunningMoments {
  public:
   // Number of values that the moments follow.
--- a/src/graph/run_time_model.cc
+++ b/src/graph/run_time_model.cc
@@ -24,12 +24,6 @@
 // Declared times within this root mean square of the logarithm of real/declared
 // are used as they are: the tasks of a step differ as much.
 constexpr double kAccurateDeviation = 0.2;
-// Values further from the mean than this many deviations count as at this
-// distance: 3% of the runs take seven times as long.
-constexpr double kMaxDeviations = 2.5;
-// Lower bound of the deviation that bounds outliers, so that a change of a
-// queue whose times were all equal is followed.
-constexpr double kMinOutlierDeviation = 0.25;
 // Progress from which on the run time of an active run can be told.
 constexpr std::int64_t kMinPercent = 10;
 // Expected remaining part of an active run whose progress is not known.
@@ -97,12 +91,7 @@
 
 void RunningMoments::Add(double value) {
   weight_ = std::min(weight_ + 1, kMaxWeight);
-  double distance = value - mean_;
-  if (weight_ > kMinSteps) {
-    const double bound =
-        kMaxDeviations * std::max(std::sqrt(variance_), kMinOutlierDeviation);
-    distance = std::clamp(distance, -bound, bound);
-  }
+  const double distance = value - mean_;
   const double rate = 1 / weight_;
   mean_ += rate * distance;
   variance_ = (1 - rate) * (variance_ + rate * Square(distance));
--- a/tests/unit/run_time_model_test.cc
+++ b/tests/unit/run_time_model_test.cc
@@ -242,6 +242,20 @@
     table_.Apply(place, kGraphStart);
   }
 
+  // Ends a graph's runs with a checkpoint and starts the next ones from it.
+  void Restart(const std::string& graph) {
+    EndRuns ends{{"w", 1}, {}};
+    PlaceRuns place;
+    for (std::int64_t t = 0; t < kTasks; ++t) {
+      ends.rows.push_back(
+          {++ends_, RunOf(graph, 0, t), RunEndReason::kStopped, "half"});
+      place.runs.push_back({RunOf(graph, 0, t, 2), {"w", 1}});
+      view_.start_sent_at[RunOf(graph, 0, t, 2)] = now_;
+    }
+    table_.Apply(ends, kGraphStart);
+    table_.Apply(place, kGraphStart);
+  }
+
   // Reports the runs of a graph with a percentage after a time, in which they
   // ran at a share.
   void Report(const std::string& graph,
@@ -261,12 +275,12 @@
   }
 
   // Reports the graph's runs as done, then commits the ends.
-  void Finish(const std::string& graph, Duration span) {
+  void Finish(const std::string& graph, Duration span, std::int64_t run = 1) {
     now_ += span;
     WorkerSync sync;
     for (std::int64_t t = 0; t < kTasks; ++t) {
       sync.ended.push_back(
-          {++ends_, RunOf(graph, 0, t), RunEndReason::kDone, ""});
+          {++ends_, RunOf(graph, 0, t, run), RunEndReason::kDone, ""});
     }
     observer_.OnSync(now_, table_, view_, sync, events_);
     view_.proposed_end = ends_;
@@ -313,6 +327,17 @@
       4000, std::exp(queues.find(kQueue)->second.real.mean()), 1);
 }
 
+// The second run of a task has less left, so its time would be too short.
+void RunsFromCheckpointsAreNotLearned() {
+  ObservedWorker worker;
+  worker.Place("g");
+  worker.Restart("g");
+  worker.Finish("g", Millis(400), 2);
+  CPPUNIT_ASSERT(worker.table().FindGraph("g")->state ==
+                 GraphState::kCompleted);
+  CPPUNIT_ASSERT(worker.observer().model().queues().empty());
+}
+
 void MemoryIsBoundedByActiveGraphs() {
   ObservedWorker worker;
   for (int i = 0; i < 50; ++i) {
@@ -396,6 +421,8 @@
                       PartlyDoneGraphsAreRankedByRemainingWork)
                 .Then("count the share of throttled runs",
                       ThrottledRunsCountTheirShare)
+                .Then("leave out runs from checkpoints",
+                      RunsFromCheckpointsAreNotLearned)
                 .Then("are forgotten with their graphs",
                       MemoryIsBoundedByActiveGraphs))
       .With(Section("of a leader")
