--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -16,6 +16,7 @@
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/graph_table.h"
 #include "banyan/graph/pacer.h"
+#include "banyan/graph/run_time_observer.h"
 #include "banyan/graph/speculation.h"
 #include "banyan/graph/urgent_room.h"
 #include "banyan/graph/worker_view.h"
@@ -193,6 +194,7 @@
   AdmissionForecast forecast_{options_.scheduling};
   Speculation speculation_{options_.scheduling};
   Pacer pacer_;
+  RunTimeObserver run_times_;
   // Workers that stopped answering, with the time of the report of it.
   std::vector<std::pair<WorkerIncarnation, Time>> losses_;
   // When the pending batch of placements was proposed; empty if none is.
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -20,6 +20,7 @@
 #include "banyan/graph/interference.h"
 #include "banyan/graph/look_ahead.h"
 #include "banyan/graph/placement_wait.h"
+#include "banyan/graph/run_time_model.h"
 #include "banyan/graph/urgent_room.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/settings/scheduling_policy.h"
@@ -47,13 +48,15 @@
  public:
   explicit GraphPlacement(SchedulingPolicy policy) : policy_(policy) {}
 
-  // Returns the placements to propose, most urgent first.
+  // Returns the placements to propose, most urgent first: by the run times of
+  // the model, or by the declared ones if it is null.
   [[nodiscard]] std::vector<RunPlacement> Choose(
       Time now,
       WallMillis wall,
       const GraphTable& table,
       const std::map<std::string, GraphWorkerView>& views,
-      const InterferenceModel& model);
+      const InterferenceModel& model,
+      const RunTimeModel* run_times = nullptr);
 
   // Records a reason to prefer other workers for the next run of the task.
   void Avoid(Time now,
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -120,7 +120,8 @@
     WallMillis wall,
     const GraphTable& table,
     const std::map<std::string, GraphWorkerView>& views,
-    const InterferenceModel& model) {
+    const InterferenceModel& model,
+    const RunTimeModel* run_times) {
   now_ = now;
   model_ = &model;
   unfit_.clear();
@@ -146,8 +147,11 @@
     pool.is_short = headroom_.contains(service);
   }
   PlaceSuspects(wall, table, placements);
-  for (const auto& [urgency, id, graph] :
-       OrderReadyGraphs(table, pools, policy_, wall)) {
+  const std::vector<ReadyGraph> order =
+      run_times == nullptr
+          ? OrderReadyGraphs(table, pools, policy_, wall)
+          : OrderReadyGraphs(table, pools, policy_, wall, *run_times);
+  for (const auto& [urgency, id, graph] : order) {
     if (placements.size() >= kMaxBatch) {
       break;
     }
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -101,7 +101,8 @@
 // the orders that the leader sends.
 class LeaderHarness {
  public:
-  explicit LeaderHarness(GraphLeaderOptions options = {}) : leader_(options) {
+  explicit LeaderHarness(const GraphLeaderOptions& options = {})
+      : leader_(options) {
     Commit(InstallPlan{SamplePlan()});
     leader_.Reset(now_, table_, 7);
   }
--- a/tests/unit/admission_forecast_test.cc
+++ b/tests/unit/admission_forecast_test.cc
@@ -143,8 +143,8 @@
 
   void Place() {
     PlaceRuns place;
-    for (const ReadyGraph& ready :
-         OrderReadyGraphs(table_, PoolUsages(table_), true, wall_)) {
+    for (const ReadyGraph& ready : OrderReadyGraphs(
+             table_, PoolUsages(table_), SchedulingPolicy{}, wall_)) {
       const auto& tasks = ready.graph->occurrences[0][0].tasks;
       for (std::size_t i = 0; i < tasks.size(); ++i) {
         if (tasks[i].phase == TaskPhase::kReady &&
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -104,6 +104,7 @@
       .With(SpeculationStory())
       .With(UrgencyStory())
       .With(UrgentRoomStory())
+      .With(RunTimeModelStory())
       .With(AuditStory())
       .With(ReplayStory());
   if (!is_quick) {
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -102,6 +102,7 @@
 Section SpeculationStory();
 Section UrgencyStory();
 Section UrgentRoomStory();
+Section RunTimeModelStory();
 Section AuditStory();
 Section ReplayStory();
 Section MatrixStory();
