Placement: displaced long-running tasks leave room for the quick load

Cause: headroom began only after urgent tasks had waited. When a data centre goes out of service, its displaced tasks take the room by then, and they count as unavailable for 5.5 s after their restart, which uses up `max_unavailable` of all steps: nothing may be stopped.

Change: headroom is also kept while the long-running tasks that wait would leave less free capacity than the urgent tasks of the pool use at present.

The new test fails without the change.

--- a/include/banyan/graph/urgent_room.h
+++ b/include/banyan/graph/urgent_room.h
@@ -53,8 +53,10 @@
   // no long-running task is stopped at first.
   void Reset(Time now);
 
-  // Returns the headroom in pools whose urgent tasks have waited lately. It is
-  // less than any long-running task that waits there.
+  // Returns the headroom in pools whose urgent tasks have waited lately, or
+  // whose long-running tasks that wait would leave less room free than urgent
+  // tasks use at present. It is less than any long-running task that waits
+  // there.
   [[nodiscard]] HeadroomByService Headroom(Time now, const GraphTable& table);
 
   // Returns the runs to stop after a placement pass. `unfit` has the urgent
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -865,7 +865,9 @@
     return;
   }
   placement_proposed_at_.reset();
-  placement_.KeepHeadroom(urgent_room_.Headroom(now, table));
+  if (options_.scheduling.room_for_urgent) {
+    placement_.KeepHeadroom(urgent_room_.Headroom(now, table));
+  }
   std::vector<RunPlacement> placements =
       placement_.Choose(now, wall, table, views_, pacer_.model());
   LogWaits(now);
--- a/src/graph/urgent_room.cc
+++ b/src/graph/urgent_room.cc
@@ -1,7 +1,7 @@
 #include "banyan/graph/urgent_room.h"
 
 #include <algorithm>
-#include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -35,6 +35,94 @@
   return task;
 }
 
+// Returns amounts for `count` tasks.
+Resources Times(const Resources& needs, std::int64_t count) {
+  return {needs.cpu_millis * count, needs.memory_mib * count,
+          needs.accelerators * count};
+}
+
+// Returns the part of amounts for each of `workers`.
+Resources Share(const Resources& total, std::int64_t workers) {
+  const std::int64_t parts = std::max<std::int64_t>(workers, 1);
+  return {total.cpu_millis / parts, total.memory_mib / parts,
+          total.accelerators / parts};
+}
+
+// Returns the largest amounts that don't hold a task.
+Resources LessThan(const Resources& needs) {
+  return {std::max<std::int64_t>(needs.cpu_millis - 1, 0),
+          std::max<std::int64_t>(needs.memory_mib - 1, 0),
+          std::max<std::int64_t>(needs.accelerators - 1, 0)};
+}
+
+bool IsUrgent(const Graph& graph, const StepSpec& step) {
+  return graph.queue.priority == 0 && !step.long_running && !step.best_effort;
+}
+
+// The load of a pool with long-running tasks that wait.
+struct PoolLoad {
+  // What the long-running tasks need that wait, and the least of each amount.
+  Resources waiting;
+  Resources smallest;
+  // What urgent tasks need, those that run and those that are ready.
+  Resources urgent;
+  // What the workers have free that take runs, and their number.
+  Resources free;
+  std::int64_t workers = 0;
+};
+
+// Returns the loads of pools with long-running tasks that wait, by service.
+std::map<std::string_view, PoolLoad> PoolLoads(const GraphTable& table) {
+  std::map<std::string_view, PoolLoad> loads;
+  std::map<std::string_view, Resources> urgent;
+  for (const std::string& id : table.ready_graphs()) {
+    const Graph& graph = table.graphs().at(id);
+    for (const OccurrenceProgress& steps : graph.occurrences) {
+      for (std::size_t s = 0; s < steps.size(); ++s) {
+        const StepSpec& step = graph.spec.steps[s];
+        const auto ready = std::count_if(
+            steps[s].tasks.begin(), steps[s].tasks.end(),
+            [](const TaskProgress& t) { return t.phase == TaskPhase::kReady; });
+        if (ready == 0) {
+          continue;
+        }
+        if (IsUrgent(graph, step)) {
+          urgent[graph.queue.service] += Times(step.needs, ready);
+        } else if (step.long_running) {
+          const Resources needs = ReservedResources(step);
+          const auto [load, is_new] = loads.try_emplace(graph.queue.service);
+          load->second.waiting += Times(needs, ready);
+          load->second.smallest =
+              is_new ? needs : Min(load->second.smallest, needs);
+        }
+      }
+    }
+  }
+  if (loads.empty()) {
+    return loads;
+  }
+  for (const auto& [id, worker] : table.workers()) {
+    const auto load = loads.find(worker.info.service);
+    if (load == loads.end() || worker.info.draining ||
+        table.evacuated().contains(worker.info.data_centre)) {
+      continue;
+    }
+    ++load->second.workers;
+    load->second.free += worker.info.capacity - worker.committed;
+    for (const RunRef& run : worker.runs) {
+      const Graph* graph = table.FindGraph(run.task.graph);
+      const StepSpec* step = table.FindStep(run.task);
+      if (graph != nullptr && step != nullptr && IsUrgent(*graph, *step)) {
+        load->second.urgent += step->needs;
+      }
+    }
+  }
+  for (auto& [service, load] : loads) {
+    load.urgent += urgent[service];
+  }
+  return loads;
+}
+
 // Returns the latest end of a lease: that of a worker that answers.
 Time LatestLease(const std::map<std::string, GraphWorkerView>& views) {
   Time latest{};
@@ -304,46 +392,24 @@
     return item.second.last_wait_at + kShortageRetention <= now;
   });
   HeadroomByService headroom;
-  for (const auto& [service, shortage] : shortages_) {
-    const std::int64_t workers = std::max<std::int64_t>(
-        1, std::count_if(table.workers().begin(), table.workers().end(),
-                         [&](const auto& item) {
-                           const WorkerInfo& info = item.second.info;
-                           return info.service == service && !info.draining &&
-                                  !table.evacuated().contains(info.data_centre);
-                         }));
-    headroom[service] =
-        Max(shortage.largest, {shortage.total.cpu_millis / workers,
-                               shortage.total.memory_mib / workers,
-                               shortage.total.accelerators / workers});
+  const std::map<std::string_view, PoolLoad> loads = PoolLoads(table);
+  for (const auto& [service, load] : loads) {
+    // What is placed now must leave room for urgent tasks as they come and go.
+    if (load.urgent != Resources{} &&
+        !Fits(load.urgent, load.free - load.waiting)) {
+      headroom[std::string(service)] = Share(load.urgent, load.workers);
+    }
   }
-  if (headroom.empty()) {
-    return headroom;
+  for (const auto& [service, shortage] : shortages_) {
+    const auto load = loads.find(service);
+    const std::int64_t workers = load == loads.end() ? 1 : load->second.workers;
+    Resources& kept = headroom[service];
+    kept = Max(kept, Max(shortage.largest, Share(shortage.total, workers)));
   }
-  for (const std::string& id : table.ready_graphs()) {
-    const Graph& graph = table.graphs().at(id);
-    const auto kept = headroom.find(graph.queue.service);
-    if (kept == headroom.end()) {
-      continue;
-    }
-    for (std::size_t s = 0; s < graph.spec.steps.size(); ++s) {
-      const StepSpec& step = graph.spec.steps[s];
-      const auto has_ready = [&](const OccurrenceProgress& steps) {
-        return std::any_of(steps[s].tasks.begin(), steps[s].tasks.end(),
-                           [](const TaskProgress& task) {
-                             return task.phase == TaskPhase::kReady;
-                           });
-      };
-      if (step.long_running &&
-          std::any_of(graph.occurrences.begin(), graph.occurrences.end(),
-                      has_ready)) {
-        const auto less = [](std::int64_t amount) {
-          return std::max<std::int64_t>(amount - 1, 0);
-        };
-        kept->second = Min(kept->second, {less(step.needs.cpu_millis),
-                                          less(step.needs.memory_mib),
-                                          less(step.needs.accelerators)});
-      }
+  for (auto& [service, kept] : headroom) {
+    const auto load = loads.find(service);
+    if (load != loads.end()) {
+      kept = Min(kept, LessThan(load->second.smallest));
     }
   }
   return headroom;
--- a/tests/unit/urgent_room_test.cc
+++ b/tests/unit/urgent_room_test.cc
@@ -202,6 +202,29 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.stopped().size());
 }
 
+void DisplacedTasksLeaveRoomForTheQuickLoad() {
+  // Guards against displaced long-running tasks that take the room between two
+  // quick tasks: all their steps are then short of tasks for seconds, so that
+  // none may be stopped.
+  BusyPool pool(12);
+  for (int i = 0; i < 7; ++i) {
+    pool.SubmitLongRunning("feed-" + std::to_string(i), 7, 2);
+  }
+  pool.Run(Millis(7000));
+  for (int i = 0; i < 50; ++i) {
+    if (i == 10) {
+      pool.Lose("dc-a");
+    }
+    const std::string id = "quick-" + std::to_string(i);
+    pool.SubmitQuick(id, 4);
+    pool.Run(Millis(100));
+    const Duration waited = pool.TimeToStart(id, Millis(1000));
+    CPPUNIT_ASSERT_MESSAGE(id + ": " + std::to_string(ToMillis(waited)),
+                           waited <= Millis(300));
+  }
+  CPPUNIT_ASSERT(pool.stopped().empty());
+}
+
 void BestEffortMemoryIsFreedFirst() {
   // Guards against a quick task that waits for the memory of best-effort runs,
   // and against stopping anything else for it.
@@ -412,6 +435,8 @@
       .With(Section("by headroom")
                 .Then("a stopped task stays out while urgent tasks wait",
                       StoppedTaskStaysOutWhileUrgentTasksWait)
+                .Then("displaced long-running tasks leave room for quick ones",
+                      DisplacedTasksLeaveRoomForTheQuickLoad)
                 .Then("room for two long-running tasks is not held back",
                       HeldBackRoomIsTakenIfItHoldsTheTaskTwice))
       .With(Section("by order")
