Check: banyanchute check FILE reports faults of a configuration

Cause: an operator learns of a faulty configuration only when it is sent, and of routes that can never match not at all.

Change: CheckPlan reports what the cell would refuse (ValidatePlan and ValidatePlanSize), entries that can never match and limits that contradict each other; DiffPlans lists the differences from the version in force. `banyanchute check FILE [--api IP:PORT,...] [--json]` reads the document as the programs do. It is not in banyanctl, which doesn't link the platform's readers. Exit codes: 0 valid, 1 warnings, 2 errors, 3 the version in force can't be read.

Reading the version in force from a running replica or through a relay's redirect was not tried.

--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -17,6 +17,7 @@
 #include "banyan/graph/interference.h"
 #include "banyan/graph/pacer.h"
 #include "banyan/graph/placement_wait.h"
+#include "banyan/graph/plan_check.h"
 #include "banyan/graph/plan_receiver.h"
 #include "banyan/graph/plan_sender.h"
 #include "banyan/graph/plan_watch.h"
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -88,6 +88,7 @@
 Section InterferenceStory();
 Section OverloadedWorkerStory();
 Section PacerStory();
+Section PlanCheckStory();
 Section PlanTransferStory();
 Section PlanWatchStory();
 Section CellClientStory();
