Placement: reservations with backfill, and the last task of a step

Cause: small best-effort tasks fill each gap before a wide graph fits, and a step waits for its last run, which starts wherever there is room.

Change: with look_ahead, workers on which a graph that has waited for 1.5 s could run once runs end within 3 s are reserved for it: at most 4 of a graph, a quarter of the pool and 16 graphs. Other best-effort tasks, unless their graph is better by priority and feasibility, take a reserved worker only if they end before it is due. A reservation ends when it is used, when nothing of its graph waits, 2 s after it was due, or with its worker; it never holds back a graph that is placed without regard to interference. A best-effort task that is the only one of its step without a worker prefers the worker on which it ends first. Run times come from a source that is a concept, for now the declared ones. Small functions about tasks move to placement_task.h. banyan-bench measures a placement pass.

In a trial without the exception for relaxed graphs, and in one without the lapse after 2 s, the test of each fails.

--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -16,6 +16,8 @@
 
 namespace banyan {
 
+struct WorkerHold;
+
 // A latency-sensitive task on a candidate worker.
 struct ColocatedTask {
   std::string image;
@@ -57,6 +59,9 @@
   bool is_reserved = false;
   // Whether its pool has no other worker that gets runs.
   bool is_last = false;
+  // The reservation of the worker for a graph that waits; null if there is
+  // none.
+  const WorkerHold* hold = nullptr;
 };
 
 // Returns CPU time, in thousandths of a processor, as a fraction of the
--- a/include/banyan/graph/exclusion.h
+++ b/include/banyan/graph/exclusion.h
@@ -21,7 +21,8 @@
   kProbe,
   // The worker is suspected and takes no run.
   kQuarantine,
-  // The worker is kept free for suspects of a crash.
+  // The worker is kept free for suspects of a crash, or reserved for a graph
+  // that has waited.
   kReserved,
   // The task is a suspect of a crash, and others run there.
   kShared,
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -20,6 +20,8 @@
 #include "banyan/graph/interference.h"
 #include "banyan/graph/look_ahead.h"
 #include "banyan/graph/placement_wait.h"
+#include "banyan/graph/reservation.h"
+#include "banyan/graph/run_time_source.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/settings/scheduling_policy.h"
 
@@ -78,6 +80,15 @@
     return std::exchange(long_running_waits_, {});
   }
 
+  // Returns and clears the events of reservations.
+  [[nodiscard]] Events TakeEvents() { return reservations_.TakeEvents(); }
+
+  // Returns the workers that are reserved for graphs that wait, by id.
+  [[nodiscard]] const std::map<std::string, WorkerHold>& holds()
+      const noexcept {
+    return reservations_.holds();
+  }
+
   // Returns the total time that long-running tasks have waited although there
   // was room for them twice over.
   [[nodiscard]] Duration starved_time() const noexcept { return starved_time_; }
@@ -119,6 +130,8 @@
     const StepDistribution& distribution;
     // Whether waivable exclusions only order the choice.
     bool is_overdue = false;
+    // Whether the step waits for no other task without a worker.
+    bool is_one_left = false;
   };
 
   // What the tasks co-located on a worker make of it for a step.
@@ -192,7 +205,8 @@
       std::int64_t run,
       Isolation isolation,
       bool is_overdue,
-      StepDistribution& distribution);
+      StepDistribution& distribution,
+      bool is_one_left = false);
   // Keeps other starts from the workers of suspects that were placed.
   void MarkTrials(std::span<const RunPlacement> placed);
   [[nodiscard]] Search FindWorker(const TaskRequest& request);
@@ -205,6 +219,13 @@
   // Returns whether a task may be placed on a worker as far as suspects go.
   [[nodiscard]] static bool IsAllowed(const CandidateWorker& candidate,
                                       Isolation isolation);
+  // Whether a best-effort task has to leave a worker to the graph that it is
+  // reserved for. One whose graph is relaxed doesn't, so that nothing stalls.
+  [[nodiscard]] bool IsHeldBack(const TaskRequest& request,
+                                const CandidateWorker& candidate) const;
+  // Reserves workers for the step of the first task that found none.
+  void ReserveAhead(const GraphTable& table,
+                    const std::map<std::string, GraphWorkerView>& views);
   void RecordWait(const TaskRequest& request, const Search& search);
   // Records the wait of a long-running task and counts it as starved if it goes
   // on in spite of room.
@@ -222,6 +243,8 @@
   const InterferenceModel* model_ = nullptr;
   std::map<std::string, CandidateWorker> candidates_;
   BestEffortDemand demand_;
+  DeclaredRunTimes run_times_;
+  Reservations reservations_;
   std::map<TaskRef, std::map<std::string, Avoidance>> avoided_;
   // When those of tasks that are gone were last dropped.
   Time avoided_swept_at_;
@@ -243,6 +266,10 @@
   // Whether the current graph has waited long enough to be placed without
   // regard to idle CPU time and interference.
   bool is_relaxed_ = false;
+  // The current graph's place in the order of service.
+  Standing standing_;
+  // The first task of the current graph that found no worker.
+  std::optional<TaskRef> first_miss_;
   // Number of workers in the current graph's pool.
   std::size_t pool_workers_ = 0;
 };
--- a/include/banyan/graph/look_ahead.h
+++ b/include/banyan/graph/look_ahead.h
@@ -30,6 +30,16 @@
 [[nodiscard]] int QuickRank(const CandidateWorker& candidate,
                             const StepSpec& step) noexcept;
 
+// Ranks a worker for a best-effort task that its step waits for alone, given
+// its rank by the tasks there; smaller is better. Prefers the worker on which
+// the task ends first: at its full CPU share, with enough idle CPU time, and
+// with the most headroom of latency-sensitive tasks, which throttle it
+// otherwise.
+[[nodiscard]] int LastTaskRank(int colocation_rank,
+                               const CandidateWorker& candidate,
+                               const StepSpec& step,
+                               const InterferenceModel& model);
+
 // Counts, for one placement pass, the best-effort images that wait or run in a
 // worker's pool and that its latency-sensitive tasks tolerate.
 class BestEffortDemand {
--- a/include/banyan/graph/placement_wait.h
+++ b/include/banyan/graph/placement_wait.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "banyan/base/time.h"
+#include "banyan/events/event.h"
 #include "banyan/graph/exclusion.h"
 #include "banyan/wire/graph.h"
 
@@ -50,6 +51,18 @@
   }
 };
 
+// Returns the event that logs a wait.
+[[nodiscard]] inline Event WaitEvent(const PlacementWait& wait) {
+  return Event(EventId::kGraphWaiting)
+      .With("request", wait.graph)
+      .With("image", wait.image)
+      .With("unfit", wait.unfit)
+      .With("busy", wait.busy)
+      .With("interference", wait.interference)
+      .With("uncertain", wait.uncertain)
+      .With("excluded", wait.excluded);
+}
+
 // A worker that was rejected for a task.
 struct RejectedWorker {
   std::string id;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -867,14 +867,10 @@
   std::vector<RunPlacement> placements =
       placement_.Choose(now, wall, table, views_, pacer_.model());
   for (const PlacementWait& wait : placement_.TakeWaits()) {
-    out_.events.push_back(Event(EventId::kGraphWaiting)
-                              .With("request", wait.graph)
-                              .With("image", wait.image)
-                              .With("unfit", wait.unfit)
-                              .With("busy", wait.busy)
-                              .With("interference", wait.interference)
-                              .With("uncertain", wait.uncertain)
-                              .With("excluded", wait.excluded));
+    out_.events.push_back(WaitEvent(wait));
+  }
+  for (Event& event : placement_.TakeEvents()) {
+    out_.events.push_back(std::move(event));
   }
   for (const LongRunningWait& wait : placement_.TakeLongRunningWaits()) {
     LogLongRunningWait(now, wait);
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "banyan/graph/placement_order.h"
+#include "banyan/graph/placement_task.h"
 #include "banyan/graph/serving_rank.h"
 
 namespace banyan {
@@ -53,47 +54,6 @@
 // After this wait a long-running task is placed on any worker that can run it.
 // It must not wait for 3 s while there is room.
 constexpr Duration kMaxLongRunningWait = Millis(1500);
-// Whether an occurrence of a graph may start.
-bool IsDue(const Graph& graph, std::int64_t occurrence, WallMillis wall) {
-  return graph.spec.occurrences == 0 ||
-         wall >= graph.spec.first_due_at + occurrence * graph.spec.interval_ms;
-}
-
-// Whether a task waits for its next run.
-bool IsReady(const GraphTable& table, const TaskRef& ref) {
-  const TaskProgress* task = table.FindTask(ref);
-  return task != nullptr && task->phase == TaskPhase::kReady;
-}
-
-// Returns the task whose wait counts: that of the first member for a gang.
-TaskRef WaitKey(const TaskRef& ref, const StepSpec& step) {
-  TaskRef key = ref;
-  if (step.gang) {
-    key.index = 0;
-  }
-  return key;
-}
-
-// Whether a worker has the label that a step requires.
-bool HasLabel(const WorkerInfo& info, const StepSpec& step) {
-  return step.required_label.empty() ||
-         std::find(info.labels.begin(), info.labels.end(),
-                   step.required_label) != info.labels.end();
-}
-
-bool HasRunningTask(const Graph& graph) {
-  for (const OccurrenceProgress& occurrence : graph.occurrences) {
-    for (const StepProgress& step : occurrence) {
-      if (std::any_of(step.tasks.begin(), step.tasks.end(),
-                      [](const TaskProgress& task) {
-                        return task.phase == TaskPhase::kRunning;
-                      })) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
 
 }  // namespace
 
@@ -138,6 +98,9 @@
       return table.FindTask(item.first) == nullptr;
     });
   }
+  if (policy_.look_ahead) {
+    reservations_.DropLapsed(now, table);
+  }
   std::vector<RunPlacement> placements;
   if (table.ready_graphs().empty()) {
     last_pass_at_ = now;
@@ -146,6 +109,7 @@
   candidates_ = BuildCandidates(now, table, views, model, policy_);
   if (policy_.look_ahead) {
     demand_.Start(table, candidates_, model);
+    reservations_.Mark(candidates_);
   }
   std::map<std::string_view, PoolUsage> pools = PoolUsages(table);
   PlaceSuspects(wall, table, placements);
@@ -164,7 +128,16 @@
     // the graph idle most of the time.
     const std::size_t min_placed = is_relaxed_ ? 2 : 1;
     const std::size_t placed_before = placements.size();
+    first_miss_.reset();
+    standing_ = policy_.look_ahead ? StandingOf(*graph, wall) : Standing{};
     PlaceGraph(wall, *id, *graph, placements);
+    if (policy_.look_ahead) {
+      const std::span<const RunPlacement> placed(placements);
+      reservations_.OnPlaced(placed.subspan(placed_before), candidates_);
+      if (first_miss_ && reservations_.MayReserve(*id, since)) {
+        ReserveAhead(table, views);
+      }
+    }
     if (placements.size() >= placed_before + min_placed) {
       waiting_since_.erase(*id);
     }
@@ -348,6 +321,7 @@
   if (step.per_worker_limit > 0 || step.rack_local) {
     distribution = DistributionOf(progress);
   }
+  const bool is_one_left = policy_.look_ahead && ReadyTasks(progress) == 1;
   TaskRef ref = first;
   int miss_count = 0;
   for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
@@ -360,8 +334,9 @@
     if (!is_overdue && miss_count >= kMaxMissesPerStep) {
       continue;
     }
-    const auto placed = PlaceTask(graph, ref, step, task.run + 1,
-                                  Isolation::kNone, is_overdue, distribution);
+    const auto placed =
+        PlaceTask(graph, ref, step, task.run + 1, Isolation::kNone, is_overdue,
+                  distribution, is_one_left);
     if (!placed) {
       ++miss_count;
       // What keeps out an overdue task keeps out all others of its step.
@@ -426,15 +401,19 @@
     std::int64_t run,
     Isolation isolation,
     bool is_overdue,
-    StepDistribution& distribution) {
-  const TaskRequest request{graph,     task,         step,
-                            isolation, distribution, is_overdue};
+    StepDistribution& distribution,
+    bool is_one_left) {
+  const TaskRequest request{graph,        task,       step,       isolation,
+                            distribution, is_overdue, is_one_left};
   const Search search = FindWorker(request);
   if (step.long_running) {
     RecordLongRunningWait(request, search);
   }
   CandidateWorker* candidate = search.best;
   if (candidate == nullptr) {
+    if (!first_miss_) {
+      first_miss_ = task;
+    }
     RecordWait(request, search);
     return std::nullopt;
   }
@@ -490,10 +469,16 @@
         (!step.data_rack.empty() && info.rack != step.data_rack) ||
         (step.rack_local && !request.distribution.rack.empty() &&
          info.rack != request.distribution.rack);
-    const Preference preference{
-        assessment.exclusion,       avoidance_rank,
-        candidate.access,           is_remote,
-        assessment.colocation_rank, -candidate.idle_cpu_millis};
+    const int rank =
+        request.is_one_left && step.best_effort
+            ? LastTaskRank(assessment.colocation_rank, candidate, step, *model_)
+            : assessment.colocation_rank;
+    const Preference preference{assessment.exclusion,
+                                avoidance_rank,
+                                candidate.access,
+                                is_remote,
+                                rank,
+                                -candidate.idle_cpu_millis};
     if (search.best == nullptr || preference < best_preference) {
       search.best = &candidate;
       best_preference = preference;
@@ -535,6 +520,9 @@
   if (candidate.access != WorkerAccess::kOpen && !is_probe && !may_join_probe) {
     return {Exclusion::kProbe};
   }
+  if (IsHeldBack(request, candidate)) {
+    return {Exclusion::kReserved};
+  }
   const Colocation colocation = ColocationOf(candidate, step);
   if (!colocation.is_suitable && !is_relaxed_) {
     return {IsUncertain(candidate, step.image, *model_)
--- a/src/graph/interference.cc
+++ b/src/graph/interference.cc
@@ -172,7 +172,11 @@
 
 bool InterferenceModel::MayInterfere(const std::string& image,
                                      const std::string& neighbour) const {
-  return EstimateFor(image, neighbour).probability > kUnlikelyProbability;
+  const auto known = pairs_.find({image, neighbour});
+  return known == pairs_.end() ||
+         Decayed(known->second.probability, kPriorProbability,
+                 AgeSeconds(known->second.at, latest_),
+                 kProbabilityDecaySeconds) > kUnlikelyProbability;
 }
 
 bool InterferenceModel::IsUncertain(const std::string& image,
--- a/src/graph/look_ahead.cc
+++ b/src/graph/look_ahead.cc
@@ -1,6 +1,7 @@
 #include "banyan/graph/look_ahead.h"
 
-#include <algorithm>
+#include <set>
+#include <utility>
 
 namespace banyan {
 namespace {
@@ -8,6 +9,12 @@
 // Added to the rank of a worker without enough idle CPU time; larger than any
 // number of images.
 constexpr int kTooBusyRank = 1000;
+// Added to the rank of a worker where a best-effort task starts at a reduced
+// share; larger than any difference between suitable workers.
+constexpr int kExploringRank = 500;
+// Rank of a worker without latency-sensitive tasks for the last task of a step;
+// smaller than any other.
+constexpr int kUnsharedRank = -100;
 
 }  // namespace
 
@@ -20,22 +27,38 @@
          (candidate.idle_cpu_millis < step.needs.cpu_millis ? kTooBusyRank : 0);
 }
 
+int LastTaskRank(int colocation_rank,
+                 const CandidateWorker& candidate,
+                 const StepSpec& step,
+                 const InterferenceModel& model) {
+  int rank = candidate.serving.empty() ? kUnsharedRank : colocation_rank;
+  rank += candidate.idle_cpu_millis < step.needs.cpu_millis ? kTooBusyRank : 0;
+  rank += IsUncertain(candidate, step.image, model) ? kExploringRank : 0;
+  return rank;
+}
+
 void BestEffortDemand::Start(const GraphTable& table,
                              std::map<std::string, CandidateWorker>& candidates,
                              const InterferenceModel& model) {
   model_ = &model;
   pools_.clear();
+  std::set<std::pair<std::string_view, std::string_view>> added;
+  const auto add = [&](std::string_view service, std::string_view image) {
+    if (added.emplace(service, image).second) {
+      AddImage(service, image);
+    }
+  };
   for (const std::string& id : table.ready_graphs()) {
     const Graph& graph = *table.FindGraph(id);
     for (const StepSpec& step : graph.spec.steps) {
       if (step.best_effort) {
-        AddImage(graph.queue.service, step.image);
+        add(graph.queue.service, step.image);
       }
     }
   }
   for (const auto& [id, candidate] : candidates) {
     for (const BestEffortNeighbour& running : candidate.best_effort) {
-      AddImage(candidate.worker->info.service, running.image);
+      add(candidate.worker->info.service, running.image);
     }
   }
   for (auto& [id, candidate] : candidates) {
@@ -67,8 +90,7 @@
 void BestEffortDemand::AddImage(std::string_view service,
                                 std::string_view image) {
   std::vector<std::string_view>& images = pools_[service].images;
-  if (images.size() < kMaxRankedImages &&
-      std::find(images.begin(), images.end(), image) == images.end()) {
+  if (images.size() < kMaxRankedImages) {
     images.push_back(image);
   }
 }
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -37,6 +37,7 @@
 void RunBatchStreams(Figures& figures);
 void RunPath(Figures& figures, const std::string& binaries);
 void RunCapacity(Figures& figures);
+void RunPlacementPass(Figures& figures);
 
 }  // namespace banyan
 
--- a/tests/bench/bench_main.cc
+++ b/tests/bench/bench_main.cc
@@ -1,4 +1,5 @@
-// banyan-bench BINARIES [--only routing|batch|path|capacity] [--csv FILE]
+// banyan-bench BINARIES [--only routing|batch|path|capacity|placement]
+//              [--csv FILE]
 
 #include <algorithm>
 #include <cstdio>
@@ -47,7 +48,8 @@
   }
   if (words.empty()) {
     std::cerr << "usage: banyan-bench BINARIES "
-                 "[--only routing|batch|path|capacity] [--csv FILE]\n";
+                 "[--only routing|batch|path|capacity|placement] "
+                 "[--csv FILE]\n";
     return 64;
   }
   banyan::Figures figures;
@@ -63,6 +65,9 @@
   if (only.empty() || only == "capacity") {
     banyan::RunCapacity(figures);
   }
+  if (only.empty() || only == "placement") {
+    banyan::RunPlacementPass(figures);
+  }
   if (!csv.empty()) {
     figures.WriteCsv(csv);
   }
