--- a/include/banyan/graph/placement_wait.h
+++ b/include/banyan/graph/placement_wait.h
@@ -51,6 +51,18 @@
   }
 };
 
+// Returns the event that logs a wait.
+[[nodiscard]] inline Event WaitEvent(const PlacementWait& wait) {
+  return Event(EventId::kGraphWaiting)
+      .With("request", wait.graph)
+      .With("image", wait.image)
+      .With("unfit", wait.unfit)
+      .With("busy", wait.busy)
+      .With("interference", wait.interference)
+      .With("uncertain", wait.uncertain)
+      .With("excluded", wait.excluded);
+}
+
 // A worker that was rejected for a task.
 struct RejectedWorker {
   std::string id;
--- a/src/graph/graph_leader_urgent.cc
+++ b/src/graph/graph_leader_urgent.cc
@@ -10,14 +10,10 @@
 
 void GraphLeader::LogWaits(Time now) {
   for (const PlacementWait& wait : placement_.TakeWaits()) {
-    out_.events.push_back(Event(EventId::kGraphWaiting)
-                              .With("request", wait.graph)
-                              .With("image", wait.image)
-                              .With("unfit", wait.unfit)
-                              .With("busy", wait.busy)
-                              .With("interference", wait.interference)
-                              .With("uncertain", wait.uncertain)
-                              .With("excluded", wait.excluded));
+    out_.events.push_back(WaitEvent(wait));
+  }
+  for (Event& event : placement_.TakeEvents()) {
+    out_.events.push_back(std::move(event));
   }
   for (const LongRunningWait& wait : placement_.TakeLongRunningWaits()) {
     out_.events.push_back(LongRunningWaitEvent(now, wait));
--- a/tests/unit/graph_world_test.cc
+++ b/tests/unit/graph_world_test.cc
@@ -289,6 +289,8 @@
     preemptions += PlayGraphWorld(faults, seed).preemptions;
   }
   CPPUNIT_ASSERT(preemptions > 0);
+}
+
 // Guards against more runs of a task than two, against a second run of a task
 // that isn't speculative, and against jobs that are never completed.
 void CopiesAndCuts() {
