Copies: for silent workers and runs that stand still, not from the start

Cause: a copy from the start, where the objective leaves no time for a second run, failed with its task: both runs used up the attempts. Slow runs that do progress have more work, and so has their copy.

--- a/include/banyan/graph/speculation.h
+++ b/include/banyan/graph/speculation.h
@@ -22,10 +22,8 @@
 enum class CopyCause : std::uint8_t {
   // The worker of the first run no longer reports.
   kSilentWorker,
-  // The run is far behind the other runs of its step.
+  // The run doesn't progress and is far behind the other runs of its step.
   kBehindStep,
-  // The objective leaves no time for a second run after a failure.
-  kNoTime,
 };
 
 // Returns the name of a cause as written to the event log.
@@ -34,7 +32,7 @@
 // A copy to place.
 struct PlannedCopy {
   RunPlacement placement;
-  CopyCause cause = CopyCause::kNoTime;
+  CopyCause cause = CopyCause::kBehindStep;
 };
 
 // What copies have gained and cost in one leadership.
@@ -120,8 +118,6 @@
       const std::map<std::string, GraphWorkerView>& views);
   // Returns why a run should be copied; empty if it should not.
   [[nodiscard]] std::optional<CopyCause> CauseOf(Time now,
-                                                 WallMillis wall,
-                                                 const GraphTable& table,
                                                  const CopyableRun& run) const;
   // Returns the expected whole time of an active run; empty if its progress
   // or its start isn't known.
--- a/src/graph/speculation.cc
+++ b/src/graph/speculation.cc
@@ -9,7 +9,6 @@
 #include "banyan/graph/candidate_worker.h"
 #include "banyan/graph/placement_order.h"
 #include "banyan/graph/run_event.h"
-#include "banyan/graph/urgency.h"
 
 namespace banyan {
 namespace {
@@ -26,9 +25,6 @@
 constexpr Duration kRetryDelay = Millis(500);
 // Maximum part of a pool's processors that copies use.
 constexpr double kMaxCopyFraction = 0.1;
-// Part of a pool's processors that copies from the start leave free, so that
-// they don't take what later first runs and other copies need.
-constexpr double kMinFreeFraction = 0.1;
 // Copies per log entry; limits its size.
 constexpr std::size_t kMaxBatch = 64;
 // Minimum number of other runs of the step to compare a run with.
@@ -43,10 +39,6 @@
 // time of its step. A copy takes about the median time and one start.
 constexpr int kBehindFactor = 2;
 
-// Time after its start in which a run gets a copy since its objective leaves no
-// time for a second run; a later copy would hardly be done in time.
-constexpr Duration kMaxCopyDelay = Millis(300);
-
 // Returns the first task of a task's step.
 TaskRef StepKey(const TaskRef& task) {
   TaskRef key = task;
@@ -54,29 +46,6 @@
   return key;
 }
 
-// Returns the declared run time of the longest chain of steps after a step, in
-// milliseconds.
-std::int64_t DeclaredTimeAfter(const GraphSpec& spec, std::size_t step) {
-  std::vector<std::int64_t> after(spec.steps.size(), 0);
-  for (std::size_t s = spec.steps.size(); s-- > 0;) {
-    for (const std::int64_t before : spec.steps[s].depends_on) {
-      std::int64_t& longest = after[static_cast<std::size_t>(before)];
-      longest = std::max(longest, after[s] + spec.steps[s].estimate_ms);
-    }
-  }
-  return after[step];
-}
-
-// Whether a second run after a failure would miss the objective, while the
-// first one can meet it.
-bool HasNoTimeForRetry(const Graph& graph, std::size_t step, WallMillis wall) {
-  const Urgency urgency = ComputeUrgency(graph, wall);
-  return urgency.feasibility == Feasibility::kOnTime &&
-         urgency.objective_deadline - wall <
-             2 * graph.spec.steps[step].estimate_ms +
-                 DeclaredTimeAfter(graph.spec, step);
-}
-
 // Returns the number of tasks of a graph that are due and ready and reserve
 // processors.
 std::int64_t WaitingTasks(const Graph& graph, WallMillis wall) {
@@ -224,8 +193,6 @@
       return "silent-worker";
     case CopyCause::kBehindStep:
       return "behind-step";
-    case CopyCause::kNoTime:
-      return "no-time";
   }
   return "unknown";
 }
@@ -295,6 +262,12 @@
   if (times == step_times_.end() || active < kMinComparedTime) {
     return false;
   }
+  // A run that progresses slowly has more work; a copy has as much.
+  const auto seen = run.view->runs.find(run.run);
+  if (seen != run.view->runs.end() &&
+      seen->second.progressed_at + kMaxListAge > now) {
+    return false;
+  }
   const std::optional<Duration> expected =
       ExpectedTime(now, run.run, *run.view);
   std::vector<Duration> sorted = times->second;
@@ -315,8 +288,6 @@
 }
 
 std::optional<CopyCause> Speculation::CauseOf(Time now,
-                                              WallMillis wall,
-                                              const GraphTable& table,
                                               const CopyableRun& run) const {
   const TaskRef& task = run.run.task;
   const auto retry = retry_at_.find(task);
@@ -334,12 +305,6 @@
   if (IsBehind(now, run)) {
     return CopyCause::kBehindStep;
   }
-  const KnownStart& started = started_.at(run.run);
-  if (started.is_exact && now - started.at <= kMaxCopyDelay &&
-      HasNoTimeForRetry(*table.FindGraph(task.graph),
-                        static_cast<std::size_t>(task.step), wall)) {
-    return CopyCause::kNoTime;
-  }
   return std::nullopt;
 }
 
@@ -357,7 +322,7 @@
   next_plan_at_ = now + kPlanInterval;
   std::vector<std::pair<CopyCause, CopyableRun>> wanted;
   for (const CopyableRun& run : FindCopyable(now, table, views)) {
-    if (const auto cause = CauseOf(now, wall, table, run)) {
+    if (const auto cause = CauseOf(now, run)) {
       wanted.emplace_back(*cause, run);
     }
   }
@@ -399,13 +364,10 @@
     const std::int64_t needs = table.FindStep(run.run.task)->needs.cpu_millis;
     PoolUsage& pool = pools[service];
     const auto capacity = static_cast<double>(pool.capacity);
-    const std::int64_t left = pool.capacity - pool.committed - needs;
     const bool is_affordable =
         static_cast<double>(used[service] + needs) <=
             kMaxCopyFraction * capacity &&
-        (cause == CopyCause::kSilentWorker || !crowded.contains(service)) &&
-        (cause != CopyCause::kNoTime ||
-         static_cast<double>(left) >= kMinFreeFraction * capacity);
+        (cause == CopyCause::kSilentWorker || !crowded.contains(service));
     if (!is_affordable) {
       continue;
     }
