Placement: leave late best-effort graphs in the order of their work

Cause: with room_for_urgent all graphs past their objective were ordered by age. In a backlog of best-effort graphs nearly all of them are late then.

Change: the rule applies to quick graphs only.

--- a/include/banyan/graph/placement_order.h
+++ b/include/banyan/graph/placement_order.h
@@ -50,8 +50,8 @@
 // Returns the graphs in placement order. With the forecast, best-effort graphs
 // that would be late behind others count as late. With room for urgent tasks,
 // quick graphs of priority 0 precede long-running ones in a pool that is short
-// of room, and graphs that have waited for more than their objective precede
-// equally feasible ones.
+// of room, and quick graphs that have waited for more than their objective
+// precede equally feasible ones.
 [[nodiscard]] std::vector<ReadyGraph> SortReadyGraphs(
     std::vector<ReadyGraph> graphs,
     const std::map<std::string_view, PoolUsage>& pools,
--- a/src/graph/placement_order.cc
+++ b/src/graph/placement_order.cc
@@ -18,19 +18,21 @@
                      [](const StepSpec& step) { return step.best_effort; });
 }
 
-// Moves a graph ahead of long-running ones in a pool that is short of room, and
-// ahead of equally feasible ones after its objective.
+// Moves a quick graph of priority 0 ahead of long-running ones in a pool that
+// is short of room, and ahead of equally feasible ones after its objective.
+// Late best-effort graphs keep their order by remaining work: by age, nearly
+// all of them would be late at once.
 void Prefer(const Graph& graph,
             bool is_short,
             WallMillis wall,
             Urgency& urgency) {
-  if (urgency.feasibility == Feasibility::kLongRunning) {
+  if (urgency.feasibility == Feasibility::kLongRunning || IsBestEffort(graph)) {
     return;
   }
   if (wall > urgency.objective_deadline) {
     urgency.overdue_order = urgency.submission_order;
   }
-  if (!is_short || urgency.priority != 0 || IsBestEffort(graph)) {
+  if (!is_short || urgency.priority != 0) {
     return;
   }
   if (urgency.feasibility == Feasibility::kOnTime) {
