Placement: one task without a worker speaks for its step

Cause: a pass searched all workers for a second task of each step that had just found none. What keeps out a task depends on its step alone, except that overdue long-running tasks waive some exclusions.

Change: the rest of a step that isn't long-running is skipped after the first miss.

--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -29,8 +29,8 @@
 constexpr std::size_t kMaxBatch = 256;
 // Interval at which the wait of one graph is logged.
 constexpr Duration kWaitLogInterval = Millis(2000);
-// Number of tasks of a step without a suitable worker after which the rest of
-// the step is skipped.
+// Number of tasks of a long-running step without a suitable worker after which
+// only its overdue tasks are tried.
 constexpr int kMaxMissesPerStep = 2;
 
 // Order of preference between suitable workers; smaller is better. Compared by
@@ -350,12 +350,12 @@
         PlaceTask(graph, ref, step, task.last_run() + 1, Isolation::kNone,
                   is_overdue, distribution, is_one_left);
     if (!placed) {
-      ++miss_count;
-      // What keeps out an overdue task keeps out all others of its step.
-      if (is_overdue ||
-          (miss_count >= kMaxMissesPerStep && !step.long_running)) {
+      // What keeps out a task keeps out all others of its step, unless others
+      // are overdue: earlier failures only order the workers.
+      if (is_overdue || !step.long_running) {
         return;
       }
+      ++miss_count;
       continue;
     }
     // One relaxed placement is enough to avoid starvation; the other tasks wait
