--- a/include/banyan/graph/urgency.h
+++ b/include/banyan/graph/urgency.h
@@ -16,6 +16,9 @@
 
 namespace banyan {
 
+// A late result counts until this multiple of the latency objective.
+inline constexpr std::int64_t kLateObjectiveFactor = 3;
+
 // Where the run times of steps come from, in milliseconds: by the queue, the
 // first task of the step, the step and its progress.
 template <typename T>
--- a/src/graph/admission_forecast.cc
+++ b/src/graph/admission_forecast.cc
@@ -12,8 +12,6 @@
 namespace banyan {
 namespace {
 
-// A late result counts until this multiple of the latency objective.
-constexpr std::int64_t kLateObjectiveFactor = 3;
 // Declared run times are off by a factor of two and more, so a forecast must
 // exceed the limit by this factor.
 constexpr double kUncertaintyFactor = 2;
--- a/src/graph/urgency.cc
+++ b/src/graph/urgency.cc
@@ -5,8 +5,6 @@
 namespace banyan {
 namespace {
 
-// A late result counts until this multiple of the latency objective.
-constexpr std::int64_t kLateObjectiveFactor = 3;
 // Expected remaining part of a step whose tasks all run or are done, in tenths
 // of its run time.
 constexpr std::int64_t kRunningRemainingTenths = 6;
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -141,6 +141,19 @@
   }
 }
 
+// Guards against a graph that is refused without the name of the field, or that
+// takes a number for a flag.
+void RefusesFlagsOfAnotherType() {
+  for (const char* flag : {"1", "\"true\"", "null"}) {
+    Reason reason;
+    const std::string text =
+        std::string(R"({"spec":"t","steps":[{"count":1,"cpu":500,)") +
+        R"("speculative":)" + flag + "}]}";
+    CPPUNIT_ASSERT(!ReadGraph(text, "r1", reason));
+    CPPUNIT_ASSERT(reason.text.find("'speculative'") != std::string::npos);
+  }
+}
+
 // Guards against a job whose tasks are allocated at once in all occurrences.
 void RefusesGraphsOfTooManyTasks() {
   const auto graph = [](int count, int occurrences) {
@@ -518,6 +531,8 @@
                 .Then("is read with its steps", p::ReadsAGraph)
                 .Then("is refused with a number out of range",
                       p::RefusesGraphsOutOfRange)
+                .Then("is refused with the name of a flag of another type",
+                      p::RefusesFlagsOfAnotherType)
                 .Then("is refused with too many tasks",
                       p::RefusesGraphsOfTooManyTasks)
                 .Then("is refused with too much work",
