Plan check: build a name without temporary strings

Cause: the linter refuses the concatenation in a loop (performance-inefficient-string-concatenation).

Change: the name is appended to.

--- a/src/graph/plan_check.cc
+++ b/src/graph/plan_check.cc
@@ -67,7 +67,8 @@
     specs[spec.name].second = &spec;
   }
   for (const auto& [name, pair] : specs) {
-    const std::string subject = kind + " '" + name + "'";
+    std::string subject = kind;
+    subject.append(" '").append(name).append("'");
     if (pair.first == nullptr || pair.second == nullptr) {
       differences.push_back({subject, "", pair.first == nullptr ? "" : name,
                              pair.second == nullptr ? "" : name});
