Control: status reads wait for an end that is being committed

Callers read the state of a graph when its last task ends.

A leader that steps down or has lost its lease answers "not the leader".

--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -13,6 +13,7 @@
 #include "banyan/consensus/raft_core.h"
 #include "banyan/control/control_state.h"
 #include "banyan/control/scheduler.h"
+#include "banyan/control/status_waits.h"
 #include "banyan/events/event.h"
 #include "banyan/graph/graph_leader.h"
 #include "banyan/graph/plan_sender.h"
@@ -37,6 +38,9 @@
   std::uint64_t snapshot_interval_bytes = std::uint64_t{8} << 20U;
   // Time after which a process that lacks the plan in force is reported.
   Duration plan_bound = Millis(3000);
+  // Longest time for which the read of the state of a graph that is about to
+  // end waits for its end; zero if such reads are answered at once.
+  Duration status_wait{0};
   GraphLeaderOptions graphs;
 };
 
@@ -156,6 +160,12 @@
     std::uint64_t incarnation = 0;
   };
 
+  // A read of a graph's state that waits.
+  struct StatusReader {
+    std::uint64_t seq = 0;
+    Origin origin;
+  };
+
   // A proposed command whose sender waits for the reply.
   struct PendingCommand {
     std::uint64_t term = 0;
@@ -213,6 +223,8 @@
                       WallMillis wall,
                       const Origin& origin,
                       const CellQuery& query);
+  // Answers the reads that have waited for the end of their graph.
+  void AnswerWaitingReads(Time now);
   [[nodiscard]] CommandResult AnswerQuery(CellQueryKind kind,
                                           const std::string& key) const;
   void ScheduleGraphs(Time now, WallMillis wall);
@@ -291,6 +303,7 @@
   std::map<std::string, EntryVersions> entries_;
   // Commands awaiting their application, by log index.
   std::map<std::uint64_t, PendingCommand> pending_commands_;
+  StatusWaits<StatusReader> status_waits_;
   // Proposed registrations that are not applied yet: instance id, and a key
   // that combines incarnation and leaving flag.
   std::set<std::pair<std::string, std::uint64_t>> pending_registrations_;
--- a/include/banyan/settings/settings.h
+++ b/include/banyan/settings/settings.h
@@ -46,6 +46,9 @@
   // Time from the acknowledgement of a plan until every process that needs it
   // has to hold it.
   Duration plan_bound{0};
+  // Longest time for which the read of the state of a graph that is about to
+  // end waits for its end.
+  Duration status_wait{0};
   Duration lease;
   std::uint64_t snapshot_interval_entries = 0;
   SchedulingPolicy scheduling;
@@ -81,6 +84,7 @@
   Duration catch_up;
   std::int64_t losses_required = 0;
   Duration plan_bound{0};
+  Duration status_wait{0};
   // Duration of a worker lease.
   Duration lease;
   std::uint64_t snapshot_interval_entries = 0;
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -30,7 +30,8 @@
       next_schedule_(now),
       restored_index_(raft_.log().last_index()),
       plan_watch_(options_.plan_bound),
-      next_plan_check_(now) {
+      next_plan_check_(now),
+      status_waits_(options_.status_wait) {
   // Writing a snapshot slows down log syncs. If all replicas wrote theirs at
   // the same entry, commits would be slow too, so their snapshots are
   // staggered.
@@ -107,6 +108,10 @@
     ReplyError(request.origin, request.seq, ErrorKind::kNoQuorum,
                "the leader changed; resend the command under the same id");
   }
+  for (const auto& [graph, reader] : status_waits_.TakeAll()) {
+    ReplyError(reader.origin, reader.seq, ErrorKind::kNotLeader,
+               "the leader changed");
+  }
   pending_registrations_.clear();
   pending_task_ends_.clear();
   routes_.clear();
@@ -337,9 +342,30 @@
                "the leader is not confirmed at present");
     return;
   }
+  if (query.kind == CellQueryKind::kGraph) {
+    const Graph* graph = state_.graphs().FindGraph(query.key);
+    if (graph != nullptr && status_waits_.MayWait(*graph)) {
+      status_waits_.Add(now, query.key, {query.seq, origin});
+      return;
+    }
+  }
   Reply(origin, query.seq, AnswerQuery(query.kind, query.key));
 }
 
+void ControlCore::AnswerWaitingReads(Time now) {
+  for (const auto& [graph, reader] :
+       status_waits_.TakeDue(now, state_.graphs())) {
+    // Another leader may have committed more since the read arrived.
+    if (raft_.HoldsLease(now)) {
+      Reply(reader.origin, reader.seq,
+            AnswerQuery(CellQueryKind::kGraph, graph));
+    } else {
+      ReplyError(reader.origin, reader.seq, ErrorKind::kNotLeader,
+                 "the leader is not confirmed at present");
+    }
+  }
+}
+
 CommandResult ControlCore::AnswerQuery(CellQueryKind kind,
                                        const std::string& key) const {
   CommandResult result;
@@ -829,6 +855,7 @@
 
 ControlOutputs ControlCore::TakeOutputs(Time now, WallMillis wall) {
   CollectRaftOutputs(now);
+  AnswerWaitingReads(now);
   // Applied entries may cause new proposals; these are sent without waiting for
   // the next tick.
   ScheduleGraphs(now, wall);
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -52,6 +52,7 @@
   options.raft.timings.catch_up = settings.catch_up;
   options.raft.losses_required = settings.losses_required;
   options.plan_bound = settings.plan_bound;
+  options.status_wait = settings.status_wait;
   options.raft.seed = NewIncarnation();
   options.lease = settings.lease;
   options.lease_margin = settings.lease / kMarginDivisor;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -18,6 +18,8 @@
 constexpr std::int64_t kMinPlanBoundMs = 100;
 constexpr std::int64_t kMaxPlanBoundMs = 600000;
 constexpr std::int64_t kDefaultPlanBoundMs = 3000;
+// A status read must not wait for so long that its gateway sends it again.
+constexpr std::int64_t kMaxStatusWaitMs = 500;
 constexpr std::int64_t kMinLeaseMs = 2000;
 constexpr std::int64_t kMaxLeaseMs = 60000;
 constexpr std::int64_t kDefaultLeaseMs = 10000;
@@ -125,6 +127,8 @@
       reader.Integer("losses_required", 0, kMaxLossesRequired, 1);
   settings.plan_bound = Millis(reader.Integer(
       "plan_bound_ms", kMinPlanBoundMs, kMaxPlanBoundMs, kDefaultPlanBoundMs));
+  settings.status_wait =
+      Millis(reader.Integer("status_wait_ms", 0, kMaxStatusWaitMs, 0));
   settings.lease = Millis(
       reader.Integer("lease_ms", kMinLeaseMs, kMaxLeaseMs, default_lease_ms));
   settings.snapshot_interval_entries =
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "banyan/control/status_waits.h"
 #include "banyan/wire/codec.h"
 #include "tests/support/graph_samples.h"
 #include "tests/unit/story.h"
@@ -84,8 +85,7 @@
 // and a worker that sends to any of them.
 class Cell {
  public:
-  Cell() {
-    ControlOptions options;
+  explicit Cell(ControlOptions options = {}) {
     for (std::size_t i = 0; i < kReplicas; ++i) {
       options.raft.configured_ids.push_back(IdOf(i));
     }
@@ -147,6 +147,21 @@
     return last_reply_;
   }
 
+  // Reads the state of a graph through a replica. Returns what it answers at
+  // once, if it does.
+  std::optional<CommandResult> ReadState(std::size_t replica,
+                                         const std::string& graph) {
+    last_reply_.reset();
+    Send(replica, PeerHello{});
+    Send(replica, CellQuery{1, CellQueryKind::kGraph, graph});
+    return last_reply_;
+  }
+
+  // The last reply to a request, if there is any.
+  [[nodiscard]] const std::optional<CommandResult>& last_reply() const {
+    return last_reply_;
+  }
+
   // Returns whether any replica has acknowledged the end of a task.
   [[nodiscard]] bool has_acknowledged_end() const {
     return has_acknowledged_end_;
@@ -464,6 +479,135 @@
   CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, replica.RunUntilLeading());
 }
 
+// A cell that leads, with a graph of two tasks of which `placed` run.
+class CellWithGraph {
+ public:
+  explicit CellWithGraph(Duration status_wait, std::int64_t placed = 2)
+      : cell_(OptionsWith(status_wait)) {
+    CPPUNIT_ASSERT(
+        cell_.RunUntil([&] { return cell_.Leader() < Cell::kReplicas; }));
+    leader_ = cell_.Leader();
+    cell_.Submit(leader_, InstallPlan{SamplePlan()});
+    cell_.Submit(leader_, AdmitWorker{worker_, "w1"});
+    cell_.Submit(leader_, SampleGraph("g", {SampleStep(2)}));
+    PlaceRuns place;
+    for (std::int64_t i = 0; i < placed; ++i) {
+      place.runs.push_back({RunOf("g", 0, i), worker_.life});
+    }
+    cell_.Submit(leader_, place);
+  }
+
+  Cell& cell() { return cell_; }
+  [[nodiscard]] std::size_t leader() const { return leader_; }
+  std::optional<CommandResult> Read() { return cell_.ReadState(leader_, "g"); }
+
+  void EndTasks() {
+    EndRuns ends{worker_.life, {}};
+    for (std::int64_t i = 0; i < 2; ++i) {
+      ends.rows.push_back({i + 1, RunOf("g", 0, i), RunEndReason::kDone, ""});
+    }
+    cell_.Submit(leader_, ends);
+  }
+
+ private:
+  static ControlOptions OptionsWith(Duration status_wait) {
+    ControlOptions options;
+    options.status_wait = status_wait;
+    return options;
+  }
+
+  Cell cell_;
+  std::size_t leader_ = 0;
+  WorkerInfo worker_ = SampleWorker("i-1");
+};
+
+// Guards against callers that learn of an end with their next read only: the
+// first one comes while the end is being committed.
+void ReadWaitsForTheEnd() {
+  CellWithGraph graph(Millis(150));
+  CPPUNIT_ASSERT(!graph.Read());
+  graph.EndTasks();
+  CPPUNIT_ASSERT(graph.cell().last_reply().has_value());
+  CPPUNIT_ASSERT_EQUAL(std::string("completed"),
+                       graph.cell().last_reply()->text);
+}
+
+// Guards against reads that are held back while the tasks go on.
+void ReadIsAnsweredAtItsDeadline() {
+  CellWithGraph graph(Millis(150));
+  CPPUNIT_ASSERT(!graph.Read());
+  int steps = 0;
+  CPPUNIT_ASSERT(graph.cell().RunUntil([&] {
+    ++steps;
+    return graph.cell().last_reply().has_value();
+  }));
+  CPPUNIT_ASSERT_EQUAL(std::string("running"), graph.cell().last_reply()->text);
+  CPPUNIT_ASSERT_MESSAGE("150 ms in steps of 10 ms", steps <= 17);
+}
+
+// Guards against reads that wait although the graph can't end yet: a task of it
+// has not started, or the setting is off.
+void OtherReadsAreAnsweredAtOnce() {
+  CellWithGraph waiting_task(Millis(150), 1);
+  CPPUNIT_ASSERT(waiting_task.Read().has_value());
+  CellWithGraph off(Millis(0));
+  CPPUNIT_ASSERT(off.Read().has_value());
+  CellWithGraph ended(Millis(150));
+  ended.EndTasks();
+  const auto reply = ended.Read();
+  CPPUNIT_ASSERT(reply.has_value());
+  CPPUNIT_ASSERT_EQUAL(std::string("completed"), reply->text);
+}
+
+// Guards against a stale state from a leader that was deposed while a read
+// waited: another leader may have committed the end.
+void DeposedLeaderAnswersNoWaitingRead() {
+  CellWithGraph graph(Millis(500));
+  CPPUNIT_ASSERT(!graph.Read());
+  graph.cell().Isolate(graph.leader());
+  CPPUNIT_ASSERT(graph.cell().RunUntil(
+      [&] { return graph.cell().last_reply().has_value(); }));
+  const CommandResult reply = *graph.cell().last_reply();
+  // The lease may still hold at the deadline of the read; then no other leader
+  // can have committed anything.
+  CPPUNIT_ASSERT(reply.ok ? reply.text == "running"
+                          : reply.error == ErrorKind::kNotLeader);
+}
+
+// Guards against reads without a bound on their number.
+void WaitingReadsAreBounded() {
+  StatusWaits<int> waits(Millis(100));
+  GraphTable table;
+  table.Apply(InstallPlan{SamplePlan()}, kGraphStart);
+  table.Apply(AdmitWorker{SampleWorker("i-1"), "w1"}, kGraphStart);
+  table.Apply(SampleGraph("g", {SampleStep(1)}), kGraphStart);
+  CPPUNIT_ASSERT_MESSAGE("a task that waits",
+                         !IsEnding(table.graphs().at("g")));
+  table.Apply(PlaceRuns{{{RunOf("g", 0, 0), SampleWorker("i-1").life}}},
+              kGraphStart);
+  const Graph& graph = table.graphs().at("g");
+  const Time now(std::chrono::seconds(1));
+  while (waits.MayWait(graph)) {
+    waits.Add(now, "g", 0);
+  }
+  CPPUNIT_ASSERT_EQUAL(StatusWaits<int>::kMaxReads, waits.size());
+  CPPUNIT_ASSERT(waits.TakeDue(now, table).empty());
+  CPPUNIT_ASSERT_EQUAL(StatusWaits<int>::kMaxReads,
+                       waits.TakeDue(now + Millis(100), table).size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, waits.size());
+}
+
+// Guards against reads that wait for graphs that never end.
+void LongRunningGraphsAreNotWaitedFor() {
+  GraphTable table;
+  table.Apply(InstallPlan{SamplePlan()}, kGraphStart);
+  table.Apply(AdmitWorker{SampleWorker("i-1"), "w1"}, kGraphStart);
+  table.Apply(SampleGraph("g", {ServingStep(1)}), kGraphStart);
+  table.Apply(PlaceRuns{{{RunOf("g", 0, 0), SampleWorker("i-1").life}}},
+              kGraphStart);
+  CPPUNIT_ASSERT(!IsEnding(table.graphs().at("g")));
+}
+
 }  // namespace
 
 Section ControlCoreStory() {
@@ -487,6 +631,16 @@
                 .Then("refuses a graph that is invalid", RefusesInvalidGraph)
                 .Then("logs a snapshot that can't be read",
                       UnreadableSnapshotIsLogged))
+      .With(Section("at reads of a graph that is about to end")
+                .Then("answers when the graph has ended", ReadWaitsForTheEnd)
+                .Then("answers at the deadline at the latest",
+                      ReadIsAnsweredAtItsDeadline)
+                .Then("answers all others at once", OtherReadsAreAnsweredAtOnce)
+                .Then("answers nothing old after a change of leader",
+                      DeposedLeaderAnswersNoWaitingRead)
+                .Then("holds a bounded number of them", WaitingReadsAreBounded)
+                .Then("does not wait for long-running graphs",
+                      LongRunningGraphsAreNotWaitedFor))
       .With(Section("cut off from the cell")
                 .Then("acknowledges no end of a task",
                       DeposedLeaderAcknowledgesNoEnd));
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -83,6 +83,20 @@
   CPPUNIT_ASSERT(set->plan_bound == Millis(2000));
 }
 
+void StatusWaitIsRead() {
+  Reason reason;
+  const std::string valid = ValidControlSettings();
+  const auto defaults = LoadControlSettings(WriteSettingsFile(valid), reason);
+  CPPUNIT_ASSERT_MESSAGE("off by default",
+                         defaults->status_wait == Duration::zero());
+  const auto set = LoadControlSettings(
+      WriteSettingsFile(valid + "status_wait_ms: 150\n"), reason);
+  CPPUNIT_ASSERT_MESSAGE(ToString(reason), set.has_value());
+  CPPUNIT_ASSERT(set->status_wait == Millis(150));
+  CPPUNIT_ASSERT(!LoadControlSettings(
+      WriteSettingsFile(valid + "status_wait_ms: 501\n"), reason));
+}
+
 void MechanismsCanBeDisabled() {
   Reason reason;
   const auto defaults =
@@ -127,6 +141,7 @@
       .Then("the losses that a cell has to bear are read",
             LossesRequiredAreRead)
       .Then("the bound on changes of the plan is read", PlanBoundIsRead)
+      .Then("the wait of status reads is read", StatusWaitIsRead)
       .Then("reject a catch-up time out of range",
             [] {
               ExpectError(ValidControlSettings() + "catch_up_s: 0.5\n", 8,
