Run times: a step takes as long as the longest of its tasks

Latency objectives count the longest task of each step; the order of service took the median task for the length of a step.

--- a/include/banyan/graph/run_time_model.h
+++ b/include/banyan/graph/run_time_model.h
@@ -92,7 +92,7 @@
   // plan no longer has.
   void RetainOnly(const GraphTable& table);
 
-  // Returns the run time of the step in whole milliseconds.
+  // Returns the run time of the step's longest task in whole milliseconds.
   [[nodiscard]] std::int64_t StepMs(std::string_view queue,
                                     const TaskRef& first,
                                     const StepSpec& step) const;
@@ -147,6 +147,11 @@
 
   using OccurrenceStep = std::pair<std::int64_t, std::int64_t>;
 
+  // Returns the expected run time of the longest of so many tasks of a step.
+  [[nodiscard]] double LongestMs(std::string_view queue,
+                                 const TaskRef& first,
+                                 const StepSpec& step,
+                                 std::int64_t tasks) const;
   [[nodiscard]] StepRuns& MutableStep(std::string_view queue,
                                       const TaskRef& task,
                                       const StepSpec& step);
--- a/src/graph/run_time_model.cc
+++ b/src/graph/run_time_model.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <vector>
 
+#include "banyan/graph/step_length.h"
+
 namespace banyan {
 namespace {
 
@@ -256,7 +258,18 @@
 std::int64_t RunTimeModel::StepMs(std::string_view queue,
                                   const TaskRef& first,
                                   const StepSpec& step) const {
-  return std::llround(EstimateFor(queue, first, step).mean_ms);
+  return std::llround(LongestMs(queue, first, step, step.count));
+}
+
+double RunTimeModel::LongestMs(std::string_view queue,
+                               const TaskRef& first,
+                               const StepSpec& step,
+                               std::int64_t tasks) const {
+  const auto found = queues_.find(queue);
+  const double task_variance =
+      TaskVarianceOf(found == queues_.end() ? nullptr : &found->second);
+  return LongestRunMs(EstimateFor(queue, first, step).mean_ms,
+                      std::sqrt(task_variance), tasks);
 }
 
 std::int64_t RunTimeModel::RemainingMs(std::string_view queue,
@@ -275,7 +288,8 @@
       continue;
     }
     if (phase != TaskPhase::kRunning) {
-      return std::llround(step_ms);
+      return std::llround(
+          LongestMs(queue, first, step, step.count - progress.done));
     }
     const auto index = static_cast<std::int64_t>(i);
     if (runs == nullptr || !runs->active.contains(index)) {
--- a/tests/unit/run_time_model_test.cc
+++ b/tests/unit/run_time_model_test.cc
@@ -1,5 +1,6 @@
 #include "banyan/graph/run_time_model.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstddef>
 #include <random>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "banyan/graph/run_time_observer.h"
+#include "banyan/graph/step_length.h"
 #include "banyan/graph/urgency.h"
 #include "tests/support/graph_samples.h"
 #include "tests/unit/story.h"
@@ -222,6 +224,73 @@
   CPPUNIT_ASSERT(std::exp(times.real.mean()) > 3 * kMedianMs);
 }
 
+// Guards against the approximation of the normal maximum: the mean maximum of
+// 4,000 samples of each size.
+void LongestRunFollowsTheSampledMaximum() {
+  StepGenerator generator(0);
+  for (const std::int64_t count : {1, 2, 10, 20, 80}) {
+    double sum = 0;
+    constexpr int kSamples = 4000;
+    for (int i = 0; i < kSamples; ++i) {
+      double longest = 0;
+      for (std::int64_t t = 0; t < count; ++t) {
+        longest = std::max(longest, generator.Factor(0.3));
+      }
+      sum += longest;
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(sum / kSamples, LongestRunMs(1, 0.3, count),
+                                 0.06 * sum / kSamples);
+  }
+}
+
+// Guards against judging a wide graph late by the time of one task, while its
+// objective counts its longest one: graphs that still had half of their time
+// were served after all others.
+void WideGraphsAreJudgedByTheirLongestTask() {
+  RunTimeModel model;
+  StepGenerator generator(0.9);
+  Teach(model, generator, 60);
+  Graph graph;
+  graph.queue.name = kQueue;
+  graph.queue.stretch = 2;
+  graph.queue.slo_ms = 1000;
+  graph.spec.steps = {DeclaredStep(kMedianMs)};
+  graph.submitted_at = kGraphStart;
+  graph.occurrences = {{StepProgress{}}};
+  graph.occurrences[0][0].tasks.resize(kTasks);
+  const double median_ms = EstimateMs(model, "g", kMedianMs);
+  const double longest_ms = median_ms * std::exp(kTaskDeviation * 1.54);
+  const Urgency urgency = ComputeUrgency("g", graph, kGraphStart, model);
+  CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      2 * longest_ms + 1000,
+      static_cast<double>(urgency.objective_deadline - kGraphStart),
+      0.15 * longest_ms);
+  // The slack by the median alone is gone by now.
+  const WallMillis later = kGraphStart + std::llround(median_ms + 1100);
+  CPPUNIT_ASSERT(ComputeUrgency("g", graph, later, model).feasibility ==
+                 Feasibility::kOnTime);
+}
+
+// Guards against counting tasks that are done: the fewer are left, the sooner
+// the longest of them ends.
+void FewerRemainingTasksEndSooner() {
+  RunTimeModel model;
+  StepGenerator generator(0.9);
+  Teach(model, generator, 60);
+  StepProgress progress;
+  progress.tasks.resize(kTasks);
+  const auto remaining = [&] {
+    return model.RemainingMs(kQueue, {"g", 0, 0, 0}, DeclaredStep(2000),
+                             progress);
+  };
+  const std::int64_t all = remaining();
+  for (std::size_t t = 0; t + 1 < static_cast<std::size_t>(kTasks); ++t) {
+    progress.tasks[t].phase = TaskPhase::kDone;
+    ++progress.done;
+  }
+  CPPUNIT_ASSERT(remaining() < all);
+}
+
 // A leader's view of one worker, with one graph whose ten tasks run there.
 class ObservedWorker {
  public:
@@ -416,6 +485,13 @@
               .Then("hardly change by stragglers",
                     StragglersHardlyMoveEstimates)
               .Then("follow a queue whose work shifts", ShiftedWorkIsFollowed))
+      .With(Section("of the longest task of a step")
+                .Then("follow the maximum of samples",
+                      LongestRunFollowsTheSampledMaximum)
+                .Then("tell whether a wide graph is late",
+                      WideGraphsAreJudgedByTheirLongestTask)
+                .Then("count the tasks that are left",
+                      FewerRemainingTasksEndSooner))
       .With(Section("of runs")
                 .Then("rank graphs by their remaining work",
                       PartlyDoneGraphsAreRankedByRemainingWork)
