Consensus: an odd number of voters, so that one half of an even cell goes on

Any more than half of all replicas still hold a majority of the voters, and as many losses are borne as before: two with five voters of six, one with three of four. Of two halves, one has the majority. A spare takes the place of a voter that is gone at once.

MembershipTimings holds more than times now and is called MembershipOptions.

Ruled out: a longer Retry-After during an outage. Callers give up 3 s after their first attempt, whatever they were told.

--- a/include/banyan/consensus/membership_plan.h
+++ b/include/banyan/consensus/membership_plan.h
@@ -31,8 +31,8 @@
   std::uint64_t lag = 0;
 };
 
-// Timeouts of membership changes.
-struct MembershipTimings {
+// What decides when the membership changes.
+struct MembershipOptions {
   // A member that has replied within this time counts as present.
   Duration presence;
   // A voter that has not replied for this long may be removed.
@@ -40,6 +40,9 @@
   // A member that has not replied for this long has departed: a learner is
   // removed, and a voter if enough others are left.
   Duration departure;
+  // Whether an odd number of voters is kept, with at most one learner that
+  // could be promoted.
+  bool odd_voters = false;
 };
 
 // Kind of a membership change.
@@ -62,6 +65,8 @@
   kLag,
   // The leader can't tell whether some voter is present or gone.
   kDoubtfulVoter,
+  // The number of voters would be even.
+  kSpare,
 };
 
 [[nodiscard]] std::string_view ToString(PromotionObstacle obstacle) noexcept;
@@ -94,13 +99,16 @@
 //
 // A cell with an odd number of voters keeps a silent voter until a successor is
 // ready, as the majority is no smaller without it. From an even number it is
-// removed at once. Cells of five and more also remove it if another voter is
-// gone, or once it has departed.
+// removed at once. With `odd_voters`, the one learner of a cell with an odd
+// number of voters that could be promoted stays a learner: halves of an even
+// cell that can't reach each other would both lack a majority. More than half
+// of all replicas still hold a majority of the voters. Cells of five and more
+// also remove it if another voter is gone, or once it has departed.
 [[nodiscard]] std::optional<MembershipChange> PlanMembershipChange(
     const Membership& membership,
     std::span<const MemberStatus> others,
     const std::vector<MemberId>& joining,
-    const MembershipTimings& timings,
+    const MembershipOptions& options,
     Time now);
 
 // Returns what the promotion of a learner waits for.
@@ -108,7 +116,7 @@
     const Membership& membership,
     std::span<const MemberStatus> others,
     const MemberId& learner,
-    const MembershipTimings& timings,
+    const MembershipOptions& options,
     Time now);
 
 }  // namespace banyan
--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -208,7 +208,7 @@
   // Asks all replicas that may know the leader for admission.
   void RequestAdmission(Time now);
   [[nodiscard]] std::vector<MemberStatus> StatusOfOthers(Time now);
-  [[nodiscard]] MembershipTimings membership_timings() const;
+  [[nodiscard]] MembershipOptions membership_options() const;
   // Starts to track a member from this replica's election, or from when the
   // member was added.
   void StartProgress(Time now, const MemberId& member);
--- a/include/banyan/consensus/raft_types.h
+++ b/include/banyan/consensus/raft_types.h
@@ -100,6 +100,9 @@
   // How many losses of voters at a time the cell has to bear. The leader logs
   // when it bears fewer for longer than the catch-up time.
   std::int64_t losses_required = 0;
+  // Whether the leader keeps an odd number of voters, so that one half of the
+  // replicas can go on without the other.
+  bool odd_voters = false;
   RaftTimings timings;
   std::uint64_t seed = 1;
 };
--- a/include/banyan/settings/settings.h
+++ b/include/banyan/settings/settings.h
@@ -43,6 +43,8 @@
   Duration catch_up;
   // How many losses of replicas at a time the cell has to bear.
   std::int64_t losses_required = 0;
+  // Whether the leader keeps an odd number of voters.
+  bool odd_voters = false;
   // Time from the acknowledgement of a plan until every process that needs it
   // has to hold it.
   Duration plan_bound{0};
@@ -83,6 +85,7 @@
   // As in ControlSettings.
   Duration catch_up;
   std::int64_t losses_required = 0;
+  bool odd_voters = false;
   Duration plan_bound{0};
   Duration status_wait{0};
   // Duration of a worker lease.
--- a/src/consensus/membership_plan.cc
+++ b/src/consensus/membership_plan.cc
@@ -17,9 +17,9 @@
  public:
   Planner(const Membership& membership,
           std::span<const MemberStatus> others,
-          const MembershipTimings& timings,
+          const MembershipOptions& options,
           Time now)
-      : membership_(membership), others_(others), timings_(timings), now_(now) {
+      : membership_(membership), others_(others), options_(options), now_(now) {
     for (const MemberStatus& other : others_) {
       if (IsVoter(membership_, other.member)) {
         other_voters_.push_back(&other);
@@ -34,7 +34,7 @@
     if (gone != nullptr && IsRemovable(*gone, ready != nullptr)) {
       return RemoveVoter(gone->member);
     }
-    if (ready != nullptr && !IsHeldUpByDoubt()) {
+    if (ready != nullptr && !IsHeldUpByDoubt() && !IsSpareNeeded()) {
       return Promote(ready->member);
     }
     if (auto change = Admit(joining)) {
@@ -51,8 +51,11 @@
     if (!status->is_caught_up) {
       return PromotionObstacle::kLag;
     }
-    return IsHeldUpByDoubt() ? PromotionObstacle::kDoubtfulVoter
-                             : PromotionObstacle::kNone;
+    if (IsHeldUpByDoubt()) {
+      return PromotionObstacle::kDoubtfulVoter;
+    }
+    return IsSpareNeeded() ? PromotionObstacle::kSpare
+                           : PromotionObstacle::kNone;
   }
 
  private:
@@ -64,12 +67,12 @@
   }
 
   [[nodiscard]] bool IsSilent(const MemberStatus& status) const {
-    return status.last_reply_at + timings_.voter_silence <= now_;
+    return status.last_reply_at + options_.voter_silence <= now_;
   }
 
   [[nodiscard]] bool IsPresent(const MemberStatus& status) const {
     return status.has_replied &&
-           status.last_reply_at + timings_.presence > now_;
+           status.last_reply_at + options_.presence > now_;
   }
 
   // Whether a later incarnation of the replica replies, so that the disk of
@@ -127,7 +130,7 @@
     const bool is_dispensable =
         voters >= kMinDispensingCellSize &&
         (CountGoneVoters() > 1 ||
-         gone.last_reply_at + timings_.departure <= now_);
+         gone.last_reply_at + options_.departure <= now_);
     return has_successor || is_dispensable;
   }
 
@@ -155,15 +158,29 @@
                                  }));
   }
 
+  // Whether a learner replies and holds the log.
+  [[nodiscard]] bool IsReady(const MemberId& learner) const {
+    const MemberStatus* status = Find(learner);
+    return status != nullptr && IsPresent(*status) && !status->is_leaving &&
+           status->is_caught_up;
+  }
+
   [[nodiscard]] const MemberStatus* FindReadyLearner() const {
-    for (const MemberId& learner : membership_.learners) {
-      const PromotionObstacle obstacle = FindObstacle(learner);
-      if (obstacle == PromotionObstacle::kNone ||
-          obstacle == PromotionObstacle::kDoubtfulVoter) {
-        return Find(learner);
-      }
-    }
-    return nullptr;
+    const auto ready =
+        std::find_if(membership_.learners.begin(), membership_.learners.end(),
+                     [&](const MemberId& learner) { return IsReady(learner); });
+    return ready == membership_.learners.end() ? nullptr : Find(*ready);
+  }
+
+  // Whether the only learner that could be promoted stays a learner, so that
+  // the number of voters is odd.
+  [[nodiscard]] bool IsSpareNeeded() const {
+    constexpr std::size_t kMinCellSize = 3;
+    const std::size_t voters = membership_.voters.size();
+    return options_.odd_voters && voters >= kMinCellSize && voters % 2 != 0 &&
+           std::count_if(
+               membership_.learners.begin(), membership_.learners.end(),
+               [&](const MemberId& learner) { return IsReady(learner); }) == 1;
   }
 
   // Whether some incarnation of the replica is a member and present, so that a
@@ -198,7 +215,7 @@
     for (const MemberId& learner : membership_.learners) {
       const MemberStatus* status = Find(learner);
       if (status != nullptr &&
-          status->last_reply_at + timings_.departure <= now_) {
+          status->last_reply_at + options_.departure <= now_) {
         Membership next = membership_;
         std::erase(next.learners, learner);
         return MembershipChange{MembershipChangeKind::kRemoveLearner, learner,
@@ -223,7 +240,7 @@
 
   const Membership& membership_;
   std::span<const MemberStatus> others_;
-  const MembershipTimings& timings_;
+  const MembershipOptions& options_;
   Time now_;
   std::vector<const MemberStatus*> other_voters_;
 };
@@ -254,6 +271,8 @@
       return "log";
     case PromotionObstacle::kDoubtfulVoter:
       return "doubtful-voter";
+    case PromotionObstacle::kSpare:
+      return "spare";
   }
   return "";
 }
@@ -262,17 +281,17 @@
     const Membership& membership,
     std::span<const MemberStatus> others,
     const std::vector<MemberId>& joining,
-    const MembershipTimings& timings,
+    const MembershipOptions& options,
     Time now) {
-  return Planner(membership, others, timings, now).Plan(joining);
+  return Planner(membership, others, options, now).Plan(joining);
 }
 
 PromotionObstacle FindPromotionObstacle(const Membership& membership,
                                         std::span<const MemberStatus> others,
                                         const MemberId& learner,
-                                        const MembershipTimings& timings,
+                                        const MembershipOptions& options,
                                         Time now) {
-  return Planner(membership, others, timings, now).FindObstacle(learner);
+  return Planner(membership, others, options, now).FindObstacle(learner);
 }
 
 }  // namespace banyan
--- a/src/consensus/membership_watch.cc
+++ b/src/consensus/membership_watch.cc
@@ -38,7 +38,9 @@
         next_learner_event_
             .try_emplace(other.member, other.added_at + kLearnerWaitThreshold)
             .first->second;
-    if (now < next_event) {
+    const PromotionObstacle obstacle = FindPromotionObstacle(
+        view.membership, view.others, other.member, view.timings, now);
+    if (now < next_event || obstacle == PromotionObstacle::kSpare) {
       continue;
     }
     next_event = now + kRepeatInterval;
@@ -49,9 +51,7 @@
             .With("lag", other.lag)
             .With("keeps_up", other.is_caught_up ? "true" : "false")
             .With("replied_ms", ToMillis(now - other.last_reply_at))
-            .With("waits_for", ToString(FindPromotionObstacle(
-                                   view.membership, view.others, other.member,
-                                   view.timings, now))));
+            .With("waits_for", ToString(obstacle)));
   }
 }
 
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -514,7 +514,7 @@
   const std::vector<MemberStatus> others = StatusOfOthers(now);
   watch_.Observe(
       now,
-      {log_.membership(), others, membership_timings(), LossesBorne(now),
+      {log_.membership(), others, membership_options(), LossesBorne(now),
        options_.losses_required, options_.timings.catch_up},
       out_.events);
 }
@@ -614,7 +614,7 @@
   }
   const auto change =
       PlanMembershipChange(log_.membership(), StatusOfOthers(now), joining,
-                           membership_timings(), now);
+                           membership_options(), now);
   if (!change) {
     return;
   }
@@ -625,10 +625,11 @@
   ProposeMembership(now, *change);
 }
 
-MembershipTimings RaftCore::membership_timings() const {
+MembershipOptions RaftCore::membership_options() const {
   const Duration silence = options_.timings.voter_silence();
   return {options_.timings.election_timeout / 2, silence,
-          std::max(options_.timings.catch_up, silence * 2)};
+          std::max(options_.timings.catch_up, silence * 2),
+          options_.odd_voters};
 }
 
 std::uint64_t RaftCore::LearnerLag() const {
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -51,6 +51,7 @@
       settings.election_timeout / kMarginDivisor;
   options.raft.timings.catch_up = settings.catch_up;
   options.raft.losses_required = settings.losses_required;
+  options.raft.odd_voters = settings.odd_voters;
   options.plan_bound = settings.plan_bound;
   options.status_wait = settings.status_wait;
   options.raft.seed = NewIncarnation();
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -125,6 +125,7 @@
                      kElectionTimeoutsPerCatchUp * settings.election_timeout);
   settings.losses_required =
       reader.Integer("losses_required", 0, kMaxLossesRequired, 1);
+  settings.odd_voters = reader.Boolean("odd_voters", false);
   settings.plan_bound = Millis(reader.Integer(
       "plan_bound_ms", kMinPlanBoundMs, kMaxPlanBoundMs, kDefaultPlanBoundMs));
   settings.status_wait =
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -57,6 +57,9 @@
   std::optional<Duration> returning_sync = std::nullopt;
   // Longest time from the sending of a message until it is handled.
   Duration max_delay{2000};
+  // Whether the replicas keep an odd number of voters. The last replica of an
+  // even cell then stays a learner.
+  bool odd_voters = false;
 };
 
 // What a play of a cell is made of.
--- a/tests/unit/cell_world_test.cc
+++ b/tests/unit/cell_world_test.cc
@@ -186,6 +186,34 @@
   return section;
 }
 
+// The series that an even cell with an odd number of voters goes through.
+// Guards against a spare that is missing when a voter is lost, and against
+// voters of an even number that stay so.
+Section SpareStory(int size) {
+  const std::string name =
+      "a cell of " + std::to_string(size) + " with a spare";
+  const auto series = [size](const CellEvents& events, bool is_heavy) {
+    return [size, events, is_heavy] {
+      CellLoad load = is_heavy ? kHeavyLoad : CellLoad{};
+      load.odd_voters = true;
+      Play({.size = size,
+            .losses = LossesOf(size),
+            .load = load,
+            .events = events,
+            .hits_returning = !is_heavy});
+    };
+  };
+  Section section(name);
+  section
+      .Then(name + " bears what keeps all disks", series(kAllDisksKept, false))
+      .Then(name + " bears losses among changes of leader",
+            series(kChangesOfLeader, false))
+      .Then(name + " bears everything together", series(kEverything, false))
+      .Then(name + " under load bears everything together",
+            series(kEverything, true));
+  return section;
+}
+
 // A replica that runs and isn't the leader.
 std::string AnyFollower(const CellWorld& world) {
   for (const std::string& id : world.Running()) {
@@ -253,6 +281,29 @@
   AssertNoViolation(world);
 }
 
+// Guards against a cell of an even number of voters that stands still while its
+// halves can't reach each other: neither has a majority.
+void HalfOfAnEvenCellGoesOn() {
+  CellLoad load;
+  load.odd_voters = true;
+  CellWorld world(6, 2, 1, load);
+  world.Form();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{5}, world.membership().voters.size());
+  // Losing the spare and two voters leaves three voters of five.
+  std::vector<std::string> lost;
+  for (const std::string& id : world.Running()) {
+    if (!world.IsVoterNow(id) || (id != world.Leader() && lost.size() < 2)) {
+      lost.push_back(id);
+    }
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, lost.size());
+  for (const std::string& id : lost) {
+    world.Cut(id, CellWorld::CutKind::kBoth, true);
+  }
+  world.Run(seconds(2));
+  CPPUNIT_ASSERT(!world.Leader().empty());
+}
+
 // Guards against a replica that takes itself for a voter and never asks.
 void RemovedVoterComesBack() {
   CellWorld world(3, 1, 1);
@@ -350,6 +401,8 @@
           .Then(
               "a new leader removes a voter that was lost before its election",
               NewLeaderRemovesEarlierLoss)
+          .Then("half of a cell of six goes on with three of five voters",
+                HalfOfAnEvenCellGoesOn)
           .Then("a voter that was removed while it was silent comes back as a "
                 "voter",
                 RemovedVoterComesBack)
@@ -366,6 +419,9 @@
   for (const int size : {3, 4, 5, 6, 7}) {
     section.With(SizeStory(size));
   }
+  for (const int size : {4, 6}) {
+    section.With(SpareStory(size));
+  }
   for (const int size : {3, 5}) {
     section.With(LoadStory(size));
   }
