--- a/include/banyan/process/pending.h
+++ b/include/banyan/process/pending.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_PROCESS_PENDING_H_
 #define BANYAN_PROCESS_PENDING_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <future>
@@ -8,8 +9,22 @@
 #include <mutex>
 #include <utility>
 
+#include "banyan/base/time.h"
+
 namespace banyan {
 
+// Waits for a response until the deadline, and for `grace` if it is over then.
+// A process that was frozen wakes after the deadline, and the thread that waits
+// may run before the one that answers. Returns whether the response is there.
+template <typename T>
+[[nodiscard]] bool WaitForResponse(const std::future<T>& response,
+                                   Time deadline,
+                                   Duration grace) {
+  return response.wait_for(deadline - MonotonicClock::now()) ==
+             std::future_status::ready ||
+         response.wait_for(grace) == std::future_status::ready;
+}
+
 // Responses that threads wait for, keyed by ticket. Thread-safe.
 template <typename T>
 class PendingResponses {
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -16,7 +16,7 @@
 // Longest wait of the core thread for input.
 constexpr Duration kTickInterval = Millis(5);
 // Time that an HTTP thread waits for the core's answer beyond the request's
-// deadline.
+// deadline, and after a freeze that lasted beyond it.
 constexpr Duration kAnswerGracePeriod = Millis(500);
 // Upper limit of the time-out that a caller can request; larger values are
 // reduced to it. Also used if the caller sets none.
@@ -199,8 +199,7 @@
     pending_.Abandon(ticket);
     return ErrorReply(ErrorKind::kOverloaded, "too many requests wait");
   }
-  if (reply.wait_for(deadline - MonotonicClock::now()) !=
-      std::future_status::ready) {
+  if (!WaitForResponse(reply, deadline, kAnswerGracePeriod)) {
     pending_.Abandon(ticket);
     return ErrorReply(ErrorKind::kUnknownOutcome, "no answer in time");
   }
--- a/tests/unit/late_call_test.cc
+++ b/tests/unit/late_call_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "banyan/net/http.h"
+#include "banyan/process/pending.h"
 #include "platform/http_apis.h"
 #include "tests/support/free_address.h"
 #include "tests/support/graph_samples.h"
@@ -246,6 +247,27 @@
   CPPUNIT_ASSERT(!server.cell().HasGraph("00000000000000a1"));
 }
 
+// Guards against "unknown" for a request that did not run: in a process that
+// was frozen past the deadline, the waiting thread ran before the one that had
+// "not run" ready.
+void AnswerAfterAFreezeIsWaitedFor() {
+  PendingResponses<int> pending;
+  auto [ticket, response] = pending.Open();
+  std::thread core([&pending, ticket = ticket] {
+    std::this_thread::sleep_for(Millis(20));
+    pending.Resolve(ticket, 7);
+  });
+  const Time over = MonotonicClock::now() - Millis(900);
+  const bool is_answered = WaitForResponse(response, over, kExchangeTimeout);
+  core.join();
+  CPPUNIT_ASSERT(is_answered);
+  CPPUNIT_ASSERT_EQUAL(7, response.get());
+  auto [lost, never] = pending.Open();
+  CPPUNIT_ASSERT_MESSAGE("without an answer the wait ends",
+                         !WaitForResponse(never, over, Millis(5)));
+  pending.Abandon(lost);
+}
+
 }  // namespace
 
 Section LateCallStory() {
@@ -263,7 +285,10 @@
                 .Then("is accepted while its client waits",
                       JobIsAcceptedWhileItsCallerWaits)
                 .Then("is not handed in after its client's deadline",
-                      JobIsNotHandedInAfterItsDeadline));
+                      JobIsNotHandedInAfterItsDeadline))
+      .With(Section("a request to a process that was frozen")
+                .Then("gets the answer that is ready soon after",
+                      AnswerAfterAFreezeIsWaitedFor));
   return story;
 }
 
