Run times: leave queues whose declared times are accurate as they are

Declared times within 0.3 count as accurate, and the order of service then follows them as it does without the model, as it does until four steps of a queue are known.

--- a/src/graph/run_time_model.cc
+++ b/src/graph/run_time_model.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "banyan/graph/step_length.h"
+#include "banyan/graph/urgency.h"
 
 namespace banyan {
 namespace {
@@ -24,8 +25,9 @@
 // certainty.
 constexpr double kMinDeviation = 0.05;
 // Declared times within this root mean square of the logarithm of real/declared
-// are used as they are: the tasks of a step differ as much.
-constexpr double kAccurateDeviation = 0.2;
+// are used as they are. Callers who know their work are within 0.2, those who
+// guess are off by 0.5 and more.
+constexpr double kAccurateDeviation = 0.3;
 // Progress from which on the run time of an active run can be told.
 constexpr std::int64_t kMinPercent = 10;
 // Expected remaining part of an active run whose progress is not known.
@@ -258,7 +260,15 @@
 std::int64_t RunTimeModel::StepMs(std::string_view queue,
                                   const TaskRef& first,
                                   const StepSpec& step) const {
-  return std::llround(LongestMs(queue, first, step, step.count));
+  return UsesDeclared(queue)
+             ? DeclaredRunTimes::StepMs(queue, first, step)
+             : std::llround(LongestMs(queue, first, step, step.count));
+}
+
+bool RunTimeModel::UsesDeclared(std::string_view queue) const {
+  const auto times = queues_.find(queue);
+  return times == queues_.end() || times->second.real.weight() < kMinSteps ||
+         times->second.is_declared_accurate();
 }
 
 double RunTimeModel::LongestMs(std::string_view queue,
@@ -276,6 +286,9 @@
                                        const TaskRef& first,
                                        const StepSpec& step,
                                        const StepProgress& progress) const {
+  if (UsesDeclared(queue)) {
+    return DeclaredRunTimes::RemainingMs(queue, first, step, progress);
+  }
   if (progress.is_done()) {
     return 0;
   }
@@ -311,6 +324,9 @@
     const TaskRef& first,
     const StepSpec& step,
     const StepProgress& progress) const {
+  if (UsesDeclared(queue)) {
+    return DeclaredRunTimes::RemainingTotalMs(queue, first, step, progress);
+  }
   if (progress.is_done()) {
     return 0;
   }
--- a/tests/unit/run_time_model_test.cc
+++ b/tests/unit/run_time_model_test.cc
@@ -127,6 +127,27 @@
   }
 }
 
+// Guards against another order of service where callers know their work: it
+// follows the declared times as it does without the model.
+void AccurateQueuesAreServedAsDeclared() {
+  RunTimeModel model;
+  StepGenerator generator(0.2);
+  Teach(model, generator, 40);
+  const StepSpec step = DeclaredStep(2000);
+  const TaskRef first{"g", 0, 0, 0};
+  StepProgress progress;
+  progress.tasks.resize(kTasks);
+  progress.tasks[0].phase = TaskPhase::kDone;
+  progress.done = 1;
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2000}, model.StepMs(kQueue, first, step));
+  CPPUNIT_ASSERT_EQUAL(
+      DeclaredRunTimes::RemainingMs(kQueue, first, step, progress),
+      model.RemainingMs(kQueue, first, step, progress));
+  CPPUNIT_ASSERT_EQUAL(
+      DeclaredRunTimes::RemainingTotalMs(kQueue, first, step, progress),
+      model.RemainingTotalMs(kQueue, first, step, progress));
+}
+
 // Declared times off by a factor of 2.5: first without runs of the step, which
 // must rank no worse, then with two tasks of ten done, which must rank better.
 void UninformativeDeclaredTimesCauseFewerInversions() {
@@ -480,6 +501,8 @@
                     NewLeaderUsesDeclaredTimes)
               .Then("are the declared ones if these are exact",
                     ExactDeclaredTimesAreKept)
+              .Then("leave the order as declared if these are about right",
+                    AccurateQueuesAreServedAsDeclared)
               .Then("rank better than uninformative declared ones",
                     UninformativeDeclaredTimesCauseFewerInversions)
               .Then("hardly change by stragglers",
