--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -130,6 +130,11 @@
   [[nodiscard]] Duration starved_time() const noexcept {
     return graphs_.starved_time();
   }
+  // Returns what became of the status reads that waited on this replica.
+  [[nodiscard]] const StatusWaitCounters& status_wait_counters()
+      const noexcept {
+    return status_waits_.counters();
+  }
   [[nodiscard]] const Scheduler& scheduler() const noexcept {
     return scheduler_;
   }
--- a/include/banyan/control/status_waits.h
+++ b/include/banyan/control/status_waits.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,14 @@
 // and each of its tasks is done or running.
 [[nodiscard]] bool IsEnding(const Graph& graph);
 
+// What became of the reads that waited.
+struct StatusWaitCounters {
+  // Answered since their graph had ended.
+  std::uint64_t ended = 0;
+  // Answered at their deadline.
+  std::uint64_t timed_out = 0;
+};
+
 // Reads of the states of graphs that are about to end. Callers read the state
 // when the last task ends, which is tens of milliseconds before the end is
 // committed; answered at once, they would learn of it with their next read.
@@ -52,7 +61,11 @@
                                              const GraphTable& table) {
     return TakeIf([&](const WaitingRead& read) {
       const Graph* graph = table.FindGraph(read.due.graph);
-      return read.deadline <= now || graph == nullptr || IsFinal(graph->state);
+      const bool has_ended = graph == nullptr || IsFinal(graph->state);
+      const bool is_over = !has_ended && read.deadline <= now;
+      counters_.ended += has_ended ? 1 : 0;
+      counters_.timed_out += is_over ? 1 : 0;
+      return has_ended || is_over;
     });
   }
 
@@ -62,6 +75,9 @@
   }
 
   [[nodiscard]] std::size_t size() const noexcept { return reads_.size(); }
+  [[nodiscard]] const StatusWaitCounters& counters() const noexcept {
+    return counters_;
+  }
 
  private:
   struct WaitingRead {
@@ -83,6 +99,7 @@
   }
 
   Duration longest_wait_;
+  StatusWaitCounters counters_;
   std::vector<WaitingRead> reads_;
 };
 
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -146,6 +146,9 @@
 // Returns the catalogue in ascending order of the event numbers.
 [[nodiscard]] std::span<const EventRow> EventCatalogue() noexcept;
 
+// Returns the name of an event; "unknown" if the catalogue lacks it.
+[[nodiscard]] std::string_view EventName(EventId id) noexcept;
+
 // One structured log line: an event number and its fields in order.
 class Event {
  public:
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -364,6 +364,12 @@
   return kCatalogue;
 }
 
+std::string_view EventName(EventId id) noexcept {
+  const auto row = std::find_if(kCatalogue.begin(), kCatalogue.end(),
+                                [&](const EventRow& r) { return r.id == id; });
+  return row == kCatalogue.end() ? "unknown" : row->name;
+}
+
 Event&& Event::With(std::string_view key, std::string_view value) && {
   std::string& added = fields_.emplace_back(key, value).second;
   std::replace_if(
--- a/src/events/json_log.cc
+++ b/src/events/json_log.cc
@@ -24,14 +24,9 @@
 }  // namespace
 
 std::string ToJsonLine(const Event& event, WallMillis time) {
-  const auto rows = EventCatalogue();
-  const auto row =
-      std::find_if(rows.begin(), rows.end(),
-                   [&](const EventRow& r) { return r.id == event.id(); });
-  nlohmann::ordered_json line = {
-      {"time_ms", time},
-      {"event", row == rows.end() ? "unknown" : row->name},
-      {"id", static_cast<int>(event.id())}};
+  nlohmann::ordered_json line = {{"time_ms", time},
+                                 {"event", EventName(event.id())},
+                                 {"id", static_cast<int>(event.id())}};
   std::map<std::string_view, std::string_view> sorted;
   for (const auto& [key, value] : event.fields()) {
     sorted[key] = value;
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -412,6 +412,8 @@
 void ControlProcess::ApplyOutputs(ControlOutputs outputs) {
   WriteEvents(outputs.events);
   for (const Event& event : outputs.events) {
+    metrics_.Increment("events{event=\"" + std::string(EventName(event.id())) +
+                       "\"}");
     if (event.id() == EventId::kTaskGivenUp) {
       metrics_.Increment("tasks_given_up");
     }
@@ -474,6 +476,11 @@
   metrics_.SetGauge(
       "long_running_starved_seconds",
       std::chrono::duration<double>(core_->starved_time()).count());
+  const StatusWaitCounters& waits = core_->status_wait_counters();
+  metrics_.SetGauge("status_reads_waited{until=\"end\"}",
+                    static_cast<double>(waits.ended));
+  metrics_.SetGauge("status_reads_waited{until=\"deadline\"}",
+                    static_cast<double>(waits.timed_out));
   metrics_.SetGauge("sent_bytes", static_cast<double>(network_->sent_bytes()));
 }
 
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -595,6 +595,9 @@
   CPPUNIT_ASSERT_EQUAL(StatusWaits<int>::kMaxReads,
                        waits.TakeDue(now + Millis(100), table).size());
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, waits.size());
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{StatusWaits<int>::kMaxReads},
+                       waits.counters().timed_out);
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, waits.counters().ended);
 }
 
 // Guards against reads that wait for graphs that never end.
--- a/tests/unit/process_test.cc
+++ b/tests/unit/process_test.cc
@@ -323,6 +323,9 @@
   const HttpReply metrics = Cluster::Call(entry, "GET", "/metrics", "");
   CPPUNIT_ASSERT(metrics.body.find("banyan_request_seconds_count") !=
                  std::string::npos);
+  // Guards against decisions that only the log shows.
+  CPPUNIT_ASSERT(Cluster::Call(api, "GET", "/metrics", "")
+                     .body.find("banyan_events{event=") != std::string::npos);
   CPPUNIT_ASSERT_EQUAL(0, cluster.StopAll(kStopTimeout));
 }
 
