Run times: use a step's own runs before its queue is known

The change before left the runs of a step unused until four steps of its queue were known: "decide its order only if switched on" failed (expected short, was long). Only queues whose declared times are known to be accurate use these now; before four steps are known the median task counts.

--- a/include/banyan/graph/run_time_model.h
+++ b/include/banyan/graph/run_time_model.h
@@ -92,9 +92,9 @@
   // plan no longer has.
   void RetainOnly(const GraphTable& table);
 
-  // Returns the run time of the step's longest task in whole milliseconds. This
-  // and the next two return what DeclaredRunTimes does until the queue's times
-  // were learned, and where the declared ones are accurate.
+  // Returns the run time of the step's longest task in whole milliseconds, or
+  // of the median one until the queue's times were learned. This and the next
+  // two return what DeclaredRunTimes does if the declared times are accurate.
   [[nodiscard]] std::int64_t StepMs(std::string_view queue,
                                     const TaskRef& first,
                                     const StepSpec& step) const;
@@ -151,7 +151,8 @@
 
   // Whether the declared run times of a queue are used as they are.
   [[nodiscard]] bool UsesDeclared(std::string_view queue) const;
-  // Returns the expected run time of the longest of so many tasks of a step.
+  // Returns the expected run time of the longest of so many tasks of a step;
+  // the median run time until the queue's times were learned.
   [[nodiscard]] double LongestMs(std::string_view queue,
                                  const TaskRef& first,
                                  const StepSpec& step,
--- a/src/graph/run_time_model.cc
+++ b/src/graph/run_time_model.cc
@@ -267,19 +267,20 @@
 
 bool RunTimeModel::UsesDeclared(std::string_view queue) const {
   const auto times = queues_.find(queue);
-  return times == queues_.end() || times->second.real.weight() < kMinSteps ||
-         times->second.is_declared_accurate();
+  return times != queues_.end() && times->second.is_declared_accurate();
 }
 
 double RunTimeModel::LongestMs(std::string_view queue,
                                const TaskRef& first,
                                const StepSpec& step,
                                std::int64_t tasks) const {
-  const auto found = queues_.find(queue);
-  const double task_variance =
-      TaskVarianceOf(found == queues_.end() ? nullptr : &found->second);
-  return LongestRunMs(EstimateFor(queue, first, step).mean_ms,
-                      std::sqrt(task_variance), tasks);
+  const double median_ms = EstimateFor(queue, first, step).mean_ms;
+  const auto times = queues_.find(queue);
+  if (times == queues_.end() || times->second.real.weight() < kMinSteps) {
+    return median_ms;
+  }
+  return LongestRunMs(median_ms, std::sqrt(TaskVarianceOf(&times->second)),
+                      tasks);
 }
 
 std::int64_t RunTimeModel::RemainingMs(std::string_view queue,
