Status waits: take the reads that are due by partition

The predicate of the erasure moved from the elements that it was asked about, which the standard doesn't allow. MembershipWatch and the tests follow the name of MembershipOptions.

--- a/include/banyan/consensus/membership_watch.h
+++ b/include/banyan/consensus/membership_watch.h
@@ -22,7 +22,7 @@
   struct View {
     const Membership& membership;
     std::span<const MemberStatus> others;
-    const MembershipOptions& timings;
+    const MembershipOptions& options;
     // How many voters that are heard can be lost before the majority is lost,
     // and how many losses the cell has to bear.
     std::int64_t losses_borne = 0;
--- a/include/banyan/control/status_waits.h
+++ b/include/banyan/control/status_waits.h
@@ -1,6 +1,7 @@
 #ifndef BANYAN_CONTROL_STATUS_WAITS_H_
 #define BANYAN_CONTROL_STATUS_WAITS_H_
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -87,14 +88,14 @@
 
   template <std::predicate<const WaitingRead&> Predicate>
   [[nodiscard]] std::vector<DueRead> TakeIf(const Predicate& is_due) {
+    const auto first_due = std::stable_partition(
+        reads_.begin(), reads_.end(),
+        [&](const WaitingRead& read) { return !is_due(read); });
     std::vector<DueRead> due;
-    std::erase_if(reads_, [&](WaitingRead& read) {
-      const bool is_taken = is_due(read);
-      if (is_taken) {
-        due.push_back(std::move(read.due));
-      }
-      return is_taken;
-    });
+    for (auto read = first_due; read != reads_.end(); ++read) {
+      due.push_back(std::move(read->due));
+    }
+    reads_.erase(first_due, reads_.end());
     return due;
   }
 
--- a/src/consensus/membership_plan.cc
+++ b/src/consensus/membership_plan.cc
@@ -34,7 +34,7 @@
     if (gone != nullptr && IsRemovable(*gone, ready != nullptr)) {
       return RemoveVoter(gone->member);
     }
-    if (ready != nullptr && !IsHeldUpByDoubt() && !IsSpareNeeded()) {
+    if (ready != nullptr && !IsHeldUpByDoubt() && !KeepsSpare()) {
       return Promote(ready->member);
     }
     if (auto change = Admit(joining)) {
@@ -54,8 +54,7 @@
     if (IsHeldUpByDoubt()) {
       return PromotionObstacle::kDoubtfulVoter;
     }
-    return IsSpareNeeded() ? PromotionObstacle::kSpare
-                           : PromotionObstacle::kNone;
+    return KeepsSpare() ? PromotionObstacle::kSpare : PromotionObstacle::kNone;
   }
 
  private:
@@ -172,9 +171,8 @@
     return ready == membership_.learners.end() ? nullptr : Find(*ready);
   }
 
-  // Whether the only learner that could be promoted stays a learner, so that
-  // the number of voters is odd.
-  [[nodiscard]] bool IsSpareNeeded() const {
+  // Whether the only learner that could be promoted stays a learner.
+  [[nodiscard]] bool KeepsSpare() const {
     constexpr std::size_t kMinCellSize = 3;
     const std::size_t voters = membership_.voters.size();
     return options_.odd_voters && voters >= kMinCellSize && voters % 2 != 0 &&
--- a/src/consensus/membership_watch.cc
+++ b/src/consensus/membership_watch.cc
@@ -39,7 +39,7 @@
             .try_emplace(other.member, other.added_at + kLearnerWaitThreshold)
             .first->second;
     const PromotionObstacle obstacle = FindPromotionObstacle(
-        view.membership, view.others, other.member, view.timings, now);
+        view.membership, view.others, other.member, view.options, now);
     if (now < next_event || obstacle == PromotionObstacle::kSpare) {
       continue;
     }
--- a/tests/unit/membership_plan_test.cc
+++ b/tests/unit/membership_plan_test.cc
@@ -8,7 +8,7 @@
 using enum MembershipChangeKind;
 
 constexpr Time kNow{seconds(100)};
-constexpr MembershipOptions kTimings{Millis(250), seconds(1), seconds(4)};
+constexpr MembershipOptions kOptions{Millis(250), seconds(1), seconds(4)};
 
 const MemberId a{"a", 1};
 const MemberId b{"b", 2};
@@ -95,7 +95,7 @@
   Membership membership_;
   std::vector<MemberStatus> others_;
   std::vector<MemberId> joining_;
-  MembershipOptions options_ = kTimings;
+  MembershipOptions options_ = kOptions;
 };
 
 // Guards against a cell of four voters, one of them gone, that needs three: the
--- a/tests/unit/membership_watch_test.cc
+++ b/tests/unit/membership_watch_test.cc
@@ -12,7 +12,7 @@
 constexpr Time kStart{seconds(100)};
 constexpr Duration kHeartbeat = Millis(50);
 constexpr Duration kCatchUp = seconds(6);
-constexpr MembershipOptions kTimings{Millis(250), Millis(1500), kCatchUp};
+constexpr MembershipOptions kOptions{Millis(250), Millis(1500), kCatchUp};
 
 const MemberId a{"a", 1};
 const MemberId b{"b", 2};
@@ -37,7 +37,7 @@
         other.last_reply_at = now_;
       }
       watch_.Observe(
-          now_, {membership_, others_, kTimings, losses_borne_, 2, kCatchUp},
+          now_, {membership_, others_, kOptions, losses_borne_, 2, kCatchUp},
           events);
     }
     return events;
