Soak: the settings of the deploy template that it lacked

The soak wrote what the template makes of a machine's settings without the switches of the scheduler, odd_voters and status_wait_ms, so that none of these parts ran in it.

--- a/tests/soak/platform_cluster.cc
+++ b/tests/soak/platform_cluster.cc
@@ -231,7 +231,10 @@
       << settings << "drain_ms: 5500\nelection_ms: 500\ncatch_up_s: "
       << ToMillis(shape_.catch_up) / 1000
       << "\nlosses_required: " << shape_.losses_required
-      << "\nlease_ms: 5800\n";
+      << "\nodd_voters: on\nlease_ms: 5800\nstatus_wait_ms: 150\nscheduling:\n"
+         "  speculative_copies: on\n  room_for_urgent: on\n"
+         "  learned_run_times: on\n  look_ahead: on\n"
+         "  admission_forecast: on\n";
   Process& process = processes_[name];
   process.role = role;
   process.settings_path = path;
