--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -26,6 +26,9 @@
 
 namespace banyan {
 
+// Time after which a proposal that was not applied counts as lost.
+inline constexpr Duration kProposalTimeout = Millis(1500);
+
 // Configuration of the leader's handling of job graphs.
 struct GraphLeaderOptions {
   // Duration of a worker's lease, counted from when its sync was sent.
