Tests: calls that the next incarnation of a worker carries out

The worlds of the job graph lost each late call with the incarnation it was sent to, and list calls were never late. On the platform a call names a worker by its id alone, so the next incarnation under the same id takes it: it grants a lease on a clock that began anew and forgets ends that it has just listed.

Calls that meet a worker as it crashes or while it is down may be taken by the next one. - restart_cuts: a worker restarts under its id and is cut off from its agent soon after. double_restarts and joint_restarts add a second crash within two seconds and a restart of the agent between the incarnations. - long_tasks, long_leases and long_grants: tasks of up to 12 s, workers that accept leases of 10 s, and leases of 5.8 s from the leader, as deployed.

With restart_cuts a graph may also be failed after two crashes of workers that had been sent a start of one of its tasks: CrashRecord gives a task up that started alone at both (traced: two crashes within two seconds). The rule is unchanged in all other worlds.

--- a/tests/support/graph_world.cc
+++ b/tests/support/graph_world.cc
@@ -29,6 +29,8 @@
 // Workers that crash again and again, or that are partly filled with long runs,
 // complete less other work.
 constexpr Time kLateEnd = kEnd + std::chrono::seconds(60);
+// So do long tasks on few workers.
+constexpr Time kLatestEnd = kLateEnd + std::chrono::seconds(60);
 constexpr Duration kAgentTick = Millis(25);
 constexpr Duration kBusyDecision = Millis(10);
 constexpr Duration kIdleDecision = Millis(100);
@@ -63,8 +65,15 @@
 // crashes.
 constexpr std::size_t kCrashesUntilBudget = 3;
 constexpr int kMaxStartsAfterCrashes = 2;
+// A sound task may be given up after so many crashes of workers that had been
+// sent a start of it.
+constexpr int kCrashesUntilSuspect = 2;
 // The longest lease that a worker takes, on its own clock.
 constexpr std::int64_t kMaxLeaseMs = 6000;
+constexpr std::int64_t kLongMaxLeaseMs = 10000;
+constexpr Duration kLongGrant = Millis(5800);
+// A call is carried out no later than this after it was sent.
+constexpr std::int64_t kMaxCallDelayMs = 12000;
 constexpr double kMaxClockLag = 0.02;
 // By this factor, for each kind of fault, a series may be sparser.
 constexpr std::uint64_t kSparsest = 2;
@@ -112,6 +121,8 @@
   // Whether each of its runs fails shortly after its start.
   bool always_fails = false;
   std::int64_t failures = 0;
+  // Crashes of workers that had been sent a start of it, with `restart_cuts`.
+  int crashes_beside = 0;
   std::vector<DoneEnd> done;
 };
 
@@ -149,6 +160,8 @@
   std::map<TaskRef, std::int64_t> barred;
   // List calls that wait for an end.
   std::vector<Call> polls;
+  // Tasks whose starts it was sent.
+  std::set<TaskRef> offered;
 
   [[nodiscard]] std::int64_t ClockMs(Time now) const {
     return static_cast<std::int64_t>(
@@ -167,6 +180,10 @@
   Time last_to_leader;
   Time last_to_agent;
   Worker worker;
+  // Until when the worker and its agent don't reach each other.
+  Time worker_cut_until;
+  // Calls that the next worker may carry out.
+  std::vector<Call> held;
 };
 
 // One world with its event queue. It is played once.
@@ -193,9 +210,11 @@
     if (faults_.long_running) {
       JudgeLongRunning();
     }
-    const bool ends_late =
-        faults_.deadly_tasks || faults_.long_running || faults_.best_effort;
-    const Time end = ends_late ? kLateEnd : kEnd;
+    const bool ends_late = faults_.deadly_tasks || faults_.long_running ||
+                           faults_.best_effort || MayBeLate() ||
+                           faults_.restart_cuts;
+    const Time late_end = faults_.long_tasks ? kLatestEnd : kLateEnd;
+    const Time end = ends_late ? late_end : kEnd;
     while (actions_.top().at <= end) {
       const Action action = actions_.top();
       actions_.pop();
@@ -297,6 +316,9 @@
 
   void StartLeader() {
     GraphLeaderOptions options;
+    if (faults_.long_grants) {
+      options.lease = kLongGrant;
+    }
     options.scheduling.room_for_urgent = faults_.room_for_urgent;
     options.scheduling.speculative_copies = faults_.copies;
     leader_ = std::make_unique<GraphLeader>(options);
@@ -510,6 +532,9 @@
     }
     m.worker.clock_rate = 1 - kMaxClockLag * random_.NextDouble();
     Write("", "boot of " + NameOf(m.worker.info.life) + " on " + m.name);
+    for (const Call& call : std::exchange(m.held, {})) {
+      CarryOutLate(m, call, Chance(50) ? Between(1, 20) : LateDelay(call));
+    }
     Beat(m);
   }
 
@@ -521,11 +546,90 @@
     }
     m.worker.runs.clear();
     for (const Call& call : std::exchange(m.worker.polls, {})) {
-      Answer(m, call, BrokenOff(call.body));
+      if (faults_.late_lists && Chance(50)) {
+        Hold(m, call);
+      } else {
+        Answer(m, call, BrokenOff(call.body));
+      }
     }
     At(pause, [this, &m, next_id] { Boot(m, next_id); });
   }
 
+  // Keeps a call for the next incarnation. Its caller sees the connection break
+  // at once, or nothing until the call times out.
+  void Hold(Machine& m, const Call& call) {
+    m.held.push_back(call);
+    if (Chance(50)) {
+      Answer(m, call, BrokenOff(call.body));
+    } else {
+      TimeOut(m, call);
+    }
+  }
+
+  // Lets a call go unanswered until its caller gives it up.
+  void TimeOut(Machine& m, const Call& call) {
+    const Duration timeout = call.body.op == RunCallOp::kListRuns
+                                 ? kListTimeout + Millis(call.body.wait_ms)
+                                 : kOrderTimeout;
+    At(std::max(call.sent_at + timeout, now_) - now_,
+       [this, &m, call] { Answer(m, call, MakeUnansweredReply(call.body)); });
+  }
+
+  [[nodiscard]] bool MayBeLate() const {
+    return faults_.late_lists || faults_.inherited_orders;
+  }
+  [[nodiscard]] bool MayBeLate(const Call& call) const {
+    return call.body.op == RunCallOp::kListRuns ? faults_.late_lists
+                                                : faults_.inherited_orders;
+  }
+
+  // Draws after which delay a call without an answer is carried out.
+  Duration LateDelay(const Call& call) {
+    return std::max(call.sent_at + Between(2000, kMaxCallDelayMs) - now_,
+                    Millis(1));
+  }
+
+  // Carries out a call at whichever incarnation is up by then.
+  void CarryOutLate(Machine& m, const Call& call, Duration delay) {
+    At(delay, [this, &m, call] {
+      if (!m.worker.is_up) {
+        return;
+      }
+      if (call.body.op != RunCallOp::kListRuns) {
+        static_cast<void>(CarryOut(m, call.body, true));
+        return;
+      }
+      if (TakeList(m, call.body).refusal == RunRefusal::kNone &&
+          call.body.incarnation != m.worker.info.life) {
+        const std::int64_t left_ms =
+            m.worker.lease_until_ms - m.worker.ClockMs(now_);
+        Write("", "list call to " + NameOf(call.body.incarnation) + " at " +
+                      NameOf(m.worker.info.life) + " acknowledges ends up to " +
+                      std::to_string(call.body.last_committed_end) +
+                      " and leaves a lease of " + std::to_string(left_ms) +
+                      " ms");
+      }
+    });
+  }
+
+  // Remembers that a worker was sent a start. One that is down counts as having
+  // crashed after it.
+  void NoteOffer(Machine& m, const TaskRef& task) {
+    if (m.worker.is_up) {
+      m.worker.offered.insert(task);
+    } else {
+      tasks_[task].crashes_beside += faults_.restart_cuts ? 1 : 0;
+    }
+  }
+
+  // Ends a worker without a word; it starts again under its id.
+  void Crash(Machine& m, Duration pause) {
+    for (const TaskRef& task : m.worker.offered) {
+      tasks_[task].crashes_beside += faults_.restart_cuts ? 1 : 0;
+    }
+    EndLife(m, pause, m.worker.info.life.id);
+  }
+
   static RunCallReply BrokenOff(const RunCall& call) {
     RunCallReply reply = MakeUnansweredReply(call);
     reply.failure = CallFailure::kBrokenOff;
@@ -568,6 +672,10 @@
   }
 
   void Report(Machine& m) {
+    if (m.worker_cut_until > now_) {
+      ++m.worker.sequence;
+      return;
+    }
     const bool is_late =
         faults_.late_reports && now_ < kFaultsEnd && Chance(10);
     const WorkerReport report{m.worker.info, ++m.worker.sequence,
@@ -601,8 +709,9 @@
   void Renew(Machine& m, std::optional<std::int64_t> asked_ms) {
     Worker& worker = m.worker;
     const std::int64_t clock_ms = worker.ClockMs(now_);
-    const std::int64_t until_ms =
-        std::min(asked_ms.value_or(0), clock_ms + kMaxLeaseMs);
+    const std::int64_t until_ms = std::min(
+        asked_ms.value_or(0),
+        clock_ms + (faults_.long_leases ? kLongMaxLeaseMs : kMaxLeaseMs));
     if (until_ms <= std::max(clock_ms, worker.lease_until_ms)) {
       return;
     }
@@ -623,6 +732,18 @@
 
   void CallWorker(Machine& m, const Call& call) {
     const bool is_list = call.body.op == RunCallOp::kListRuns;
+    const bool is_cut = m.worker_cut_until > now_;
+    if (call.body.op == RunCallOp::kStart) {
+      NoteOffer(m, call.body.run.task);
+    }
+    if (is_cut || (MayBeLate(call) && call_storm_until_ > now_ && Chance(40))) {
+      TimeOut(m, call);
+      if (MayBeLate(call) && Chance(70)) {
+        CarryOutLate(m, call,
+                     std::max(LateDelay(call), m.worker_cut_until - now_));
+      }
+      return;
+    }
     if (is_list && silent_until_ > now_ && Chance(40)) {
       // The connection breaks, or the agent gives the call up.
       At(Chance(50) ? Between(1, 5) : kListTimeout + Millis(call.body.wait_ms),
@@ -640,7 +761,9 @@
       return;
     }
     At(Between(1, 5), [this, &m, call, is_list] {
-      if (!m.worker.is_up) {
+      if (!m.worker.is_up && MayBeLate(call) && Chance(50)) {
+        Hold(m, call);
+      } else if (!m.worker.is_up) {
         RunCallReply reply = MakeUnansweredReply(call.body);
         reply.failure = CallFailure::kNotSent;
         Answer(m, call, reply);
@@ -658,6 +781,10 @@
 
   // Answers a call to the agent that sent it. Answers may overtake each other.
   void Answer(Machine& m, const Call& call, RunCallReply reply) {
+    if (m.worker_cut_until > now_ && reply.answered) {
+      TimeOut(m, call);
+      return;
+    }
     reply.sent_at = call.sent_at;
     TellAgent(m, Between(1, Chance(20) ? 30 : 3), call.agent_life,
               [this, &m, reply, life = m.worker.life]() mutable {
@@ -728,16 +855,16 @@
     return reply;
   }
 
-  void List(Machine& m, const Call& call) {
-    const RunCallReply reply = Accept(m, call.body);
+  // Forgets the ends that a list call acknowledges, and renews the lease.
+  RunCallReply TakeList(Machine& m, const RunCall& call) {
+    RunCallReply reply = Accept(m, call);
     if (reply.refusal != RunRefusal::kNone) {
-      Answer(m, call, reply);
-      return;
+      return reply;
     }
     Worker& worker = m.worker;
     const bool has_lease = worker.lease_until_ms > worker.ClockMs(now_);
     std::erase_if(worker.ended, [&](const auto& end) {
-      if (end.first.number > call.body.last_committed_end) {
+      if (end.first.number > call.last_committed_end) {
         return false;
       }
       Write(NameOf(end.first.run.task), "end is acknowledged");
@@ -748,7 +875,17 @@
       }
       return true;
     });
-    Renew(m, call.body.lease_until_ms);
+    Renew(m, call.lease_until_ms);
+    return reply;
+  }
+
+  void List(Machine& m, const Call& call) {
+    const RunCallReply reply = TakeList(m, call.body);
+    if (reply.refusal != RunRefusal::kNone) {
+      Answer(m, call, reply);
+      return;
+    }
+    Worker& worker = m.worker;
     worker.polls.push_back(call);
     if (!worker.ended.empty()) {
       AnswerPolls(m);
@@ -821,6 +958,7 @@
     ++result_.starts;
     WriteRun(m, run, "starts");
     CheckStart(m, run, is_late);
+    NoteOffer(m, run.task);
     judge_.OnRun(now_, run.task);
     if (tasks_[run.task].is_deadly) {
       AtWorker(m, Between(2, 20),
@@ -848,6 +986,9 @@
     if (step.long_running || step.estimate_ms == kHourMs) {
       return {RunEndReason::kDone, Millis(kHourMs)};
     }
+    if (faults_.long_tasks && !step.best_effort && Chance(50)) {
+      return {RunEndReason::kDone, Between(3000, 12000)};
+    }
     return {RunEndReason::kDone, step.best_effort
                                      ? Between(1000, kMaxBestEffortRunMs)
                                      : Between(200, 3000)};
@@ -902,9 +1043,12 @@
       return;
     }
     const std::string id = m.worker.info.life.id;
-    TellAgent(m, Between(1, Chance(20) ? 30 : 3), m.agent_life,
-              [this, &m, id] { m.agent->OnLeave(now_, id); });
-    const bool is_acknowledged = m.agent && Chance(75);
+    const bool is_cut = m.worker_cut_until > now_;
+    if (!is_cut) {
+      TellAgent(m, Between(1, Chance(20) ? 30 : 3), m.agent_life,
+                [this, &m, id] { m.agent->OnLeave(now_, id); });
+    }
+    const bool is_acknowledged = !is_cut && m.agent && Chance(75);
     Write("", "leave of " + NameOf(m.worker.info.life) +
                   (is_acknowledged ? "" : ", not acknowledged"));
     AtWorker(m, is_acknowledged ? Between(0, 10) : Between(200, 3000),
@@ -932,7 +1076,7 @@
       if (m.worker.is_up) {
         const Duration pause = Between(300, 3000);
         Disturb(pause, "crash of " + NameOf(m.worker.info.life));
-        EndLife(m, pause, m.worker.info.life.id);
+        Crash(m, pause);
       }
     });
     Plan(faults_.agent_restarts, 6000, [this] { RestartAgent(AnyMachine()); });
@@ -956,6 +1100,12 @@
     if (faults_.foreign_reports) {
       Repeat(3000, [this] { ReportForeign(AnyMachine()); });
     }
+    if (MayBeLate()) {
+      Repeat(5000, [this] { BeginCallStorm(Between(300, 1500)); });
+    }
+    if (faults_.restart_cuts) {
+      Repeat(8000, [this] { RestartAndCut(AnyMachine()); });
+    }
     Plan(faults_.silent_lists, 5000, [this] {
       const Duration span = Between(300, 1500);
       silent_until_ = now_ + span;
@@ -994,6 +1144,47 @@
     Write("", what + " for " + std::to_string(ToMillis(span)) + " ms");
   }
 
+  void BeginCallStorm(Duration span) {
+    call_storm_until_ = std::max(call_storm_until_, now_ + span);
+    Disturb(span, "late calls");
+  }
+
+  // Crashes a worker, twice if so drawn, and cuts the incarnation that follows
+  // off from its agent.
+  void RestartAndCut(Machine& m) {
+    if (!m.worker.is_up) {
+      return;
+    }
+    Duration delay{};
+    if (MayBeLate() && Chance(50)) {
+      delay = Between(50, 500);
+      BeginCallStorm(delay);
+    }
+    const int crashes = faults_.double_restarts && Chance(60) ? 2 : 1;
+    for (int i = 0; i < crashes; ++i) {
+      const Duration pause = Between(100, 900);
+      At(delay, [this, &m, pause] {
+        if (m.worker.is_up) {
+          Disturb(pause, "crash of " + NameOf(m.worker.info.life));
+          Crash(m, pause);
+        }
+      });
+      if (faults_.joint_restarts && Chance(60)) {
+        At(delay + Between(0, ToMillis(pause)),
+           [this, &m] { RestartAgent(m); });
+      }
+      delay += pause + Between(50, 900);
+    }
+    At(delay + Between(0, 1500), [this, &m] {
+      const Duration span = Between(1000, 12000);
+      m.worker_cut_until = std::max(m.worker_cut_until, now_ + span);
+      Disturb(span, "cut of " + NameOf(m.worker.info.life) + " from its agent");
+    });
+    if (faults_.leader_changes && Chance(40)) {
+      At(Between(0, 6000), [this] { ChangeLeader(); });
+    }
+  }
+
   void ChangeLeader() {
     if (leader_) {
       leader_.reset();
@@ -1117,11 +1308,13 @@
     At(kJudgeInterval, [this] { JudgeLongRunning(); });
   }
 
-  // Returns whether a task of the graph failed as often as its queue allows.
+  // Returns whether a task of the graph failed as often as its queue allows, or
+  // may be suspected of the crashes of its workers.
   bool HasExhaustedAttempts(const Graph& graph, const std::string& id) {
     return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& item) {
       return item.first.graph == id &&
-             item.second.failures >= graph.queue.max_attempts;
+             (item.second.failures >= graph.queue.max_attempts ||
+              item.second.crashes_beside >= kCrashesUntilSuspect);
     });
   }
 
@@ -1239,6 +1432,8 @@
   Time storm_until_;
   // Until when lists may get no answer.
   Time silent_until_;
+  // Until when calls of each kind may get no answer.
+  Time call_storm_until_;
   // No time before this one is calm.
   Time calm_at_;
   std::vector<SubmitGraph> graphs_;
--- a/tests/support/graph_world.h
+++ b/tests/support/graph_world.h
@@ -51,6 +51,26 @@
   // Some steps of the batch load are speculative, and the leader runs copies of
   // their tasks. No disruption.
   bool copies = false;
+  // List calls get no answer and may be carried out seconds late, also by the
+  // next incarnation of the worker under the same id. That one may also take
+  // those that met the worker as it crashed and while it was down.
+  bool late_lists = false;
+  // The same holds for all other calls.
+  bool inherited_orders = false;
+  // Workers crash, start again under the same id and are cut off from their
+  // agent soon after, mostly until their lease has run out.
+  bool restart_cuts = false;
+  // Some of them crash twice within two seconds. With `restart_cuts`.
+  bool double_restarts = false;
+  // Some of their agents start again while the worker is down, and know nothing
+  // of its former incarnation. With `restart_cuts`.
+  bool joint_restarts = false;
+  // Every other task of the batch load runs for up to 12 s. No disruption.
+  bool long_tasks = false;
+  // Workers accept leases of up to 10 s instead of 6 s. No disruption.
+  bool long_leases = false;
+  // The leader grants leases of 5.8 s instead of 4 s. No disruption.
+  bool long_grants = false;
 };
 
 // What became of a world.
@@ -84,8 +104,10 @@
 // third start of a task after it has crashed three workers, and graphs that
 // aren't completed, or aren't failed if one of their tasks crashes its workers.
 // A graph may be failed as well if its workers saw one of its tasks fail as
-// often as the queue allows. Long-running tasks have to run while there is room
-// for them, as LongRunningJudge says; a best-effort graph need not complete.
+// often as the queue allows, or, with `restart_cuts`, if two workers crashed
+// that had been sent a start of one of its tasks. Long-running tasks have to
+// run while there is room for them, as LongRunningJudge says; a best-effort
+// graph need not complete.
 [[nodiscard]] GraphWorldResult PlayGraphWorld(const GraphFaults& faults,
                                               std::uint64_t seed);
 
