--- a/tests/support/graph_world.cc
+++ b/tests/support/graph_world.cc
@@ -199,7 +199,7 @@
     for (std::uint64_t i = 0; i < count; ++i) {
       Machine& m = machines_.emplace_back();
       m.name = "side-" + std::to_string(i);
-      m.agent = std::make_unique<WorkerAgent>();
+      m.agent = std::make_unique<WorkerAgent>(MaxLease());
       Boot(m, NextId());
     }
     TickLeader();
@@ -277,6 +277,11 @@
     return kGraphStart + ToMillis(now_ - kStart);
   }
 
+  // The longest lease that workers take, on their own clocks.
+  [[nodiscard]] Duration MaxLease() const {
+    return Millis(faults_.long_leases ? kLongMaxLeaseMs : kMaxLeaseMs);
+  }
+
   // --- The log and the leader ---
 
   void Propose(Command command) {
@@ -308,6 +313,9 @@
         !cancelled_.contains(submit->id)) {
       judge_.OnAccepted(now_, *submit);
     }
+    if (applied.admitted) {
+      admissions_.emplace_back(now_, applied);
+    }
     if (leader_) {
       leader_->OnApplied(now_, table_, command, applied);
       FlushLeader();
@@ -321,7 +329,12 @@
     }
     options.scheduling.room_for_urgent = faults_.room_for_urgent;
     options.scheduling.speculative_copies = faults_.copies;
+    options.max_worker_lease = MaxLease();
     leader_ = std::make_unique<GraphLeader>(options);
+    // Every replica has followed the admissions.
+    for (const auto& [at, applied] : admissions_) {
+      leader_->OnFollowed(at, applied);
+    }
     leader_->Reset(now_, table_, ++fencing_token_);
     Write("", "leader " + std::to_string(fencing_token_));
   }
@@ -709,9 +722,8 @@
   void Renew(Machine& m, std::optional<std::int64_t> asked_ms) {
     Worker& worker = m.worker;
     const std::int64_t clock_ms = worker.ClockMs(now_);
-    const std::int64_t until_ms = std::min(
-        asked_ms.value_or(0),
-        clock_ms + (faults_.long_leases ? kLongMaxLeaseMs : kMaxLeaseMs));
+    const std::int64_t until_ms =
+        std::min(asked_ms.value_or(0), clock_ms + ToMillis(MaxLease()));
     if (until_ms <= std::max(clock_ms, worker.lease_until_ms)) {
       return;
     }
@@ -1201,8 +1213,8 @@
       ++m.connection;
       const Duration outage = Between(100, 2000);
       Disturb(outage, "no agent on " + m.name);
-      At(outage, [&m] {
-        m.agent = std::make_unique<WorkerAgent>();
+      At(outage, [this, &m] {
+        m.agent = std::make_unique<WorkerAgent>(MaxLease());
         ++m.agent_life;
       });
     }
@@ -1423,6 +1435,8 @@
   std::deque<std::pair<std::uint64_t, Command>> log_;
   Time last_commit_at_;
   std::unique_ptr<GraphLeader> leader_;
+  // The admissions of incarnations, with their times.
+  std::vector<std::pair<Time, GraphApplyResult>> admissions_;
   std::uint64_t fencing_token_ = 6;
   Time next_decision_;
   std::deque<Machine> machines_;
