--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "banyan/graph/run_event.h"
+#include "banyan/graph/unknown_leases.h"
 
 namespace banyan {
 namespace {
@@ -30,10 +31,6 @@
 // How long after its sending a call, also one of the worker to its agent, may
 // arrive or be carried out, as the platform specifies it.
 constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
-// Longest lease of a worker, as the platform limits it.
-constexpr Duration kMaxWorkerLease = std::chrono::seconds(10);
-// What a worker's clock, which may be 2% slow, adds to the longest lease.
-constexpr Duration kMaxClockLag = Millis(200);
 // Unanswered calls after which a start is abandoned.
 constexpr int kMaxUnansweredStarts = 3;
 // How long a start waits for the agent to hold a lease and the worker to
@@ -46,10 +43,6 @@
 constexpr Duration kTrialTime = Millis(75);
 // How long a refusal is reported; several times the latency of a log commit.
 constexpr Duration kRefusalRepeatPeriod = Millis(3000);
-// Maximum number of earlier incarnations that are remembered and whose ends are
-// kept; more restarts than this without an answer of the leader mean an outage
-// of many seconds.
-constexpr std::size_t kMaxEarlierIncarnations = 8;
 // Largest gap between the sequence numbers of successive reports: a day without
 // a report, at ten reports a second.
 constexpr std::int64_t kMaxSequenceGap = 1'000'000;
@@ -97,119 +90,6 @@
   Follow(now, report);
 }
 
-void WorkerAgent::HoldSuccessor(Time now, const WorkerReport& report) {
-  const WorkerIncarnation& life = report.info.life;
-  if (successor_ && successor_->report.info.life == life) {
-    if (successor_->report.sequence < report.sequence) {
-      successor_->report = report;
-    }
-    return;
-  }
-  const bool is_asking = successor_ && successor_->is_asking;
-  successor_ = Successor{report, now, now, is_asking};
-  out_.events.push_back(Event(EventId::kSuccessorReported)
-                            .With("worker", life.id)
-                            .With("born", life.started_at_ms)
-                            .With("sequence", report.sequence)
-                            .With("current", info_->life.id)
-                            .With("current_born", info_->life.started_at_ms)
-                            .With("reachable", is_reachable_ ? 1 : 0));
-}
-
-void WorkerAgent::AskWorker(Time now) {
-  if (!successor_ || successor_->is_asking || successor_->ask_at > now) {
-    return;
-  }
-  successor_->is_asking = true;
-  RunCall call = MakeCall(RunCallOp::kIdentify, RunRef{});
-  call.lease_until_ms.reset();
-  call.last_committed_end = 0;
-  out_.calls.push_back(std::move(call));
-}
-
-std::optional<std::string_view> WorkerAgent::EvidenceOfEnd(
-    Time now,
-    const WorkerIncarnation& successor) const {
-  if (is_denied_ &&
-      denied_by_.value_or(successor.started_at_ms) == successor.started_at_ms) {
-    return "the worker answers as another incarnation";
-  }
-  if (has_left_) {
-    return "it has left";
-  }
-  // An earlier agent may have granted a lease that this one doesn't know.
-  const Time lease_end =
-      std::max(lease_deadline_, followed_since_ + kMaxWorkerLease) +
-      kMaxClockLag;
-  if (!is_reachable_ && lease_end <= now) {
-    return "its lease has run out";
-  }
-  return std::nullopt;
-}
-
-bool WorkerAgent::TryReplace(Time now) {
-  if (!successor_) {
-    return false;
-  }
-  const WorkerReport report = successor_->report;
-  const WorkerIncarnation& incarnation = report.info.life;
-  const auto evidence = EvidenceOfEnd(now, incarnation);
-  const bool is_unconfirmed = list_count_ == 0 && !is_denied_;
-  if (!evidence && !is_unconfirmed) {
-    return false;
-  }
-  out_.events.push_back(
-      Event(EventId::kWorkerReplaced)
-          .With("worker", incarnation.id)
-          .With("born", incarnation.started_at_ms)
-          .With("earlier", info_->life.id)
-          .With("earlier_born", info_->life.started_at_ms)
-          .With("running", running_.size())
-          .With("ended", ended_.size())
-          .With("committed", last_committed_end_)
-          .With("reason", evidence.value_or("it never answered")));
-  *this = WorkerAgent(
-      std::move(*this).NextIncarnation(incarnation, evidence.has_value()));
-  Follow(now, report);
-  return true;
-}
-
-void WorkerAgent::CheckIdentity(Time now, const RunCallReply& reply) {
-  const bool is_denial =
-      reply.answered && reply.refusal == RunRefusal::kOtherIncarnation;
-  if (is_denial) {
-    is_denied_ = true;
-    denied_by_ = reply.answering_start_ms;
-  }
-  if (!successor_) {
-    return;
-  }
-  if (reply.op == RunCallOp::kIdentify) {
-    successor_->is_asking = false;
-    successor_->ask_at = now + kListRetryDelay;
-  }
-  if (is_denial && TryReplace(now)) {
-    return;
-  }
-  // Other calls may be refused before the incarnation is compared.
-  const bool is_confirmation =
-      reply.answered && reply.refusal == RunRefusal::kNone &&
-      (reply.op == RunCallOp::kIdentify || reply.op == RunCallOp::kListRuns);
-  if ((is_denial || is_confirmation) &&
-      reply.sent_at >= successor_->reported_at) {
-    const WorkerIncarnation& life = successor_->report.info.life;
-    out_.events.push_back(
-        Event(EventId::kSuccessorRefuted)
-            .With("worker", life.id)
-            .With("born", life.started_at_ms)
-            .With("current", info_->life.id)
-            .With("current_born", info_->life.started_at_ms)
-            .With("answering_born", reply.answering_start_ms.value_or(0))
-            .With("age_ms", ToMillis(now - successor_->reported_at)));
-    successor_.reset();
-  }
-}
-
 void WorkerAgent::Follow(Time now, const WorkerReport& report) {
   const bool was_draining = info_ && info_->draining;
   const bool is_new = !info_;
@@ -217,7 +97,7 @@
   const bool has_changed = is_new || was_draining != report.info.draining ||
                            info_->capacity != report.info.capacity;
   if (is_new) {
-    followed_since_ = now;
+    unknown_lease_end_ = now + OnSlowClock(max_lease_);
   }
   info_ = report.info;
   report_sequence_ = report.sequence;
@@ -273,68 +153,6 @@
           .With("age_ms", age ? ToMillis(*age) : -1));
 }
 
-WorkerAgent WorkerAgent::NextIncarnation(const WorkerIncarnation& successor,
-                                         bool has_ended) && {
-  // A wall clock that stepped back between the two makes the successor's start
-  // the earlier one.
-  const bool has_earlier_start =
-      successor.started_at_ms < info_->life.started_at_ms;
-  // The worker never was an incarnation that it has not answered as.
-  const bool is_unfounded = has_earlier_start && list_count_ == 0;
-  // A worker that announced its end has not crashed.
-  std::vector<RunCrash> crashed;
-  if (has_ended && !departure_ && !info_->draining && !is_unfounded) {
-    crashed = crash_observer_.Evidence();
-  }
-  for (const RunCrash& crash : crashed) {
-    LogCrash(crash);
-  }
-  WorkerAgent next;
-  if (successor.id == info_->life.id) {
-    // Calls name the worker by its id alone, so a start that was sent to this
-    // incarnation may be carried out by the next one.
-    for (const auto& [run, pending_start] : pending_starts_) {
-      if (pending_start.is_in_flight) {
-        next.pending_stops_.try_emplace(run);
-      }
-    }
-    for (const auto& [run, at] : confirmed_starts_) {
-      next.pending_stops_.try_emplace(run);
-    }
-    for (const auto& [run, until] : unanswered_starts_) {
-      next.pending_stops_.try_emplace(run);
-    }
-    next.unanswered_starts_ = std::move(unanswered_starts_);
-    next.must_settle_stops_ = !next.pending_stops_.empty();
-  }
-  // An earlier incarnation is admitted only after the removal of this one.
-  if (has_ended && (!ended_.empty() || !crashed.empty() || has_earlier_start)) {
-    is_reachable_ = false;
-    final_syncs_.push_back(MakeSync());
-    final_syncs_.back().crashed = std::move(crashed);
-    if (final_syncs_.size() > kMaxEarlierIncarnations) {
-      out_.events.push_back(
-          Event(EventId::kWorkerEndsDiscarded)
-              .With("worker", final_syncs_.front().info.life.id)
-              .With("born", final_syncs_.front().info.life.started_at_ms)
-              .With("ended", final_syncs_.front().ended.size()));
-      final_syncs_.pop_front();
-    }
-  }
-  next.denied_incarnations_ = std::move(denied_incarnations_);
-  if (is_denied_) {
-    next.denied_incarnations_.push_back(info_->life);
-    if (next.denied_incarnations_.size() > kMaxEarlierIncarnations) {
-      next.denied_incarnations_.pop_front();
-    }
-  }
-  next.final_syncs_ = std::move(final_syncs_);
-  next.fencing_token_ = fencing_token_;
-  next.next_seq_ = next_seq_;
-  next.out_ = std::move(out_);
-  return next;
-}
-
 void WorkerAgent::OnLeave(Time now, const std::string& worker) {
   if (!info_ || info_->life.id != worker || departure_) {
     return;
@@ -365,7 +183,7 @@
   call.op = op;
   call.incarnation = info_->life;
   call.run = run;
-  call.fencing_token = fencing_token_;
+  call.fencing_token = fence_.token();
   call.last_committed_end = last_committed_end_;
   call.lease_until_ms = LeaseOnWorkerClock();
   return call;
@@ -379,16 +197,23 @@
 
 bool WorkerAgent::OnOrders(Time now, const WorkerOrders& orders) {
   const bool is_answer = orders.seq != 0;
-  if (orders.fencing_token < fencing_token_) {
+  const bool is_addressed = info_ && orders.worker == info_->life;
+  if (!fence_.OnOrders(orders, is_addressed)) {
     return false;
   }
-  fencing_token_ = orders.fencing_token;
-  if (!info_ || orders.worker != info_->life) {
+  if (!is_addressed) {
     return is_answer;
   }
   if (is_answer) {
-    // The leader has processed what was sent before the answered sync.
+    // The leader has processed what was sent before the answered sync, and has
+    // admitted this incarnation.
     final_syncs_.clear();
+    is_admitted_ = true;
+    must_fence_ = false;
+    is_unfenced_ = false;
+  } else if (orders.must_fence && fence_.answered() < fence_.token()) {
+    must_fence_ = true;
+    next_list_at_ = now;
   }
   if (is_answer && orders.lease_ms > 0) {
     for (const auto& [seq, at] : sent_syncs_) {
@@ -448,6 +273,22 @@
                             .With("reason", why));
 }
 
+void WorkerAgent::OnFenced(Time now, const RunCallReply& reply) {
+  is_unfenced_ = false;
+  unknown_lease_end_ = reply.received_at + OnSlowClock(max_lease_);
+  for (const RunStatus& row : reply.running) {
+    if (!pending_stops_.contains(row.run)) {
+      FenceRun(now, row.run, "started by a call to an earlier incarnation");
+    }
+    must_settle_stops_ = true;
+  }
+  out_.events.push_back(Event(EventId::kWorkerFenced)
+                            .With("worker", info_->life.id)
+                            .With("born", info_->life.started_at_ms)
+                            .With("token", fence_.answered())
+                            .With("running", reply.running.size()));
+}
+
 void WorkerAgent::FencePendingStarts(Time now, const char* why) {
   std::vector<RunRef> runs;
   for (const auto& [run, pending_start] : pending_starts_) {
@@ -464,7 +305,7 @@
   out_.events.push_back(
       RunEvent(EventId::kRunRefused, run, info_->life.id)
           .With("occurrence", run.task.occurrence)
-          .With("token", fencing_token_)
+          .With("token", fence_.token())
           .With("reason", "it was not there when it was stopped"));
   next_sync_at_ = now;
 }
@@ -517,13 +358,18 @@
     return;
   }
   RunCall call = MakeCall(RunCallOp::kListRuns, RunRef{});
+  // The worker may have been replaced by its next incarnation.
+  if (!is_reachable_) {
+    call.lease_until_ms.reset();
+    call.last_committed_end = 0;
+  }
   const bool is_waiting_for_log = !ended_.empty();
   if (!is_waiting_for_log && is_reachable_ && !departure_) {
     call.wait_ms = running_.empty() && pending_starts_.empty()
                        ? kIdleListWaitMs
                        : kBusyListWaitMs;
   }
-  if (must_settle_stops_) {
+  if (must_settle_stops_ || !is_admitted_) {
     call.wait_ms = 0;
   }
   // The next list settles a confirmed stop, so it must not be delayed.
@@ -568,11 +414,11 @@
   RequestRunList(now);
 }
 
-void WorkerAgent::SetReachable(Time now,
+bool WorkerAgent::SetReachable(Time now,
                                bool reachable,
                                const std::string& why) {
   if (is_reachable_ == reachable) {
-    return;
+    return false;
   }
   is_reachable_ = reachable;
   out_.events.push_back(
@@ -581,6 +427,7 @@
           .With("born", info_->life.started_at_ms)
           .With("reason", why));
   SendSync(now);
+  return true;
 }
 
 void WorkerAgent::OnListFailure(Time now, const RunCallReply& reply) {
@@ -628,6 +475,10 @@
 
 void WorkerAgent::OnRunList(Time now, const RunCallReply& reply) {
   is_list_in_flight_ = false;
+  if (fence_.IsOvertaken(reply)) {
+    next_list_at_ = now;
+    return;
+  }
   if (!reply.answered || reply.refusal != RunRefusal::kNone) {
     OnListFailure(now, reply);
     return;
@@ -681,7 +532,12 @@
   for (const RunRef& run : absent) {
     ReportRefusal(now, run);
   }
-  SetReachable(now, true, "it answered");
+  const bool is_newly_fenced =
+      fence_.OnList(reply) && std::exchange(must_fence_, false);
+  if (is_newly_fenced) {
+    OnFenced(now, reply);
+  }
+  const bool has_synced = SetReachable(now, true, "it answered");
   next_list_at_ = ended_.empty() ? now : now + kEndCommitWait;
   if (departure_) {
     next_list_at_ = now + kLeaveProbeInterval;
@@ -689,10 +545,11 @@
       departure_->has_answered = true;
       departure_->unanswered_lists = 0;
     }
-  } else if (must_settle_stops_) {
+  } else if (must_settle_stops_ || !is_admitted_) {
     next_list_at_ = now + kOrderRetryDelay;
   }
-  if (has_new_end || (must_settle_stops_ && pending_stops_.empty())) {
+  if (has_new_end || (is_newly_fenced && !has_synced) ||
+      (must_settle_stops_ && pending_stops_.empty())) {
     SendSync(now);
   }
 }
@@ -773,6 +630,7 @@
   sync.reachable = is_reachable_;
   sync.gone = has_left_;
   sync.lists = list_count_;
+  sync.answered_token = fence_.answered();
   for (const auto& [run, row] : running_) {
     sync.running.push_back(row);
   }
@@ -810,10 +668,10 @@
   // Once the leader knows of this incarnation, or that the earlier one is gone,
   // it places the runs of the earlier one elsewhere.
   for (WorkerSync sync : final_syncs_) {
-    if (must_settle_stops_ && sync.ended.empty()) {
+    sync.gone = !must_settle_stops_ && !is_unfenced_;
+    if (!sync.gone && sync.ended.empty()) {
       continue;
     }
-    sync.gone = !must_settle_stops_;
     out_.to_control.emplace_back(std::move(sync));
   }
   if (must_settle_stops_) {
