Pending count: count graphs until a worker reports a run of them

The graphs had runs placed on workers that never started them, as they had restarted or been cut off.

Cause: a graph counted as begun once a run of it was placed.

A graph now counts as begun once a worker has reported a run of it: the log has the end of a run under a number of the worker's list, or the run in the last list of a worker that was removed, or the leader's last list of a worker has the run. Refused starts and runs that are lost with their worker prove nothing. The number is read from the leader alone, so that lists need not go into the log. A new leader counts a graph that only has runs at work as pending until it has heard of them, as does a leader when a worker is lost whose runs have saved nothing: both count too many, not too few.

The tests fail if a placement counts as the beginning.

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -80,6 +81,11 @@
       const SubmitGraph& submit,
       bool may_forecast);
 
+  // Returns the number of accepted graphs of a queue with no run started, by
+  // the log and by the runs that workers list.
+  [[nodiscard]] std::int64_t PendingGraphCount(const GraphTable& table,
+                                               std::string_view queue) const;
+
   // Expires leases, stops stuck runs and places ready tasks.
   void Decide(Time now, WallMillis wall, const GraphTable& table);
 
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -83,6 +83,9 @@
   // The queue as it was when the graph was accepted.
   QueueSpec queue;
   GraphState state = GraphState::kQueued;
+  // Whether a worker has reported a run of the graph. A run that is only placed
+  // may never start.
+  bool has_begun = false;
   std::vector<OccurrenceProgress> occurrences;
   // Number of tasks whose steps are ready and that are not placed.
   std::int64_t ready = 0;
@@ -189,8 +192,14 @@
   [[nodiscard]] bool MayCopy(const TaskRef& task) const;
   // Returns the plan's queue of this name; null if there is none.
   [[nodiscard]] const QueueSpec* FindQueue(std::string_view name) const;
-  // Returns the number of accepted graphs of a queue with no run started.
+  // Returns the number of accepted graphs of a queue of which the log has no
+  // run that started; workers may already list runs of some.
   [[nodiscard]] std::int64_t PendingGraphCount(std::string_view queue) const;
+  // Ids of graphs that have runs placed and that count as pending.
+  [[nodiscard]] const std::set<std::string>& unconfirmed_graphs()
+      const noexcept {
+    return unconfirmed_graphs_;
+  }
 
   friend struct GraphTableCodec;
 
@@ -237,7 +246,9 @@
                       const std::string& cause,
                       WallMillis now,
                       GraphApplyResult& applied);
-  void MarkRunning(Graph& graph);
+  void MarkRunning(const std::string& id, Graph& graph);
+  // Records that a run of the graph has started; it is no longer pending.
+  void MarkBegun(const std::string& id, Graph& graph);
   // Remembers that an unknown graph was cancelled.
   void RememberCancelled(const std::string& id,
                          WallMillis now,
@@ -259,6 +270,7 @@
   // Indexes derived from the fields above.
   std::set<std::string> ready_graphs_;
   std::set<TaskRef> suspects_;
+  std::set<std::string> unconfirmed_graphs_;
   std::map<std::string, std::int64_t> pending_counts_;
   std::set<std::pair<WallMillis, std::string>> expiry_;
   std::set<std::pair<WallMillis, std::string>> cancelled_expiry_;
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -399,8 +399,8 @@
         result.text = "no such queue";
         break;
       }
-      result.version =
-          static_cast<std::uint64_t>(state_.graphs().PendingGraphCount(key));
+      result.version = static_cast<std::uint64_t>(
+          graphs_.PendingGraphCount(state_.graphs(), key));
       break;
   }
   return result;
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -251,11 +251,22 @@
   }
 }
 
-void GraphTable::MarkRunning(Graph& graph) {
+void GraphTable::MarkRunning(const std::string& id, Graph& graph) {
   if (graph.state != GraphState::kQueued) {
     return;
   }
   graph.state = GraphState::kRunning;
+  if (graph.spec.occurrences == 0) {
+    unconfirmed_graphs_.insert(id);
+  }
+}
+
+void GraphTable::MarkBegun(const std::string& id, Graph& graph) {
+  if (graph.has_begun) {
+    return;
+  }
+  graph.has_begun = true;
+  unconfirmed_graphs_.erase(id);
   if (graph.spec.occurrences == 0) {
     --pending_counts_[graph.queue.name];
   }
@@ -346,7 +357,12 @@
   }
   applied.result.ok = true;
   for (const RunStatus& row : command.last_seen) {
-    if (!row.checkpoint.empty() && IsCurrent(row.run, command.life)) {
+    if (!IsCurrent(row.run, command.life)) {
+      continue;
+    }
+    const std::string& id = row.run.task.graph;
+    MarkBegun(id, graphs_.at(id));
+    if (!row.checkpoint.empty()) {
       MutableTask(row.run.task)->checkpoint = row.checkpoint;
     }
   }
@@ -388,7 +404,7 @@
     task->run = placement.run.run;
     task->worker = placement.worker;
     SetPhase(id, graph, *task, TaskPhase::kRunning);
-    MarkRunning(graph);
+    MarkRunning(id, graph);
     AddRun(placement, *worker, now, applied);
   }
   return applied;
@@ -531,6 +547,10 @@
           .With("occurrence", row.run.task.occurrence)
           .With("number", row.number)
           .With("ending", ToString(row.reason)));
+  // Only what a worker has started is numbered in its list.
+  if (row.number != 0) {
+    MarkBegun(graph->first, graph->second);
+  }
   if (!IsCurrent(row.run, worker.info.life)) {
     return;
   }
@@ -641,7 +661,7 @@
       }
     }
   }
-  MarkRunning(graph);
+  MarkBegun(id, graph);
   graph.state = state;
   graph.changed_at = now;
   graph.ready = 0;
@@ -675,6 +695,7 @@
 void GraphTable::RebuildIndexes() {
   ready_graphs_.clear();
   suspects_.clear();
+  unconfirmed_graphs_.clear();
   pending_counts_.clear();
   expiry_.clear();
   cancelled_expiry_.clear();
@@ -686,8 +707,11 @@
       expiry_.emplace(graph.changed_at + kGraphRetentionMs, id);
       continue;
     }
-    if (graph.state == GraphState::kQueued && graph.spec.occurrences == 0) {
+    if (!graph.has_begun && graph.spec.occurrences == 0) {
       ++pending_counts_[graph.queue.name];
+      if (graph.state == GraphState::kRunning) {
+        unconfirmed_graphs_.insert(id);
+      }
     }
     if (graph.ready > 0) {
       ready_graphs_.insert(id);
--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -64,6 +64,9 @@
   if (!graph.failure.empty()) {
     json["failure"] = graph.failure;
   }
+  if (graph.state == GraphState::kRunning && !graph.has_begun) {
+    json["begun"] = false;
+  }
 }
 inline void from_json(const nlohmann::json& json, Graph& graph) {
   json.at("spec").get_to(graph.spec);
@@ -75,6 +78,8 @@
   json.at("submitted_at").get_to(graph.submitted_at);
   json.at("changed_at").get_to(graph.changed_at);
   graph.failure = json.value("failure", "");
+  // Absent in snapshots of earlier versions.
+  graph.has_begun = json.value("begun", graph.state != GraphState::kQueued);
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GraphWorker,
                                    info,
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -39,6 +39,34 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{8}, starts);
 }
 
+// Guards against a number of waiting graphs that leaves out those whose runs
+// are placed on a worker that does not start them.
+void GraphIsPendingUntilARunIsListed() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(2)}));
+  fixture.Commit(SampleGraph("h", {SampleStep(1)}));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.RunsOn("w1").size());
+  const auto pending = [&] {
+    return fixture.leader().PendingGraphCount(fixture.table(), "quick");
+  };
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, pending());
+  WorkerSync sync;
+  sync.info = SampleWorker("w1");
+  for (std::int64_t i = 0; i < 2; ++i) {
+    RunStatus row;
+    row.run = RunOf("g", 0, i);
+    sync.running.push_back(row);
+  }
+  fixture.Sync(sync);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, pending());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, fixture.leader().PendingGraphCount(
+                                            fixture.table(), "batch"));
+  fixture.Sync(SyncWithPlacedRuns(fixture, SampleWorker("w1")));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, pending());
+}
+
 void HigherPriorityQueueGoesFirst() {
   LeaderHarness fixture;
   fixture.Join(SampleWorker("w1"));
@@ -507,6 +535,9 @@
           Section("placement")
               .Then("respects every worker's capacity",
                     PlacesReadyTasksWithinCapacity)
+              .Then(
+                  "counts a graph as pending until a worker lists a run of it",
+                  GraphIsPendingUntilARunIsListed)
               .Then("serves the queue with the higher priority first",
                     HigherPriorityQueueGoesFirst)
               .Then("skips an evacuated data centre", SkipsEvacuatedDataCentre)
--- a/tests/unit/graph_table_test.cc
+++ b/tests/unit/graph_table_test.cc
@@ -79,6 +79,73 @@
   CPPUNIT_ASSERT(unknown.result.error == ErrorKind::kNotFound);
 }
 
+// Guards against graphs that are missing from the number of those that wait,
+// because a run was placed on a worker that never started it.
+void PlacedGraphIsPendingUntilARunStarts() {
+  GraphTable table = TableWithTwoWorkers();
+  table.Apply(SampleGraph("g", {SampleStep(1)}), kGraphStart);
+  const auto pending = [&] { return table.PendingGraphCount("quick"); };
+  Place(table, RunOf("g", 0, 0, 1), "w1");
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, pending());
+  End(table, RunOf("g", 0, 0, 1), "w1", 0, RunEndReason::kRefused);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, pending());
+  Place(table, RunOf("g", 0, 0, 2), "w1");
+  table.Apply(DropWorker{{"w1", 1}, "the lease ran out", {}}, kGraphStart);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, pending());
+  Place(table, RunOf("g", 0, 0, 3), "w2");
+  End(table, RunOf("g", 0, 0, 3), "w2", 1, RunEndReason::kStopped);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, pending());
+  Place(table, RunOf("g", 0, 0, 4), "w2");
+  End(table, RunOf("g", 0, 0, 4), "w2", 2, RunEndReason::kDone);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, pending());
+}
+
+void LostRunThatWasListedHasBegun() {
+  GraphTable table = TableWithTwoWorkers();
+  table.Apply(SampleGraph("g", {SampleStep(1)}), kGraphStart);
+  Place(table, RunOf("g", 0, 0), "w1");
+  RunStatus seen;
+  seen.run = RunOf("g", 0, 0);
+  table.Apply(DropWorker{{"w1", 1}, "the lease ran out", {seen}}, kGraphStart);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, table.PendingGraphCount("quick"));
+}
+
+void CancelledGraphIsNotPending() {
+  GraphTable table = TableWithTwoWorkers();
+  table.Apply(SampleGraph("g", {SampleStep(1)}), kGraphStart);
+  table.Apply(SampleGraph("h", {SampleStep(1)}), kGraphStart);
+  Place(table, RunOf("g", 0, 0), "w1");
+  table.Apply(CancelGraph{"g"}, kGraphStart);
+  table.Apply(CancelGraph{"h"}, kGraphStart);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, table.PendingGraphCount("quick"));
+  CPPUNIT_ASSERT(table.unconfirmed_graphs().empty());
+  // The end of a run that was placed before the cancellation changes nothing.
+  End(table, RunOf("g", 0, 0), "w1", 1, RunEndReason::kStopped);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, table.PendingGraphCount("quick"));
+}
+
+// Guards against a replica that counts other graphs as pending after it has
+// read its snapshot.
+void SnapshotKeepsThePendingGraphs() {
+  GraphTable table = TableWithTwoWorkers();
+  for (const std::string id : {"queued", "placed", "begun"}) {
+    table.Apply(SampleGraph(id, {SampleStep(2)}), kGraphStart);
+  }
+  Place(table, RunOf("placed", 0, 0), "w1");
+  Place(table, RunOf("begun", 0, 0), "w1");
+  End(table, RunOf("begun", 0, 0), "w1", 1, RunEndReason::kDone);
+  nlohmann::json json = GraphTableCodec::ToJson(table);
+  GraphTable copy;
+  GraphTableCodec::FromJson(json, copy);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, copy.PendingGraphCount("quick"));
+  CPPUNIT_ASSERT(copy.unconfirmed_graphs() == std::set<std::string>{"placed"});
+  // A snapshot of an earlier version.
+  json["graphs"]["placed"].erase("begun");
+  GraphTable earlier;
+  GraphTableCodec::FromJson(json, earlier);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, earlier.PendingGraphCount("quick"));
+}
+
 void StepsRunInDependencyOrder() {
   GraphTable table = TableWithTwoWorkers();
   StepSpec second = SampleStep(1);
@@ -298,6 +365,12 @@
           Section("a graph")
               .Then("is not duplicated when it is resubmitted",
                     ResubmissionIsIdempotent)
+              .Then("is pending until a worker reports a run of it",
+                    PlacedGraphIsPendingUntilARunStarts)
+              .Then("is no longer pending when a run that was listed is lost",
+                    LostRunThatWasListedHasBegun)
+              .Then("is not pending when it is cancelled",
+                    CancelledGraphIsNotPending)
               .Then("runs its steps in dependency order",
                     StepsRunInDependencyOrder)
               .Then("has at most one active run of a task", TaskHasOneActiveRun)
@@ -326,7 +399,9 @@
                 .Then("that restarts loses its runs",
                       RestartedWorkerLosesItsRuns))
       .With(Section("a snapshot")
-                .Then("restores the same table", SnapshotRestoresTheTable));
+                .Then("restores the same table", SnapshotRestoresTheTable)
+                .Then("restores the pending graphs",
+                      SnapshotKeepsThePendingGraphs));
   return story;
 }
 
