Replies: send none to a process that has replaced the one that asked

What callers could see: a submission reported as accepted, or a state, that belongs to another request; at a replica, a configuration or an evacuation acknowledged that was never committed; an agent that counts a lease from a later sync than the one that was answered, and so longer than its leader.

Cause: requests are numbered from 1 by each process. A reply that the leader sent late, after a commit or a wait for the end of a graph, went to whoever was attached under the id of the process that had asked; after a restart its number is that of another request.

Replies and orders now go to the incarnation that asked or reported, whether it is attached to the leader or to another replica, and a replica marks its own commands with a number that is new in each process.

--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -25,6 +25,9 @@
 // Options of the control core of one control process.
 struct ControlOptions {
   RaftOptions raft;
+  // Differs between the processes of a replica, whose incarnation in the cell
+  // lasts as long as its disk.
+  std::uint64_t session = 0;
   // Lease duration that each acknowledged heartbeat grants to an instance.
   Duration lease = std::chrono::seconds(10);
   // Additional time that the leader waits after a lease before it treats the
@@ -250,6 +253,14 @@
   bool ProposeCommand(Time now, WallMillis wall, Command command);
   void SendStart(const std::string& key, const Job& job);
   void SendToAttached(const std::string& peer, Message message);
+  // Whether a process is attached to this replica. The numbers of its requests
+  // begin anew with each incarnation, so that a reply to an earlier one would
+  // answer another request.
+  [[nodiscard]] bool IsAttached(const std::string& peer,
+                                std::uint64_t incarnation) const;
+  // Sends a message to the process that a message came from, unless it has
+  // ended.
+  void SendTo(const Origin& origin, Message message);
   void Reply(const Origin& origin, std::uint64_t seq, CommandResult result);
   void ReplyError(const Origin& origin,
                   std::uint64_t seq,
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -286,15 +286,14 @@
       continue;
     }
     if (item.peer == options_.raft.self.id) {
-      if (auto* reply = std::get_if<CommandReply>(&*message)) {
+      auto* reply = std::get_if<CommandReply>(&*message);
+      if (reply != nullptr && item.incarnation == options_.session) {
         outputs_.local_replies.push_back(
             {reply->seq, std::move(reply->result)});
       }
       continue;
     }
-    const auto found = attached_.find(item.peer);
-    if (found != attached_.end() &&
-        found->second.incarnation == item.incarnation) {
+    if (IsAttached(item.peer, item.incarnation)) {
       outputs_.messages.push_back({item.peer, *std::move(message)});
     }
   }
@@ -304,8 +303,8 @@
                          WallMillis wall,
                          std::uint64_t ticket,
                          const LoggedCommand& command) {
-  const MemberId& self = options_.raft.self;
-  HandleOrForward(now, wall, {self.id, self.id, self.incarnation},
+  const std::string& self = options_.raft.self.id;
+  HandleOrForward(now, wall, {self, self, options_.session},
                   CommandRequest{ticket, command});
 }
 
@@ -314,8 +313,8 @@
                         std::uint64_t ticket,
                         CellQueryKind kind,
                         const std::string& key) {
-  const MemberId& self = options_.raft.self;
-  HandleOrForward(now, wall, {self.id, self.id, self.incarnation},
+  const std::string& self = options_.raft.self.id;
+  HandleOrForward(now, wall, {self, self, options_.session},
                   CellQuery{ticket, kind, key});
 }
 
@@ -579,13 +578,22 @@
     outputs_.local_replies.push_back({seq, std::move(result)});
     return;
   }
-  CommandReply reply{seq, std::move(result)};
-  if (origin.replica == self) {
-    outputs_.messages.push_back({origin.peer, std::move(reply)});
-    return;
+  SendTo(origin, CommandReply{seq, std::move(result)});
+}
+
+bool ControlCore::IsAttached(const std::string& peer,
+                             std::uint64_t incarnation) const {
+  const auto found = attached_.find(peer);
+  return found != attached_.end() && found->second.incarnation == incarnation;
+}
+
+void ControlCore::SendTo(const Origin& origin, Message message) {
+  if (origin.replica != options_.raft.self.id) {
+    pending_relay_down_[origin.replica].items.push_back(
+        {origin.peer, origin.incarnation, Encode(message)});
+  } else if (IsAttached(origin.peer, origin.incarnation)) {
+    outputs_.messages.push_back({origin.peer, std::move(message)});
   }
-  pending_relay_down_[origin.replica].items.push_back(
-      {origin.peer, origin.incarnation, Encode(Message(std::move(reply)))});
 }
 
 void ControlCore::ReplyError(const Origin& origin,
@@ -600,16 +608,9 @@
 
 void ControlCore::SendToAttached(const std::string& peer, Message message) {
   const auto route = routes_.find(peer);
-  if (route == routes_.end()) {
-    return;
-  }
-  const Origin& origin = route->second;
-  if (origin.replica == options_.raft.self.id) {
-    outputs_.messages.push_back({peer, std::move(message)});
-    return;
+  if (route != routes_.end()) {
+    SendTo(route->second, std::move(message));
   }
-  pending_relay_down_[origin.replica].items.push_back(
-      {peer, origin.incarnation, Encode(message)});
 }
 
 void ControlCore::SendStart(const std::string& key, const Job& job) {
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -55,6 +55,7 @@
   options.plan_bound = settings.plan_bound;
   options.status_wait = settings.status_wait;
   options.raft.seed = NewIncarnation();
+  options.session = NewIncarnation();
   options.lease = settings.lease;
   options.lease_margin = settings.lease / kMarginDivisor;
   options.snapshot_interval_entries = settings.snapshot_interval_entries;
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -120,13 +120,21 @@
 
   // Separates a replica from the others.
   void Isolate(std::size_t replica) { isolated_ = replica; }
+  void Reconnect() { isolated_ = kReplicas; }
 
   // Delivers a message of the worker to a replica.
-  void Send(std::size_t replica, const Message& message) {
-    replicas_[replica].Receive(now_, kGraphStart, {"w1", 1}, message);
+  void Send(std::size_t replica,
+            const Message& message,
+            std::uint64_t incarnation = 1) {
+    replicas_[replica].Receive(now_, kGraphStart, {"w1", incarnation}, message);
     DeliverAll();
   }
 
+  // Closes the worker's connection to a replica.
+  void Disconnect(std::size_t replica) {
+    replicas_[replica].OnPeerDisconnected(now_, "w1");
+  }
+
   void Submit(std::size_t replica, const Command& command) {
     LoggedCommand logged;
     logged.command = command;
@@ -274,6 +282,65 @@
   }));
 }
 
+// Submits a graph through a leader that can't commit it, then lets `restart`
+// end the process that has sent it. Returns the reply after the commit.
+std::optional<CommandResult> ReplyAfterRestart(
+    const std::function<void(Cell&, std::size_t leader)>& restart) {
+  Cell cell;
+  CPPUNIT_ASSERT(
+      cell.RunUntil([&] { return cell.Leader() < Cell::kReplicas; }));
+  const std::size_t leader = cell.Leader();
+  cell.Submit(leader, InstallPlan{SamplePlan()});
+  cell.Isolate(leader);
+  CPPUNIT_ASSERT(!cell.Request(leader, SampleGraph("g", {SampleStep(1)})));
+  restart(cell, leader);
+  cell.Reconnect();
+  CPPUNIT_ASSERT(cell.RunUntil([&] {
+    return cell.replica(leader).state().graphs().FindGraph("g") != nullptr;
+  }));
+  return cell.last_reply();
+}
+
+// Guards against a submission that is reported as accepted although it was
+// never committed: the reply to a request of the process before has its number.
+void ReplyToAnEndedProcessIsDropped() {
+  const auto reply = ReplyAfterRestart([](Cell&, std::size_t) {});
+  CPPUNIT_ASSERT_MESSAGE("without a restart", reply && reply->ok);
+  CPPUNIT_ASSERT(!ReplyAfterRestart([](Cell& cell, std::size_t leader) {
+    cell.Disconnect(leader);
+    constexpr std::uint64_t kNextIncarnation = 2;
+    cell.Send(leader, EntryStatus{}, kNextIncarnation);
+  }));
+  CPPUNIT_ASSERT_MESSAGE("before the next process has sent anything",
+                         !ReplyAfterRestart([](Cell& cell, std::size_t leader) {
+                           cell.Disconnect(leader);
+                         }));
+}
+
+// Guards against a configuration that is acknowledged although it was never
+// committed: after a restart of the replica, the relayed reply to a command of
+// the process before has its ticket.
+void RelayedReplyToAnEndedProcessIsDropped() {
+  ControlOptions options;
+  options.raft.self = {"control-0", 1};
+  options.raft.configured_ids = {"control-0", "control-1", "control-2"};
+  options.session = 7;
+  const Time now(std::chrono::seconds(1000));
+  ControlCore core(options, RestoredLog{}, now);
+  CommandReply reply;
+  reply.seq = 1;
+  reply.result.ok = true;
+  const auto relay = [&](std::uint64_t incarnation) {
+    core.Receive(
+        now, kGraphStart, {"control-1", 2},
+        RelayDown{{{"control-0", incarnation, Encode(Message(reply))}}});
+    return core.TakeOutputs(now, kGraphStart).local_replies.size();
+  };
+  CPPUNIT_ASSERT_MESSAGE("the incarnation in the cell", relay(1) == 0);
+  CPPUNIT_ASSERT_MESSAGE("an earlier process", relay(6) == 0);
+  CPPUNIT_ASSERT_MESSAGE("this process", relay(options.session) == 1);
+}
+
 // Guards against a graph of another writer that ends each replica that applies
 // it, again after every restart: a step depends on one that does not exist.
 void RefusesInvalidGraph() {
@@ -623,6 +690,11 @@
                 .Then("applies a long log at once", RestartAppliesLongLog)
                 .Then("sends only the latest configuration of its log",
                       RestartSendsLatestPlanOnly))
+      .With(Section("replying to a process that has restarted")
+                .Then("sends no reply to a request of the process before",
+                      ReplyToAnEndedProcessIsDropped)
+                .Then("takes no relayed reply to its own earlier process",
+                      RelayedReplyToAnEndedProcessIsDropped))
       .With(Section("with large entries")
                 .Then("takes a snapshot by the size of the log",
                       LargeEntriesMakeSnapshotDue)
