Entries: number messages from a random start

What callers could see: the answer to another caller's request, and with a key, an attempt that runs again beside one that agents still worked on.

Cause: an entry numbered its messages from 1 in each process, and answers are matched by number. An agent that finished a request of the process before sent its answer to the entry under its id; the next process took it for the answer to a request of its own. A tombstone that was granted to the process before did the same.

The first number is now drawn at random, like an incarnation. Agents compare numbers within one incarnation of the entry, so they may begin anywhere.

--- a/include/banyan/routing/router_core.h
+++ b/include/banyan/routing/router_core.h
@@ -64,6 +64,9 @@
   std::string data_centre;
   // Seed of the random numbers of load balancing.
   std::uint64_t seed = 1;
+  // Number of the first message. Differs between the processes of an entry, so
+  // that a reply to an earlier one answers no request of this one.
+  std::uint64_t first_seq = 1;
   // Interval of heartbeats to the control replica.
   Duration heartbeat_interval = Millis(500);
   // Timeout for the control replica's reply to a command.
@@ -314,7 +317,7 @@
   std::set<std::string> dispatched_keys_;
   // The same keys, oldest first.
   std::deque<std::string> dispatched_key_order_;
-  std::uint64_t next_seq_ = 1;
+  std::uint64_t next_seq_ = options_.first_seq;
   Time next_heartbeat_;
   // When the control replica last confirmed contact with a leader.
   Time last_fresh_at_;
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -28,6 +28,7 @@
   RouterOptions options;
   options.data_centre = settings.data_centre;
   options.seed = NewIncarnation();
+  options.first_seq = NewIncarnation();
   return options;
 }
 
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -13,7 +13,8 @@
 // the control replica and the agents.
 class RouterHarness {
  public:
-  RouterHarness() : core({.data_centre = "dc-a"}, kStart) {
+  explicit RouterHarness(std::uint64_t first_seq = 1)
+      : core({.data_centre = "dc-a", .first_seq = first_seq}, kStart) {
     EndpointTable table;
     table.version = 2;
     for (const char* id : {"e1", "e2"}) {
@@ -140,6 +141,23 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.answers.size());
 }
 
+// Guards against a caller that is given the answer to another request: after a
+// restart of the entry, an agent answers a request of the process before.
+void AnswerToAnEarlierProcessIsDropped() {
+  RouterHarness earlier;
+  earlier.Send("", false);
+  constexpr std::uint64_t kFirstSeq = 1000;
+  RouterHarness next(kFirstSeq);
+  next.Send("", false);
+  DispatchReply reply;
+  reply.seq = earlier.Dispatches().at(0).seq;
+  reply.outcome = RequestOutcome::kRan;
+  next.Deliver(reply);
+  CPPUNIT_ASSERT(next.answers.empty());
+  next.Reply(next.Dispatches().at(0), RequestOutcome::kRan);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.answers.size());
+}
+
 void RefusedRequestIsSentToAnotherEndpoint() {
   RouterHarness entry;
   entry.Send("", false);
@@ -291,7 +309,9 @@
       .With(Section("an answer")
                 .Then("goes to its own request", AnswerGoesToItsOwnRequest)
                 .Then("that arrives after the deadline is dropped",
-                      LateAnswerIsDropped))
+                      LateAnswerIsDropped)
+                .Then("drops the answer to a request of an earlier process",
+                      AnswerToAnEarlierProcessIsDropped))
       .With(
           Section("a request")
               .Then("that was refused is sent to another endpoint",
