Known red: a late sync brings a former capacity back

The leader takes each sync of a worker's incarnation for the latest one. One that a slow replica relays after a newer one that came another way restores what has changed since; the test shows a capacity, where 4 runs are placed instead of 1. The next sync, half a second later, corrects the view, but starts may have gone out.

--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -464,6 +464,27 @@
   CPPUNIT_ASSERT(TakeStarts(fixture).size() <= 1);
 }
 
+// Guards against starts beyond a capacity that has shrunk: a sync that another
+// replica relays late brings the former capacity back.
+void LateSyncRestoresNoCapacity() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.AdvanceTime(Millis(1000));
+  WorkerSync shrunk;
+  shrunk.info = SampleWorker("w1");
+  shrunk.info.capacity.cpu_millis = 1000;
+  fixture.Sync(shrunk);
+  WorkerSync late;
+  late.info = SampleWorker("w1");
+  late.seq = 1;
+  late.reachable = true;
+  fixture.leader().OnSync(fixture.now(), fixture.table(), "agent-w1", late,
+                          true);
+  fixture.Commit(SampleGraph("g", {SampleStep(4)}));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.RunsOn("w1").size());
+}
+
 // Guards against a job that is refused as too large for a worker whose capacity
 // has shrunk for a while.
 void ShrunkCapacityRefusesNoJob() {
@@ -571,6 +592,8 @@
                 .Then("gets a lost start command again", LostStartIsResent)
                 .Then("gets no start again that its capacity no longer holds",
                       StartsBeyondShrunkCapacityAreWithdrawn)
+                .Then("gets no start beyond its capacity after a late sync",
+                      LateSyncRestoresNoCapacity)
                 .Then("must stop a run without progress", StuckRunIsStopped)
                 .Then("without new run lists has no stuck runs",
                       RunWithoutNewListsIsNotStuck)
