Known red: a late announcement ends the next incarnation

The announcement of a shutdown names the worker by its id alone. That of an incarnation before, arriving late, makes the agent take the living one for leaving; if it is cut off within the half second until its next answer and report, its runs are given up while it holds its lease, and may run twice.

--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -587,6 +587,23 @@
   }
 }
 
+// Guards against two runs of a task at once: the announcement of the
+// incarnation before arrives late and names the worker by its id alone, and the
+// next one is cut off just then, with its lease.
+void LateAnnouncementDoesNotEndTheNextIncarnation() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.Restart(8);
+  RunStatus row;
+  row.run = SampleRun();
+  fixture.ReplyToList({row}, {});
+  fixture.Advance(Millis(600));
+  fixture.Grant();
+  fixture.Leave();
+  fixture.FailLists();
+  CPPUNIT_ASSERT(!fixture.last_sync().gone);
+}
+
 // Guards against starting a task again that was done before its worker
 // restarted: the agent knows the end, and the log does not.
 void EndsOfEarlierIncarnationAreReported() {
@@ -1062,6 +1079,9 @@
                       ReportAfterLeaveDoesNotReadmitWithoutLease)
                 .Then("is not admitted again while its slow clock runs",
                       ReportAfterLeaveWaitsForSlowClock)
+                .Then("is not gone by a late announcement of the incarnation "
+                      "before",
+                      LateAnnouncementDoesNotEndTheNextIncarnation)
                 .Then("is not gone by single lists without an answer",
                       SingleUnansweredListsProveNothing))
       .With(Section("a report of another writer")
