--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -39,6 +39,34 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{8}, starts);
 }
 
+// Guards against a number of waiting graphs that leaves out those whose runs
+// are placed on a worker that does not start them.
+void GraphIsPendingUntilARunIsListed() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(2)}));
+  fixture.Commit(SampleGraph("h", {SampleStep(1)}));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.RunsOn("w1").size());
+  const auto pending = [&] {
+    return fixture.leader().PendingGraphCount(fixture.table(), "quick");
+  };
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, pending());
+  WorkerSync sync;
+  sync.info = SampleWorker("w1");
+  for (std::int64_t i = 0; i < 2; ++i) {
+    RunStatus row;
+    row.run = RunOf("g", 0, i);
+    sync.running.push_back(row);
+  }
+  fixture.Sync(sync);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, pending());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, fixture.leader().PendingGraphCount(
+                                            fixture.table(), "batch"));
+  fixture.Sync(SyncWithPlacedRuns(fixture, SampleWorker("w1")));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, pending());
+}
+
 void HigherPriorityQueueGoesFirst() {
   LeaderHarness fixture;
   fixture.Join(SampleWorker("w1"));
@@ -436,6 +464,27 @@
   CPPUNIT_ASSERT(TakeStarts(fixture).size() <= 1);
 }
 
+// Guards against starts beyond a capacity that has shrunk: a sync that another
+// replica relays late brings the former capacity back.
+void LateSyncRestoresNoCapacity() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.AdvanceTime(Millis(1000));
+  WorkerSync shrunk;
+  shrunk.info = SampleWorker("w1");
+  shrunk.info.capacity.cpu_millis = 1000;
+  fixture.Sync(shrunk);
+  WorkerSync late;
+  late.info = SampleWorker("w1");
+  late.seq = 1;
+  late.reachable = true;
+  fixture.leader().OnSync(fixture.now(), fixture.table(), "agent-w1", late,
+                          true);
+  fixture.Commit(SampleGraph("g", {SampleStep(4)}));
+  fixture.AdvanceTime(kTimeStep);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.RunsOn("w1").size());
+}
+
 // Guards against a job that is refused as too large for a worker whose capacity
 // has shrunk for a while.
 void ShrunkCapacityRefusesNoJob() {
@@ -507,6 +556,9 @@
           Section("placement")
               .Then("respects every worker's capacity",
                     PlacesReadyTasksWithinCapacity)
+              .Then(
+                  "counts a graph as pending until a worker lists a run of it",
+                  GraphIsPendingUntilARunIsListed)
               .Then("serves the queue with the higher priority first",
                     HigherPriorityQueueGoesFirst)
               .Then("skips an evacuated data centre", SkipsEvacuatedDataCentre)
@@ -540,6 +592,8 @@
                 .Then("gets a lost start command again", LostStartIsResent)
                 .Then("gets no start again that its capacity no longer holds",
                       StartsBeyondShrunkCapacityAreWithdrawn)
+                .Then("gets no start beyond its capacity after a late sync",
+                      LateSyncRestoresNoCapacity)
                 .Then("must stop a run without progress", StuckRunIsStopped)
                 .Then("without new run lists has no stuck runs",
                       RunWithoutNewListsIsNotStuck)
