Agent: log the calls that may reach a worker's next incarnation

A list call or a start that the addressed incarnation has not answered may have been carried out by the next one under the same id, or may still be.

- E1356 call-unconfirmed: such a call with its lease, acknowledged end and fencing token, its age, and whether it timed out, broke off or was answered by another incarnation.
Also for replies that arrive when the agent already follows the next incarnation.
Calls without a lease or an acknowledged end, and those that were never sent, are left out.
- E1357 lease-confirmed: the lease of the first list call that is answered after a silence, beside the worker's clock.
- E1337 worker-removal-proposed: the time since the last sync and since the worker was last heard.
- events{event="..."} also at worker agents.

No logic is changed.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -97,6 +97,8 @@
   kCancelRemembered = 1352,
   kCancelForgotten = 1353,
   kSuccessorRefuted = 1354,
+  kCallUnconfirmed = 1356,
+  kLeaseConfirmed = 1357,
   kCopyPlaced = 1360,
   kCopyWon = 1361,
   kCopyDropped = 1362,
--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -23,6 +23,23 @@
   kIdentify,
 };
 
+// Returns the name of an operation as written to the event log.
+[[nodiscard]] constexpr const char* ToString(RunCallOp op) noexcept {
+  switch (op) {
+    case RunCallOp::kListRuns:
+      return "list";
+    case RunCallOp::kStart:
+      return "start";
+    case RunCallOp::kStop:
+      return "stop";
+    case RunCallOp::kThrottle:
+      return "throttle";
+    case RunCallOp::kIdentify:
+      return "identify";
+  }
+  return "unknown";
+}
+
 // A call to the worker.
 struct RunCall {
   RunCallOp op = RunCallOp::kListRuns;
@@ -34,6 +51,8 @@
   // End of the lease on the worker's own clock, in milliseconds; empty when
   // the call does not renew the lease.
   std::optional<std::int64_t> lease_until_ms;
+  // End of the same lease on the agent's clock.
+  Time lease_deadline;
   std::uint64_t fencing_token = 0;
   // Ended runs up to this number need not be listed again.
   std::int64_t last_committed_end = 0;
@@ -95,6 +114,21 @@
   kTimedOut,
 };
 
+// Returns the name of a failure as written to the event log.
+[[nodiscard]] constexpr const char* ToString(CallFailure failure) noexcept {
+  switch (failure) {
+    case CallFailure::kNone:
+      return "none";
+    case CallFailure::kNotSent:
+      return "not-sent";
+    case CallFailure::kBrokenOff:
+      return "broken-off";
+    case CallFailure::kTimedOut:
+      return "timed-out";
+  }
+  return "unknown";
+}
+
 // Maximum number of ended runs in one list, as workers limit it. The rest
 // follow once these are acknowledged.
 inline constexpr std::size_t kMaxListedEnds = 500;
@@ -104,6 +138,11 @@
   RunCallOp op = RunCallOp::kListRuns;
   WorkerIncarnation incarnation;
   RunRef run;
+  // The fencing token, the lease and the acknowledged ends of the call.
+  std::uint64_t fencing_token = 0;
+  std::optional<std::int64_t> lease_until_ms;
+  Time lease_deadline;
+  std::int64_t last_committed_end = 0;
   // Without an answer the call may have been carried out or may still be.
   bool answered = false;
   CallFailure failure = CallFailure::kNone;
@@ -133,6 +172,10 @@
   reply.op = call.op;
   reply.incarnation = call.incarnation;
   reply.run = call.run;
+  reply.fencing_token = call.fencing_token;
+  reply.lease_until_ms = call.lease_until_ms;
+  reply.lease_deadline = call.lease_deadline;
+  reply.last_committed_end = call.last_committed_end;
   reply.failure = CallFailure::kTimedOut;
   return reply;
 }
--- a/include/banyan/graph/worker_view.h
+++ b/include/banyan/graph/worker_view.h
@@ -47,6 +47,8 @@
   // When the leader may consider the worker's lease expired.
   Time lease_deadline;
   bool reachable = false;
+  // When its agent last sent a sync; empty before the first one.
+  Time synced_at;
   // When the worker last answered its agent, as reported, or when the leader
   // took over; empty before the first report.
   Time reported_at;
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -149,7 +149,9 @@
      "earlier one has ended; counts its known runs and uncommitted ends."},
     {EventId::kWorkerRemovalProposed, "worker-removal-proposed",
      "Decision to remove an incarnation of a worker, with its runs, the "
-     "uncommitted ends that its agent reported, and the rest of its lease."},
+     "uncommitted ends that its agent reported, the rest of its lease, the "
+     "time since the last sync of its agent, and since the worker was last "
+     "heard or the leadership began; -1 if not known."},
     {EventId::kWorkerEndsDiscarded, "worker-ends-discarded",
      "The agent gave up the uncommitted ends of an earlier incarnation, since "
      "too many incarnations followed without an answer of the leader."},
@@ -200,6 +202,14 @@
     {EventId::kSuccessorRefuted, "successor-refuted",
      "The worker is not the incarnation that a report named; the agent ignores "
      "the report."},
+    {EventId::kCallUnconfirmed, "call-unconfirmed",
+     "A call that renews the lease or acknowledges ends was not answered by "
+     "the incarnation it was addressed to, so that a later one may carry it "
+     "out; with the lease and the last acknowledged end that it carried, 0 "
+     "for none."},
+    {EventId::kLeaseConfirmed, "lease-confirmed",
+     "A worker answers its first list call after a silence; with the end of "
+     "the lease that the call carried and the worker's clock in the answer."},
     {EventId::kCopyPlaced, "copy-placed",
      "Placement decision: a second run of a speculative task, on another "
      "worker, with the cause."},
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -82,6 +82,12 @@
                                  std::string cause) {
   const WorkerIncarnation& incarnation = worker.info.life;
   const auto view = views_.find(incarnation.id);
+  const auto age_ms = [&](Time GraphWorkerView::*at) {
+    const bool is_known = view != views_.end() &&
+                          view->second.life == incarnation &&
+                          view->second.*at != Time{};
+    return is_known ? ToMillis(now - view->second.*at) : -1;
+  };
   const auto is_uncommitted_done = [&](const EndedRun& row) {
     return row.reason == RunEndReason::kDone && worker.runs.contains(row.run);
   };
@@ -98,7 +104,9 @@
           .With("lease_ms",
                 view == views_.end() || view->second.life != incarnation
                     ? 0
-                    : ToMillis(view->second.lease_deadline - now)));
+                    : ToMillis(view->second.lease_deadline - now))
+          .With("synced_ms", age_ms(&GraphWorkerView::synced_at))
+          .With("heard_ms", age_ms(&GraphWorkerView::reported_at)));
   out_.proposals.emplace_back(MakeDropWorker(incarnation, std::move(cause)));
 }
 
@@ -166,6 +174,7 @@
     return;
   }
   GraphWorkerView& view = ViewFor(incarnation);
+  view.synced_at = now;
   if (view.drop_proposed) {
     // The removal has been proposed, so the lease must not be renewed.
     return;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "banyan/graph/call_event.h"
 #include "banyan/graph/run_event.h"
 
 namespace banyan {
@@ -368,6 +369,7 @@
   call.fencing_token = fencing_token_;
   call.last_committed_end = last_committed_end_;
   call.lease_until_ms = LeaseOnWorkerClock();
+  call.lease_deadline = lease_deadline_;
   return call;
 }
 
@@ -537,6 +539,9 @@
 }
 
 void WorkerAgent::OnReply(Time now, const RunCallReply& reply) {
+  if (std::optional<Event> event = UnconfirmedCallEvent(reply)) {
+    out_.events.push_back(*std::move(event));
+  }
   if (!info_ || reply.incarnation != info_->life) {
     return;
   }
@@ -632,6 +637,9 @@
     OnListFailure(now, reply);
     return;
   }
+  if (!is_reachable_) {
+    out_.events.push_back(ConfirmedLeaseEvent(reply));
+  }
   ++list_count_;
   listed_at_ = now;
   is_denied_ = false;
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -159,6 +159,10 @@
 
 void WorkerAgentProcess::ApplyOutputs(Time now, WorkerAgentOutputs outputs) {
   WriteEvents(outputs.events);
+  for (const Event& event : outputs.events) {
+    metrics_.Increment("events{event=\"" + std::string(EventName(event.id())) +
+                       "\"}");
+  }
   for (const Message& message : outputs.to_control) {
     if (link_.connected()) {
       network_.Send(link_.current(), message);
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -182,6 +182,9 @@
     return std::exchange(orders_, {});
   }
 
+  // Returns the leader's events since the last call.
+  [[nodiscard]] Events TakeEvents() { return std::exchange(events_, {}); }
+
   [[nodiscard]] const GraphTable& table() const { return table_; }
   [[nodiscard]] GraphLeader& leader() { return leader_; }
   [[nodiscard]] Time now() const { return now_; }
@@ -190,6 +193,9 @@
   // Records the leader's orders and commits its proposals.
   void DrainOutputs() {
     GraphLeaderOutputs outputs = leader_.TakeOutputs();
+    for (Event& event : outputs.events) {
+      events_.push_back(std::move(event));
+    }
     for (Outbound& order : outputs.orders) {
       orders_.push_back(std::get<WorkerOrders>(order.message));
     }
@@ -204,6 +210,7 @@
   WallMillis wall_ = kGraphStart;
   std::uint64_t seq_ = 0;
   std::vector<WorkerOrders> orders_;
+  Events events_;
 };
 
 }  // namespace banyan
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -83,6 +83,7 @@
       .With(GraphTableStory())
       .With(GraphLeaderStory())
       .With(WorkerAgentStory())
+      .With(CallEventStory())
       .With(CrashStory())
       .With(GraphWorldStory())
       .With(LongRunningStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -79,6 +79,7 @@
 Section AgentStory();
 Section GraphPlacementStory();
 Section GraphTableStory();
+Section CallEventStory();
 Section CrashStory();
 Section GraphWorldStory();
 Section GraphLeaderStory();
