--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -98,6 +98,8 @@
   kCancelForgotten = 1353,
   kSuccessorRefuted = 1354,
   kWorkerFenced = 1355,
+  kCallUnconfirmed = 1356,
+  kLeaseConfirmed = 1357,
   kCopyPlaced = 1360,
   kCopyWon = 1361,
   kCopyDropped = 1362,
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -198,6 +198,9 @@
     return std::exchange(orders_, {});
   }
 
+  // Returns the leader's events since the last call.
+  [[nodiscard]] Events TakeEvents() { return std::exchange(events_, {}); }
+
   [[nodiscard]] const GraphTable& table() const { return table_; }
   [[nodiscard]] GraphLeader& leader() { return leader_; }
   [[nodiscard]] Time now() const { return now_; }
@@ -206,6 +209,9 @@
   // Records the leader's orders and commits its proposals.
   void DrainOutputs() {
     GraphLeaderOutputs outputs = leader_.TakeOutputs();
+    for (Event& event : outputs.events) {
+      events_.push_back(std::move(event));
+    }
     for (Outbound& order : outputs.orders) {
       const auto& orders = std::get<WorkerOrders>(order.message);
       if (orders.must_fence) {
@@ -228,6 +234,7 @@
   std::vector<WorkerOrders> orders_;
   // The highest token that each incarnation has answered.
   std::map<WorkerIncarnation, std::uint64_t> answered_tokens_;
+  Events events_;
 };
 
 }  // namespace banyan
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -84,6 +84,7 @@
       .With(GraphLeaderStory())
       .With(WorkerAgentStory())
       .With(IncarnationFenceStory())
+      .With(CallEventStory())
       .With(CrashStory())
       .With(GraphWorldStory())
       .With(LongRunningStory())
