Consensus: log elections that run out of time, and how long terms take to persist

The logs could not tell votes that come too late from votes that are refused: election-started says neither whether the candidate's own vote was on disk nor what was granted. Adds E1520 election-lapsed and E1521 term-persisted; leader-elected has the time since the votes were asked for. No decision depends on them.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -189,6 +189,10 @@
   // Forgets which voters left requests for votes unanswered.
   void ForgetSilentVoters();
   void CountVotes(Time now);
+  // Logs that the present term and vote are on disk.
+  void LogTermPersisted(Time now);
+  // Logs an election of this replica that has run out of time.
+  void LogElectionLapsed(Time now);
   void BecomeLeader(Time now);
   void FollowLeader(Time now, const MemberId& from, std::uint64_t term);
   void AppendEntry(LogEntry entry);
@@ -280,6 +284,8 @@
   Time next_heartbeat_;
   Time next_join_request_;
   std::map<MemberId, bool> votes_;
+  // When this replica last asked for votes, other than by a pre-vote.
+  Time votes_requested_at_;
   // Since this replica last had a leader: the voters that haven't answered its
   // latest request for votes, and those that didn't answer the one before while
   // it was the latest, nor any since.
@@ -304,6 +310,8 @@
   std::uint64_t persisted_seq_ = 0;
   // Sequence number of the last batch with a hard state.
   std::uint64_t hard_state_seq_ = 0;
+  // When that batch was handed out.
+  Time hard_state_handed_out_at_;
   std::deque<UnpersistedBatch> unpersisted_;
   std::uint64_t persisted_index_ = 0;
   std::deque<DeferredMessage> deferred_;
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -134,6 +134,8 @@
   kLearnerWaiting = 1516,
   kLossesShort = 1517,
   kLossesRestored = 1518,
+  kElectionLapsed = 1520,
+  kTermPersisted = 1521,
 };
 
 // An entry of the event catalogue.
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -140,7 +140,11 @@
 }
 
 void RaftCore::OnPersisted(Time now, std::uint64_t seq) {
+  const bool was_term_on_disk = IsTermOnDisk();
   persisted_seq_ = std::max(persisted_seq_, seq);
+  if (!was_term_on_disk && IsTermOnDisk()) {
+    LogTermPersisted(now);
+  }
   while (!unpersisted_.empty() && unpersisted_.front().seq <= persisted_seq_) {
     persisted_index_ = unpersisted_.front().last_index;
     unpersisted_.pop_front();
@@ -154,6 +158,27 @@
   }
 }
 
+void RaftCore::LogTermPersisted(Time now) {
+  out_.events.push_back(
+      Event(EventId::kTermPersisted)
+          .With("term", hard_state_.term)
+          .With("voted_for", hard_state_.voted_for.id)
+          .With("took_ms", ToMillis(now - hard_state_handed_out_at_)));
+}
+
+void RaftCore::LogElectionLapsed(Time now) {
+  const auto granted =
+      std::count_if(votes_.begin(), votes_.end(),
+                    [](const auto& vote) { return vote.second; });
+  out_.events.push_back(
+      Event(EventId::kElectionLapsed)
+          .With("term", hard_state_.term)
+          .With("waited_ms", ToMillis(now - votes_requested_at_))
+          .With("granted", static_cast<std::int64_t>(granted))
+          .With("needed", log_.membership().voters.size() / 2 + 1)
+          .With("own_vote_on_disk", IsTermOnDisk() ? "true" : "false"));
+}
+
 void RaftCore::BecomeFollower(Time now,
                               std::uint64_t term,
                               const std::string& leader) {
@@ -201,6 +226,9 @@
     return;
   }
   leader_.clear();
+  if (role_ == RaftRole::kCandidate) {
+    LogElectionLapsed(now);
+  }
   StartElection(now, true, false);
 }
 
@@ -330,6 +358,7 @@
   role_ = pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
   if (!pre_vote) {
     SetHardState(hard_state_.term + 1, options_.self);
+    votes_requested_at_ = now;
     out_.events.push_back(
         Event(EventId::kElectionStarted).With("term", hard_state_.term));
   }
@@ -478,7 +507,9 @@
                Encode(LoggedCommand{})});
   next_heartbeat_ = now;
   out_.events.push_back(
-      Event(EventId::kLeaderElected).With("term", hard_state_.term));
+      Event(EventId::kLeaderElected)
+          .With("term", hard_state_.term)
+          .With("election_ms", ToMillis(now - votes_requested_at_)));
   TickLeader(now);
 }
 
@@ -1058,6 +1089,7 @@
     pending_.seq = ++last_seq_;
     if (pending_.hard_state) {
       hard_state_seq_ = last_seq_;
+      hard_state_handed_out_at_ = now;
     }
     unpersisted_.push_back({last_seq_, log_.last_index()});
     out_.persists.push_back(std::move(pending_));
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -255,7 +255,8 @@
     {EventId::kElectionStarted, "election-started",
      "A replica asked its peers for their votes."},
     {EventId::kLeaderElected, "leader-elected",
-     "This replica became the leader of the control cell."},
+     "This replica became the leader of the control cell, with the time since "
+     "it asked for the votes."},
     {EventId::kLeaderStepped, "leader-stepped",
      "This replica is no longer the leader, with the reason."},
     {EventId::kSnapshotTaken, "snapshot-taken",
@@ -305,6 +306,13 @@
     {EventId::kLossesRestored, "losses-restored",
      "The cell again bears the losses that it has to, with the time for which "
      "it did not."},
+    {EventId::kElectionLapsed, "election-lapsed",
+     "A candidate has not won its election in time: the term, for how long it "
+     "has waited, the votes granted and needed, and whether its own vote is on "
+     "disk."},
+    {EventId::kTermPersisted, "term-persisted",
+     "A term or a vote is on disk: the term, whom it is for, and how long the "
+     "disk took, with what it wrote before."},
 });
 
 // Returns whether the event numbers of the catalogue are strictly ascending.
