--- a/tests/unit/cell_world_test.cc
+++ b/tests/unit/cell_world_test.cc
@@ -186,6 +186,55 @@
   return section;
 }
 
+// Guards against elections that last longer than their terms.
+constexpr CellEvents kLossesOfPower{.power_losses = true};
+
+// Disks whose syncs take longer than an election timeout after a start.
+constexpr CellLoad kDisksBeyondElectionTimeout{
+    .entries_per_second = 400,
+    .burst_entries = 4,
+    .snapshot_entries = 2000,
+    .min_sync = Millis(4),
+    .max_sync = Millis(30),
+    .returning_sync = Millis(600),
+};
+
+// The same with disks that take as long as the longest election timeout.
+constexpr CellLoad kDisksOfOneSecond{
+    .entries_per_second = 400,
+    .burst_entries = 4,
+    .snapshot_entries = 2000,
+    .min_sync = Millis(4),
+    .max_sync = Millis(30),
+    .returning_sync = Millis(1000),
+};
+
+// The series that a cell goes through while the disks of replicas that have
+// just started are slow. Guards against a whole cell that elects no leader,
+// since each term ends before its votes arrive.
+Section SlowDiskStory(int size) {
+  const std::string name = "a cell of " + std::to_string(size);
+  const auto series = [size](const CellEvents& events, const CellLoad& load) {
+    return [size, events, load] {
+      Play({.size = size,
+            .losses = LossesOf(size),
+            .load = load,
+            .events = events});
+    };
+  };
+  Section section(name + " with slow disks");
+  section
+      .Then(name +
+                " elects after a loss of power though a sync takes longer "
+                "than an election timeout",
+            series(kLossesOfPower, kDisksBeyondElectionTimeout))
+      .Then(name +
+                " bears everything together though a returning disk takes "
+                "a second a sync",
+            series(kEverything, kDisksOfOneSecond));
+  return section;
+}
+
 // The series that an even cell with an odd number of voters goes through.
 // Guards against a spare that is missing when a voter is lost, and against
 // voters of an even number that stay so.
@@ -424,6 +473,7 @@
   }
   for (const int size : {3, 5}) {
     section.With(LoadStory(size));
+    section.With(SlowDiskStory(size));
   }
   return section;
 }
