Elections: send requests for votes while the candidate's own vote is written

What callers saw: after a loss of power a cell whose disks are slow answers not-leader for many seconds.

Cause: a request for votes waited for the sync of the candidate's own vote, and the vote for one of the voter's, so that a term took two syncs.

A request now goes out at once, and the candidate counts its own vote, and leads, only once it is on disk. A candidate that restarts before that has not led, and whom it then votes for gets no second majority of the term. As the voters' answers may reach its next life, a request still waits for entries of its log that are not on disk: what was voted for is never lost.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -188,6 +188,9 @@
   void StartElection(Time now, bool pre_vote, bool transfer);
   // Forgets which voters left requests for votes unanswered.
   void ForgetSilentVoters();
+  // Counts the vote of this replica in an election of its own, which is on
+  // disk.
+  void OnTermPersisted(Time now);
   void CountVotes(Time now);
   // Logs that the present term and vote are on disk.
   void LogTermPersisted(Time now);
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -142,9 +142,6 @@
 void RaftCore::OnPersisted(Time now, std::uint64_t seq) {
   const bool was_term_on_disk = IsTermOnDisk();
   persisted_seq_ = std::max(persisted_seq_, seq);
-  if (!was_term_on_disk && IsTermOnDisk()) {
-    LogTermPersisted(now);
-  }
   while (!unpersisted_.empty() && unpersisted_.front().seq <= persisted_seq_) {
     persisted_index_ = unpersisted_.front().last_index;
     unpersisted_.pop_front();
@@ -153,11 +150,22 @@
     out_.messages.push_back(std::move(deferred_.front().outbound));
     deferred_.pop_front();
   }
+  if (!was_term_on_disk && IsTermOnDisk()) {
+    OnTermPersisted(now);
+  }
   if (role_ == RaftRole::kLeader) {
     CommitByMajority(now);
   }
 }
 
+void RaftCore::OnTermPersisted(Time now) {
+  LogTermPersisted(now);
+  if (role_ == RaftRole::kCandidate) {
+    votes_[options_.self] = true;
+    CountVotes(now);
+  }
+}
+
 void RaftCore::LogTermPersisted(Time now) {
   out_.events.push_back(
       Event(EventId::kTermPersisted)
@@ -354,9 +362,10 @@
 void RaftCore::StartElection(Time now, bool pre_vote, bool transfer) {
   ResetElectionDeadline(now);
   votes_.clear();
-  votes_[options_.self] = true;
   role_ = pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
-  if (!pre_vote) {
+  if (pre_vote) {
+    votes_[options_.self] = true;
+  } else {
     SetHardState(hard_state_.term + 1, options_.self);
     votes_requested_at_ = now;
     out_.events.push_back(
@@ -368,6 +377,9 @@
   request.transfer = transfer;
   request.last_index = log_.last_index();
   request.last_term = log_.last_term();
+  // The votes of a term count only for the log with which they were asked for,
+  // also after a restart.
+  const bool is_log_on_disk = persisted_index_ == log_.last_index();
   silent_ = std::exchange(asked_, {});
   for (const MemberId& voter : log_.membership().voters) {
     if (voter == options_.self) {
@@ -375,7 +387,7 @@
     }
     asked_.insert(voter);
     request.target = voter.incarnation;
-    if (pre_vote) {
+    if (pre_vote || is_log_on_disk) {
       Send(voter, request);
     } else {
       SendWhenPersisted(voter, request);
@@ -484,7 +496,9 @@
   }
   if (role_ == RaftRole::kPreCandidate) {
     StartElection(now, false, false);
-  } else if (role_ == RaftRole::kCandidate) {
+  } else if (role_ == RaftRole::kCandidate && IsTermOnDisk()) {
+    // A candidate that restarts must not have led in a term in which it may
+    // still vote for another one.
     BecomeLeader(now);
   }
 }
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -357,6 +357,97 @@
   CPPUNIT_ASSERT(voter.role() == RaftRole::kFollower);
 }
 
+// A candidate for term 3 in a cell of three, whose disk syncs when it is told.
+class SlowDiskCandidate {
+ public:
+  // Passes the pre-vote and asks for votes.
+  void StandForTerm() {
+    Advance(seconds(2));
+    ReceiveReply({3, true, true});
+    CPPUNIT_ASSERT(core_.role() == RaftRole::kCandidate);
+  }
+
+  // Lets the clock advance and its deadlines expire.
+  void Advance(Duration span) {
+    now_ += span;
+    core_.Tick(now_);
+    TakeOutputs();
+  }
+
+  // Gets an entry of the leader of its term, which is not on disk yet.
+  void ReceiveEntry() {
+    AppendRequest request;
+    request.target = 2;
+    request.term = 2;
+    request.prev_index = 3;
+    request.prev_term = 2;
+    request.entries = {{2, 4, EntryKind::kCommand, "c"}};
+    core_.Receive(now_, {"c2", 3}, request);
+    TakeOutputs();
+  }
+
+  void ReceiveReply(const VoteReply& reply) {
+    core_.Receive(now_, {"c0", 1}, reply);
+    TakeOutputs();
+  }
+
+  // The disk syncs all that has been handed out.
+  void Sync() {
+    core_.OnPersisted(now_, last_seq_);
+    TakeOutputs();
+  }
+
+  // The number of requests for votes, other than pre-votes, that it has sent.
+  [[nodiscard]] int requests() const { return requests_; }
+  [[nodiscard]] RaftRole role() const { return core_.role(); }
+  [[nodiscard]] std::uint64_t term() const { return core_.term(); }
+
+ private:
+  void TakeOutputs() {
+    const RaftOutputs out = core_.TakeOutputs(now_);
+    for (const PersistBatch& batch : out.persists) {
+      last_seq_ = batch.seq;
+    }
+    for (const Outbound& outbound : out.messages) {
+      const auto* request = std::get_if<VoteRequest>(&outbound.message);
+      requests_ += request != nullptr && !request->pre_vote ? 1 : 0;
+    }
+  }
+
+  Time now_ = kStart;
+  RaftCore core_ = MakeFollowerWithLog();
+  std::uint64_t last_seq_ = 0;
+  int requests_ = 0;
+};
+
+// Guards against a vote that takes two syncs, one after the other.
+void RequestForVotesDoesNotWaitForOwnDisk() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  CPPUNIT_ASSERT_EQUAL(2, candidate.requests());
+}
+
+// Guards against a leader that may vote for another one in its own term after a
+// restart.
+void CandidateLeadsOnceItsVoteIsOnDisk() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  candidate.ReceiveReply({3, false, true});
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kCandidate);
+  candidate.Sync();
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kLeader);
+}
+
+// Guards against votes for a log that the candidate has lost with its power.
+void RequestForVotesWaitsForEntries() {
+  SlowDiskCandidate candidate;
+  candidate.ReceiveEntry();
+  candidate.StandForTerm();
+  CPPUNIT_ASSERT_EQUAL(0, candidate.requests());
+  candidate.Sync();
+  CPPUNIT_ASSERT_EQUAL(2, candidate.requests());
+}
+
 // A leader of term 3 must not commit an entry of term 2 by counting replicas: a
 // later leader could still overwrite it.
 void EntryOfEarlierTermIsNotCommittedByCounting() {
@@ -896,7 +987,13 @@
                     CandidateThatAnswersIsFavoredAgain)
               .Then("an election is left once more to a candidate after a "
                     "leader",
-                    CandidateIsFavoredOnceMoreAfterLeader))
+                    CandidateIsFavoredOnceMoreAfterLeader)
+              .Then("a request for votes doesn't wait for the candidate's disk",
+                    RequestForVotesDoesNotWaitForOwnDisk)
+              .Then("a candidate leads only once its own vote is on disk",
+                    CandidateLeadsOnceItsVoteIsOnDisk)
+              .Then("a request for votes waits for entries that aren't on disk",
+                    RequestForVotesWaitsForEntries))
       .With(
           Section("failures")
               .Then("an isolated leader loses its lease before a new election",
