Elections: count votes for as long as their term lasts

A candidate whose election timeout expired asked for pre-votes and dropped all votes of its present term, also those that arrived while no later term had begun. They count now until this replica leads, follows, or enters a later term; a replica that has led in a term doesn't lead in it again.

Guarded by two tests of the consensus.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -191,7 +191,13 @@
   // Counts the vote of this replica in an election of its own, which is on
   // disk.
   void OnTermPersisted(Time now);
+  void CountPreVotes(Time now);
+  // Becomes the leader if a majority, this replica included, has voted for it.
+  // Votes count for as long as their term lasts, also those that arrive once
+  // this replica asks for pre-votes again or leaves the next term to another.
   void CountVotes(Time now);
+  // Whether a majority of the voters has granted its vote.
+  [[nodiscard]] bool IsMajority(const std::map<MemberId, bool>& votes) const;
   // Logs that the present term and vote are on disk.
   void LogTermPersisted(Time now);
   // Logs an election of this replica that has run out of time.
@@ -286,7 +292,12 @@
   Time vote_allowed_at_;
   Time next_heartbeat_;
   Time next_join_request_;
+  std::map<MemberId, bool> pre_votes_;
+  // The votes of the present term, this replica's own once it is on disk.
   std::map<MemberId, bool> votes_;
+  // Whether this replica has asked for votes in the present term, and has
+  // neither led in it nor followed a leader since.
+  bool is_campaigning_ = false;
   // When this replica last asked for votes, other than by a pre-vote.
   Time votes_requested_at_;
   // Since this replica last had a leader: the voters that haven't answered its
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -160,7 +160,7 @@
 
 void RaftCore::OnTermPersisted(Time now) {
   LogTermPersisted(now);
-  if (role_ == RaftRole::kCandidate) {
+  if (is_campaigning_) {
     votes_[options_.self] = true;
     CountVotes(now);
   }
@@ -201,7 +201,9 @@
   role_ = RaftRole::kFollower;
   leader_ = leader;
   is_transferring_ = false;
+  is_campaigning_ = false;
   votes_.clear();
+  pre_votes_.clear();
   progress_.clear();
   ResetElectionDeadline(now);
 }
@@ -361,11 +363,14 @@
 
 void RaftCore::StartElection(Time now, bool pre_vote, bool transfer) {
   ResetElectionDeadline(now);
-  votes_.clear();
-  role_ = pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
+  pre_votes_.clear();
   if (pre_vote) {
-    votes_[options_.self] = true;
+    role_ = RaftRole::kPreCandidate;
+    pre_votes_[options_.self] = true;
   } else {
+    role_ = RaftRole::kCandidate;
+    is_campaigning_ = true;
+    votes_.clear();
     SetHardState(hard_state_.term + 1, options_.self);
     votes_requested_at_ = now;
     out_.events.push_back(
@@ -393,7 +398,9 @@
       SendWhenPersisted(voter, request);
     }
   }
-  CountVotes(now);
+  if (pre_vote) {
+    CountPreVotes(now);
+  }
 }
 
 void RaftCore::ForgetSilentVoters() {
@@ -422,7 +429,7 @@
   if (role_ == RaftRole::kPreCandidate &&
       (has_newer_log || candidate < options_.self)) {
     role_ = RaftRole::kFollower;
-    votes_.clear();
+    pre_votes_.clear();
   }
 }
 
@@ -471,34 +478,40 @@
     BecomeFollower(now, reply.term, "");
     return;
   }
-  const bool is_pre_vote_reply = role_ == RaftRole::kPreCandidate &&
-                                 reply.pre_vote &&
-                                 reply.term == hard_state_.term + 1;
-  const bool is_vote_reply = role_ == RaftRole::kCandidate && !reply.pre_vote &&
-                             reply.term == hard_state_.term;
-  if (!is_pre_vote_reply && !is_vote_reply) {
+  if (reply.pre_vote) {
+    if (role_ == RaftRole::kPreCandidate &&
+        reply.term == hard_state_.term + 1) {
+      pre_votes_[from] = reply.granted;
+      CountPreVotes(now);
+    }
     return;
   }
-  votes_[from] = reply.granted;
-  CountVotes(now);
+  if (is_campaigning_ && reply.term == hard_state_.term) {
+    votes_[from] = reply.granted;
+    CountVotes(now);
+  }
 }
 
-void RaftCore::CountVotes(Time now) {
-  std::size_t granted = 0;
-  for (const MemberId& voter : log_.membership().voters) {
-    const auto found = votes_.find(voter);
-    if (found != votes_.end() && found->second) {
-      ++granted;
-    }
-  }
-  if (granted * 2 <= log_.membership().voters.size()) {
-    return;
-  }
-  if (role_ == RaftRole::kPreCandidate) {
+bool RaftCore::IsMajority(const std::map<MemberId, bool>& votes) const {
+  const std::vector<MemberId>& voters = log_.membership().voters;
+  const auto granted =
+      std::count_if(voters.begin(), voters.end(), [&](const MemberId& voter) {
+        const auto found = votes.find(voter);
+        return found != votes.end() && found->second;
+      });
+  return static_cast<std::size_t>(granted) * 2 > voters.size();
+}
+
+void RaftCore::CountPreVotes(Time now) {
+  if (role_ == RaftRole::kPreCandidate && IsMajority(pre_votes_)) {
     StartElection(now, false, false);
-  } else if (role_ == RaftRole::kCandidate && IsTermOnDisk()) {
-    // A candidate that restarts must not have led in a term in which it may
-    // still vote for another one.
+  }
+}
+
+void RaftCore::CountVotes(Time now) {
+  // A candidate that restarts must not have led in a term in which it may still
+  // vote for another one.
+  if (is_campaigning_ && IsTermOnDisk() && IsMajority(votes_)) {
     BecomeLeader(now);
   }
 }
@@ -508,6 +521,9 @@
   role_ = RaftRole::kLeader;
   leader_ = options_.self.id;
   is_transferring_ = false;
+  is_campaigning_ = false;
+  votes_.clear();
+  pre_votes_.clear();
   removed_voter_ = MemberId{};
   progress_.clear();
   rounds_.clear();
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -448,6 +448,31 @@
   CPPUNIT_ASSERT_EQUAL(2, candidate.requests());
 }
 
+// Guards against votes that are lost because they take longer than the
+// candidate waits before it asks for pre-votes again.
+void VoteThatIsLateCounts() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  candidate.Sync();
+  candidate.Advance(seconds(2));
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kPreCandidate);
+  candidate.ReceiveReply({3, false, true});
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kLeader);
+}
+
+// Guards against a leader that steps down and leads again in the same term.
+void VoteThatComesAfterTheLeadershipDoesNotCount() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  candidate.Sync();
+  candidate.ReceiveReply({3, false, true});
+  // No voter answers its heartbeats.
+  candidate.Advance(seconds(3));
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kFollower);
+  candidate.ReceiveReply({3, false, true});
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kFollower);
+}
+
 // A leader of term 3 must not commit an entry of term 2 by counting replicas: a
 // later leader could still overwrite it.
 void EntryOfEarlierTermIsNotCommittedByCounting() {
@@ -993,7 +1018,11 @@
               .Then("a candidate leads only once its own vote is on disk",
                     CandidateLeadsOnceItsVoteIsOnDisk)
               .Then("a request for votes waits for entries that aren't on disk",
-                    RequestForVotesWaitsForEntries))
+                    RequestForVotesWaitsForEntries)
+              .Then("a vote that comes after the candidate's timeout counts",
+                    VoteThatIsLateCounts)
+              .Then("a vote that comes after the leadership doesn't count",
+                    VoteThatComesAfterTheLeadershipDoesNotCount))
       .With(
           Section("failures")
               .Then("an isolated leader loses its lease before a new election",
