Elections: begin no term before the votes of the present one can arrive

What callers saw: a cell whose voters all run and are connected answers not-leader after a loss of power for as long as syncs take about an election timeout or longer.

Cause: election timeouts ran while the disks were still writing the votes, so that replicas began the next term, or helped to begin it by granting a pre-vote, before the votes of the present one were on disk. Each new term put another sync in front of its own votes.

A replica begins no election and grants no pre-vote while its own term or vote is being written, and its timeout begins anew once that is done. This needs no measured sync time and no bound: a replica whose disk hangs can neither lead nor vote in a later term.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -188,8 +188,8 @@
   void StartElection(Time now, bool pre_vote, bool transfer);
   // Forgets which voters left requests for votes unanswered.
   void ForgetSilentVoters();
-  // Counts the vote of this replica in an election of its own, which is on
-  // disk.
+  // Takes a vote of this replica that is on disk into account. What this
+  // replica waits for begins anew, since it takes as long at the other voters.
   void OnTermPersisted(Time now);
   void CountPreVotes(Time now);
   // Becomes the leader if a majority, this replica included, has voted for it.
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -160,6 +160,11 @@
 
 void RaftCore::OnTermPersisted(Time now) {
   LogTermPersisted(now);
+  if (role_ == RaftRole::kLeader) {
+    return;
+  }
+  // From now on the other votes of the term can arrive.
+  ResetElectionDeadline(now);
   if (is_campaigning_) {
     votes_[options_.self] = true;
     CountVotes(now);
@@ -236,6 +241,10 @@
     return;
   }
   leader_.clear();
+  // Without its vote on disk this replica can win no later term either.
+  if (!IsTermOnDisk()) {
+    return;
+  }
   if (role_ == RaftRole::kCandidate) {
     LogElectionLapsed(now);
   }
@@ -448,7 +457,9 @@
     return;
   }
   if (request.pre_vote) {
-    const bool granted = request.term > hard_state_.term && IsUpToDate(request);
+    // The vote that is being written may still decide the present term.
+    const bool granted = request.term > hard_state_.term && IsTermOnDisk() &&
+                         IsUpToDate(request);
     if (granted) {
       StandAside(now, from, request);
     }
--- a/tests/unit/cell_world_test.cc
+++ b/tests/unit/cell_world_test.cc
@@ -209,6 +209,18 @@
     .returning_sync = Millis(1000),
 };
 
+// Messages that wait behind others, and disks that are slower than all others
+// where it matters.
+constexpr CellLoad kBusyReplicasWithSlowDisks{
+    .entries_per_second = 400,
+    .burst_entries = 8,
+    .snapshot_entries = 2000,
+    .min_sync = Millis(4),
+    .max_sync = Millis(30),
+    .returning_sync = Millis(300),
+    .max_delay = Millis(120),
+};
+
 // The series that a cell goes through while the disks of replicas that have
 // just started are slow. Guards against a whole cell that elects no leader,
 // since each term ends before its votes arrive.
@@ -231,7 +243,11 @@
       .Then(name +
                 " bears everything together though a returning disk takes "
                 "a second a sync",
-            series(kEverything, kDisksOfOneSecond));
+            series(kEverything, kDisksOfOneSecond))
+      .Then(name +
+                " of busy replicas bears everything together though a "
+                "returning disk is slow",
+            series(kEverything, kBusyReplicasWithSlowDisks));
   return section;
 }
 
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -473,6 +473,48 @@
   CPPUNIT_ASSERT(candidate.role() == RaftRole::kFollower);
 }
 
+// Guards against terms that begin one after the other while the disk writes the
+// vote of the first.
+void NoTermBeginsBeforeTheOwnVoteIsOnDisk() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  for (int i = 0; i < 4; ++i) {
+    candidate.Advance(seconds(1));
+    candidate.ReceiveReply({4, true, true});
+  }
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, candidate.term());
+  candidate.Sync();
+  // The other voter's disk may take as long.
+  candidate.Advance(Millis(700));
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kCandidate);
+  candidate.ReceiveReply({3, false, true});
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kLeader);
+}
+
+// Guards against a next term that begins while a voter's disk writes its vote
+// for the present one.
+void VoterGrantsNoPreVoteWhileItsVoteIsWritten() {
+  RaftCore voter = MakeFollowerWithLog();
+  Time now = kStart + seconds(2);
+  VoteRequest request;
+  request.target = 2;
+  request.term = 3;
+  request.last_index = 3;
+  request.last_term = 2;
+  voter.Receive(now, {"c2", 3}, request);
+  const std::uint64_t seq = voter.TakeOutputs(now).persists.back().seq;
+  request.term = 4;
+  request.pre_vote = true;
+  const auto is_granted = [&] {
+    voter.Receive(now, {"c2", 3}, request);
+    return std::get<VoteReply>(voter.TakeOutputs(now).messages.back().message)
+        .granted;
+  };
+  CPPUNIT_ASSERT(!is_granted());
+  voter.OnPersisted(now, seq);
+  CPPUNIT_ASSERT(is_granted());
+}
+
 // A leader of term 3 must not commit an entry of term 2 by counting replicas: a
 // later leader could still overwrite it.
 void EntryOfEarlierTermIsNotCommittedByCounting() {
@@ -1022,7 +1064,11 @@
               .Then("a vote that comes after the candidate's timeout counts",
                     VoteThatIsLateCounts)
               .Then("a vote that comes after the leadership doesn't count",
-                    VoteThatComesAfterTheLeadershipDoesNotCount))
+                    VoteThatComesAfterTheLeadershipDoesNotCount)
+              .Then("no further term begins before the own vote is on disk",
+                    NoTermBeginsBeforeTheOwnVoteIsOnDisk)
+              .Then("a voter grants no pre-vote while its vote is written",
+                    VoterGrantsNoPreVoteWhileItsVoteIsWritten))
       .With(
           Section("failures")
               .Then("an isolated leader loses its lease before a new election",
