--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -188,7 +188,20 @@
   void StartElection(Time now, bool pre_vote, bool transfer);
   // Forgets which voters left requests for votes unanswered.
   void ForgetSilentVoters();
+  // Takes a vote of this replica that is on disk into account. What this
+  // replica waits for begins anew, since it takes as long at the other voters.
+  void OnTermPersisted(Time now);
+  void CountPreVotes(Time now);
+  // Becomes the leader if a majority, this replica included, has voted for it.
+  // Votes count for as long as their term lasts, also those that arrive once
+  // this replica asks for pre-votes again or leaves the next term to another.
   void CountVotes(Time now);
+  // Whether a majority of the voters has granted its vote.
+  [[nodiscard]] bool IsMajority(const std::map<MemberId, bool>& votes) const;
+  // Logs that the present term and vote are on disk.
+  void LogTermPersisted(Time now);
+  // Logs an election of this replica that has run out of time.
+  void LogElectionLapsed(Time now);
   void BecomeLeader(Time now);
   void FollowLeader(Time now, const MemberId& from, std::uint64_t term);
   void AppendEntry(LogEntry entry);
@@ -279,7 +292,14 @@
   Time vote_allowed_at_;
   Time next_heartbeat_;
   Time next_join_request_;
+  std::map<MemberId, bool> pre_votes_;
+  // The votes of the present term, this replica's own once it is on disk.
   std::map<MemberId, bool> votes_;
+  // Whether this replica has asked for votes in the present term, and has
+  // neither led in it nor followed a leader since.
+  bool is_campaigning_ = false;
+  // When this replica last asked for votes, other than by a pre-vote.
+  Time votes_requested_at_;
   // Since this replica last had a leader: the voters that haven't answered its
   // latest request for votes, and those that didn't answer the one before while
   // it was the latest, nor any since.
@@ -304,6 +324,8 @@
   std::uint64_t persisted_seq_ = 0;
   // Sequence number of the last batch with a hard state.
   std::uint64_t hard_state_seq_ = 0;
+  // When that batch was handed out.
+  Time hard_state_handed_out_at_;
   std::deque<UnpersistedBatch> unpersisted_;
   std::uint64_t persisted_index_ = 0;
   std::deque<DeferredMessage> deferred_;
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -140,6 +140,7 @@
 }
 
 void RaftCore::OnPersisted(Time now, std::uint64_t seq) {
+  const bool was_term_on_disk = IsTermOnDisk();
   persisted_seq_ = std::max(persisted_seq_, seq);
   while (!unpersisted_.empty() && unpersisted_.front().seq <= persisted_seq_) {
     persisted_index_ = unpersisted_.front().last_index;
@@ -149,11 +150,48 @@
     out_.messages.push_back(std::move(deferred_.front().outbound));
     deferred_.pop_front();
   }
+  if (!was_term_on_disk && IsTermOnDisk()) {
+    OnTermPersisted(now);
+  }
   if (role_ == RaftRole::kLeader) {
     CommitByMajority(now);
   }
 }
 
+void RaftCore::OnTermPersisted(Time now) {
+  LogTermPersisted(now);
+  if (role_ == RaftRole::kLeader) {
+    return;
+  }
+  // From now on the other votes of the term can arrive.
+  ResetElectionDeadline(now);
+  if (is_campaigning_) {
+    votes_[options_.self] = true;
+    CountVotes(now);
+  }
+}
+
+void RaftCore::LogTermPersisted(Time now) {
+  out_.events.push_back(
+      Event(EventId::kTermPersisted)
+          .With("term", hard_state_.term)
+          .With("voted_for", hard_state_.voted_for.id)
+          .With("took_ms", ToMillis(now - hard_state_handed_out_at_)));
+}
+
+void RaftCore::LogElectionLapsed(Time now) {
+  const auto granted =
+      std::count_if(votes_.begin(), votes_.end(),
+                    [](const auto& vote) { return vote.second; });
+  out_.events.push_back(
+      Event(EventId::kElectionLapsed)
+          .With("term", hard_state_.term)
+          .With("waited_ms", ToMillis(now - votes_requested_at_))
+          .With("granted", static_cast<std::int64_t>(granted))
+          .With("needed", log_.membership().voters.size() / 2 + 1)
+          .With("own_vote_on_disk", IsTermOnDisk() ? "true" : "false"));
+}
+
 void RaftCore::BecomeFollower(Time now,
                               std::uint64_t term,
                               const std::string& leader) {
@@ -168,7 +206,9 @@
   role_ = RaftRole::kFollower;
   leader_ = leader;
   is_transferring_ = false;
+  is_campaigning_ = false;
   votes_.clear();
+  pre_votes_.clear();
   progress_.clear();
   ResetElectionDeadline(now);
 }
@@ -201,6 +241,13 @@
     return;
   }
   leader_.clear();
+  // Without its vote on disk this replica can win no later term either.
+  if (!IsTermOnDisk()) {
+    return;
+  }
+  if (role_ == RaftRole::kCandidate) {
+    LogElectionLapsed(now);
+  }
   StartElection(now, true, false);
 }
 
@@ -325,11 +372,16 @@
 
 void RaftCore::StartElection(Time now, bool pre_vote, bool transfer) {
   ResetElectionDeadline(now);
-  votes_.clear();
-  votes_[options_.self] = true;
-  role_ = pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
-  if (!pre_vote) {
+  pre_votes_.clear();
+  if (pre_vote) {
+    role_ = RaftRole::kPreCandidate;
+    pre_votes_[options_.self] = true;
+  } else {
+    role_ = RaftRole::kCandidate;
+    is_campaigning_ = true;
+    votes_.clear();
     SetHardState(hard_state_.term + 1, options_.self);
+    votes_requested_at_ = now;
     out_.events.push_back(
         Event(EventId::kElectionStarted).With("term", hard_state_.term));
   }
@@ -339,6 +391,9 @@
   request.transfer = transfer;
   request.last_index = log_.last_index();
   request.last_term = log_.last_term();
+  // The votes of a term count only for the log with which they were asked for,
+  // also after a restart.
+  const bool is_log_on_disk = persisted_index_ == log_.last_index();
   silent_ = std::exchange(asked_, {});
   for (const MemberId& voter : log_.membership().voters) {
     if (voter == options_.self) {
@@ -346,13 +401,15 @@
     }
     asked_.insert(voter);
     request.target = voter.incarnation;
-    if (pre_vote) {
+    if (pre_vote || is_log_on_disk) {
       Send(voter, request);
     } else {
       SendWhenPersisted(voter, request);
     }
   }
-  CountVotes(now);
+  if (pre_vote) {
+    CountPreVotes(now);
+  }
 }
 
 void RaftCore::ForgetSilentVoters() {
@@ -381,7 +438,7 @@
   if (role_ == RaftRole::kPreCandidate &&
       (has_newer_log || candidate < options_.self)) {
     role_ = RaftRole::kFollower;
-    votes_.clear();
+    pre_votes_.clear();
   }
 }
 
@@ -400,7 +457,9 @@
     return;
   }
   if (request.pre_vote) {
-    const bool granted = request.term > hard_state_.term && IsUpToDate(request);
+    // The vote that is being written may still decide the present term.
+    const bool granted = request.term > hard_state_.term && IsTermOnDisk() &&
+                         IsUpToDate(request);
     if (granted) {
       StandAside(now, from, request);
     }
@@ -430,32 +489,40 @@
     BecomeFollower(now, reply.term, "");
     return;
   }
-  const bool is_pre_vote_reply = role_ == RaftRole::kPreCandidate &&
-                                 reply.pre_vote &&
-                                 reply.term == hard_state_.term + 1;
-  const bool is_vote_reply = role_ == RaftRole::kCandidate && !reply.pre_vote &&
-                             reply.term == hard_state_.term;
-  if (!is_pre_vote_reply && !is_vote_reply) {
+  if (reply.pre_vote) {
+    if (role_ == RaftRole::kPreCandidate &&
+        reply.term == hard_state_.term + 1) {
+      pre_votes_[from] = reply.granted;
+      CountPreVotes(now);
+    }
     return;
   }
-  votes_[from] = reply.granted;
-  CountVotes(now);
+  if (is_campaigning_ && reply.term == hard_state_.term) {
+    votes_[from] = reply.granted;
+    CountVotes(now);
+  }
 }
 
-void RaftCore::CountVotes(Time now) {
-  std::size_t granted = 0;
-  for (const MemberId& voter : log_.membership().voters) {
-    const auto found = votes_.find(voter);
-    if (found != votes_.end() && found->second) {
-      ++granted;
-    }
-  }
-  if (granted * 2 <= log_.membership().voters.size()) {
-    return;
-  }
-  if (role_ == RaftRole::kPreCandidate) {
+bool RaftCore::IsMajority(const std::map<MemberId, bool>& votes) const {
+  const std::vector<MemberId>& voters = log_.membership().voters;
+  const auto granted =
+      std::count_if(voters.begin(), voters.end(), [&](const MemberId& voter) {
+        const auto found = votes.find(voter);
+        return found != votes.end() && found->second;
+      });
+  return static_cast<std::size_t>(granted) * 2 > voters.size();
+}
+
+void RaftCore::CountPreVotes(Time now) {
+  if (role_ == RaftRole::kPreCandidate && IsMajority(pre_votes_)) {
     StartElection(now, false, false);
-  } else if (role_ == RaftRole::kCandidate) {
+  }
+}
+
+void RaftCore::CountVotes(Time now) {
+  // A candidate that restarts must not have led in a term in which it may still
+  // vote for another one.
+  if (is_campaigning_ && IsTermOnDisk() && IsMajority(votes_)) {
     BecomeLeader(now);
   }
 }
@@ -465,6 +532,9 @@
   role_ = RaftRole::kLeader;
   leader_ = options_.self.id;
   is_transferring_ = false;
+  is_campaigning_ = false;
+  votes_.clear();
+  pre_votes_.clear();
   removed_voter_ = MemberId{};
   progress_.clear();
   rounds_.clear();
@@ -478,7 +548,9 @@
                Encode(LoggedCommand{})});
   next_heartbeat_ = now;
   out_.events.push_back(
-      Event(EventId::kLeaderElected).With("term", hard_state_.term));
+      Event(EventId::kLeaderElected)
+          .With("term", hard_state_.term)
+          .With("election_ms", ToMillis(now - votes_requested_at_)));
   TickLeader(now);
 }
 
@@ -1058,6 +1130,7 @@
     pending_.seq = ++last_seq_;
     if (pending_.hard_state) {
       hard_state_seq_ = last_seq_;
+      hard_state_handed_out_at_ = now;
     }
     unpersisted_.push_back({last_seq_, log_.last_index()});
     out_.persists.push_back(std::move(pending_));
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -357,6 +357,164 @@
   CPPUNIT_ASSERT(voter.role() == RaftRole::kFollower);
 }
 
+// A candidate for term 3 in a cell of three, whose disk syncs when it is told.
+class SlowDiskCandidate {
+ public:
+  // Passes the pre-vote and asks for votes.
+  void StandForTerm() {
+    Advance(seconds(2));
+    ReceiveReply({3, true, true});
+    CPPUNIT_ASSERT(core_.role() == RaftRole::kCandidate);
+  }
+
+  // Lets the clock advance and its deadlines expire.
+  void Advance(Duration span) {
+    now_ += span;
+    core_.Tick(now_);
+    TakeOutputs();
+  }
+
+  // Gets an entry of the leader of its term, which is not on disk yet.
+  void ReceiveEntry() {
+    AppendRequest request;
+    request.target = 2;
+    request.term = 2;
+    request.prev_index = 3;
+    request.prev_term = 2;
+    request.entries = {{2, 4, EntryKind::kCommand, "c"}};
+    core_.Receive(now_, {"c2", 3}, request);
+    TakeOutputs();
+  }
+
+  void ReceiveReply(const VoteReply& reply) {
+    core_.Receive(now_, {"c0", 1}, reply);
+    TakeOutputs();
+  }
+
+  // The disk syncs all that has been handed out.
+  void Sync() {
+    core_.OnPersisted(now_, last_seq_);
+    TakeOutputs();
+  }
+
+  // The number of requests for votes, other than pre-votes, that it has sent.
+  [[nodiscard]] int requests() const { return requests_; }
+  [[nodiscard]] RaftRole role() const { return core_.role(); }
+  [[nodiscard]] std::uint64_t term() const { return core_.term(); }
+
+ private:
+  void TakeOutputs() {
+    const RaftOutputs out = core_.TakeOutputs(now_);
+    for (const PersistBatch& batch : out.persists) {
+      last_seq_ = batch.seq;
+    }
+    for (const Outbound& outbound : out.messages) {
+      const auto* request = std::get_if<VoteRequest>(&outbound.message);
+      requests_ += request != nullptr && !request->pre_vote ? 1 : 0;
+    }
+  }
+
+  Time now_ = kStart;
+  RaftCore core_ = MakeFollowerWithLog();
+  std::uint64_t last_seq_ = 0;
+  int requests_ = 0;
+};
+
+// Guards against a vote that takes two syncs, one after the other.
+void RequestForVotesDoesNotWaitForOwnDisk() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  CPPUNIT_ASSERT_EQUAL(2, candidate.requests());
+}
+
+// Guards against a leader that may vote for another one in its own term after a
+// restart.
+void CandidateLeadsOnceItsVoteIsOnDisk() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  candidate.ReceiveReply({3, false, true});
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kCandidate);
+  candidate.Sync();
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kLeader);
+}
+
+// Guards against votes for a log that the candidate has lost with its power.
+void RequestForVotesWaitsForEntries() {
+  SlowDiskCandidate candidate;
+  candidate.ReceiveEntry();
+  candidate.StandForTerm();
+  CPPUNIT_ASSERT_EQUAL(0, candidate.requests());
+  candidate.Sync();
+  CPPUNIT_ASSERT_EQUAL(2, candidate.requests());
+}
+
+// Guards against votes that are lost because they take longer than the
+// candidate waits before it asks for pre-votes again.
+void VoteThatIsLateCounts() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  candidate.Sync();
+  candidate.Advance(seconds(2));
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kPreCandidate);
+  candidate.ReceiveReply({3, false, true});
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kLeader);
+}
+
+// Guards against a leader that steps down and leads again in the same term.
+void VoteThatComesAfterTheLeadershipDoesNotCount() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  candidate.Sync();
+  candidate.ReceiveReply({3, false, true});
+  // No voter answers its heartbeats.
+  candidate.Advance(seconds(3));
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kFollower);
+  candidate.ReceiveReply({3, false, true});
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kFollower);
+}
+
+// Guards against terms that begin one after the other while the disk writes the
+// vote of the first.
+void NoTermBeginsBeforeTheOwnVoteIsOnDisk() {
+  SlowDiskCandidate candidate;
+  candidate.StandForTerm();
+  for (int i = 0; i < 4; ++i) {
+    candidate.Advance(seconds(1));
+    candidate.ReceiveReply({4, true, true});
+  }
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, candidate.term());
+  candidate.Sync();
+  // The other voter's disk may take as long.
+  candidate.Advance(Millis(700));
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kCandidate);
+  candidate.ReceiveReply({3, false, true});
+  CPPUNIT_ASSERT(candidate.role() == RaftRole::kLeader);
+}
+
+// Guards against a next term that begins while a voter's disk writes its vote
+// for the present one.
+void VoterGrantsNoPreVoteWhileItsVoteIsWritten() {
+  RaftCore voter = MakeFollowerWithLog();
+  Time now = kStart + seconds(2);
+  VoteRequest request;
+  request.target = 2;
+  request.term = 3;
+  request.last_index = 3;
+  request.last_term = 2;
+  voter.Receive(now, {"c2", 3}, request);
+  const std::uint64_t seq = voter.TakeOutputs(now).persists.back().seq;
+  request.term = 4;
+  request.pre_vote = true;
+  const auto is_granted = [&] {
+    voter.Receive(now, {"c2", 3}, request);
+    return std::get<VoteReply>(voter.TakeOutputs(now).messages.back().message)
+        .granted;
+  };
+  CPPUNIT_ASSERT(!is_granted());
+  voter.OnPersisted(now, seq);
+  CPPUNIT_ASSERT(is_granted());
+}
+
 // A leader of term 3 must not commit an entry of term 2 by counting replicas: a
 // later leader could still overwrite it.
 void EntryOfEarlierTermIsNotCommittedByCounting() {
@@ -896,7 +1054,21 @@
                     CandidateThatAnswersIsFavoredAgain)
               .Then("an election is left once more to a candidate after a "
                     "leader",
-                    CandidateIsFavoredOnceMoreAfterLeader))
+                    CandidateIsFavoredOnceMoreAfterLeader)
+              .Then("a request for votes doesn't wait for the candidate's disk",
+                    RequestForVotesDoesNotWaitForOwnDisk)
+              .Then("a candidate leads only once its own vote is on disk",
+                    CandidateLeadsOnceItsVoteIsOnDisk)
+              .Then("a request for votes waits for entries that aren't on disk",
+                    RequestForVotesWaitsForEntries)
+              .Then("a vote that comes after the candidate's timeout counts",
+                    VoteThatIsLateCounts)
+              .Then("a vote that comes after the leadership doesn't count",
+                    VoteThatComesAfterTheLeadershipDoesNotCount)
+              .Then("no further term begins before the own vote is on disk",
+                    NoTermBeginsBeforeTheOwnVoteIsOnDisk)
+              .Then("a voter grants no pre-vote while its vote is written",
+                    VoterGrantsNoPreVoteWhileItsVoteIsWritten))
       .With(
           Section("failures")
               .Then("an isolated leader loses its lease before a new election",
