Tests: restarted workers that are fenced late, and ends of inherited starts

Five cases that fail on the present code: - The leader asks to fence an incarnation only if its start is the later one. After a step of the clock the restarted worker joins 6.5 s later, or 10.5 s if the earlier incarnation was admitted just before; its agent reports that one as gone only after the fence. - An agent that has restarted, too, knows no token. If its worker has seen one it refuses the agent's calls, and the leader answers a silent incarnation nothing while an earlier one is admitted: 6.3 to 10.2 s. - The done end of a start that the next incarnation has inherited is ignored and acknowledged, and the task is started again. - An incarnation that is admitted again holds no unknown lease, yet counts as lost 10.3 s instead of 6.3 s after its last report. - An incarnation that leaves before it was fenced never lets its agent report the earlier one as gone.

--- a/tests/unit/incarnation_fence_test.cc
+++ b/tests/unit/incarnation_fence_test.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <string>
+#include <vector>
 
 #include "banyan/graph/call_fence.h"
 #include "banyan/graph/graph_leader.h"
@@ -109,6 +111,92 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.table().workers().size());
 }
 
+// Returns the requests to fence the incarnation.
+std::vector<WorkerOrders> FenceRequests(const GraphLeaderOutputs& outputs,
+                                        const WorkerIncarnation& life) {
+  std::vector<WorkerOrders> requests;
+  for (const Outbound& outbound : outputs.orders) {
+    const auto* orders = std::get_if<WorkerOrders>(&outbound.message);
+    if (orders != nullptr && orders->must_fence && orders->worker == life) {
+      requests.push_back(*orders);
+    }
+  }
+  return requests;
+}
+
+// Guards against a restarted worker that stays out until a lease has run out,
+// after a step of its clock: its agent reports the earlier incarnation as gone
+// only once the next one has been fenced, which the leader has to ask for.
+void EarlierStartIsFencedBesideAdmittedIncarnation() {
+  LeaderHarness fixture(kLongLeases);
+  const WorkerInfo earlier = SampleWorker("w1", 8);
+  const WorkerInfo next = SampleWorker("w1", 3);
+  fixture.Join(earlier);
+  fixture.leader().OnSync(fixture.now(), fixture.table(), "agent-w1",
+                          SyncOf(next, 0), true);
+  CPPUNIT_ASSERT_EQUAL(
+      std::size_t{1},
+      FenceRequests(fixture.leader().TakeOutputs(), next.life).size());
+}
+
+// Guards against a restarted worker that stays out until a lease has run out,
+// as its agent has restarted, too, knows no token, and the worker has seen the
+// one of a call to its earlier incarnation and refuses all lower ones.
+void RestartedAgentLearnsTokenBesideAdmittedIncarnation() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 3));
+  const WorkerInfo next = SampleWorker("w1", 8);
+  WorkerSync sync = SyncOf(next, 0);
+  sync.reachable = false;
+  fixture.leader().OnSync(fixture.now(), fixture.table(), "agent-w1", sync,
+                          true);
+  CPPUNIT_ASSERT_EQUAL(
+      std::size_t{1},
+      FenceRequests(fixture.leader().TakeOutputs(), next.life).size());
+}
+
+// Guards against a start after an end that is acknowledged: a start that the
+// earlier incarnation did not answer was carried out by the next one and was
+// done before that one refused such calls.
+void DoneEndOfInheritedStartCounts() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 3));
+  fixture.Commit(SampleGraph("g1", {SampleStep(1)}));
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w1").contains(RunOf("g1", 0, 0)));
+  WorkerSync sync;
+  sync.info = SampleWorker("w1", 8);
+  sync.lists = 1;
+  sync.ended = {{1, RunOf("g1", 0, 0), RunEndReason::kDone, ""}};
+  for (int i = 0; i < 2; ++i) {
+    fixture.Sync(sync);
+  }
+  CPPUNIT_ASSERT_EQUAL(
+      std::int64_t{8},
+      fixture.table().workers().at("w1").info.life.started_at_ms);
+  const bool is_acknowledged = fixture.table().workers().at("w1").noted == 1;
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(!is_acknowledged || fixture.RunsOn("w1").empty());
+}
+
+// Guards against tasks that wait longer for a worker that went silent: one that
+// is admitted again has refused calls to earlier incarnations all the time.
+void LeaseOfReadmittedWorkerIsTheGrantedOne() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1"));
+  for (int i = 0; i < 120; ++i) {
+    fixture.AdvanceTime(Millis(100));
+  }
+  CPPUNIT_ASSERT(fixture.table().workers().empty());
+  fixture.Join(SampleWorker("w1"));
+  int steps = 0;
+  while (!fixture.table().workers().empty() && steps < 200) {
+    fixture.AdvanceTime(Millis(100));
+    ++steps;
+  }
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(steps), steps >= 63 && steps <= 64);
+}
+
 // Returns after how many steps of 100 ms the leader removes a silent worker.
 int StepsUntilRemoval(LeaderHarness& fixture) {
   int steps = 0;
@@ -215,6 +303,14 @@
                 .Then("as their tokens are lower", NumbersRiseWithIncarnations)
                 .Then("also after it was removed for a while",
                       ReadmissionNeedsNoFence)
+                .Then("also if its start is the lower one after a step of its "
+                      "clock",
+                      EarlierStartIsFencedBesideAdmittedIncarnation)
+                .Then("also if its agent restarts beside it",
+                      RestartedAgentLearnsTokenBesideAdmittedIncarnation)
+                .Then("unless they were carried out before, whose done ends "
+                      "count",
+                      DoneEndOfInheritedStartCounts)
                 .Then("unless its agent is of an earlier version",
                       EarlierAgentsAreAdmittedAtOnce))
       .With(Section("may have given it the longest lease")
@@ -224,6 +320,8 @@
                       NextLeaderWaitsForTheSameLease)
                 .Then("for which a replica that has just started waits",
                       RestoredReplicaWaitsFromItsStart)
+                .Then("which is not waited for again when it is readmitted",
+                      LeaseOfReadmittedWorkerIsTheGrantedOne)
                 .Then("which is over when it has run for a while",
                       LeaseOfOtherWorkersIsTheGrantedOne))
       .With(Section("have tokens")
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -1105,6 +1105,33 @@
   CPPUNIT_ASSERT_EQUAL(CallToken(3, 1), *fixture.last_sync().answered_token);
 }
 
+// Guards against tasks that wait for the lease of an ended incarnation: the
+// next one has left before it was fenced, so nothing runs there any more.
+void EarlierIncarnationIsGoneIfTheNextOneHasLeft() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.ReplyToList({}, {{5, SampleRun(), RunEndReason::kDone, ""}});
+  fixture.Restart(8);
+  fixture.ReplyToList({}, {});
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Leave();
+  std::vector<WorkerSync> syncs;
+  for (int i = 0; i < 6; ++i) {
+    fixture.FailList();
+    fixture.Advance(Millis(200));
+    for (WorkerSync& sync : fixture.TakeSyncs()) {
+      syncs.push_back(std::move(sync));
+    }
+  }
+  const auto is_gone = [&](std::int64_t started_at_ms) {
+    return std::any_of(syncs.begin(), syncs.end(), [&](const WorkerSync& sync) {
+      return sync.gone && sync.info.life.started_at_ms == started_at_ms;
+    });
+  };
+  CPPUNIT_ASSERT(is_gone(8));
+  CPPUNIT_ASSERT(is_gone(1));
+}
+
 // Guards against a worker that counts as silent since a token was raised while
 // a call was on its way.
 void OvertakenListIsNoSilence() {
@@ -1238,6 +1265,8 @@
                       OvertakenListIsNoSilence)
                 .Then("leaves its earlier ends to be committed",
                       EndsOfEarlierIncarnationAreReported)
+                .Then("ends its earlier incarnation also by leaving at once",
+                      EarlierIncarnationIsGoneIfTheNextOneHasLeft)
                 .Then("leaves its earlier ends before the starts are fenced",
                       EndsOfEarlierIncarnationDoNotWaitForFences));
   return story;
