Workers: fence any incarnation, and count no unknown lease twice

Found by the review of the fence, each with a test that failed: - A worker whose wall clock stepped back between two incarnations stayed out until the lease of the earlier one ran out (6.1 s instead of 50 ms): the leader returned for the earlier start before it asked for the fence, and the agent reported the other one as gone only after the fence. - The same when the agent restarted between the two: its worker refused the calls without a token, and the leader told an incarnation that doesn't answer nothing. The request goes to any incarnation that is not admitted now; admission still takes an answer. - An incarnation that is removed and admitted again has refused calls to earlier ones all along; its unknown lease is counted from the first admission only (10.3 s, now 6.3 s until its removal). - An incarnation that leaves before it is fenced left its earlier one to its lease. It ends that one by leaving.

--- a/include/banyan/graph/unknown_leases.h
+++ b/include/banyan/graph/unknown_leases.h
@@ -2,6 +2,8 @@
 #define BANYAN_GRAPH_UNKNOWN_LEASES_H_
 
 #include <map>
+#include <string>
+#include <utility>
 
 #include "banyan/base/time.h"
 #include "banyan/wire/graph.h"
@@ -32,7 +34,8 @@
   // Forgets all times: the table comes from a snapshot or from the disk.
   void OnRestored(Time now);
 
-  // Processes the admission of an incarnation to the table.
+  // Processes the admission of an incarnation to the table. One that is
+  // admitted again has refused calls to earlier ones all along.
   void OnAdmitted(Time now, const WorkerIncarnation& incarnation);
 
   // Returns when such leases of an admitted incarnation have run out.
@@ -42,8 +45,8 @@
   Duration max_lease_;
   // For incarnations that were admitted before the table was restored.
   Time restored_end_;
-  // By incarnation, until it is over.
-  std::map<WorkerIncarnation, Time> ends_;
+  // By the last incarnation of each worker.
+  std::map<std::string, std::pair<WorkerIncarnation, Time>> ends_;
 };
 
 }  // namespace banyan
--- a/src/graph/graph_leader_admission.cc
+++ b/src/graph/graph_leader_admission.cc
@@ -31,6 +31,12 @@
   if (known != nullptr && known->info == info && known->agent == agent) {
     return;
   }
+  // Asked of any incarnation: one that refuses its agent's calls learns a token
+  // by it, and one with the earlier start waits for it to end the other.
+  if (known == nullptr && !numbers_.IsFenced(sync)) {
+    out_.orders.push_back({agent, numbers_.Request(info.life)});
+    return;
+  }
   // Only the worker can tell that another incarnation has taken its place.
   if (known == nullptr && !sync.reachable &&
       HasOther(table, agent, info.life)) {
@@ -48,10 +54,6 @@
   if (known != nullptr && is_waiting && known->info.draining == info.draining) {
     return;
   }
-  if (known == nullptr && !numbers_.IsFenced(sync)) {
-    out_.orders.push_back({agent, numbers_.Request(info.life)});
-    return;
-  }
   if (known == nullptr) {
     for (const auto& [id, other] : table.workers()) {
       if (other.agent == agent &&
--- a/src/graph/unknown_leases.cc
+++ b/src/graph/unknown_leases.cc
@@ -1,6 +1,13 @@
 #include "banyan/graph/unknown_leases.h"
 
 namespace banyan {
+namespace {
+
+// How long the end of such leases is remembered for workers that are admitted
+// again.
+constexpr Duration kRetention = std::chrono::minutes(10);
+
+}  // namespace
 
 void UnknownLeases::OnRestored(Time now) {
   ends_.clear();
@@ -8,13 +15,21 @@
 }
 
 void UnknownLeases::OnAdmitted(Time now, const WorkerIncarnation& incarnation) {
-  std::erase_if(ends_, [&](const auto& item) { return item.second <= now; });
-  ends_[incarnation] = now + OnSlowClock(max_lease_);
+  std::erase_if(ends_, [&](const auto& item) {
+    return item.second.second + kRetention <= now;
+  });
+  auto& [known, end] = ends_[incarnation.id];
+  if (known != incarnation) {
+    known = incarnation;
+    end = now + OnSlowClock(max_lease_);
+  }
 }
 
 Time UnknownLeases::EndOf(const WorkerIncarnation& incarnation) const {
-  const auto found = ends_.find(incarnation);
-  return found == ends_.end() ? restored_end_ : found->second;
+  const auto found = ends_.find(incarnation.id);
+  return found == ends_.end() || found->second.first != incarnation
+             ? restored_end_
+             : found->second.second;
 }
 
 }  // namespace banyan
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -553,8 +553,10 @@
       departure_->has_answered = true;
       departure_->unanswered_lists = 0;
     }
-  } else if (must_settle_stops_ || !is_admitted_) {
+  } else if (must_settle_stops_) {
     next_list_at_ = now + kOrderRetryDelay;
+  } else if (!is_admitted_) {
+    next_list_at_ = now + kListRetryDelay;
   }
   if (has_new_end || (is_newly_fenced && !has_synced) ||
       (must_settle_stops_ && pending_stops_.empty())) {
@@ -676,7 +678,7 @@
   // Once the leader knows of this incarnation, or that the earlier one is gone,
   // it places the runs of the earlier one elsewhere.
   for (WorkerSync sync : final_syncs_) {
-    sync.gone = !must_settle_stops_ && !is_unfenced_;
+    sync.gone = !must_settle_stops_ && (!is_unfenced_ || has_left_);
     if (!sync.gone && sync.ended.empty()) {
       continue;
     }
