Soak: workers that take calls to their former incarnation

Change: a kind of fault, cuts. A worker stops answering, crashes and starts again under its id; the calls that it had not answered are carried out by the next incarnation, at its start or up to 5 s later, and it is cut off from its agent for 6.5 to 9.5 s soon after. Workers accept leases of up to 10 s then, and long tasks take 10 s. An order that was carried out is not carried out again.

--- a/tests/soak/platform_cluster.cc
+++ b/tests/soak/platform_cluster.cc
@@ -196,6 +196,7 @@
         kDataCentres[static_cast<std::size_t>(i % shape_.data_centres)];
     options.address = At(ip, kWorkerPort);
     options.agent_address = At(ip, kControlPort);
+    options.max_lease_ms = shape_.max_lease_ms;
     AddProcess("agent", i, ip,
                "control: \"" + options.agent_address + "\"\nworker: \"" +
                    options.address + "\"\n");
--- a/tests/soak/platform_cluster.h
+++ b/tests/soak/platform_cluster.h
@@ -34,6 +34,8 @@
   int relays = 0;
   int entries = 2;
   int workers = 6;
+  // Longest lease that workers accept.
+  std::int64_t max_lease_ms = 6000;
   // The link of each relay and entry to the cell.
   LinkQuality link;
   // How long a sync of a replica takes, on a disk that loses what was not
--- a/tests/soak/platform_worker.cc
+++ b/tests/soak/platform_worker.cc
@@ -15,8 +15,6 @@
 constexpr Duration kClockInterval = Millis(2);
 constexpr Duration kHeartbeatInterval = Millis(1500);
 constexpr Duration kHeartbeatTimeout = Millis(1000);
-// Longest lease that a worker accepts.
-constexpr std::int64_t kMaxLeaseMs = 6000;
 constexpr std::int64_t kMaxWaitMs = 2000;
 // The clock of an incarnation starts here.
 constexpr std::int64_t kFirstClockMs = 1000;
@@ -41,7 +39,10 @@
     ++life_;
     if (!keeps_id || id_.empty()) {
       id_ = "i-" + options_.name + "-" + std::to_string(life_);
+      open_calls_.clear();
     }
+    former_calls_ = std::exchange(open_calls_, {});
+    cut_until_ = Time();
     born_ms_ = std::max(WallNow(), born_ms_ + 1);
     booted_at_ = MonotonicClock::now();
     sequence_ = 0;
@@ -127,35 +128,77 @@
 
 HttpReply PlatformWorker::Serve(const HttpCall& call) {
   std::unique_lock lock(mutex_);
+  AwaitContact(lock);
   const std::string_view expected = call.Field("Banyanchute-Expect-Instance");
-  if (!is_up_ || (!expected.empty() && expected != id_)) {
+  if (!expected.empty() && expected != id_) {
     return Answer(421);
   }
   const json body = json::parse(call.body, nullptr, false);
   if (!body.is_object()) {
     return Answer(400);
   }
+  const bool must_wait = !is_up_;
+  HttpReply reply = must_wait ? Answer(421) : CarryOut(call.path, body, lock);
+  AwaitContact(lock);
+  // An order that was carried out is not carried out again.
+  if (!is_up_ && (must_wait || call.path == "/hold")) {
+    open_calls_.push_back({call.path, body});
+  }
+  return reply;
+}
+
+HttpReply PlatformWorker::CarryOut(const std::string& path,
+                                   const json& body,
+                                   std::unique_lock<std::mutex>& lock) {
   const std::int64_t token = MsOf(body, "fencing-token");
   if (token < fencing_token_) {
     return Answer(409, {{"reason", "fence"}});
   }
   fencing_token_ = token;
-  if (call.path == "/run-start") {
+  if (path == "/run-start") {
     return StartRun(body);
   }
-  if (call.path == "/run-stop") {
+  if (path == "/run-stop") {
     return StopRun(body);
   }
-  if (call.path == "/hold") {
+  if (path == "/hold") {
     return List(body, lock);
   }
-  return Answer(call.path == "/pace" ? 200 : 400);
+  return Answer(path == "/pace" ? 200 : 400);
+}
+
+void PlatformWorker::CarryOutFormerCalls(std::size_t count) {
+  std::unique_lock lock(mutex_);
+  for (; count > 0 && is_up_ && !former_calls_.empty(); --count) {
+    OpenCall call = std::move(former_calls_.front());
+    former_calls_.pop_front();
+    call.body["wait-ms"] = 0;
+    static_cast<void>(CarryOut(call.path, call.body, lock));
+  }
+}
+
+void PlatformWorker::CutOff(Time until) {
+  const std::lock_guard lock(mutex_);
+  cut_until_ = until;
+}
+
+bool PlatformWorker::IsCutOff() const {
+  const std::lock_guard lock(mutex_);
+  return MonotonicClock::now() < cut_until_;
+}
+
+void PlatformWorker::AwaitContact(std::unique_lock<std::mutex>& lock) const {
+  while (is_up_ && MonotonicClock::now() < cut_until_) {
+    lock.unlock();
+    std::this_thread::sleep_for(kClockInterval);
+    lock.lock();
+  }
 }
 
 void PlatformWorker::RenewLease(const json& body) {
-  lease_until_ms_ =
-      std::max(lease_until_ms_,
-               std::min(MsOf(body, "deadline-ms"), ClockMs() + kMaxLeaseMs));
+  lease_until_ms_ = std::max(
+      lease_until_ms_,
+      std::min(MsOf(body, "deadline-ms"), ClockMs() + options_.max_lease_ms));
 }
 
 HttpReply PlatformWorker::StartRun(const json& body) {
@@ -264,7 +307,7 @@
 void PlatformWorker::RunHeartbeat() {
   Time next = MonotonicClock::now();
   while (is_up_) {
-    if (MonotonicClock::now() >= next) {
+    if (MonotonicClock::now() >= next && !IsCutOff()) {
       Send(id(), Report());
       next = MonotonicClock::now() + kHeartbeatInterval;
     }
--- a/tests/soak/platform_worker.h
+++ b/tests/soak/platform_worker.h
@@ -2,7 +2,9 @@
 #define BANYAN_TESTS_SOAK_PLATFORM_WORKER_H_
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -23,6 +25,8 @@
   std::string data_centre;
   std::string address;
   std::string agent_address;
+  // Longest lease that the worker accepts.
+  std::int64_t max_lease_ms = 6000;
 };
 
 // A worker on a machine of the users' platform: it speaks their protocol, runs
@@ -43,6 +47,13 @@
   void Crash();
   [[nodiscard]] bool is_up() const { return is_up_; }
 
+  // Carries out calls that the former incarnation with this id had not answered
+  // when it crashed, the first ones. Their answers reach nobody.
+  void CarryOutFormerCalls(std::size_t count);
+  // Lets neither calls nor reports through until then. Calls that arrive
+  // meanwhile are carried out late.
+  void CutOff(Time until);
+
   [[nodiscard]] std::string id() const;
   // Returns a report as the worker would send it next.
   [[nodiscard]] nlohmann::json Report();
@@ -64,7 +75,17 @@
     std::size_t index = 0;
   };
 
+  struct OpenCall {
+    std::string path;
+    nlohmann::json body;
+  };
+
   HttpReply Serve(const HttpCall& call);
+  HttpReply CarryOut(const std::string& path,
+                     const nlohmann::json& body,
+                     std::unique_lock<std::mutex>& lock);
+  void AwaitContact(std::unique_lock<std::mutex>& lock) const;
+  [[nodiscard]] bool IsCutOff() const;
   HttpReply StartRun(const nlohmann::json& body);
   HttpReply StopRun(const nlohmann::json& body);
   HttpReply List(const nlohmann::json& body,
@@ -94,6 +115,10 @@
   // The highest run of each task that was stopped or ended here.
   std::map<std::string, std::int64_t> barred_;
   std::vector<ListedEnd> ended_;
+  // Calls without an answer, of this incarnation and of the former one.
+  std::deque<OpenCall> open_calls_;
+  std::deque<OpenCall> former_calls_;
+  Time cut_until_;
   std::atomic<bool> is_up_{false};
   std::unique_ptr<HttpServer> server_;
   std::thread clock_thread_;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -26,6 +26,13 @@
 constexpr Duration kJobInterval = Millis(250);
 constexpr int kLanes = 2;
 constexpr int kEveryLongJob = 3;
+// Work of all tasks of a long job, and of one of them.
+constexpr int kLongJobMs = 24000;
+constexpr int kLongTaskMs = 3000;
+constexpr int kLongestTaskMs = 10000;
+constexpr std::int64_t kLongestLeaseMs = 10000;
+// So many calls are carried out late by a next incarnation.
+constexpr std::size_t kLateCalls = 6;
 // Accepted jobs are asked for this long after the last fault.
 constexpr Duration kFinishTimeout = std::chrono::seconds(40);
 constexpr Duration kLongestFreeze = Millis(6800);
@@ -50,7 +57,8 @@
 // Hands in jobs and remembers those that were accepted. Thread-safe.
 class JobLoad {
  public:
-  explicit JobLoad(const PlatformCluster& cluster) : cluster_(cluster) {
+  JobLoad(const PlatformCluster& cluster, int long_task_ms)
+      : cluster_(cluster), long_task_ms_(long_task_ms) {
     for (int lane = 0; lane < kLanes; ++lane) {
       threads_.emplace_back([this, lane] { Run(lane); });
     }
@@ -79,11 +87,12 @@
       std::string id = std::to_string(number);
       id.insert(0, kIdLength - id.size(), '0');
       const bool is_long = number % kEveryLongJob == 0;
-      const json step = {{"count", is_long ? 8 : 12},
+      const int work_ms = is_long ? long_task_ms_ : 150;
+      const json step = {{"count", is_long ? kLongJobMs / work_ms : 12},
                          {"cpu", 500},
                          {"mem-mb", 200},
-                         {"estimate-ms", is_long ? 3000 : 150}};
-      const json job = {{"spec", is_long ? "3000" : "150"}, {"steps", {step}}};
+                         {"estimate-ms", work_ms}};
+      const json job = {{"spec", std::to_string(work_ms)}, {"steps", {step}}};
       // The same id is sent again until there is an answer.
       int status = 0;
       for (int entry = number; status == 0 && !must_end_; ++entry) {
@@ -98,6 +107,7 @@
   }
 
   const PlatformCluster& cluster_;
+  const int long_task_ms_;
   mutable std::mutex mutex_;
   std::set<std::string> accepted_;
   std::atomic<bool> must_end_{false};
@@ -119,6 +129,7 @@
     };
     add(options.faults.foreign_reports, &FaultPlayer::ReportForeign);
     add(options.faults.worker_restarts, &FaultPlayer::RestartWorker);
+    add(options.faults.restart_cuts, &FaultPlayer::RestartAndCutWorker);
     add(options.faults.agents, &FaultPlayer::DisturbAgent);
     add(options.faults.replicas && !options.faults.lost_disks,
         &FaultPlayer::DisturbReplica);
@@ -342,6 +353,35 @@
     });
   }
 
+  void RestartAndCutWorker() {
+    // The other half is there for the tasks of those that are cut off.
+    const std::size_t index =
+        random_.NextBelow((cluster_.workers().size() + 1) / 2);
+    const std::string subject = "worker-" + std::to_string(index);
+    if (IsDisturbed(subject)) {
+      return;
+    }
+    PlatformWorker& worker = *cluster_.workers()[index];
+    // Calls of the last moments are left to the next incarnation.
+    const Duration crash = Between(100, 1000);
+    worker.CutOff(MonotonicClock::now() + 2 * crash);
+    After(crash, subject, [&worker] { worker.Crash(); });
+    const Duration boot = crash + Between(200, 1000);
+    const Duration cut = boot + Between(1000, 3500);
+    const Duration span = Between(6500, 9500);
+    After(boot, subject, [&worker, count = random_.NextBelow(4)] {
+      static_cast<void>(worker.Boot(true));
+      worker.CarryOutFormerCalls(count);
+    });
+    for (std::size_t i = 0; i < kLateCalls; ++i) {
+      After(boot + Between(0, 5000), subject,
+            [&worker] { worker.CarryOutFormerCalls(1); });
+    }
+    After(cut, subject,
+          [&worker, span] { worker.CutOff(MonotonicClock::now() + span); });
+    After(cut + span, subject, [] {});
+  }
+
   void Disturb(const std::string& name) {
     if (Chance(50)) {
       cluster_.Signal(name, SIGSTOP);
@@ -453,6 +493,9 @@
     shape.snapshot_interval_entries =
         static_cast<int>(200 + random.NextBelow(4000));
   }
+  if (options.faults.restart_cuts) {
+    shape.max_lease_ms = kLongestLeaseMs;
+  }
   PlatformCluster cluster(binaries, folder, shape);
   if (!cluster.Start(kStartTimeout)) {
     result.violations.emplace_back("the cluster does not start");
@@ -461,7 +504,8 @@
   if (options.faults.slow_replicas) {
     cluster.ThrottleReplicas();
   }
-  JobLoad load(cluster);
+  JobLoad load(cluster,
+               options.faults.restart_cuts ? kLongestTaskMs : kLongTaskMs);
   std::optional<ConfigLoad> configs;
   if (has_configs) {
     configs.emplace(cluster, options.seed);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -29,6 +29,10 @@
   // acknowledged change, so many lose their disks while all others lose their
   // power. Needs FiveReplicaShape().
   bool lost_disks = false;
+  // Some workers crash, start again under their id, carry out calls that
+  // their former incarnation left open, also seconds late, and are cut off from
+  // their agent. They accept leases of up to 10 s, and long tasks take 10 s.
+  bool restart_cuts = false;
   // Replicas have only a share of a processor.
   bool slow_replicas = false;
 };
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -13,12 +13,14 @@
 constexpr const char* kUsage =
     "usage: banyan-soak BINARIES FOLDER FIRST-SEED COUNT SECONDS\n"
     "       [FAULTS [REPLICAS [ENTRIES [WORKERS [RELAYS]]]]]\n"
-    "FAULTS are all, or some of reports,workers,agents,replicas,power; disks,\n"
-    "slow and thin are not part of all. With disks, REPLICAS are five in five\n"
-    "data centres: up to two at once lose their disks, are killed or freeze,\n"
-    "and two lose their disks at the end. With slow, replicas have a share of\n"
-    "a processor. With thin, which needs disks, relays and entries are behind\n"
-    "links of 2 Mbit/s and configurations are large. For example\n"
+    "FAULTS are all, or some of reports,workers,agents,replicas,power; cuts,\n"
+    "disks, slow and thin are not part of all. With cuts, workers restart\n"
+    "under their id, take calls to their former incarnation and are cut off\n"
+    "from their agent. With disks, REPLICAS are five in five data centres:\n"
+    "up to two at once lose their disks, are killed or freeze, and two lose\n"
+    "their disks at the end. With slow, replicas have a share of a processor.\n"
+    "With thin, which needs disks, relays and entries are behind links of\n"
+    "2 Mbit/s and configurations are large. For example\n"
     "  banyan-soak build /tmp/soak 1 50 20 workers,agents,disks,slow\n";
 
 bool HasFault(const std::string& names, const std::string& name) {
@@ -36,6 +38,7 @@
           .power_losses = has("power"),
           // The cell of three replicas does not bear these.
           .lost_disks = names != "all" && has("disks"),
+          .restart_cuts = names != "all" && has("cuts"),
           .slow_replicas = names != "all" && has("slow")};
 }
 
--- a/tests/unit/soak_test.cc
+++ b/tests/unit/soak_test.cc
@@ -34,6 +34,22 @@
   Soak("soak-foreign", options);
 }
 
+// Guards against runs that go on past the lease that the leader knows of, and
+// are placed again meanwhile, since calls to the former incarnation of a worker
+// reach the next one.
+void RestartsAndCutsRunNothingTwice() {
+  SoakOptions options;
+  options.seed = 6;
+  options.span = std::chrono::seconds(15);
+  options.faults = {.foreign_reports = false,
+                    .worker_restarts = false,
+                    .agents = false,
+                    .replicas = false,
+                    .power_losses = false,
+                    .restart_cuts = true};
+  Soak("soak-cuts", options);
+}
+
 // Guards against what only faults that overlap bring about.
 void OverlappingFaultsLoseNothing() {
   SoakOptions options;
@@ -98,6 +114,8 @@
   story
       .Then("runs nothing twice while others report in a worker's name",
             ForeignReportsRunNothingTwice)
+      .Then("runs nothing twice though restarted workers take late calls",
+            RestartsAndCutsRunNothingTwice)
       .Then("loses nothing and runs nothing twice among all faults",
             OverlappingFaultsLoseNothing)
       .Then("restores everything acknowledged after losses of power",
