Events: what a waiting long-running task needs and what its pool has

The event long-running-waited said that no worker had room, but neither how much the task needs, how much is free in the pool and on one worker, nor what best-effort and long-running tasks hold. Without it a pool that is full can't be told from one whose gaps are taken by smaller tasks.

--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -41,6 +41,9 @@
   std::vector<ColocatedTask> serving;
   // At their full CPU shares.
   std::vector<BestEffortNeighbour> best_effort;
+  // What its best-effort and its long-running tasks have reserved.
+  Resources best_effort_reserved;
+  Resources long_running_reserved;
   // Best-effort tasks whose interference here is uncertain.
   int exploring_tasks = 0;
   // Number of best-effort images that could use the worker, counted if
--- a/include/banyan/graph/placement_wait.h
+++ b/include/banyan/graph/placement_wait.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "banyan/base/resources.h"
 #include "banyan/base/time.h"
 #include "banyan/events/event.h"
 #include "banyan/graph/exclusion.h"
@@ -69,6 +70,16 @@
   Exclusion exclusion = Exclusion::kNone;
 };
 
+// What the workers of a pool that take runs have free and reserved.
+struct PoolRoom {
+  // All that is free, and the most of each amount that is free on one worker.
+  Resources free;
+  Resources largest_free;
+  // Reserved by best-effort and by long-running tasks.
+  Resources best_effort;
+  Resources long_running;
+};
+
 // The wait of a long-running task, which must not last while there is room.
 struct LongRunningWait {
   TaskRef task;
@@ -84,6 +95,9 @@
   // The workers of the pool that were rejected; those without room only if none
   // has any.
   std::vector<RejectedWorker> rejected;
+  // What the task reserves, and what the pool has for it.
+  Resources needs;
+  PoolRoom pool;
 };
 
 // Returns the event that logs the wait of a long-running task.
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -192,7 +192,10 @@
     {EventId::kLongRunningWaited, "long-running-waited",
      "A long-running task has been ready for a second or longer: how long, how "
      "often it fits on the workers of its pool, the worker chosen if it no "
-     "longer waits, and the reason for each worker that was rejected."},
+     "longer waits, and the reason for each worker that was rejected; with "
+     "what "
+     "the task needs, what is free in the pool, in all and at most on one "
+     "worker, and what best-effort and long-running tasks have reserved."},
     {EventId::kCancelRemembered, "cancel-remembered",
      "An unknown job graph was cancelled; it ends as cancelled if it is "
      "submitted later."},
--- a/src/graph/candidate_worker.cc
+++ b/src/graph/candidate_worker.cc
@@ -48,6 +48,15 @@
                                    static_cast<double>(step.needs.cpu_millis));
 }
 
+// Adds a run to what tasks of its kind have reserved on the worker.
+void AddReserved(CandidateWorker& candidate, const StepSpec& step) {
+  if (step.best_effort) {
+    candidate.best_effort_reserved += ReservedResources(step);
+  } else if (step.long_running) {
+    candidate.long_running_reserved += ReservedResources(step);
+  }
+}
+
 }  // namespace
 
 bool HasLabel(const WorkerInfo& info, const StepSpec& step) {
@@ -127,6 +136,7 @@
       const StepSpec* step = table.FindStep(run.task);
       if (step != nullptr) {
         AddColocated(candidate, run.task, *step, model, policy);
+        AddReserved(candidate, *step);
       }
     }
     for (const BestEffortNeighbour& neighbour : candidate.best_effort) {
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -617,8 +617,12 @@
     return;
   }
   recorded->second = now_;
-  LongRunningWait wait{request.task, since, search.room, pool_workers_, 0,
-                       "",           {}};
+  LongRunningWait wait;
+  wait.task = request.task;
+  wait.since = since;
+  wait.room = search.room;
+  wait.pool_workers = pool_workers_;
+  wait.needs = ReservedResources(request.step);
   if (search.best != nullptr) {
     wait.chosen = search.best->worker->info.life.id;
   }
@@ -627,6 +631,10 @@
       continue;
     }
     ++wait.usable_workers;
+    wait.pool.free += candidate.free;
+    wait.pool.largest_free = Max(wait.pool.largest_free, candidate.free);
+    wait.pool.best_effort += candidate.best_effort_reserved;
+    wait.pool.long_running += candidate.long_running_reserved;
     if (wait.rejected.size() >= kMaxLoggedWorkers) {
       continue;
     }
--- a/src/graph/placement_wait.cc
+++ b/src/graph/placement_wait.cc
@@ -17,6 +17,14 @@
       .With("room", wait.room)
       .With("workers", wait.pool_workers)
       .With("usable", wait.usable_workers)
+      .With("needs_millis", wait.needs.cpu_millis)
+      .With("needs_mib", wait.needs.memory_mib)
+      .With("free_millis", wait.pool.free.cpu_millis)
+      .With("free_mib", wait.pool.free.memory_mib)
+      .With("largest_free_millis", wait.pool.largest_free.cpu_millis)
+      .With("largest_free_mib", wait.pool.largest_free.memory_mib)
+      .With("best_effort_mib", wait.pool.best_effort.memory_mib)
+      .With("long_running_mib", wait.pool.long_running.memory_mib)
       .With("chosen", wait.chosen)
       .With("rejected", rejected);
 }
