Placement: cordon a worker for a long-running task that finds no room

Cause: in a pool that is short of room quick graphs of priority 0 go before long-running ones, and their tasks need a fourth as much. Each gap on a worker is taken by a quick task before it is large enough for a long-running one.

Change: an overdue long-running task without room cordons the worker that has the most beside its long-running tasks: that one starts nothing else until the task fits, for 2.5 s at most. Only if the pool, quick tasks aside, holds the task more than four times, and on an eighth of the pool at most, so that quick tasks keep theirs. What is kept is independent of run time estimates.

Why it works: without new starts the gaps on one worker add up; the wait of a task is bounded by the quick tasks that already run there.

Evidence: "a long-running task restarts within the limit" and "all tasks of a step restart within the limit" fail without the call of CordonFor (9,000 ms of 9,000) and pass with it.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -104,6 +104,8 @@
   kCopyWon = 1361,
   kCopyDropped = 1362,
   kRunPreempted = 1365,
+  kWorkerCordoned = 1366,
+  kCordonLapsed = 1367,
   kRunTimesLearned = 1370,
   kReservationMade = 1372,
   kReservationUsed = 1373,
--- a/include/banyan/graph.h
+++ b/include/banyan/graph.h
@@ -38,6 +38,7 @@
 #include "banyan/graph/urgency.h"
 #include "banyan/graph/urgent_room.h"
 #include "banyan/graph/worker_agent.h"
+#include "banyan/graph/worker_cordon.h"
 #include "banyan/graph/worker_suspicion.h"
 #include "banyan/graph/worker_validation.h"
 #include "banyan/graph/worker_view.h"
--- a/include/banyan/graph/candidate_worker.h
+++ b/include/banyan/graph/candidate_worker.h
@@ -16,6 +16,7 @@
 
 namespace banyan {
 
+struct WorkerCordon;
 struct WorkerHold;
 
 // A latency-sensitive task on a candidate worker.
@@ -65,6 +66,14 @@
   // The reservation of the worker for a graph that waits; null if there is
   // none.
   const WorkerHold* hold = nullptr;
+  // The cordon that keeps its room for a long-running task; null if there is
+  // none.
+  const WorkerCordon* cordon = nullptr;
+
+  // Returns what the long-running tasks leave, whatever else runs.
+  [[nodiscard]] Resources RoomBesideLongRunning() const noexcept {
+    return usable - long_running_reserved;
+  }
 };
 
 // Whether a worker has the label that a step requires.
@@ -89,6 +98,9 @@
                   const InterferenceModel& model,
                   const SchedulingPolicy& policy);
 
+// Adds a task to what those of its kind have reserved on the worker.
+void AddReserved(CandidateWorker& candidate, const StepSpec& step);
+
 // Returns the workers that may get runs, by id: reachable ones that hold a
 // lease, don't drain and are in a data centre in service.
 [[nodiscard]] std::map<std::string, CandidateWorker> BuildCandidates(
--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -24,6 +24,7 @@
 #include "banyan/graph/run_time_model.h"
 #include "banyan/graph/run_time_source.h"
 #include "banyan/graph/urgent_room.h"
+#include "banyan/graph/worker_cordon.h"
 #include "banyan/graph/worker_view.h"
 #include "banyan/settings/scheduling_policy.h"
 
@@ -84,8 +85,14 @@
     return std::exchange(long_running_waits_, {});
   }
 
-  // Returns and clears the events of reservations.
-  [[nodiscard]] Events TakeEvents() { return reservations_.TakeEvents(); }
+  // Returns and clears the events of reservations and cordons.
+  [[nodiscard]] Events TakeEvents();
+
+  // Returns the workers that are cordoned for long-running tasks, by id.
+  [[nodiscard]] const std::map<std::string, WorkerCordon>& cordons()
+      const noexcept {
+    return cordons_.cordons();
+  }
 
   // Returns the workers that are reserved for graphs that wait, by id.
   [[nodiscard]] const std::map<std::string, WorkerHold>& holds()
@@ -248,6 +255,11 @@
   // reserved for. One whose graph is relaxed doesn't, so that nothing stalls.
   [[nodiscard]] bool IsHeldBack(const TaskRequest& request,
                                 const CandidateWorker& candidate) const;
+  // Whether a worker is cordoned for another graph.
+  [[nodiscard]] static bool IsCordoned(const TaskRequest& request,
+                                       const CandidateWorker& candidate);
+  // Cordons a worker for an overdue long-running task that has no room.
+  void CordonFor(const TaskRequest& request);
   // Reserves workers for the step of the first task that found none.
   void ReserveAhead(const GraphTable& table,
                     const std::map<std::string, GraphWorkerView>& views);
@@ -274,6 +286,7 @@
   BestEffortDemand demand_;
   RunTimeEstimates run_times_;
   Reservations reservations_;
+  WorkerCordons cordons_;
   std::map<TaskRef, std::map<std::string, Avoidance>> avoided_;
   // When those of tasks that are gone were last dropped.
   Time avoided_swept_at_;
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -228,6 +228,13 @@
     {EventId::kRunPreempted, "run-preempted",
      "Placement decision: a run is stopped to make room for urgent tasks, with "
      "the task that waits, the resource that lacks and the work that is lost."},
+    {EventId::kWorkerCordoned, "worker-cordoned",
+     "Placement decision: a worker starts only tasks of one graph until a "
+     "long-running task of it has room there; with what that task needs and "
+     "what is free."},
+    {EventId::kCordonLapsed, "cordon-lapsed",
+     "A cordoned worker was given up without room for the task; with what is "
+     "free."},
     {EventId::kRunTimesLearned, "run-times-learned",
      "What a queue's real run times are beside the declared ones, at "
      "intervals."},
--- a/src/graph/candidate_worker.cc
+++ b/src/graph/candidate_worker.cc
@@ -48,15 +48,6 @@
                                    static_cast<double>(step.needs.cpu_millis));
 }
 
-// Adds a run to what tasks of its kind have reserved on the worker.
-void AddReserved(CandidateWorker& candidate, const StepSpec& step) {
-  if (step.best_effort) {
-    candidate.best_effort_reserved += ReservedResources(step);
-  } else if (step.long_running) {
-    candidate.long_running_reserved += ReservedResources(step);
-  }
-}
-
 }  // namespace
 
 bool HasLabel(const WorkerInfo& info, const StepSpec& step) {
@@ -103,6 +94,14 @@
   }
 }
 
+void AddReserved(CandidateWorker& candidate, const StepSpec& step) {
+  if (step.long_running) {
+    candidate.long_running_reserved += ReservedResources(step);
+  } else if (step.best_effort) {
+    candidate.best_effort_reserved += ReservedResources(step);
+  }
+}
+
 std::map<std::string, CandidateWorker> BuildCandidates(
     Time now,
     const GraphTable& table,
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -110,6 +110,9 @@
     return placements;
   }
   candidates_ = BuildCandidates(now, table, views, model, policy_);
+  cordons_.Mark(now, candidates_, [&](const std::string& graph) {
+    return table.ready_graphs().contains(graph);
+  });
   if (policy_.look_ahead) {
     demand_.Start(table, candidates_, model);
     reservations_.Mark(candidates_);
@@ -427,9 +430,13 @@
       first_miss_ = task;
     }
     RecordWait(request, search);
+    if (is_overdue && !step.gang && isolation == Isolation::kNone) {
+      CordonFor(request);
+    }
     return std::nullopt;
   }
   Reserve(*candidate, task, step);
+  cordons_.OnPlaced(task.graph, *candidate);
   candidate->has_only_suspects =
       candidate->has_only_suspects && isolation != Isolation::kNone;
   const WorkerInfo& info = candidate->worker->info;
@@ -527,6 +534,9 @@
     return {request.isolation == Isolation::kNone ? Exclusion::kReserved
                                                   : Exclusion::kShared};
   }
+  if (IsCordoned(request, candidate)) {
+    return {Exclusion::kReserved};
+  }
   if (candidate.access == WorkerAccess::kQuarantine) {
     return {Exclusion::kQuarantine};
   }
@@ -575,6 +585,7 @@
                                    const CandidateWorker& candidate) const {
   const auto kept = headroom_.find(request.graph.queue.service);
   return request.step.long_running && kept != headroom_.end() &&
+         candidate.cordon == nullptr &&
          !Fits(request.step.needs + kept->second, candidate.free);
 }
 
@@ -703,6 +714,7 @@
                              const StepSpec& step) {
   candidate.free -= ReservedResources(step);
   candidate.idle_cpu_millis -= step.needs.cpu_millis;
+  AddReserved(candidate, step);
   AddColocated(candidate, task, step, *model_, policy_);
   if (policy_.look_ahead && step.latency_target_ms > 0) {
     demand_.Update(candidate);
--- a/src/graph/graph_placement_ahead.cc
+++ b/src/graph/graph_placement_ahead.cc
@@ -1,4 +1,6 @@
-// The members of GraphPlacement that look ahead.
+// The members of GraphPlacement that keep workers for tasks that wait.
+
+#include <utility>
 
 #include "banyan/graph/graph_placement.h"
 #include "banyan/graph/placement_task.h"
@@ -15,6 +17,38 @@
                          request.step, now_));
 }
 
+bool GraphPlacement::IsCordoned(const TaskRequest& request,
+                                const CandidateWorker& candidate) {
+  return candidate.cordon != nullptr && request.isolation == Isolation::kNone &&
+         candidate.cordon->graph != request.task.graph;
+}
+
+void GraphPlacement::CordonFor(const TaskRequest& request) {
+  const StepProgress& progress =
+      request.graph
+          .occurrences[static_cast<std::size_t>(request.task.occurrence)]
+                      [static_cast<std::size_t>(request.task.step)];
+  cordons_.Begin(now_,
+                 {request.task.graph, request.graph.queue.service,
+                  ReservedResources(request.step), ReadyTasks(progress)},
+                 candidates_, [&](const CandidateWorker& candidate) {
+                   // With the room that the worker has beside long-running
+                   // tasks.
+                   CandidateWorker cleared = candidate;
+                   cleared.free = candidate.RoomBesideLongRunning();
+                   return candidate.access == WorkerAccess::kOpen &&
+                          !IsBinding(Assess(request, cleared).exclusion);
+                 });
+}
+
+Events GraphPlacement::TakeEvents() {
+  Events events = reservations_.TakeEvents();
+  for (Event& event : cordons_.TakeEvents()) {
+    events.push_back(std::move(event));
+  }
+  return events;
+}
+
 void GraphPlacement::ReserveAhead(
     const GraphTable& table,
     const std::map<std::string, GraphWorkerView>& views) {
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -107,6 +107,7 @@
       .With(SpeculationStory())
       .With(UrgencyStory())
       .With(UrgentRoomStory())
+      .With(WorkerCordonStory())
       .With(RunTimeModelStory())
       .With(AuditStory())
       .With(ReplayStory());
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -105,6 +105,7 @@
 Section SpeculationStory();
 Section UrgencyStory();
 Section UrgentRoomStory();
+Section WorkerCordonStory();
 Section RunTimeModelStory();
 Section AuditStory();
 Section ReplayStory();
