Placement: leave to quick tasks what other cordons have not taken yet

What callers would see: several long-running graphs that wait at the same time each counted the room beside long-running tasks as their own. Together they could take all that quick tasks run in; the limit of four tasks' room held for one graph at a time.

Change: the room of a cordoned worker counts without what it is kept for.

--- a/include/banyan/graph/worker_cordon.h
+++ b/include/banyan/graph/worker_cordon.h
@@ -89,9 +89,12 @@
         continue;
       }
       const Resources beside = candidate.RoomBesideLongRunning();
+      if (candidate.cordon != nullptr) {
+        room += TimesFitting(request.needs, beside - candidate.cordon->needs);
+        continue;
+      }
       room += TimesFitting(request.needs, beside);
-      if (candidate.cordon == nullptr && !paused_until_.contains(id) &&
-          Fits(request.needs, beside) &&
+      if (!paused_until_.contains(id) && Fits(request.needs, beside) &&
           (best == nullptr ||
            best->RoomBesideLongRunning().cpu_millis < beside.cpu_millis)) {
         best = &candidate;
--- a/tests/unit/worker_cordon_test.cc
+++ b/tests/unit/worker_cordon_test.cc
@@ -234,6 +234,20 @@
   CPPUNIT_ASSERT(cordons.cordons().empty());
 }
 
+// Guards against graphs that each count the room that the others are about to
+// take, and together leave none to quick tasks.
+void CountWhatIsKeptForOthers() {
+  Candidates candidates(std::vector<std::int64_t>(32, 2000));
+  for (const char* id : {"w1", "w2", "w3", "w4", "w5", "w6"}) {
+    candidates.by_id.at(id).long_running_reserved.cpu_millis -= 3000;
+  }
+  WorkerCordons cordons;
+  for (const char* graph : {"g", "h", "i", "j"}) {
+    candidates.Begin(cordons, Time{}, graph);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cordons.cordons().size());
+}
+
 void EndsWithThePlacementOrTheWait() {
   Candidates candidates({12000, 20000, 9000});
   WorkerCordons cordons;
@@ -285,11 +299,13 @@
                       AllTasksRestartWithinTheLimit)
                 .Then("quick tasks keep most of the pool",
                       QuickTasksKeepMostOfThePool))
-      .With(Section("by choice")
-                .Then("are those with the most room",
-                      TakesTheWorkerWithTheMostRoom)
-                .Then("leave scarce room to quick tasks",
-                      LeavesScarceRoomToQuickTasks))
+      .With(
+          Section("by choice")
+              .Then("are those with the most room",
+                    TakesTheWorkerWithTheMostRoom)
+              .Then("leave scarce room to quick tasks",
+                    LeavesScarceRoomToQuickTasks)
+              .Then("count what is kept for others", CountWhatIsKeptForOthers))
       .With(Section("over time")
                 .Then("end with the placement or the wait",
                       EndsWithThePlacementOrTheWait)
