Placement: search a worker to cordon among those that can hold the task

A search copied each worker of the pool to assess it without its quick tasks, four times a second for each graph with overdue long-running tasks. Workers whose room beside long-running tasks doesn't hold the task, and those that are suspected, are passed over first now. They added nothing to the room counted and were never chosen, so that the decisions stay the same.

--- a/include/banyan/graph/worker_cordon.h
+++ b/include/banyan/graph/worker_cordon.h
@@ -84,17 +84,17 @@
     std::int64_t room = 0;
     CandidateWorker* best = nullptr;
     for (auto& [id, candidate] : candidates) {
+      const Resources beside = candidate.RoomBesideLongRunning();
       if (candidate.worker->info.service != request.service ||
-          !is_suitable(candidate)) {
+          !Fits(request.needs, beside) || !is_suitable(candidate)) {
         continue;
       }
-      const Resources beside = candidate.RoomBesideLongRunning();
       if (candidate.cordon != nullptr) {
         room += TimesFitting(request.needs, beside - candidate.cordon->needs);
         continue;
       }
       room += TimesFitting(request.needs, beside);
-      if (!paused_until_.contains(id) && Fits(request.needs, beside) &&
+      if (!paused_until_.contains(id) &&
           (best == nullptr ||
            best->RoomBesideLongRunning().cpu_millis < beside.cpu_millis)) {
         best = &candidate;
--- a/src/graph/graph_placement_ahead.cc
+++ b/src/graph/graph_placement_ahead.cc
@@ -32,12 +32,13 @@
                  {request.task.graph, request.graph.queue.service,
                   ReservedResources(request.step), ReadyTasks(progress)},
                  candidates_, [&](const CandidateWorker& candidate) {
-                   // With the room that the worker has beside long-running
-                   // tasks.
+                   if (candidate.access != WorkerAccess::kOpen) {
+                     return false;
+                   }
+                   // As the worker is without its quick tasks.
                    CandidateWorker cleared = candidate;
                    cleared.free = candidate.RoomBesideLongRunning();
-                   return candidate.access == WorkerAccess::kOpen &&
-                          !IsBinding(Assess(request, cleared).exclusion);
+                   return !IsBinding(Assess(request, cleared).exclusion);
                  });
 }
 
