Main loops: log turns that take long; say why a leader steps down

A replica on a busy core had no leader for 12 s and wrote no line for 3.25 s of them. Nothing told how long a turn of its loop takes, what it consists of, and whether it computed or waited for a processor.

turn-long (E1019) has the parts of a turn, its slowest input and the processor time that the thread got; turn_seconds is the summary of all turns. leader-stepped says whether the quorum was silent, a transfer expired or a newer term was heard of.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -185,6 +185,8 @@
   void TickNonMember(Time now);
   void BootstrapIfAllEmpty(Time now);
   void BecomeFollower(Time now, std::uint64_t term, const std::string& leader);
+  // Gives up the leadership within the present term and logs the reason.
+  void StepDown(Time now, std::string_view reason);
   void StartElection(Time now, bool pre_vote, bool transfer);
   // Forgets which voters left requests for votes unanswered.
   void ForgetSilentVoters();
--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -28,6 +28,7 @@
   kDiskRegained = 1016,
   kDiskLost = 1017,
   kReplicaLeft = 1018,
+  kTurnLong = 1019,
   kRequestRouted = 1101,
   kRequestAnswered = 1102,
   kRequestRefused = 1103,
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -20,6 +20,7 @@
 #include "banyan/net/http.h"
 #include "banyan/net/peer_network.h"
 #include "banyan/process/program.h"
+#include "banyan/process/turn_monitor.h"
 #include "banyan/settings/settings.h"
 
 namespace banyan {
@@ -91,6 +92,8 @@
                              ApiQuery,
                              LeaveInput>;
 
+  // Names the kind of an input in the log.
+  [[nodiscard]] static std::string_view KindOf(const Input& input);
   // Opens the data folder. A damaged log is set aside, and the replica starts
   // without one.
   [[nodiscard]] std::optional<RestoredLog> OpenStorage(Reason& reason);
@@ -112,6 +115,8 @@
   void HandleInput(Time now, Input input);
   void AnswerApiQuery(Time now, const ApiQuery& query);
   void ApplyOutputs(ControlOutputs outputs);
+  // Ends a turn of the core thread and reports how long it took.
+  void EndTurn();
   void Push(Input input);
 
   ControlSettings settings_;
@@ -137,6 +142,7 @@
   std::atomic<bool> must_stay_{true};
   // Used by the core thread only.
   bool is_leave_handled_ = false;
+  TurnMonitor turn_{"control-core"};
   std::atomic<bool> must_end_{false};
 };
 
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -198,7 +198,8 @@
   if (role_ == RaftRole::kLeader) {
     out_.events.push_back(Event(EventId::kLeaderStepped)
                               .With("term", hard_state_.term)
-                              .With("newer_term", term));
+                              .With("newer_term", term)
+                              .With("reason", "newer-term"));
   }
   if (term > hard_state_.term) {
     SetHardState(term, MemberId{});
@@ -213,6 +214,14 @@
   ResetElectionDeadline(now);
 }
 
+void RaftCore::StepDown(Time now, std::string_view reason) {
+  out_.events.push_back(Event(EventId::kLeaderStepped)
+                            .With("term", hard_state_.term)
+                            .With("reason", reason));
+  role_ = RaftRole::kFollower;
+  BecomeFollower(now, hard_state_.term, "");
+}
+
 void RaftCore::Tick(Time now) {
   health_.Observe(
       now, {log_.membership(), role_ == RaftRole::kLeader, !leader_.empty()},
@@ -558,13 +567,13 @@
   const Duration check_quorum_timeout = options_.timings.election_timeout * 2;
   if (MajorityTime(now, &Progress::last_reply_at) + check_quorum_timeout <
       now) {
-    BecomeFollower(now, hard_state_.term, "");
+    StepDown(now, "quorum-silent");
     return;
   }
   if (is_transferring_ && now >= transfer_deadline_) {
     // The successor may still start its election, so this leader must not hold
     // a lease again in this term.
-    BecomeFollower(now, hard_state_.term, "");
+    StepDown(now, "transfer-expired");
     return;
   }
   if (is_leaving_ && !is_transferring_) {
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -37,6 +37,9 @@
      "A process turned from its replica to another one, with the reason and "
      "how "
      "long it had waited."},
+    {EventId::kTurnLong, "turn-long",
+     "A turn of the main loop took long or began late, with its parts and the "
+     "processor time that it got."},
     {EventId::kRequestRouted, "request-routed",
      "Routing decision: the endpoint chosen for an attempt, with the reason."},
     {EventId::kRequestAnswered, "request-answered",
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -63,6 +63,38 @@
   return options;
 }
 
+// Names the kind of a message in the log.
+std::string_view KindOf(const Message& message) {
+  if (std::holds_alternative<AppendRequest>(message)) {
+    return "append";
+  }
+  if (std::holds_alternative<AppendReply>(message)) {
+    return "append-reply";
+  }
+  if (std::holds_alternative<InstallSnapshot>(message)) {
+    return "snapshot";
+  }
+  if (std::holds_alternative<WorkerSync>(message)) {
+    return "worker-sync";
+  }
+  if (std::holds_alternative<RelayUp>(message)) {
+    return "relay-up";
+  }
+  if (std::holds_alternative<RelayDown>(message)) {
+    return "relay-down";
+  }
+  if (std::holds_alternative<CommandRequest>(message)) {
+    return "command";
+  }
+  if (std::holds_alternative<EntryStatus>(message)) {
+    return "entry-status";
+  }
+  if (std::holds_alternative<PlanRequest>(message)) {
+    return "plan-request";
+  }
+  return "message";
+}
+
 }  // namespace
 
 ControlProcess::ControlProcess(ControlSettings settings, CellApiHandler api)
@@ -72,6 +104,21 @@
       persist_ring_(kDiskRingCapacity),
       compaction_ring_(kSnapshotRingCapacity) {}
 
+std::string_view ControlProcess::KindOf(const Input& input) {
+  if (const auto* event = std::get_if<PeerEvent>(&input)) {
+    return event->kind == PeerEvent::Kind::kMessage
+               ? banyan::KindOf(event->message)
+               : "connection";
+  }
+  if (std::holds_alternative<Persisted>(input)) {
+    return "persisted";
+  }
+  if (std::holds_alternative<Compacted>(input)) {
+    return "compacted";
+  }
+  return "call";
+}
+
 ControlProcess::~ControlProcess() {
   Stop();
 }
@@ -320,20 +367,38 @@
 void ControlProcess::RunCore() {
   Time next_maintenance = MonotonicClock::now();
   while (!must_end_) {
-    std::vector<Input> batch =
-        inputs_.PopAll(MonotonicClock::now() + kTickInterval);
+    const Time wait_deadline = MonotonicClock::now() + kTickInterval;
+    std::vector<Input> batch = inputs_.PopAll(wait_deadline);
+    turn_.Begin(MonotonicClock::now(), wait_deadline, batch.size(),
+                ThreadCpuTime());
     for (Input& input : batch) {
+      const std::string_view kind = KindOf(input);
       HandleInput(MonotonicClock::now(), std::move(input));
+      turn_.OnInputHandled(MonotonicClock::now(), kind);
     }
     const Time now = MonotonicClock::now();
+    turn_.EndPart(now, "inputs");
     core_->Tick(now, WallNow());
-    ApplyOutputs(core_->TakeOutputs(now, WallNow()));
+    turn_.EndPart(MonotonicClock::now(), "tick");
+    ControlOutputs outputs = core_->TakeOutputs(now, WallNow());
+    turn_.EndPart(MonotonicClock::now(), "apply");
+    ApplyOutputs(std::move(outputs));
+    turn_.EndPart(MonotonicClock::now(), "send");
     must_stay_ = !is_leave_handled_ || core_->raft().MustStay(now);
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_->Maintain(now, DialledAddresses());
     }
+    EndTurn();
+  }
+}
+
+void ControlProcess::EndTurn() {
+  if (const auto event = turn_.End(MonotonicClock::now(), ThreadCpuTime())) {
+    WriteEvent(*event);
+    metrics_.Increment("long_turns");
   }
+  metrics_.Observe("turn_seconds", turn_.took());
 }
 
 std::set<std::string> ControlProcess::DialledAddresses() const {
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -9,6 +9,7 @@
 #include "banyan/events/event.h"
 #include "banyan/process/program.h"
 #include "banyan/process/push_or_log.h"
+#include "banyan/process/turn_monitor.h"
 
 namespace banyan {
 namespace {
@@ -236,14 +237,18 @@
 }
 
 void GatewayProcess::RunCore() {
+  TurnMonitor turn("gateway");
   Time next_maintenance = MonotonicClock::now();
   while (!must_end_) {
-    std::vector<Input> batch =
-        inputs_.PopAll(MonotonicClock::now() + kTickInterval);
+    const Time wait_deadline = MonotonicClock::now() + kTickInterval;
+    std::vector<Input> batch = inputs_.PopAll(wait_deadline);
+    turn.Begin(MonotonicClock::now(), wait_deadline, batch.size(),
+               ThreadCpuTime());
     for (Input& input : batch) {
       HandleInput(MonotonicClock::now(), std::move(input));
     }
     const Time now = MonotonicClock::now();
+    turn.EndPart(now, "inputs");
     client_.Tick(now);
     ApplyOutputs(client_.TakeOutputs());
     ShareReplica(client_.IsFresh(now));
@@ -252,6 +257,10 @@
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {client_.link().current()});
     }
+    if (const auto event = turn.End(MonotonicClock::now(), ThreadCpuTime())) {
+      WriteEvent(*event);
+    }
+    metrics_.Observe("turn_seconds", turn.took());
   }
 }
 
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -4,6 +4,7 @@
 #include "banyan/events/event.h"
 #include "banyan/process/program.h"
 #include "banyan/process/push_or_log.h"
+#include "banyan/process/turn_monitor.h"
 
 namespace banyan {
 namespace {
@@ -107,14 +108,18 @@
 }
 
 void WorkerAgentProcess::RunCore() {
+  TurnMonitor turn("worker-agent");
   Time next_maintenance = MonotonicClock::now();
   while (!must_end_) {
-    std::vector<Input> batch =
-        inputs_.PopAll(MonotonicClock::now() + kTickInterval);
+    const Time wait_deadline = MonotonicClock::now() + kTickInterval;
+    std::vector<Input> batch = inputs_.PopAll(wait_deadline);
+    turn.Begin(MonotonicClock::now(), wait_deadline, batch.size(),
+               ThreadCpuTime());
     for (Input& input : batch) {
       HandleInput(MonotonicClock::now(), std::move(input));
     }
     const Time now = MonotonicClock::now();
+    turn.EndPart(now, "inputs");
     agent_.Tick(now);
     ApplyOutputs(now, agent_.TakeOutputs());
     const std::string previous_replica = link_.current();
@@ -126,6 +131,10 @@
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {link_.current()});
     }
+    if (const auto event = turn.End(MonotonicClock::now(), ThreadCpuTime())) {
+      WriteEvent(*event);
+    }
+    metrics_.Observe("turn_seconds", turn.took());
   }
 }
 
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -73,6 +73,7 @@
       .With(CellWorldStory())
       .With(MembershipPlanStory())
       .With(MembershipWatchStory())
+      .With(TurnMonitorStory())
       .With(ControlCoreStory())
       .With(ControlStateStory())
       .With(SchedulerStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -71,6 +71,7 @@
 Section CellWorldStory();
 Section MembershipPlanStory();
 Section MembershipWatchStory();
+Section TurnMonitorStory();
 Section ControlCoreStory();
 Section ControlStateStory();
 Section SchedulerStory();
