--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -32,7 +32,10 @@
   RaftCore(RaftOptions options, RestoredLog restored, Time now);
 
   // Handles expired deadlines. To be called at least every few milliseconds.
-  void Tick(Time now);
+  // All messages that had arrived by `heard_until` have been handled; one that
+  // arrived later may still wait.
+  void Tick(Time now, Time heard_until);
+  void Tick(Time now) { Tick(now, now); }
 
   // Handles a message. Messages that are not part of Raft are ignored.
   void Receive(Time now, const Sender& from, const Message& message);
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -222,7 +222,7 @@
   BecomeFollower(now, hard_state_.term, "");
 }
 
-void RaftCore::Tick(Time now) {
+void RaftCore::Tick(Time now, Time /*heard_until*/) {
   health_.Observe(
       now, {log_.membership(), role_ == RaftRole::kLeader, !leader_.empty()},
       out_.events);
