Tests: long turns of a replica's loop, on the core

On a busy machine a turn of a replica's loop takes seconds, and the cell is without a leader again and again though all replicas run and answer. The tests drive one core in a loop under virtual time: a turn reads what has arrived, handles it, calls Tick() and lets its outputs leave at its end. Turns of 0.2, 1, 3.25 and 5 s are long before Tick() or after it.

--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -71,6 +71,7 @@
       .With(PowerLossStory())
       .With(ConsensusStory())
       .With(CellWorldStory())
+      .With(LongTurnStory())
       .With(MembershipPlanStory())
       .With(MembershipWatchStory())
       .With(TurnMonitorStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -87,6 +87,7 @@
 Section WorkerAgentStory();
 Section IncarnationFenceStory();
 Section LongRunningStory();
+Section LongTurnStory();
 Section WorkerSuspicionStory();
 Section InterferenceStory();
 Section OverloadedWorkerStory();
