Simulation of a cell: turns of a replica's loop that take long

Where a machine is busy a turn takes seconds while the process runs and is connected. The simulation had replicas that stand still, which lose their place and excuse whatever follows.

CellLoad::turns lets each replica go through turns of 0.2 to 5 s, most of all after its start and after its election: what arrives waits, the long part lies between the input and Tick(), in the midst of the input or behind Tick(), and outputs leave at the end. Such a turn is no loss: no leader may step down, remove a voter or log it as silent while that voter, or a majority, answers, and two seconds after the last turn there has to be a leader that stays.

--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -42,6 +42,21 @@
   bool transfers = false;
 };
 
+// Turns of the replicas' loops that take long. The process runs and is
+// connected; what arrives meanwhile waits until the turn ends, and what the
+// turn brings about leaves at its end.
+struct LongTurns {
+  Duration shortest = Millis(200);
+  Duration longest = Millis(5000);
+  // Longest time between two of them on one replica.
+  Duration longest_pause = Millis(16000);
+  // How many in a hundred starts of a replica, first turns of a leader and ends
+  // of long turns are followed by one at once.
+  std::uint64_t percent_at_start = 60;
+  std::uint64_t percent_at_election = 60;
+  std::uint64_t percent_behind = 25;
+};
+
 // How much a cell has to do, and what it has to do it with.
 struct CellLoad {
   // Number of entries that the leader gets in a second, on average. They come
@@ -60,6 +75,8 @@
   // Whether the replicas keep an odd number of voters. The last replica of an
   // even cell then stays a learner.
   bool odd_voters = false;
+  // Long turns, once the cell has formed and until the calm time at the end.
+  std::optional<LongTurns> turns = std::nullopt;
 };
 
 // What a play of a cell is made of.
@@ -87,6 +104,11 @@
   std::uint64_t acknowledged = 0;
   // The number of snapshots that replicas got from a leader.
   int snapshots = 0;
+  // The number of long turns, and of those that were a leader's first.
+  int long_turns = 0;
+  int first_turns = 0;
+  // The number of leaders that stepped down since their quorum was silent.
+  int silent_quorums = 0;
 };
 
 // The replicas of one cell under virtual time, each a RaftCore on a disk that
@@ -108,6 +130,24 @@
 // - all replicas apply the same entries, and a leader has all entries that
 //   were acknowledged before its election;
 // - no term has two leaders, and no two replicas hold a lease.
+//
+// With long turns, a replica is busy while its turns, one right after the
+// other, have taken more than kLongestBusy: a check of the quorum less a
+// heartbeat interval and the delays. A place counts as lost for it only if its
+// replica is busy, or was within kCellCatchUp, and has been voted out. If any
+// replica is busy before a lost place has caught up, its kCellCatchUp begins
+// anew. Then must hold as well:
+//
+// - no leader steps down as its quorum is silent, logs a voter as silent or
+//   removes it, if a majority of the voters, or that voter, has run, has been
+//   connected and hasn't been busy since kSilence before the leader's latest
+//   turns began. The leader itself has to run and to be connected, and may be
+//   busy;
+// - once no replica has been in a long turn for kTurnsCatchUp, in calm time,
+//   there is a leader that holds its lease, and none steps down.
+//
+// That the cell bears the next loss is judged only once no replica has been
+// busy for kCellCatchUp, as a busy voter may be voted out.
 class CellWorld {
  public:
   CellWorld(int size,
@@ -167,6 +207,19 @@
   [[nodiscard]] const CellWorldResult& result() const { return result_; }
 
  private:
+  // A turn of a loop that takes long.
+  struct Turn {
+    Time ends_at;
+    // When it read its input.
+    Time heard_until;
+    // Whether the long part comes after Tick(); it comes before otherwise.
+    bool is_ticked = false;
+    // What Tick() brought about.
+    RaftOutputs outputs;
+    // Input that was read and is handled after the long part.
+    std::vector<std::function<void()>> unhandled;
+  };
+
   struct Replica {
     std::string id;
     // Rises with the order of first starts.
@@ -195,6 +248,21 @@
     // A digest of all applied entries.
     std::uint64_t digest = 0;
     std::uint64_t snapshot_at = 0;
+    // The long turn that is under way, and what has arrived meanwhile.
+    std::optional<Turn> turn;
+    std::vector<std::function<void()>> inputs;
+    // Whether it handles input, whose outputs leave later.
+    bool holds_outputs = false;
+    // When its latest long turns, one right after the other, began and ended.
+    Time turned_since;
+    Time turned_until;
+    // When the latest ended that made it busy.
+    Time busy_until;
+    // When it was last down, frozen or cut off.
+    Time hindered_until;
+    Time frozen_at;
+    // The latest term in which it was seen to lead.
+    std::uint64_t led_term = 0;
 
     [[nodiscard]] bool IsHealthy() const {
       return core != nullptr && !is_frozen && !cut;
@@ -251,8 +319,28 @@
   // Proposes more entries than a leader retains, so that a replica that starts
   // empty gets a snapshot.
   void FillLog();
-  // Runs now, or when the process goes on.
+  // Runs now, or when the process goes on and its loop reads again.
   void RunAwake(Replica& replica, std::function<void()> run);
+  // Carries out what a step of a core has brought about.
+  void CarryOut(Replica& replica, RaftOutputs out);
+
+  // --- Long turns ---
+  [[nodiscard]] bool MayTakeTurns() const;
+  // Plans the next long turn of a replica.
+  void PlanTurn(Replica& replica, Duration pause);
+  // Begins a long turn that has read `input`, of which the first `handled` are
+  // handled at once.
+  void BeginTurn(Replica& replica,
+                 std::vector<std::function<void()>> input,
+                 std::size_t handled);
+  void EndTurn(Replica& replica);
+  // Reads what has arrived during a long turn.
+  void LookUp(Replica& replica);
+  // Begins a long turn if the replica has just become the leader. Returns
+  // whether it has begun.
+  bool TakeFirstTurn(Replica& replica);
+  [[nodiscard]] bool ChanceOfTurn(std::uint64_t percent);
+  [[nodiscard]] Duration DrawForTurn(Duration least, Duration most);
 
   // --- Events ---
   void PlayEvent(const CellWorldOptions& options, EventKind kind);
@@ -275,6 +363,8 @@
   void RenewSeeds(Replica& replica);
   [[nodiscard]] bool HasPlannedSuccessor(const std::string& id) const;
   [[nodiscard]] Place* PlaceOf(const std::string& id);
+  // Whether its replica has come back and may not be a voter again.
+  [[nodiscard]] bool IsCatchingUp(const Place& place) const;
   [[nodiscard]] bool IsLost(const Place& place) const;
   [[nodiscard]] int Lost() const;
   [[nodiscard]] Duration Between(Duration least, Duration most);
@@ -289,6 +379,17 @@
   // to have reached.
   void CheckEnd(std::uint64_t acknowledged);
   void NoteRole(const Replica& replica);
+  // Judges what a leader says about other voters.
+  void JudgeEvent(const Replica& leader, const Event& event);
+  // Since when a leader's silent voters must have been answering.
+  [[nodiscard]] Time SilenceFrom(const Replica& leader) const;
+  // Whether a replica has run, has been connected and hasn't been busy since.
+  [[nodiscard]] bool HasAnsweredSince(Time from, const MemberId& member) const;
+  [[nodiscard]] bool IsBusy(const Replica& replica) const;
+  // Whether any replica has been in a long turn since.
+  [[nodiscard]] bool HasTakenTurnSince(Time from) const;
+  [[nodiscard]] bool IsOrWasBusy(const Replica& replica, Time since) const;
+  [[nodiscard]] bool HasBeenBusySince(Time from) const;
   void Apply(Replica& replica, const LogEntry& entry);
   void CompareDigest(const Replica& replica);
   void Complain(const std::string& rule, const std::string& detail);
@@ -300,6 +401,9 @@
   int losses_;
   CellLoad load_;
   Random random_;
+  // Apart, so that the same seed plays the same events.
+  Random turn_random_;
+  bool are_turns_over_ = false;
   Time now_;
   std::uint64_t next_order_ = 0;
   // A heap by time.
--- a/tests/unit/cell_world_test.cc
+++ b/tests/unit/cell_world_test.cc
@@ -279,6 +279,56 @@
   return section;
 }
 
+// Turns of the replicas' loops that take up to 5 s.
+constexpr CellLoad kLongTurns{.turns = LongTurns{}};
+
+// The same while the log grows.
+constexpr CellLoad kLongTurnsUnderLoad{
+    .entries_per_second = 400,
+    .burst_entries = 4,
+    .snapshot_entries = 2000,
+    .min_sync = Millis(4),
+    .max_sync = Millis(30),
+    .turns = LongTurns{},
+};
+
+// Nothing but turns; the leadership is handed over to have leaders whose first
+// turn is long.
+constexpr CellEvents kTransfersAlone{.transfers = true};
+
+// The series that a cell goes through while its replicas are busy. Guards
+// against leaders that take their own long turns for the others' silence, and
+// against voters that are voted out for them.
+Section BusyStory(int size) {
+  const std::string name =
+      "a cell of " + std::to_string(size) + " with long turns";
+  const auto series = [size](const CellEvents& events, const CellLoad& load) {
+    return [size, events, load] {
+      Play({.size = size,
+            .losses = LossesOf(size),
+            .load = load,
+            .events = events});
+    };
+  };
+  const auto keeps_leaders = [size] {
+    constexpr int kTransfers = 24;
+    Play({.size = size,
+          .losses = LossesOf(size),
+          .load = kLongTurns,
+          .events = kTransfersAlone,
+          .event_count = kTransfers});
+  };
+  Section section(name);
+  section.Then(name + " keeps its leaders", keeps_leaders)
+      .Then(name + " bears what keeps all disks",
+            series(kAllDisksKept, kLongTurns))
+      .Then(name + " bears everything together",
+            series(kEverything, kLongTurns))
+      .Then(name + " under load bears everything together",
+            series(kEverything, kLongTurnsUnderLoad));
+  return section;
+}
+
 // A replica that runs and isn't the leader.
 std::string AnyFollower(const CellWorld& world) {
   for (const std::string& id : world.Running()) {
@@ -490,6 +540,7 @@
   for (const int size : {3, 5}) {
     section.With(LoadStory(size));
     section.With(SlowDiskStory(size));
+    section.With(BusyStory(size));
   }
   return section;
 }
