Simulation of a cell: what long turns excuse, counted out

Worlds with long turns complained where the cell could do nothing: a lost disk whose catch-up time ran out while all others were in turns, so that the next loss came before it could be a voter again; a busy voter that had been voted out and was taken for a voter by the budget of losses; a voter that was asked to stop and was removed.

A place that catches up begins anew after a replica was busy, and one whose busy replica is voted out counts as lost for as long as a restarted one. Removal is judged for voters that weren't asked to stop.

--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -133,16 +133,17 @@
 //
 // With long turns, a replica is busy while its turns, one right after the
 // other, have taken more than kLongestBusy: a check of the quorum less a
-// heartbeat interval and the delays. A place counts as lost for it only if its
-// replica is busy, or was within kCellCatchUp, and has been voted out. If any
-// replica is busy before a lost place has caught up, its kCellCatchUp begins
-// anew. Then must hold as well:
+// heartbeat interval and the delays. A place counts as lost for it only once
+// its replica has been voted out while it was busy or within kCellCatchUp after
+// it, for kCellCatchUp. If any replica is busy before a lost place has caught
+// up, its kCellCatchUp begins anew when that replica isn't any more. Then must
+// hold as well:
 //
 // - no leader steps down as its quorum is silent, logs a voter as silent or
-//   removes it, if a majority of the voters, or that voter, has run, has been
-//   connected and hasn't been busy since kSilence before the leader's latest
-//   turns began. The leader itself has to run and to be connected, and may be
-//   busy;
+//   removes one that wasn't asked to stop, if a majority of the voters, or that
+//   voter, has run, has been connected and hasn't been busy since kSilence
+//   before the leader's latest turns began. The leader itself has to run and to
+//   be connected, and may be busy;
 // - once no replica has been in a long turn for kTurnsCatchUp, in calm time,
 //   there is a leader that holds its lease, and none steps down.
 //
@@ -228,6 +229,8 @@
     std::unique_ptr<VirtualDisk> disk;
     std::unique_ptr<RaftCore> core;
     bool is_departed = false;
+    // Whether it was asked to stop.
+    bool is_leaving = false;
     bool is_frozen = false;
     std::optional<CutKind> cut;
     bool keeps_messages = false;
@@ -334,6 +337,9 @@
                  std::vector<std::function<void()>> input,
                  std::size_t handled);
   void EndTurn(Replica& replica);
+  void NoteTurnEnds(Replica& replica);
+  // Notes the loss of places whose replicas were voted out as they were busy.
+  void NoteVotedOut(const Membership& before);
   // Reads what has arrived during a long turn.
   void LookUp(Replica& replica);
   // Begins a long turn if the replica has just become the leader. Returns
