Simulation of a cell: compare what a leader has by terms

The simulation asked a new leader for all entries that had been acknowledged by then.

What Raft promises is stated by terms: a leader has all entries that leaders of earlier terms acknowledged. That is what is compared now; for leaders that are elected in the order of their terms it is the check of before.

--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -128,7 +128,7 @@
 //   majority also survives the loss of any voters up to `losses` in all, and
 //   there is a leader that holds its lease;
 // - all replicas apply the same entries, and a leader has all entries that
-//   were acknowledged before its election;
+//   were acknowledged by leaders of earlier terms;
 // - no term has two leaders, and no two replicas hold a lease.
 //
 // With long turns, a replica is busy while its turns, one right after the
@@ -427,6 +427,9 @@
   // The digest after each index that any replica has applied.
   std::map<std::uint64_t, std::uint64_t> digests_;
   std::uint64_t acknowledged_index_ = 0;
+  // The last index that each term's leader acknowledged first. Indices rise
+  // with terms.
+  std::map<std::uint64_t, std::uint64_t> acknowledged_by_term_;
   Membership membership_;
   std::uint64_t membership_index_ = 0;
   std::map<std::uint64_t, MemberId> leaders_;
