Control: apply the log in parts, with messages handled between them

Callers saw no leader for seconds after a replica had restarted on a busy core: it applied its whole log, 2 to 5 MB, in one turn, and meanwhile neither read nor answered a heartbeat.

TakeOutputs() of the control core went on until nothing was left. It applies one part now, of at most 64 KiB and 128 entries (1 MiB, without a bound on entries), and HasMoreToApply() lets the loop go on without waiting for input.

What relied on all being applied in one call: - A leader settles once it has applied all that is committed, as before, so that reads and submissions are refused until then. Commands are acknowledged when they are applied, so that a settled leader that has more to apply answers with nothing older than it has acknowledged. - A replica that has left entries to apply told its processes that it is fresh. It says so only after the last part. - The latest configuration of the log is sent after the last part.

"applies a long log at once" demanded that one call applies everything. In its place "serves only after it has applied a long log" demands that each read before the last part is refused, each heartbeat is told that the replica isn't fresh, and the read after it sees the last entry. The bound of "returns committed entries in parts" is stricter. These two, "applies a long log in parts" and "returns small committed entries in parts" fail on the code before.

--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -124,9 +124,25 @@
   // Starts a planned shutdown: transfers the leadership to another replica.
   void Leave(Time now);
 
-  // Returns and clears the side effects requested since the last call.
+  // Returns and clears the side effects requested since the last call. Applies
+  // a bounded part of the committed entries.
   [[nodiscard]] ControlOutputs TakeOutputs(Time now, WallMillis wall);
 
+  // Whether committed entries are left to apply, so that TakeOutputs() should
+  // be called again without waiting for input.
+  [[nodiscard]] bool HasMoreToApply() const noexcept {
+    return raft_.HasMoreCommitted();
+  }
+
+  // Whether the state is as recent as the last contact with the leader; see
+  // RaftCore::IsFresh(). False after a TakeOutputs() that has left entries to
+  // apply, and while committed entries from disk are not applied.
+  [[nodiscard]] bool IsFresh(Time now) const {
+    const bool is_restoring =
+        HasMoreToApply() && applied_index_ < restored_index_;
+    return !is_behind_ && !is_restoring && raft_.IsFresh(now);
+  }
+
   [[nodiscard]] const RaftCore& raft() const noexcept { return raft_; }
   [[nodiscard]] const ControlState& state() const noexcept { return state_; }
   // See GraphLeader::starved_time().
@@ -307,8 +323,10 @@
   std::uint64_t restored_index_ = 0;
   // Whether entries restored from disk have changed the service plan since it
   // was last sent. A long log may hold many changes, of which only the last one
-  // is sent.
+  // is sent, after all parts of the log.
   bool has_restored_plan_ = false;
+  // Whether the last TakeOutputs() left committed entries to apply.
+  bool is_behind_ = false;
   std::map<std::string, AttachedProcess> attached_;
   PlanSender plan_sender_;
   PlanWatch plan_watch_;
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -22,8 +22,9 @@
 // snapshot is sent faster than the entries.
 constexpr std::size_t kRetainedBytes = 4U << 20U;
 // TakeOutputs() returns no further committed entry once their data reaches this
-// size.
-constexpr std::size_t kMaxCommittedBytes = 1U << 20U;
+// size, or their number this one. A replica hears no message meanwhile.
+constexpr std::size_t kMaxCommittedBytes = 64U << 10U;
+constexpr std::size_t kMaxCommittedEntries = 128;
 // Interval between join requests of a replica outside a cell.
 constexpr Duration kJoinInterval = Millis(300);
 // Maximum number of heartbeat rounds whose send times are stored.
@@ -1146,7 +1147,8 @@
     pending_ = PersistBatch{};
   }
   std::size_t bytes = 0;
-  while (HasMoreCommitted() && bytes < kMaxCommittedBytes) {
+  while (HasMoreCommitted() && bytes < kMaxCommittedBytes &&
+         out_.committed.size() < kMaxCommittedEntries) {
     ++emitted_index_;
     out_.committed.push_back(log_.At(emitted_index_));
     bytes += out_.committed.back().data.size();
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -169,7 +169,7 @@
     attached.table_version = entry->table_version;
     SendNewerVersions(from.id, entry->config_version, entry->table_version);
     outputs_.messages.push_back(
-        {from.id, EntryHeartbeatAck{entry->seq, raft_.IsFresh(now)}});
+        {from.id, EntryHeartbeatAck{entry->seq, IsFresh(now)}});
   } else if (const auto* agent = std::get_if<Heartbeat>(&message)) {
     SendNewerVersions(from.id, agent->config_version,
                       state_.endpoints_version());
@@ -187,8 +187,7 @@
       AnnouncePlan(peer, status.delivery);
     }
   }
-  outputs_.messages.push_back(
-      {peer, EntryStatusAck{status.seq, raft_.IsFresh(now)}});
+  outputs_.messages.push_back({peer, EntryStatusAck{status.seq, IsFresh(now)}});
 }
 
 void ControlCore::AnnouncePlan(const std::string& peer, PlanDelivery delivery) {
@@ -877,14 +876,13 @@
     outputs_.messages.push_back({replica, std::move(relay)});
   }
   pending_relay_down_.clear();
+  is_behind_ = HasMoreToApply();
   return std::exchange(outputs_, ControlOutputs{});
 }
 
 void ControlCore::CollectRaftOutputs(Time now) {
-  do {
-    HandleRaftOutputs(now, raft_.TakeOutputs(now));
-  } while (raft_.HasMoreCommitted());
-  if (std::exchange(has_restored_plan_, false)) {
+  HandleRaftOutputs(now, raft_.TakeOutputs(now));
+  if (!HasMoreToApply() && std::exchange(has_restored_plan_, false)) {
     BroadcastPlan(now);
   }
 }
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -367,7 +367,9 @@
 void ControlProcess::RunCore() {
   Time next_maintenance = MonotonicClock::now();
   while (!must_end_) {
-    const Time wait_deadline = MonotonicClock::now() + kTickInterval;
+    const Time wait_start = MonotonicClock::now();
+    const Time wait_deadline =
+        core_->HasMoreToApply() ? wait_start : wait_start + kTickInterval;
     std::vector<Input> batch = inputs_.PopAll(wait_deadline);
     turn_.Begin(MonotonicClock::now(), wait_deadline, batch.size(),
                 ThreadCpuTime());
@@ -472,7 +474,7 @@
   }
   HttpReply reply = AnswerQuery(*core_, query.path, now);
   reply.fields.push_back(
-      {"Banyan-Fresh", core_->raft().IsFresh(now) ? "true" : "false"});
+      {"Banyan-Fresh", core_->IsFresh(now) ? "true" : "false"});
   pending_.Resolve(query.ticket, std::move(reply));
 }
 
--- a/src/process/operator_api.cc
+++ b/src/process/operator_api.cc
@@ -200,7 +200,7 @@
   }
   const Membership& membership = core.raft().log().membership();
   return {{"leader", core.raft().leader()},
-          {"fresh", core.raft().IsFresh(now)},
+          {"fresh", core.IsFresh(now)},
           {"term", core.raft().term()},
           {"commit_index", core.raft().commit_index()},
           {"voters", membership.voters},
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -918,7 +918,7 @@
     const RaftOutputs out = follower.TakeOutputs(kStart);
     count = out.committed.size();
     CPPUNIT_ASSERT_MESSAGE(std::to_string(count) + " entries at once",
-                           count * kLargeEntryBytes <= kMebibyte);
+                           count <= 1);
     for (const LogEntry& entry : out.committed) {
       CPPUNIT_ASSERT_EQUAL(last + 1, entry.index);
       last = entry.index;
@@ -927,6 +927,33 @@
   CPPUNIT_ASSERT_EQUAL(kLargeEntries + 1, last);
 }
 
+// Guards against a replica that hears no heartbeat while it applies thousands
+// of small entries, whose number costs more than their size.
+void SmallCommittedEntriesAreReturnedInParts() {
+  constexpr std::uint64_t kEntries = 5000;
+  constexpr std::size_t kMaxEntries = 128;
+  RestoredLog log = LargeLog();
+  log.entries.clear();
+  for (std::uint64_t i = 0; i < kEntries; ++i) {
+    log.entries.push_back({1, i + 2, EntryKind::kCommand, "x"});
+  }
+  RaftCore follower = MakeFollower(std::move(log));
+  AppendRequest append;
+  append.target = 2;
+  append.term = 1;
+  append.prev_index = kEntries + 1;
+  append.prev_term = 1;
+  append.commit = kEntries + 1;
+  follower.Receive(kStart, {"c0", 1}, append);
+  std::size_t total = 0;
+  while (follower.HasMoreCommitted()) {
+    const std::size_t count = follower.TakeOutputs(kStart).committed.size();
+    CPPUNIT_ASSERT(count > 0 && count <= kMaxEntries);
+    total += count;
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{kEntries}, total);
+}
+
 // Guards against copies of the same entries that queue on the link to a replica
 // which has yet to answer the first.
 void LaggingReplicaBehindSlowLinkGetsEntriesOnce() {
@@ -1033,7 +1060,9 @@
                 .Then("retains entries that are smaller than the snapshot",
                       EntriesSmallerThanSnapshotAreRetained)
                 .Then("returns committed entries in parts",
-                      CommittedEntriesAreReturnedInParts))
+                      CommittedEntriesAreReturnedInParts)
+                .Then("returns small committed entries in parts",
+                      SmallCommittedEntriesAreReturnedInParts))
       .With(
           Section("votes")
               .Then("a vote is sent only after it is on disk",
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -488,8 +488,8 @@
  public:
   static constexpr std::uint64_t kEntries = 40;
 
-  // Runs until the replica leads. Returns the number of configurations that it
-  // sends to the entry process.
+  // Runs until the replica holds a leader's lease and has applied its log.
+  // Returns the number of configurations that it sends to the entry process.
   std::ptrdiff_t RunUntilLeading() {
     // The state of the snapshot is broadcast before the process is attached.
     HandleOutputs();
@@ -502,10 +502,31 @@
       plans += HandleOutputs();
     }
     CPPUNIT_ASSERT(core_.raft().HoldsLease(now_));
-    return plans + HandleOutputs();
+    while (core_.HasMoreToApply()) {
+      plans += ApplyPart();
+    }
+    return plans;
+  }
+
+  // Applies the next part of the log after a read and after the entry process
+  // has sent its status. Returns the number of configurations that are sent.
+  std::ptrdiff_t ApplyPart() {
+    ++parts_;
+    core_.Query(now_, kGraphStart, parts_, CellQueryKind::kPlanVersion, "");
+    core_.Receive(now_, kGraphStart, {"edge-0", 1}, EntryHeartbeat{});
+    return HandleOutputs();
   }
 
   [[nodiscard]] const ControlCore& core() const { return core_; }
+  [[nodiscard]] std::uint64_t parts() const { return parts_; }
+  // The replies to reads, and whether each heartbeat of the entry process was
+  // told that the replica is fresh.
+  [[nodiscard]] const std::vector<CommandResult>& reads() const {
+    return reads_;
+  }
+  [[nodiscard]] const std::vector<bool>& freshness() const {
+    return freshness_;
+  }
 
  private:
   static ControlOptions Options() {
@@ -520,6 +541,14 @@
     for (const PersistBatch& batch : out.persists) {
       core_.OnPersisted(now_, batch.seq);
     }
+    for (const LocalReply& reply : out.local_replies) {
+      reads_.push_back(reply.result);
+    }
+    for (const Outbound& outbound : out.messages) {
+      if (const auto* ack = std::get_if<EntryHeartbeatAck>(&outbound.message)) {
+        freshness_.push_back(ack->fresh);
+      }
+    }
     return std::count_if(
         out.messages.begin(), out.messages.end(), [](const Outbound& outbound) {
           return std::holds_alternative<PlanUpdate>(outbound.message);
@@ -528,15 +557,43 @@
 
   Time now_{std::chrono::seconds(1000)};
   ControlCore core_{Options(), LargeLog(kEntries), now_};
+  std::uint64_t parts_ = 0;
+  std::vector<CommandResult> reads_;
+  std::vector<bool> freshness_;
 };
 
 // Guards against a restarted replica that serves before it has applied a log
 // that is longer than what consensus returns at once.
-void RestartAppliesLongLog() {
+void RestartServesAfterLongLog() {
   RestartedReplica replica;
   replica.RunUntilLeading();
   CPPUNIT_ASSERT_EQUAL(RestartedReplica::kEntries + 1,
                        replica.core().state().graphs().plan().version);
+  CPPUNIT_ASSERT(replica.parts() > 0);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{replica.parts()}, replica.reads().size());
+  for (const CommandResult& read : replica.reads()) {
+    CPPUNIT_ASSERT(!read.ok);
+    CPPUNIT_ASSERT(read.error == ErrorKind::kNotLeader);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{replica.parts()},
+                       replica.freshness().size());
+  for (const bool is_fresh : replica.freshness()) {
+    CPPUNIT_ASSERT(!is_fresh);
+  }
+  replica.ApplyPart();
+  CPPUNIT_ASSERT_MESSAGE("after the last part", replica.reads().back().ok);
+  CPPUNIT_ASSERT_EQUAL(RestartedReplica::kEntries + 1,
+                       replica.reads().back().version);
+  CPPUNIT_ASSERT(replica.freshness().back());
+}
+
+// Guards against a replica that hears no heartbeat, and counts as lost, while
+// it applies its whole log in one turn.
+void RestartAppliesLongLogInParts() {
+  RestartedReplica replica;
+  replica.RunUntilLeading();
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(replica.parts()) + " parts",
+                         replica.parts() >= RestartedReplica::kEntries);
 }
 
 // Guards against a restart that needs the memory of all configurations in the
@@ -683,13 +740,16 @@
 Section ControlCoreStory() {
   Section story("The control core");
   story
-      .With(Section("after a restart")
-                .Then("does not repeat events of entries restored from disk",
-                      RestartRepeatsNoEvents)
-                .Then("holds the restored log once", RestartMovesTheLog)
-                .Then("applies a long log at once", RestartAppliesLongLog)
-                .Then("sends only the latest configuration of its log",
-                      RestartSendsLatestPlanOnly))
+      .With(
+          Section("after a restart")
+              .Then("does not repeat events of entries restored from disk",
+                    RestartRepeatsNoEvents)
+              .Then("holds the restored log once", RestartMovesTheLog)
+              .Then("serves only after it has applied a long log",
+                    RestartServesAfterLongLog)
+              .Then("applies a long log in parts", RestartAppliesLongLogInParts)
+              .Then("sends only the latest configuration of its log",
+                    RestartSendsLatestPlanOnly))
       .With(Section("replying to a process that has restarted")
                 .Then("sends no reply to a request of the process before",
                       ReplyToAnEndedProcessIsDropped)
