--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -38,6 +38,7 @@
 void RunPath(Figures& figures, const std::string& binaries);
 void RunCapacity(Figures& figures);
 void RunPlacementPass(Figures& figures);
+void RunRestart(Figures& figures);
 
 }  // namespace banyan
 
--- a/tests/bench/bench_main.cc
+++ b/tests/bench/bench_main.cc
@@ -1,4 +1,4 @@
-// banyan-bench BINARIES [--only routing|batch|path|capacity|placement]
+// banyan-bench BINARIES [--only routing|batch|path|capacity|placement|restart]
 //              [--csv FILE]
 
 #include <algorithm>
@@ -48,7 +48,7 @@
   }
   if (words.empty()) {
     std::cerr << "usage: banyan-bench BINARIES "
-                 "[--only routing|batch|path|capacity|placement] "
+                 "[--only routing|batch|path|capacity|placement|restart] "
                  "[--csv FILE]\n";
     return 64;
   }
@@ -68,6 +68,9 @@
   if (only.empty() || only == "placement") {
     banyan::RunPlacementPass(figures);
   }
+  if (only.empty() || only == "restart") {
+    banyan::RunRestart(figures);
+  }
   if (!csv.empty()) {
     figures.WriteCsv(csv);
   }
