--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -131,13 +131,13 @@
 //   were acknowledged by leaders of earlier terms;
 // - no term has two leaders, and no two replicas hold a lease.
 //
-// With long turns, a replica is busy while its turns, one right after the
-// other, have taken more than kLongestBusy: a check of the quorum less a
-// heartbeat interval and the delays. A place counts as lost for it only once
-// its replica has been voted out while it was busy or within kCellCatchUp after
-// it, for kCellCatchUp. If any replica is busy before a lost place has caught
-// up, its kCellCatchUp begins anew when that replica isn't any more. Then must
-// hold as well:
+// With long turns, a replica is busy while its turns, one after the other
+// within kLeastPause, have taken more than kLongestBusy: a check of the quorum
+// less a heartbeat interval and the delays. A place counts as lost for it only
+// once its replica has been voted out while it was busy or within kCellCatchUp
+// after it, for kCellCatchUp. If any replica is busy before a lost place has
+// caught up, its kCellCatchUp begins anew when that replica isn't any more.
+// Then must hold as well:
 //
 // - no leader steps down as its quorum is silent, logs a voter as silent or
 //   removes one that wasn't asked to stop, if a majority of the voters, or that
@@ -256,7 +256,7 @@
     std::vector<std::function<void()>> inputs;
     // Whether it handles input, whose outputs leave later.
     bool holds_outputs = false;
-    // When its latest long turns, one right after the other, began and ended.
+    // When its latest long turns, one after the other, began and ended.
     Time turned_since;
     Time turned_until;
     // When the latest ended that made it busy.
