Network: keep one connection when an attempt to dial is repeated

A process whose path to a peer had been cut off for some seconds, and had come back, lost and regained the connection about every 300 ms, without end while it dialled the same address (an entry its agents); an entry or agent whose connection to its replica went changed the replica, once.

An attempt that is overdue after 3 s is repeated while the first one may still succeed, or fail as late as after 5 s. The network noted open addresses in a set: the end of either attempt removed the address though the other connection was open, so that the next maintenance dialled again, the new connection replaced the open one, and its end removed the address again. Replicas among themselves dial no peer that is connected.

Open addresses are now those of the open connections. The test repeats an attempt at once and counts the connections lost in 1.5 s: more than one before, at most the replaced one now. Found by reading; not seen in a run of processes.

--- a/include/banyan/net/peer_network.h
+++ b/include/banyan/net/peer_network.h
@@ -98,11 +98,11 @@
   std::map<std::string, Peer> peers_;
   // Ids of the peers, for connections whose PeerHello has arrived.
   std::map<ConnectionId, std::string> peer_by_connection_;
-  // Dialled addresses, for open outgoing connections.
+  // Dialled addresses, for open outgoing connections. An address can have more
+  // than one while an attempt that was repeated is replaced.
   std::map<ConnectionId, std::string> address_by_connection_;
   // The earliest time of the next attempt to dial each maintained address.
   std::map<std::string, Time> next_dial_at_;
-  std::set<std::string> open_addresses_;
   bool is_symmetric_ = false;
   Transport transport_;
 };
--- a/src/net/peer_network.cc
+++ b/src/net/peer_network.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -59,6 +60,10 @@
   std::vector<ConnectionId> to_close;
   {
     const std::lock_guard lock(mutex_);
+    std::set<std::string_view> open_addresses;
+    for (const auto& [connection, address] : address_by_connection_) {
+      open_addresses.insert(address);
+    }
     for (const std::string& address : addresses) {
       if (is_symmetric_ && peers_.contains(address)) {
         continue;
@@ -67,7 +72,7 @@
           next_dial_at_.try_emplace(address, EarliestDialTime(now, address))
               .first;
       const bool is_due = next_dial->second <= now;
-      if (!open_addresses_.contains(address) && is_due) {
+      if (!open_addresses.contains(address) && is_due) {
         next_dial_at_[address] = now + kDialTimeout;
         to_dial.push_back(address);
       }
@@ -159,7 +164,6 @@
   {
     const std::lock_guard lock(mutex_);
     address_by_connection_[connection] = address;
-    open_addresses_.insert(address);
   }
   SendOn(connection, PeerHello{});
 }
@@ -221,7 +225,6 @@
   {
     const std::lock_guard lock(mutex_);
     if (!address.empty()) {
-      open_addresses_.erase(address);
       address_by_connection_.erase(connection);
       next_dial_at_[address] =
           EarliestDialTime(MonotonicClock::now() + kRedialInterval, address);
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -93,6 +93,7 @@
       .With(InterferenceStory())
       .With(OverloadedWorkerStory())
       .With(PacerStory())
+      .With(PeerNetworkStory())
       .With(PlanCheckStory())
       .With(PlanTransferStory())
       .With(PlanWatchStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -91,6 +91,7 @@
 Section InterferenceStory();
 Section OverloadedWorkerStory();
 Section PacerStory();
+Section PeerNetworkStory();
 Section PlanCheckStory();
 Section PlanTransferStory();
 Section PlanWatchStory();
