Network: two peers that dial at the same time keep the same connection

Two replicas that dialled each other at about the same time closed both connections, lost each other (peer-down on both sides, messages of the raft dropped) and could do so again and again: each side kept the connection whose PeerHello it had read last, which is the other one on each side if both were open before either PeerHello was read. The head start of 700 ms of the lesser id counts from the first maintenance of each process, so that a greater id that starts 700 ms earlier, or a handshake that takes longer, uses it up.

The connection that the lesser id has opened stays now: it closes an accepted one that comes within the dial timeout of its own, unless the peer is known to be another incarnation, and an attempt that succeeds while the peer is connected is closed before its PeerHello. After the dial timeout the newest connection counts as before, so that one that is lost without an end doesn't keep its peer out.

The relay of the tests can pass on late, and hold.

--- a/include/banyan/net/peer_network.h
+++ b/include/banyan/net/peer_network.h
@@ -45,8 +45,8 @@
 
   // For peers that dial each other and whose ids are their addresses. A
   // connected peer is not dialled, whichever side opened the connection, and
-  // the side with the greater id dials later, so that the two do not connect
-  // twice.
+  // the side with the greater id dials later, so that the two seldom connect
+  // twice. If they do, the connection that the lesser id has opened stays.
   void set_symmetric() { is_symmetric_ = true; }
 
   // Starts the network thread.
@@ -82,10 +82,22 @@
     std::string address;
   };
 
+  // An open outgoing connection.
+  struct Outgoing {
+    std::string address;
+    // Until then an accepted connection from the same peer may be one that
+    // crossed it.
+    Time crossed_until;
+  };
+
   void OnOpen(ConnectionId connection, const std::string& address);
   void OnFrame(ConnectionId connection, const std::string& frame);
   void OnClose(ConnectionId connection, const std::string& address);
   void Register(ConnectionId connection, const Sender& sender);
+  // Returns whether a connection whose PeerHello has arrived has crossed one
+  // that this side, which has the lesser id, has opened to the same peer.
+  [[nodiscard]] bool HasCrossed(ConnectionId connection,
+                                const Sender& sender) const;
   void SendOn(ConnectionId connection, const Message& message);
   [[nodiscard]] Time EarliestDialTime(Time now,
                                       const std::string& address) const;
@@ -98,9 +110,9 @@
   std::map<std::string, Peer> peers_;
   // Ids of the peers, for connections whose PeerHello has arrived.
   std::map<ConnectionId, std::string> peer_by_connection_;
-  // Dialled addresses, for open outgoing connections. An address can have more
-  // than one while an attempt that was repeated is replaced.
-  std::map<ConnectionId, std::string> address_by_connection_;
+  // An address can have more than one while an attempt that was repeated is
+  // replaced.
+  std::map<ConnectionId, Outgoing> outgoing_;
   // The earliest time of the next attempt to dial each maintained address.
   std::map<std::string, Time> next_dial_at_;
   bool is_symmetric_ = false;
--- a/src/net/peer_network.cc
+++ b/src/net/peer_network.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -61,8 +62,8 @@
   {
     const std::lock_guard lock(mutex_);
     std::set<std::string_view> open_addresses;
-    for (const auto& [connection, address] : address_by_connection_) {
-      open_addresses.insert(address);
+    for (const auto& [connection, outgoing] : outgoing_) {
+      open_addresses.insert(outgoing.address);
     }
     for (const std::string& address : addresses) {
       if (is_symmetric_ && peers_.contains(address)) {
@@ -77,8 +78,8 @@
         to_dial.push_back(address);
       }
     }
-    for (const auto& [connection, address] : address_by_connection_) {
-      if (!addresses.contains(address)) {
+    for (const auto& [connection, outgoing] : outgoing_) {
+      if (!addresses.contains(outgoing.address)) {
         to_close.push_back(connection);
       }
     }
@@ -161,11 +162,35 @@
   if (address.empty()) {
     return;
   }
+  bool is_redundant = false;
   {
     const std::lock_guard lock(mutex_);
-    address_by_connection_[connection] = address;
+    is_redundant = is_symmetric_ && peers_.contains(address);
+    if (!is_redundant) {
+      outgoing_[connection] = {address, MonotonicClock::now() + kDialTimeout};
+    }
+  }
+  if (is_redundant) {
+    transport_.Close(connection);
+  } else {
+    SendOn(connection, PeerHello{});
+  }
+}
+
+bool PeerNetwork::HasCrossed(ConnectionId connection,
+                             const Sender& sender) const {
+  if (!is_symmetric_ || sender.id < id_ || outgoing_.contains(connection)) {
+    return false;
+  }
+  const auto known = peers_.find(sender.id);
+  if (known != peers_.end() &&
+      known->second.incarnation != sender.incarnation) {
+    return false;
   }
-  SendOn(connection, PeerHello{});
+  const Time now = MonotonicClock::now();
+  return std::any_of(outgoing_.begin(), outgoing_.end(), [&](const auto& item) {
+    return item.second.address == sender.id && now < item.second.crossed_until;
+  });
 }
 
 void PeerNetwork::Register(ConnectionId connection, const Sender& sender) {
@@ -173,13 +198,17 @@
   std::string address;
   {
     const std::lock_guard lock(mutex_);
+    if (HasCrossed(connection, sender)) {
+      transport_.Close(connection);
+      return;
+    }
     const auto known = peers_.find(sender.id);
     if (known != peers_.end() && known->second.connection != connection) {
       replaced = known->second.connection;
       peer_by_connection_.erase(replaced);
     }
-    const auto outgoing = address_by_connection_.find(connection);
-    address = outgoing == address_by_connection_.end() ? "" : outgoing->second;
+    const auto outgoing = outgoing_.find(connection);
+    address = outgoing == outgoing_.end() ? "" : outgoing->second.address;
     peers_[sender.id] = {connection, sender.incarnation, address};
     peer_by_connection_[connection] = sender.id;
   }
@@ -225,7 +254,7 @@
   {
     const std::lock_guard lock(mutex_);
     if (!address.empty()) {
-      address_by_connection_.erase(connection);
+      outgoing_.erase(connection);
       next_dial_at_[address] =
           EarliestDialTime(MonotonicClock::now() + kRedialInterval, address);
     }
--- a/tests/fakes/relay.cc
+++ b/tests/fakes/relay.cc
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <cstdlib>
+#include <deque>
+#include <string_view>
 #include <vector>
 
 namespace banyan {
@@ -26,18 +28,27 @@
   return result;
 }
 
+// Bytes on their way, or the end of the connection if there are none.
+struct Chunk {
+  Time due_at;
+  int to = -1;
+  std::string bytes;
+};
+
 // A relayed connection; its two sockets live as long as it does.
 struct Pair {
   int near = -1;
   int far = -1;
+  bool has_ended = false;
+  std::deque<Chunk> chunks;
 };
 
 }  // namespace
 
 class Relay::Impl {
  public:
-  Impl(const std::string& from, const std::string& to)
-      : target_(ToSockaddr(to)) {
+  Impl(const std::string& from, const std::string& to, Duration delay)
+      : target_(ToSockaddr(to)), delay_(delay) {
     const sockaddr_in own = ToSockaddr(from);
     listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int yes = 1;
@@ -67,52 +78,73 @@
       }
       std::vector<pollfd> polled = {{listener_, POLLIN, 0}};
       for (const Pair& pair : pairs_) {
-        polled.push_back({pair.near, POLLIN, 0});
-        polled.push_back({pair.far, POLLIN, 0});
+        const bool is_read = !pair.has_ended && mode_ != Mode::kHold;
+        polled.push_back({is_read ? pair.near : -1, POLLIN, 0});
+        polled.push_back({is_read ? pair.far : -1, POLLIN, 0});
       }
       ::poll(polled.data(), polled.size(), kPollMs);
       std::vector<Pair> kept;
       for (std::size_t i = 0; i < pairs_.size(); ++i) {
-        const bool near_ready = polled[1 + 2 * i].revents != 0;
-        const bool far_ready = polled[2 + 2 * i].revents != 0;
-        const bool is_open =
-            (!near_ready || Move(pairs_[i].near, pairs_[i].far, true)) &&
-            (!far_ready || Move(pairs_[i].far, pairs_[i].near, false));
-        if (is_open) {
-          kept.push_back(pairs_[i]);
+        Pair& pair = pairs_[i];
+        if (polled[1 + 2 * i].revents != 0) {
+          Receive(pair, pair.near, pair.far, true);
+        }
+        if (polled[2 + 2 * i].revents != 0) {
+          Receive(pair, pair.far, pair.near, false);
+        }
+        if (PassOn(pair)) {
+          kept.push_back(std::move(pair));
         } else {
-          ::close(pairs_[i].near);
-          ::close(pairs_[i].far);
+          ::close(pair.near);
+          ::close(pair.far);
         }
       }
-      pairs_ = kept;
+      pairs_ = std::move(kept);
       if (polled[0].revents != 0) {
         Accept();
       }
     }
   }
 
-  // Passes on or swallows what one side sent; false when it closed.
-  bool Move(int from, int to, bool is_forward) {
+  // Queues or swallows what one side sent.
+  void Receive(Pair& pair, int from, int to, bool is_forward) {
     std::array<char, 65536> buffer{};
     const ssize_t size = ::recv(from, buffer.data(), buffer.size(), 0);
+    const Time due_at = MonotonicClock::now() + delay_;
     if (size <= 0) {
-      return false;
+      pair.has_ended = true;
+      pair.chunks.push_back({due_at, to, ""});
+      return;
     }
     const Mode mode = mode_;
     const bool is_swallowed =
         mode == Mode::kSwallow || (mode == Mode::kSwallowForward && is_forward);
-    if (is_swallowed) {
-      return true;
+    if (!is_swallowed) {
+      pair.chunks.push_back(
+          {due_at, to, std::string(buffer.data(), std::size_t(size))});
     }
-    ssize_t sent = 0;
-    while (sent < size) {
-      const ssize_t n =
-          ::send(to, buffer.data() + sent, size - sent, MSG_NOSIGNAL);
+  }
+
+  // Sends what is due; false when the connection has ended.
+  static bool PassOn(Pair& pair) {
+    const Time now = MonotonicClock::now();
+    while (!pair.chunks.empty() && pair.chunks.front().due_at <= now) {
+      const Chunk& chunk = pair.chunks.front();
+      if (chunk.bytes.empty() || !SendAll(chunk.to, chunk.bytes)) {
+        return false;
+      }
+      pair.chunks.pop_front();
+    }
+    return true;
+  }
+
+  static bool SendAll(int to, std::string_view bytes) {
+    while (!bytes.empty()) {
+      const ssize_t n = ::send(to, bytes.data(), bytes.size(), MSG_NOSIGNAL);
       if (n <= 0) {
         return false;
       }
-      sent += n;
+      bytes.remove_prefix(std::size_t(n));
     }
     return true;
   }
@@ -130,7 +162,7 @@
       ::close(far);
       return;
     }
-    pairs_.push_back({near, far});
+    pairs_.push_back({near, far, false, {}});
   }
 
   void CloseAll() {
@@ -142,6 +174,7 @@
   }
 
   sockaddr_in target_;
+  Duration delay_;
   int listener_ = -1;
   std::atomic<Mode> mode_{Mode::kPass};
   std::atomic<bool> must_end_{false};
@@ -149,8 +182,8 @@
   std::thread thread_;
 };
 
-Relay::Relay(const std::string& from, const std::string& to)
-    : impl_(std::make_unique<Impl>(from, to)) {}
+Relay::Relay(const std::string& from, const std::string& to, Duration delay)
+    : impl_(std::make_unique<Impl>(from, to, delay)) {}
 
 Relay::~Relay() = default;
 
