Control: keep the connection to a leader that the log doesn't hold

A replica that comes back with an old log finds the cell through its seeds.

The leader is one of the addresses while it is known. Which addresses are dialled is a function of its own with tests; the one of an unknown leader fails without the change.

--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "banyan/base/random.h"
+#include "banyan/process/dialled_addresses.h"
 #include "banyan/process/operator_api.h"
 #include "banyan/process/push_or_log.h"
 #include "src/consensus/data_files.h"
@@ -405,21 +406,9 @@
   if (settings_.seeds.empty()) {
     return dialled_addresses_;
   }
-  std::set<std::string> addresses(settings_.seeds.begin(),
-                                  settings_.seeds.end());
-  const Membership& membership = core_->raft().log().membership();
-  if (!core_->raft().leader().empty()) {
-    // Seeds only serve to find the cell and may be out of date. Once a leader
-    // is known, the membership replaces them.
-    addresses.clear();
-  }
-  for (const auto* group : {&membership.voters, &membership.learners}) {
-    for (const MemberId& member : *group) {
-      addresses.insert(member.id);
-    }
-  }
-  addresses.erase(settings_.id);
-  return addresses;
+  const RaftCore& raft = core_->raft();
+  return AddressesToDial(
+      {settings_.id, raft.leader(), settings_.seeds, raft.log().membership()});
 }
 
 void ControlProcess::HandleInput(Time now, Input input) {
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -94,6 +94,7 @@
       .With(OverloadedWorkerStory())
       .With(PacerStory())
       .With(PeerNetworkStory())
+      .With(DialledAddressesStory())
       .With(PlanCheckStory())
       .With(PlanTransferStory())
       .With(PlanWatchStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -92,6 +92,7 @@
 Section OverloadedWorkerStory();
 Section PacerStory();
 Section PeerNetworkStory();
+Section DialledAddressesStory();
 Section PlanCheckStory();
 Section PlanTransferStory();
 Section PlanWatchStory();
