--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -92,6 +92,8 @@
 Section InterferenceStory();
 Section OverloadedWorkerStory();
 Section PacerStory();
+Section PeerNetworkStory();
+Section DialledAddressesStory();
 Section PlanCheckStory();
 Section PlanTransferStory();
 Section PlanWatchStory();
