Network: tell when what had arrived has been passed on

A process that wants to know whether another one is silent has to know first whether it has read. AfterReading() calls back on the network thread once that thread has polled all connections since and delivered what it found. What a connection holds beyond one read may still wait.

--- a/include/banyan/net/peer_network.h
+++ b/include/banyan/net/peer_network.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "banyan/base/time.h"
 #include "banyan/net/transport.h"
@@ -74,6 +75,13 @@
   // headers.
   [[nodiscard]] std::uint64_t sent_bytes() const;
 
+  // Calls `done` on the network thread once all messages that had arrived by
+  // this call have been passed to the handler, as far as one read of each
+  // connection holds them.
+  void AfterReading(std::function<void()> done) {
+    transport_.AfterReading(std::move(done));
+  }
+
   void Stop();
 
  private:
--- a/include/banyan/net/transport.h
+++ b/include/banyan/net/transport.h
@@ -50,6 +50,10 @@
   // Closes a connection without the WebSocket closing handshake.
   void Close(ConnectionId connection);
 
+  // Calls `done` on the network thread once that thread has looked for frames on
+  // all connections after this call and has delivered those that it found.
+  void AfterReading(std::function<void()> done);
+
   // Closes all connections and joins the network thread.
   void Stop();
 
--- a/src/net/transport.cc
+++ b/src/net/transport.cc
@@ -105,6 +105,16 @@
     boost::asio::post(context_, [this, id] { CloseImmediately(id); });
   }
 
+  void AfterReading(std::function<void()> done) {
+    // Handlers run in the order in which they are queued. The sockets are
+    // polled between the first two, and what the poll finds is queued before
+    // the last.
+    boost::asio::post(context_, [this, done = std::move(done)] {
+      boost::asio::post(context_,
+                        [this, done] { boost::asio::post(context_, done); });
+    });
+  }
+
   void Stop() {
     if (!thread_.joinable()) {
       return;
@@ -275,6 +285,10 @@
   impl_->Close(connection);
 }
 
+void Transport::AfterReading(std::function<void()> done) {
+  impl_->AfterReading(std::move(done));
+}
+
 void Transport::Stop() {
   impl_->Stop();
 }
