Consensus: judge silences only over time in which input was read

After a loss of all power on a busy core a cell of five had no leader for 12 s: elected, all four others "silent" for 1,000 ms, stepped down, again and again. The leader's check of its quorum compared the last reply that it had handled with a clock that goes on while its loop is in a long turn; replies waited in its queue, or it had asked for none. Followers' election timeouts, voter-silent and the removal of voters did the same.

The loop now sends a read mark through the network thread and the ring of its inputs. Once the mark is back, everything that had arrived when it was sent has been handled, and silences are judged at that time. A member is silent only from the first heartbeat that it has left unanswered (Contact), which counts as sent once input was read that arrived after it was made. What permits something stays on the clock: the leader's lease, the time before which no vote is given. A leader that is cut off steps down as before with short turns, and at the first look-up after it with long ones. A turn handles at most 256 inputs.

"A vote that comes after the leadership doesn't count" let 3 s pass in one turn, after which the heartbeats may just have left; it takes two short turns first and asserts the same.

The events of elections and memberships are made in a file of their own.

--- a/include/banyan/base/bounded_ring.h
+++ b/include/banyan/base/bounded_ring.h
@@ -1,10 +1,12 @@
 #ifndef BANYAN_BASE_BOUNDED_RING_H_
 #define BANYAN_BASE_BOUNDED_RING_H_
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
+#include <iterator>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -41,15 +43,19 @@
   // is empty; the result is empty on a timeout or when the ring is closed and
   // empty.
   [[nodiscard]] std::vector<T> PopAll(Time deadline) {
+    return PopUpTo(capacity_, deadline);
+  }
+
+  // Like PopAll, but leaves what exceeds the `most` oldest items.
+  [[nodiscard]] std::vector<T> PopUpTo(std::size_t most, Time deadline) {
     std::unique_lock lock(mutex_);
     const Duration wait = deadline - MonotonicClock::now();
     ready_.wait_for(lock, wait, [this] { return closed_ || !items_.empty(); });
-    std::vector<T> taken;
-    taken.reserve(items_.size());
-    for (T& item : items_) {
-      taken.push_back(std::move(item));
-    }
-    items_.clear();
+    const auto end = items_.begin() +
+                     static_cast<std::ptrdiff_t>(std::min(most, items_.size()));
+    std::vector<T> taken(std::make_move_iterator(items_.begin()),
+                         std::make_move_iterator(end));
+    items_.erase(items_.begin(), end);
     return taken;
   }
 
--- a/include/banyan/consensus/membership_plan.h
+++ b/include/banyan/consensus/membership_plan.h
@@ -16,8 +16,9 @@
 // What the leader knows of another member.
 struct MemberStatus {
   MemberId member;
-  // When the member last replied; if it has not replied in this term, when the
-  // leader was elected or the member was added.
+  // Since when the member has been silent: when it last replied, or, if it has
+  // not replied in this term, when the leader was elected or the member was
+  // added. The present while no reply is due.
   Time last_reply_at;
   // Whether the member has replied in this term.
   bool has_replied = false;
--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -2,6 +2,7 @@
 #define BANYAN_CONSENSUS_RAFT_CORE_H_
 
 #include <algorithm>
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -14,6 +15,7 @@
 
 #include "banyan/base/random.h"
 #include "banyan/consensus/catch_up_rounds.h"
+#include "banyan/consensus/contact.h"
 #include "banyan/consensus/membership_plan.h"
 #include "banyan/consensus/membership_watch.h"
 #include "banyan/consensus/raft_log.h"
@@ -148,9 +150,8 @@
     // When the leader sent the latest heartbeat round that the member
     // acknowledged.
     Time acked_round_sent_at;
-    // When the leader last received a reply from the member; initially when the
-    // leader was elected or the member was added.
-    Time last_reply_at;
+    // Starts when the leader is elected or the member is added.
+    Contact contact;
     bool has_replied = false;
     // Whether the member announced in its latest reply that it shuts down.
     bool is_leaving = false;
@@ -183,6 +184,9 @@
   void Handle(Time now, const MemberId& from, const TimeoutNow& request);
   void Handle(Time now, const MemberId& from, const JoinRequest& request);
 
+  // Counts the heartbeats of `requested_at_` as sent once input has been read
+  // that arrived later. The caller may have taken long to send them.
+  void DateRequests();
   void TickLeader(Time now);
   void TickFollower(Time now);
   void TickNonMember(Time now);
@@ -203,10 +207,6 @@
   void CountVotes(Time now);
   // Whether a majority of the voters has granted its vote.
   [[nodiscard]] bool IsMajority(const std::map<MemberId, bool>& votes) const;
-  // Logs that the present term and vote are on disk.
-  void LogTermPersisted(Time now);
-  // Logs an election of this replica that has run out of time.
-  void LogElectionLapsed(Time now);
   void BecomeLeader(Time now);
   void FollowLeader(Time now, const MemberId& from, std::uint64_t term);
   void AppendEntry(LogEntry entry);
@@ -273,9 +273,15 @@
                   const VoteRequest& request);
   [[nodiscard]] std::vector<MemberId> OtherMembers() const;
   [[nodiscard]] bool IsSelfVoter() const noexcept;
-  // Returns the latest time that `field` reaches on a majority of voters. This
-  // replica counts with `now`, an unknown voter with the epoch.
-  [[nodiscard]] Time MajorityTime(Time now, Time Progress::*field) const;
+  // Returns the latest time that `time_of` reaches on a majority of voters.
+  // This replica counts with `own_time`, an unknown voter with the epoch.
+  template <std::invocable<const Progress&> TimeOf>
+  [[nodiscard]] Time MajorityTime(Time own_time, const TimeOf& time_of) const;
+  // Returns since when a member has been silent; see Contact.
+  [[nodiscard]] Time SilentSince(const Progress& progress) const {
+    return progress.contact.SilentSince(heard_until_,
+                                        options_.timings.heartbeat_interval);
+  }
 
   RaftOptions options_;
   RaftLog log_;
@@ -283,6 +289,9 @@
   Random random_;
   VoterHealth health_;
   MembershipWatch watch_;
+  // All messages that had arrived by then have been handled. Silences are
+  // judged at this time; what permits something is judged at the present.
+  Time heard_until_;
   RaftRole role_ = RaftRole::kFollower;
   std::string leader_;
   // The replica that last addressed an earlier incarnation of this one; empty
@@ -315,6 +324,9 @@
   std::uint64_t heartbeat_round_ = 0;
   // Index of the first entry of this leader's term.
   std::uint64_t term_start_index_ = 0;
+  // When the first round of heartbeats was made that DateRequests() has not
+  // counted yet.
+  std::optional<Time> requested_at_;
   bool must_replicate_ = false;
   Time transfer_deadline_;
   bool is_transferring_ = false;
--- a/include/banyan/consensus/voter_health.h
+++ b/include/banyan/consensus/voter_health.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "banyan/consensus/contact.h"
 #include "banyan/consensus/raft_types.h"
 
 namespace banyan {
@@ -42,15 +43,20 @@
     bool has_leader = false;
   };
 
-  VoterHealth(MemberId self, Duration election_timeout, Time now);
+  VoterHealth(MemberId self, const RaftTimings& timings, Time now);
+
+  // Records that this replica, as the leader, sent a message to all members
+  // that they answer; see Contact.
+  void OnMembersAsked(Time requested_at, Time sent_by);
 
   // Records a Raft message. A sender outside the membership is ignored.
   void OnHeard(Time now, const MemberId& from, const Membership& membership);
 
   // Logs which voters have fallen silent or are heard again, on the leader, and
   // that the majority is lost or regained, on a voter. To be called at every
-  // tick; what lasts is logged once or at the interval of its event.
-  void Observe(Time now, const View& view, Events& events);
+  // tick; what lasts is logged once or at the interval of its event. All
+  // messages that had arrived by `heard_until` have been recorded.
+  void Observe(Time heard_until, const View& view, Events& events);
 
   // Records that this replica asks the members with these ids for its
   // admission, and logs when it has waited for long.
@@ -69,17 +75,17 @@
   [[nodiscard]] std::int64_t LossesBorne(Time now,
                                          const Membership& membership) const;
 
-  // Returns for how long a member has been silent as far as this replica can
-  // tell: since its last message, or since the time from which this replica
-  // could have heard it, if that is later. Zero for an unknown member.
-  [[nodiscard]] Duration Silence(Time now, const MemberId& member) const;
+  // Returns for how long a member has left messages of this leader unanswered.
+  // Zero for an unknown member.
+  [[nodiscard]] Duration Silence(Time heard_until,
+                                 const MemberId& member) const;
 
  private:
   // What is known of one other member.
   struct Member {
-    // When the member appeared in the membership of this replica, or when this
-    // replica became the leader if that is later.
-    Time expected_since;
+    // Starts when the member appears in the membership of this replica, and
+    // anew when this replica becomes the leader.
+    Contact contact;
     // When its last message came; nullopt if none came to this process.
     std::optional<Time> heard_at;
     // Whether voter-silent was logged and voter-heard not yet.
@@ -89,8 +95,8 @@
   };
 
   void TrackMembers(Time now, const Membership& membership);
-  void ObserveVoters(Time now, const View& view, Events& events);
-  void ObserveQuorum(Time now, const View& view, Events& events);
+  void ObserveVoters(Time heard_until, const View& view, Events& events);
+  void ObserveQuorum(Time heard_until, const View& view, Events& events);
   [[nodiscard]] bool IsHeard(Time now, const MemberId& voter) const;
   // Returns "id/incarnation/milliseconds,..." with the time since each voter
   // was last heard; 0 for this replica and -1 for a voter never heard.
@@ -98,6 +104,7 @@
                                           const Membership& membership) const;
 
   MemberId self_;
+  Duration heartbeat_interval_;
   // A member that is not heard for this long is silent.
   Duration silence_timeout_;
   std::map<MemberId, Member> members_;
--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -88,7 +88,10 @@
 
   // Processes timeouts and the periodic work of the leader. `wall` is the
   // wall-clock time recorded in proposed commands.
-  void Tick(Time now, WallMillis wall);
+  // All messages that had arrived by `heard_until` have been passed to
+  // Receive().
+  void Tick(Time now, WallMillis wall, Time heard_until);
+  void Tick(Time now, WallMillis wall) { Tick(now, wall, now); }
 
   // Handles a message from another process.
   void Receive(Time now,
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -84,13 +84,18 @@
   };
   // Requests a graceful shutdown.
   struct LeaveInput {};
+  // All messages that had arrived at `at` precede this input.
+  struct ReadMark {
+    Time at;
+  };
   using Input = std::variant<PeerEvent,
                              CellInput,
                              Persisted,
                              Compacted,
                              ApiCommand,
                              ApiQuery,
-                             LeaveInput>;
+                             LeaveInput,
+                             ReadMark>;
 
   // Names the kind of an input in the log.
   [[nodiscard]] static std::string_view KindOf(const Input& input);
@@ -115,6 +120,9 @@
   void HandleInput(Time now, Input input);
   void AnswerApiQuery(Time now, const ApiQuery& query);
   void ApplyOutputs(ControlOutputs outputs);
+  // Sends a ReadMark through the network thread and the ring of inputs, unless
+  // one is under way.
+  void SendReadMark();
   // Ends a turn of the core thread and reports how long it took.
   void EndTurn();
   void Push(Input input);
@@ -143,6 +151,11 @@
   // Used by the core thread only.
   bool is_leave_handled_ = false;
   TurnMonitor turn_{"control-core"};
+  // The time of the latest ReadMark that came back.
+  Time heard_until_;
+  // No further ReadMark is sent before this time, unless the last one is back.
+  Time read_mark_deadline_;
+  Time next_read_mark_;
   std::atomic<bool> must_end_{false};
 };
 
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -1,9 +1,11 @@
 #include "banyan/consensus/raft_core.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 #include <utility>
 
+#include "banyan/consensus/raft_events.h"
 #include "banyan/wire/codec.h"
 
 namespace banyan {
@@ -37,7 +39,8 @@
       log_(std::move(restored.snapshot), std::move(restored.entries)),
       hard_state_(std::move(restored.hard_state)),
       random_(options_.seed ^ options_.self.incarnation),
-      health_(options_.self, options_.timings.election_timeout, now),
+      health_(options_.self, options_.timings, now),
+      heard_until_(now),
       next_join_request_(now) {
   commit_index_ = log_.snapshot().last_index;
   emitted_index_ = commit_index_;
@@ -72,15 +75,16 @@
   return others;
 }
 
-Time RaftCore::MajorityTime(Time now, Time Progress::*field) const {
+template <std::invocable<const RaftCore::Progress&> TimeOf>
+Time RaftCore::MajorityTime(Time own_time, const TimeOf& time_of) const {
   std::vector<Time> times;
   for (const MemberId& voter : log_.membership().voters) {
     if (voter == options_.self) {
-      times.push_back(now);
+      times.push_back(own_time);
       continue;
     }
     const auto found = progress_.find(voter);
-    times.push_back(found == progress_.end() ? Time{} : found->second.*field);
+    times.push_back(found == progress_.end() ? Time{} : time_of(found->second));
   }
   if (times.empty()) {
     return Time{};
@@ -95,7 +99,9 @@
   }
   const Duration lease =
       options_.timings.election_timeout - options_.timings.max_clock_drift;
-  return MajorityTime(now, &Progress::acked_round_sent_at) + lease > now;
+  return MajorityTime(now, std::mem_fn(&Progress::acked_round_sent_at)) +
+             lease >
+         now;
 }
 
 bool RaftCore::IsFresh(Time now) const {
@@ -160,7 +166,8 @@
 }
 
 void RaftCore::OnTermPersisted(Time now) {
-  LogTermPersisted(now);
+  out_.events.push_back(
+      TermPersistedEvent(hard_state_, now - hard_state_handed_out_at_));
   if (role_ == RaftRole::kLeader) {
     return;
   }
@@ -172,27 +179,6 @@
   }
 }
 
-void RaftCore::LogTermPersisted(Time now) {
-  out_.events.push_back(
-      Event(EventId::kTermPersisted)
-          .With("term", hard_state_.term)
-          .With("voted_for", hard_state_.voted_for.id)
-          .With("took_ms", ToMillis(now - hard_state_handed_out_at_)));
-}
-
-void RaftCore::LogElectionLapsed(Time now) {
-  const auto granted =
-      std::count_if(votes_.begin(), votes_.end(),
-                    [](const auto& vote) { return vote.second; });
-  out_.events.push_back(
-      Event(EventId::kElectionLapsed)
-          .With("term", hard_state_.term)
-          .With("waited_ms", ToMillis(now - votes_requested_at_))
-          .With("granted", static_cast<std::int64_t>(granted))
-          .With("needed", log_.membership().voters.size() / 2 + 1)
-          .With("own_vote_on_disk", IsTermOnDisk() ? "true" : "false"));
-}
-
 void RaftCore::BecomeFollower(Time now,
                               std::uint64_t term,
                               const std::string& leader) {
@@ -223,9 +209,23 @@
   BecomeFollower(now, hard_state_.term, "");
 }
 
-void RaftCore::Tick(Time now, Time /*heard_until*/) {
+void RaftCore::DateRequests() {
+  if (!requested_at_ || heard_until_ < *requested_at_) {
+    return;
+  }
+  for (auto& [member, progress] : progress_) {
+    progress.contact.OnAsked(*requested_at_, heard_until_);
+  }
+  health_.OnMembersAsked(*requested_at_, heard_until_);
+  requested_at_.reset();
+}
+
+void RaftCore::Tick(Time now, Time heard_until) {
+  heard_until_ = std::max(heard_until_, heard_until);
+  DateRequests();
   health_.Observe(
-      now, {log_.membership(), role_ == RaftRole::kLeader, !leader_.empty()},
+      heard_until_,
+      {log_.membership(), role_ == RaftRole::kLeader, !leader_.empty()},
       out_.events);
   if (!HasMembership()) {
     TickNonMember(now);
@@ -235,7 +235,7 @@
     TickLeader(now);
     return;
   }
-  if (leader_.empty() || now >= election_deadline_) {
+  if (leader_.empty() || heard_until_ >= election_deadline_) {
     RequestAdmission(now);
     if (!IsSelfVoter()) {
       leader_.clear();
@@ -247,7 +247,7 @@
 }
 
 void RaftCore::TickFollower(Time now) {
-  if (now < election_deadline_) {
+  if (heard_until_ < election_deadline_) {
     return;
   }
   leader_.clear();
@@ -256,7 +256,9 @@
     return;
   }
   if (role_ == RaftRole::kCandidate) {
-    LogElectionLapsed(now);
+    out_.events.push_back(
+        ElectionLapsedEvent({hard_state_.term, now - votes_requested_at_,
+                             votes_, log_.membership(), IsTermOnDisk()}));
   }
   StartElection(now, true, false);
 }
@@ -566,8 +568,11 @@
 
 void RaftCore::TickLeader(Time now) {
   const Duration check_quorum_timeout = options_.timings.election_timeout * 2;
-  if (MajorityTime(now, &Progress::last_reply_at) + check_quorum_timeout <
-      now) {
+  const auto silent_since = [this](const Progress& progress) {
+    return SilentSince(progress);
+  };
+  if (MajorityTime(heard_until_, silent_since) + check_quorum_timeout <
+      heard_until_) {
     StepDown(now, "quorum-silent");
     return;
   }
@@ -592,10 +597,13 @@
   for (const MemberId& other : OtherMembers()) {
     SendAppend(other, progress_[other]);
   }
+  if (!requested_at_) {
+    requested_at_ = now;
+  }
   ReconcileMembership(now);
   const std::vector<MemberStatus> others = StatusOfOthers(now);
   watch_.Observe(
-      now,
+      heard_until_,
       {log_.membership(), others, membership_options(), LossesBorne(now),
        options_.losses_required, options_.timings.catch_up},
       out_.events);
@@ -619,17 +627,12 @@
 void RaftCore::ProposeMembership(Time now, const MembershipChange& change) {
   Membership next = change.next;
   std::sort(next.voters.begin(), next.voters.end());
-  out_.events.push_back(Event(EventId::kMemberChanged)
-                            .With("voters", next.voters.size())
-                            .With("learners", next.learners.size())
-                            .With("voter_ids", ToText(next.voters))
-                            .With("learner_ids", ToText(next.learners))
-                            .With("change", ToString(change.kind))
-                            .With("member", ToText(change.member)));
+  out_.events.push_back(MemberChangedEvent(next, change));
   const bool is_removal = change.kind == MembershipChangeKind::kRemoveVoter;
   if (is_removal) {
     std::move(out_.events.back())
-        .With("silent_ms", ToMillis(health_.Silence(now, change.member)));
+        .With("silent_ms",
+              ToMillis(health_.Silence(heard_until_, change.member)));
   } else if (change.kind == MembershipChangeKind::kPromoteLearner) {
     const Progress& progress = progress_[change.member];
     std::move(out_.events.back())
@@ -653,7 +656,7 @@
   Progress& progress = progress_[member];
   progress = Progress{};
   progress.next = log_.last_index() + 1;
-  progress.last_reply_at = now;
+  progress.contact = Contact(now);
   progress.added_at = now;
   progress.advanced_at = now;
   progress.rounds =
@@ -673,7 +676,7 @@
     const Progress& progress = progress_[other];
     MemberStatus status;
     status.member = other;
-    status.last_reply_at = progress.last_reply_at;
+    status.last_reply_at = SilentSince(progress);
     status.has_replied = progress.has_replied;
     status.is_caught_up = IsCaughtUp(now, progress);
     status.is_leaving = progress.is_leaving;
@@ -696,7 +699,7 @@
   }
   const auto change =
       PlanMembershipChange(log_.membership(), StatusOfOthers(now), joining,
-                           membership_options(), now);
+                           membership_options(), heard_until_);
   if (!change) {
     return;
   }
@@ -890,7 +893,7 @@
     return;
   }
   Progress& progress = found->second;
-  progress.last_reply_at = now;
+  progress.contact.OnAnswered(now);
   progress.has_replied = true;
   progress.is_leaving = reply.leaving;
   for (const HeartbeatRound& round : rounds_) {
@@ -1044,9 +1047,9 @@
     const bool is_candidate = IsVoter(log_.membership(), member) &&
                               !progress.is_leaving &&
                               progress.match == log_.last_index();
-    if (is_candidate &&
-        (successor == nullptr ||
-         progress.last_reply_at > progress_[*successor].last_reply_at)) {
+    if (is_candidate && (successor == nullptr ||
+                         progress.contact.answered_at() >
+                             progress_[*successor].contact.answered_at())) {
       successor = &member;
     }
   }
--- a/src/consensus/voter_health.cc
+++ b/src/consensus/voter_health.cc
@@ -49,9 +49,10 @@
   return Join(items);
 }
 
-VoterHealth::VoterHealth(MemberId self, Duration election_timeout, Time now)
+VoterHealth::VoterHealth(MemberId self, const RaftTimings& timings, Time now)
     : self_(std::move(self)),
-      silence_timeout_(election_timeout * 2),
+      heartbeat_interval_(timings.heartbeat_interval),
+      silence_timeout_(timings.election_timeout * 2),
       last_leader_at_(now),
       next_quorum_lost_event_(now),
       last_join_request_(now),
@@ -65,14 +66,22 @@
       (!IsVoter(membership, from) && !IsLearner(membership, from))) {
     return;
   }
-  const auto added = members_.try_emplace(from, Member{now, {}, false, now});
+  const auto added =
+      members_.try_emplace(from, Member{Contact(now), {}, false, now});
   added.first->second.heard_at = now;
+  added.first->second.contact.OnAnswered(now);
 }
 
-void VoterHealth::Observe(Time now, const View& view, Events& events) {
-  TrackMembers(now, view.membership);
-  ObserveVoters(now, view, events);
-  ObserveQuorum(now, view, events);
+void VoterHealth::OnMembersAsked(Time requested_at, Time sent_by) {
+  for (auto& [id, member] : members_) {
+    member.contact.OnAsked(requested_at, sent_by);
+  }
+}
+
+void VoterHealth::Observe(Time heard_until, const View& view, Events& events) {
+  TrackMembers(heard_until, view.membership);
+  ObserveVoters(heard_until, view, events);
+  ObserveQuorum(heard_until, view, events);
 }
 
 void VoterHealth::TrackMembers(Time now, const Membership& membership) {
@@ -83,19 +92,20 @@
   for (const auto* group : {&membership.voters, &membership.learners}) {
     for (const MemberId& member : *group) {
       if (member != self_) {
-        members_.try_emplace(member, Member{now, {}, false, now});
+        members_.try_emplace(member, Member{Contact(now), {}, false, now});
       }
     }
   }
 }
 
-void VoterHealth::ObserveVoters(Time now, const View& view, Events& events) {
+void VoterHealth::ObserveVoters(Time heard_until,
+                                const View& view,
+                                Events& events) {
   if (view.is_leader != was_leader_) {
     was_leader_ = view.is_leader;
     for (auto& [id, member] : members_) {
       member.is_silence_logged = false;
-      // As a follower this replica couldn't hear most of the others.
-      member.expected_since = now;
+      member.contact = Contact(heard_until);
     }
   }
   if (!view.is_leader) {
@@ -108,7 +118,7 @@
       continue;
     }
     Member& member = found->second;
-    const Duration silence = Silence(now, voter);
+    const Duration silence = Silence(heard_until, voter);
     const bool is_silent = silence >= silence_timeout_;
     if (is_silent == member.is_silence_logged) {
       continue;
@@ -116,50 +126,55 @@
     member.is_silence_logged = is_silent;
     Event event(is_silent ? EventId::kVoterSilent : EventId::kVoterHeard);
     if (is_silent) {
-      member.silent_since = now - silence;
+      member.silent_since = heard_until - silence;
     }
-    events.push_back(std::move(event)
-                         .With("voter", voter.id)
-                         .With("incarnation", voter.incarnation)
-                         .With("silent_ms", ToMillis(now - member.silent_since))
-                         .With("voters", VoterCount(membership))
-                         .With("heard", HeardVoters(now, membership))
-                         .With("losses_borne", LossesBorne(now, membership)));
+    events.push_back(
+        std::move(event)
+            .With("voter", voter.id)
+            .With("incarnation", voter.incarnation)
+            .With("silent_ms", ToMillis(heard_until - member.silent_since))
+            .With("voters", VoterCount(membership))
+            .With("heard", HeardVoters(heard_until, membership))
+            .With("losses_borne", LossesBorne(heard_until, membership)));
   }
 }
 
-void VoterHealth::ObserveQuorum(Time now, const View& view, Events& events) {
+void VoterHealth::ObserveQuorum(Time heard_until,
+                                const View& view,
+                                Events& events) {
   const Membership& membership = view.membership;
   if (view.has_leader || !IsVoter(membership, self_)) {
-    last_leader_at_ = now;
+    last_leader_at_ = heard_until;
   }
-  const std::int64_t heard = HeardVoters(now, membership);
-  const bool is_lost = last_leader_at_ + silence_timeout_ <= now &&
+  const std::int64_t heard = HeardVoters(heard_until, membership);
+  const bool is_lost = last_leader_at_ + silence_timeout_ <= heard_until &&
                        heard < MajorityOf(membership);
   if (!is_lost) {
     if (quorum_lost_since_) {
-      events.push_back(Event(EventId::kQuorumRegained)
-                           .With("lost_ms", ToMillis(now - *quorum_lost_since_))
-                           .With("voters", VoterCount(membership))
-                           .With("heard", heard)
-                           .With("needed", MajorityOf(membership)));
+      events.push_back(
+          Event(EventId::kQuorumRegained)
+              .With("lost_ms", ToMillis(heard_until - *quorum_lost_since_))
+              .With("voters", VoterCount(membership))
+              .With("heard", heard)
+              .With("needed", MajorityOf(membership)));
       quorum_lost_since_.reset();
     }
     return;
   }
-  if (now < next_quorum_lost_event_) {
+  if (heard_until < next_quorum_lost_event_) {
     return;
   }
-  next_quorum_lost_event_ = now + kQuorumLostInterval;
+  next_quorum_lost_event_ = heard_until + kQuorumLostInterval;
   if (!quorum_lost_since_) {
-    quorum_lost_since_ = now;
+    quorum_lost_since_ = heard_until;
   }
-  events.push_back(Event(EventId::kQuorumLost)
-                       .With("voters", VoterCount(membership))
-                       .With("heard", heard)
-                       .With("needed", MajorityOf(membership))
-                       .With("leaderless_ms", ToMillis(now - last_leader_at_))
-                       .With("last_heard_ms", LastHeardText(now, membership)));
+  events.push_back(
+      Event(EventId::kQuorumLost)
+          .With("voters", VoterCount(membership))
+          .With("heard", heard)
+          .With("needed", MajorityOf(membership))
+          .With("leaderless_ms", ToMillis(heard_until - last_leader_at_))
+          .With("last_heard_ms", LastHeardText(heard_until, membership)));
 }
 
 void VoterHealth::OnJoinRequested(Time now,
@@ -202,14 +217,13 @@
   return HeardVoters(now, membership) - MajorityOf(membership);
 }
 
-Duration VoterHealth::Silence(Time now, const MemberId& member) const {
+Duration VoterHealth::Silence(Time heard_until, const MemberId& member) const {
   const auto found = members_.find(member);
   if (found == members_.end()) {
     return Duration::zero();
   }
-  const Member& known = found->second;
-  return now - std::max(known.expected_since,
-                        known.heard_at.value_or(known.expected_since));
+  return heard_until -
+         found->second.contact.SilentSince(heard_until, heartbeat_interval_);
 }
 
 std::string VoterHealth::LastHeardText(Time now,
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -42,8 +42,8 @@
   graphs_.OnRestored(now);
 }
 
-void ControlCore::Tick(Time now, WallMillis wall) {
-  raft_.Tick(now);
+void ControlCore::Tick(Time now, WallMillis wall, Time heard_until) {
+  raft_.Tick(now, heard_until);
   UpdateLeadership(now);
   if (is_leading_ && now >= next_schedule_) {
     next_schedule_ = now + kScheduleInterval;
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -1,5 +1,6 @@
 #include "banyan/process/control_process.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 #include <vector>
@@ -18,6 +19,13 @@
 constexpr std::size_t kSnapshotRingCapacity = 1;
 // Longest wait of the core thread for input.
 constexpr Duration kTickInterval = Millis(5);
+// Most inputs that the core thread handles in a turn. Further ones wait, so
+// that heartbeats go out meanwhile.
+constexpr std::size_t kMaxInputsPerTurn = 256;
+// Interval between two read marks.
+constexpr Duration kReadMarkInterval = Millis(20);
+// A read mark that isn't back after this time counts as dropped by a full ring.
+constexpr Duration kReadMarkTimeout = std::chrono::seconds(1);
 // Interval at which connections are checked and re-established. Also how often
 // idle disk threads check whether to stop.
 constexpr Duration kMaintenanceInterval = Millis(100);
@@ -367,11 +375,13 @@
 
 void ControlProcess::RunCore() {
   Time next_maintenance = MonotonicClock::now();
+  heard_until_ = next_maintenance;
   while (!must_end_) {
     const Time wait_start = MonotonicClock::now();
     const Time wait_deadline =
         core_->HasMoreToApply() ? wait_start : wait_start + kTickInterval;
-    std::vector<Input> batch = inputs_.PopAll(wait_deadline);
+    std::vector<Input> batch =
+        inputs_.PopUpTo(kMaxInputsPerTurn, wait_deadline);
     turn_.Begin(MonotonicClock::now(), wait_deadline, batch.size(),
                 ThreadCpuTime());
     for (Input& input : batch) {
@@ -381,12 +391,13 @@
     }
     const Time now = MonotonicClock::now();
     turn_.EndPart(now, "inputs");
-    core_->Tick(now, WallNow());
+    core_->Tick(now, WallNow(), heard_until_);
     turn_.EndPart(MonotonicClock::now(), "tick");
     ControlOutputs outputs = core_->TakeOutputs(now, WallNow());
     turn_.EndPart(MonotonicClock::now(), "apply");
     ApplyOutputs(std::move(outputs));
     turn_.EndPart(MonotonicClock::now(), "send");
+    SendReadMark();
     must_stay_ = !is_leave_handled_ || core_->raft().MustStay(now);
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
@@ -396,6 +407,16 @@
   }
 }
 
+void ControlProcess::SendReadMark() {
+  const Time now = MonotonicClock::now();
+  if (now < next_read_mark_ || now < read_mark_deadline_) {
+    return;
+  }
+  next_read_mark_ = now + kReadMarkInterval;
+  read_mark_deadline_ = now + kReadMarkTimeout;
+  network_->AfterReading([this, now] { Push(ReadMark{now}); });
+}
+
 void ControlProcess::EndTurn() {
   if (const auto event = turn_.End(MonotonicClock::now(), ThreadCpuTime())) {
     WriteEvent(*event);
@@ -443,6 +464,9 @@
     }
   } else if (const auto* query = std::get_if<ApiQuery>(&input)) {
     AnswerApiQuery(now, *query);
+  } else if (const auto* mark = std::get_if<ReadMark>(&input)) {
+    heard_until_ = std::max(heard_until_, mark->at);
+    read_mark_deadline_ = Time{};
   } else {
     core_->Leave(now);
     is_leave_handled_ = true;
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -466,7 +466,9 @@
   candidate.StandForTerm();
   candidate.Sync();
   candidate.ReceiveReply({3, false, true});
-  // No voter answers its heartbeats.
+  // No voter answers its heartbeats, all of which have left after two turns.
+  candidate.Advance(Millis(100));
+  candidate.Advance(Millis(100));
   candidate.Advance(seconds(3));
   CPPUNIT_ASSERT(candidate.role() == RaftRole::kFollower);
   candidate.ReceiveReply({3, false, true});
