Cell client: give up a replica only after reading what has arrived

A gateway or an agent whose loop had stood still for more than 0.8 s left its replica with "no answer", though the answer waited in its queue, or with "no connection", though that was up. It lost its plan transfer and dialled another replica, which was left in the same way after the next long turn.

The time of an answer was compared with a clock that goes on while the process doesn't read, and it began before the request had left the process. Now the loop says until when it has read what arrived. The wait begins once the request is passed on, and it is over once nothing has come within the time and all that came has been read. A silent replica is left as before, a turn later.

The loops still pass the present; the time of the queue follows.

--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -61,8 +61,11 @@
   void OnDown(Time now, const std::string& id);
   void Receive(Time now, const Message& message);
 
-  // Retries calls, fails expired ones and sends heartbeats.
-  void Tick(Time now);
+  // Retries calls, fails expired ones and sends heartbeats. All that had
+  // arrived at the process by `heard_until` has been handled; what arrived
+  // later may still wait.
+  void Tick(Time now, Time heard_until);
+  void Tick(Time now) { Tick(now, now); }
 
   [[nodiscard]] CellClientOutputs TakeOutputs();
 
--- a/include/banyan/graph/cell_link.h
+++ b/include/banyan/graph/cell_link.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "banyan/base/answer_wait.h"
 #include "banyan/base/time.h"
 
 namespace banyan {
@@ -51,8 +52,9 @@
   void OnProgress(Time now);
 
   // Selects another replica if the selected one has timed out. Returns whether
-  // it did; the caller must then close the previous connection.
-  [[nodiscard]] bool Tick(Time now);
+  // it did; the caller must then close the previous connection. All that had
+  // arrived at the process by `heard_until` has been handled.
+  [[nodiscard]] bool Tick(Time now, Time heard_until);
 
   // Returns the last change of the replica, once.
   [[nodiscard]] std::optional<ReplicaSwitch> TakeSwitch() {
@@ -69,9 +71,9 @@
   bool is_connected_ = false;
   bool is_awaiting_answer_ = false;
   bool is_stale_ = false;
-  // When the pending answer or connection times out.
-  Time answer_deadline_;
-  // When the wait for the answer or connection began.
+  // The wait for the answer or connection.
+  AnswerWait wait_;
+  // When it began; parts that arrive don't change it.
   Time waiting_since_;
   std::optional<ReplicaSwitch> switch_;
 };
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -185,7 +185,7 @@
   }
 }
 
-void CellClient::Tick(Time now) {
+void CellClient::Tick(Time now, Time heard_until) {
   if (IsFresh(now)) {
     stale_since_.reset();
   } else if (!stale_since_) {
@@ -217,7 +217,7 @@
   }
   plans_.Tick(now);
   const std::string previous = link_.current();
-  if (link_.Tick(now)) {
+  if (link_.Tick(now, heard_until)) {
     out_.drop = previous;
     plans_.OnDisconnected();
     confirmed_replica_.clear();
--- a/src/graph/cell_link.cc
+++ b/src/graph/cell_link.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 CellLink::CellLink(std::vector<std::string> seeds, std::uint64_t seed)
-    : seeds_(std::move(seeds)), position_(seed) {
+    : seeds_(std::move(seeds)), position_(seed), wait_(kAnswerTimeout) {
   if (!seeds_.empty()) {
     current_ = seeds_[position_ % seeds_.size()];
   }
@@ -43,7 +43,7 @@
     is_awaiting_answer_ = false;
     is_stale_ = false;
     waiting_since_ = now;
-    answer_deadline_ = now + kAnswerTimeout;
+    wait_.Begin(now);
   }
 }
 
@@ -57,7 +57,7 @@
   if (!is_awaiting_answer_) {
     is_awaiting_answer_ = true;
     waiting_since_ = now;
-    answer_deadline_ = now + kAnswerTimeout;
+    wait_.Begin(now);
   }
 }
 
@@ -72,17 +72,17 @@
 
 void CellLink::OnProgress(Time now) {
   if (is_awaiting_answer_ && !is_stale_) {
-    answer_deadline_ = now + kAnswerTimeout;
+    wait_.Begin(now);
   }
 }
 
-bool CellLink::Tick(Time now) {
-  if (answer_deadline_ == Time{}) {
+bool CellLink::Tick(Time now, Time heard_until) {
+  if (!wait_.has_begun()) {
     waiting_since_ = now;
-    answer_deadline_ = now + kAnswerTimeout;
+    wait_.Begin(now);
   }
   const bool is_timed_out =
-      (!is_connected_ || is_awaiting_answer_) && answer_deadline_ <= now;
+      (!is_connected_ || is_awaiting_answer_) && wait_.IsOver(now, heard_until);
   if (is_timed_out) {
     Switch(now, is_connected_ ? "no answer" : "no connection");
   }
@@ -99,7 +99,7 @@
   is_stale_ = false;
   switch_ = ReplicaSwitch{current_, "", reason, now - waiting_since_};
   waiting_since_ = now;
-  answer_deadline_ = now + kAnswerTimeout;
+  wait_.Begin(now);
   if (candidates.empty()) {
     return;
   }
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -123,7 +123,7 @@
     agent_.Tick(now);
     ApplyOutputs(now, agent_.TakeOutputs());
     const std::string previous_replica = link_.current();
-    if (link_.Tick(now)) {
+    if (link_.Tick(now, now)) {
       network_.Disconnect(previous_replica);
     }
     LogSwitch(link_);
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -1,5 +1,6 @@
 #include "banyan/graph/cell_client.h"
 
+#include <optional>
 #include <set>
 
 #include "tests/unit/story.h"
@@ -38,6 +39,17 @@
     }
   }
 
+  // Advances by a turn in which the process handles nothing that arrives.
+  void AdvanceUnheard(Duration span) {
+    const Time heard_until = now_;
+    now_ += span;
+    client_.Tick(now_, heard_until);
+    Collect();
+  }
+
+  // Handles what arrived during such a turn.
+  void Hear(const Message& message) { client_.Receive(now_, message); }
+
   // Answers every unanswered request.
   void ReplyAll(ErrorKind error, bool ok = false) {
     for (const std::uint64_t seq : std::exchange(requests_, {})) {
@@ -50,7 +62,7 @@
     Collect();
   }
 
-  void set_auto_fresh(bool fresh) { auto_fresh_ = fresh; }
+  void set_auto_fresh(std::optional<bool> fresh) { auto_fresh_ = fresh; }
   void DropRequests() { requests_.clear(); }
   [[nodiscard]] CellClient& client() { return client_; }
   [[nodiscard]] const std::vector<CellAnswer>& answers() const {
@@ -98,6 +110,74 @@
   CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
 }
 
+// Returns a client that is connected and has just sent its status.
+ClientFixture ClientThatAwaitsAnswer() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(500));
+  fixture.set_auto_fresh(std::nullopt);
+  fixture.Advance(Millis(100));
+  return fixture;
+}
+
+// Guards against a process that leaves its replica after a long turn, although
+// the answer waits in its queue.
+void StaysWithReplicaWhoseAnswerIsUnread() {
+  for (const Duration turn : {Millis(200), Millis(1000), Millis(5000)}) {
+    ClientFixture fixture = ClientThatAwaitsAnswer();
+    const std::string first = fixture.client().link().current();
+    fixture.AdvanceUnheard(turn);
+    CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+    fixture.Hear(EntryStatusAck{0, true});
+    fixture.set_auto_fresh(true);
+    fixture.Advance(Millis(1000));
+    CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+  }
+}
+
+// Guards against a replica that is left because the connection to it came up
+// during a long turn.
+void StaysWithReplicaWhoseConnectionIsUnread() {
+  ClientFixture fixture;
+  const std::string first = fixture.client().link().current();
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+}
+
+// Guards against a wait for an answer that begins before the status has left
+// the process.
+void AnswerIsDueOnceTheStatusIsSent() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(450));
+  fixture.set_auto_fresh(std::nullopt);
+  const std::string first = fixture.client().link().current();
+  // The turn that sends the status ends; the next one comes 3 s later.
+  fixture.AdvanceUnheard(Millis(100));
+  fixture.AdvanceUnheard(Millis(3000));
+  fixture.Advance(Millis(750));
+  CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+  fixture.Advance(Millis(100));
+  CPPUNIT_ASSERT(first != fixture.client().link().current());
+}
+
+// Guards against a replica that is kept because the process is slow, though it
+// has read all that arrived.
+void LeavesSilentReplicaAfterLongTurns() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  const std::string first = fixture.client().link().current();
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT(first != fixture.client().link().current());
+}
+
 void RefusalIsDefiniteWhenNothingWasAccepted() {
   ClientFixture fixture;
   fixture.Connect();
@@ -275,6 +355,15 @@
                       StaysWithReplicaWithLeader)
                 .Then("may be any member that a replica reported",
                       UsesReportedMembers))
+      .With(Section("after a long turn, its replica")
+                .Then("is kept if its answer is unread",
+                      StaysWithReplicaWhoseAnswerIsUnread)
+                .Then("is kept if its connection is unread",
+                      StaysWithReplicaWhoseConnectionIsUnread)
+                .Then("has the whole time for an answer once it is asked",
+                      AnswerIsDueOnceTheStatusIsSent)
+                .Then("is left if it was silent all the same",
+                      LeavesSilentReplicaAfterLongTurns))
       .With(Section("a call")
                 .Then("that has expired is never sent", ExpiredCallIsNotSent)
                 .Then("that no replica accepted is refused definitely",
