Cell client: give up calls only after reading what has arrived

After a turn of more than 1.5 s an entry answered all its calls as if no replica could be reached, and refused submissions, while the replica's confirmation and the answers waited in its queue. After 0.9 s it sent all open calls again, which a busy cell then carried out twice.

Freshness ran out on a clock that goes on while the process doesn't read. Calls are now given up, and sent again, by the time until which everything that arrived has been read. What permits something stays on the present: readiness, redirection to a replica, and the deadlines of calls.

--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -101,7 +101,7 @@
   void FailCall(std::uint64_t ticket, const Call& call);
   // Whether no replica with a live leader has been known for long enough that
   // submissions are refused.
-  [[nodiscard]] bool HasLostCell(Time now) const noexcept;
+  [[nodiscard]] bool HasLostCell() const noexcept;
   // Whether a call is a submission that was not sent.
   [[nodiscard]] static bool IsUnsentSubmission(const Call& call);
 
@@ -112,6 +112,9 @@
   std::uint64_t next_seq_ = 1;
   PlanDelivery delivery_;
   PlanReceiver plans_;
+  // All that had arrived by then has been handled. Calls are given up and sent
+  // again by this time, but for their deadlines.
+  Time heard_until_;
   Time next_status_at_;
   Time fresh_until_;
   // Since when no replica has been fresh; empty while one is, or before the
--- a/include/banyan/graph/plan_receiver.h
+++ b/include/banyan/graph/plan_receiver.h
@@ -31,8 +31,9 @@
   // Records a version that came as a whole.
   void OnWhole(std::uint64_t version);
 
-  // Repeats a request that went without an answer.
-  void Tick(Time now);
+  // Repeats a request that went without an answer. All that had arrived by
+  // `heard_until` has been handled.
+  void Tick(Time now, Time heard_until);
 
   // The version held; 0 without one.
   [[nodiscard]] std::uint64_t held() const noexcept { return held_; }
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -34,7 +34,7 @@
   entry.deadline = deadline;
   entry.unreachable_at = now + kUnreachableTimeout;
   entry.retry_at = now;
-  if (IsUnsentSubmission(entry) && HasLostCell(now)) {
+  if (IsUnsentSubmission(entry) && HasLostCell()) {
     FailCall(ticket, entry);
     calls_.erase(ticket);
     return;
@@ -44,9 +44,9 @@
   }
 }
 
-bool CellClient::HasLostCell(Time now) const noexcept {
-  return stale_since_ && *stale_since_ + kCellLossTimeout <= now &&
-         !IsFresh(now);
+bool CellClient::HasLostCell() const noexcept {
+  return stale_since_ && *stale_since_ + kCellLossTimeout <= heard_until_ &&
+         !IsFresh(heard_until_);
 }
 
 bool CellClient::IsUnsentSubmission(const Call& call) {
@@ -186,17 +186,18 @@
 }
 
 void CellClient::Tick(Time now, Time heard_until) {
-  if (IsFresh(now)) {
+  heard_until_ = std::max(heard_until_, heard_until);
+  if (IsFresh(heard_until_)) {
     stale_since_.reset();
   } else if (!stale_since_) {
-    stale_since_ = now;
+    stale_since_ = heard_until_;
   }
-  const bool has_lost_cell = HasLostCell(now);
+  const bool has_lost_cell = HasLostCell();
   for (auto it = calls_.begin(); it != calls_.end();) {
     // Without a replica that has a live leader the call can't be served. Fail
     // it early, so that the caller can retry before its own deadline.
     const bool is_unreachable =
-        it->second.unreachable_at <= now && !IsFresh(now);
+        it->second.unreachable_at <= heard_until_ && !IsFresh(heard_until_);
     const Time deadline = std::min(it->second.deadline, end_);
     if (deadline <= now || is_unreachable ||
         (has_lost_cell && IsUnsentSubmission(it->second))) {
@@ -204,7 +205,9 @@
       it = calls_.erase(it);
       continue;
     }
-    if (it->second.retry_at <= now && link_.connected()) {
+    // The answer to a request that is pending may be unread.
+    const Time retried_by = it->second.pending.empty() ? now : heard_until_;
+    if (it->second.retry_at <= retried_by && link_.connected()) {
       Send(now, it->first, it->second);
     }
     ++it;
@@ -215,9 +218,9 @@
         EntryStatus{next_seq_++, plans_.held(), delivery_});
     link_.OnSent(now);
   }
-  plans_.Tick(now);
+  plans_.Tick(now, now);
   const std::string previous = link_.current();
-  if (link_.Tick(now, heard_until)) {
+  if (link_.Tick(now, heard_until_)) {
     out_.drop = previous;
     plans_.OnDisconnected();
     confirmed_replica_.clear();
--- a/src/graph/plan_receiver.cc
+++ b/src/graph/plan_receiver.cc
@@ -149,8 +149,8 @@
   }
 }
 
-void PlanReceiver::Tick(Time now) {
-  if (answer_deadline_ <= now) {
+void PlanReceiver::Tick(Time now, Time heard_until) {
+  if (answer_deadline_ <= heard_until) {
     StopWaiting();
     RequestAhead(now);
   }
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -47,6 +47,9 @@
     Collect();
   }
 
+  // Advances within a turn.
+  void Spend(Duration span) { now_ += span; }
+
   // Handles what arrived during such a turn.
   void Hear(const Message& message) { client_.Receive(now_, message); }
 
@@ -65,6 +68,7 @@
   void set_auto_fresh(std::optional<bool> fresh) { auto_fresh_ = fresh; }
   void DropRequests() { requests_.clear(); }
   [[nodiscard]] CellClient& client() { return client_; }
+  [[nodiscard]] Time now() const { return now_; }
   [[nodiscard]] const std::vector<CellAnswer>& answers() const {
     return answers_;
   }
@@ -273,6 +277,54 @@
   CPPUNIT_ASSERT(fixture.answers().at(0).result.error == ErrorKind::kNoQuorum);
 }
 
+// Guards against calls that fail as unreachable after a long turn, although the
+// confirmation of a live leader and their answers wait in the queue.
+void CallWaitsForUnreadConfirmation() {
+  for (const Duration turn : {Millis(1600), Millis(2500), Millis(5000)}) {
+    ClientFixture fixture = ClientThatAwaitsAnswer();
+    fixture.Open(CellQuery{0, CellQueryKind::kGraph, "g"}, Millis(9000));
+    fixture.AdvanceUnheard(turn);
+    CPPUNIT_ASSERT(fixture.answers().empty());
+    CPPUNIT_ASSERT(!fixture.client().IsFresh(fixture.now()));
+    fixture.Hear(EntryStatusAck{0, true});
+    fixture.ReplyAll(ErrorKind::kNotFound);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+    CPPUNIT_ASSERT(fixture.answers()[0].result.error == ErrorKind::kNotFound);
+  }
+}
+
+// Guards against submissions that are refused after long turns, although the
+// cell can decide.
+void SubmissionIsSentAfterLongTurns() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  fixture.AdvanceUnheard(Millis(1600));
+  // The next turn handles the submission first, and the confirmation later.
+  fixture.Spend(Millis(600));
+  fixture.Open(Command(SubmitGraph{"g", {}}), Millis(3000));
+  CPPUNIT_ASSERT(fixture.answers().empty());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+}
+
+// Guards against a call that outlasts its caller because the process is slow.
+void CallEndsAtItsDeadlineAfterLongTurn() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  fixture.Open(CellQuery{0, CellQueryKind::kGraph, "g"}, Millis(900));
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+}
+
+// Guards against requests that are all sent again after a long turn, while
+// their answers wait in the queue.
+void CallIsNotSentAgainBeforeItsAnswerIsRead() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  fixture.Open(CellQuery{0, CellQueryKind::kGraph, "g"}, Millis(9000));
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.requests());
+}
+
 // Returns a client that is connected and has had no fresh replica for 500 ms,
 // after one that was fresh for up to 1.5 s.
 ClientFixture ClientWithoutCell() {
@@ -380,6 +432,15 @@
                 .Then("sends a query", QueryIsSentWithoutCell)
                 .Then("reports an unknown outcome for what was sent",
                       SentSubmissionHasUnknownOutcomeWithoutCell))
+      .With(
+          Section("after a long turn, a call")
+              .Then("waits for a confirmation that is unread",
+                    CallWaitsForUnreadConfirmation)
+              .Then("that submits a job is sent",
+                    SubmissionIsSentAfterLongTurns)
+              .Then("ends at its deadline", CallEndsAtItsDeadlineAfterLongTurn)
+              .Then("is sent again only once what came has been read",
+                    CallIsNotSentAgainBeforeItsAnswerIsRead))
       .With(Section("at the end of its process")
                 .Then("fails a call that was sent with an unknown outcome",
                       CallThatWasSentHasUnknownOutcomeAtEnd)
