Plan transfer: ask again only after reading what has arrived

After a turn of more than 1 s an entry asked for parts of a plan that waited in its queue, and up to 16 kB crossed its link once more, ahead of its calls.

The time without a part ended on a clock that goes on while the process doesn't read. It now ends by the time until which everything that arrived has been read.

--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -218,7 +218,7 @@
         EntryStatus{next_seq_++, plans_.held(), delivery_});
     link_.OnSent(now);
   }
-  plans_.Tick(now, now);
+  plans_.Tick(now, heard_until_);
   const std::string previous = link_.current();
   if (link_.Tick(now, heard_until_)) {
     out_.drop = previous;
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -73,6 +73,7 @@
     return answers_;
   }
   [[nodiscard]] std::size_t requests() const { return requests_.size(); }
+  [[nodiscard]] std::size_t plan_requests() const { return plan_requests_; }
 
  private:
   void Collect() {
@@ -82,6 +83,8 @@
         requests_.push_back(command->seq);
       } else if (const auto* query = std::get_if<CellQuery>(&message)) {
         requests_.push_back(query->seq);
+      } else if (std::holds_alternative<PlanRequest>(message)) {
+        ++plan_requests_;
       }
     }
     for (CellAnswer& answer : outputs.answers) {
@@ -93,6 +96,7 @@
   CellClient client_;
   std::optional<bool> auto_fresh_;
   std::vector<std::uint64_t> requests_;
+  std::size_t plan_requests_ = 0;
   std::vector<CellAnswer> answers_;
 };
 
@@ -325,6 +329,21 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.requests());
 }
 
+// Guards against parts of a plan that cross a thin link twice because the
+// process read them late.
+void PlanPartsAreNotAskedForAgainWhileUnread() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  fixture.Hear(PlanOffer{1});
+  fixture.Advance(Millis(50));
+  const std::size_t first_requests = fixture.plan_requests();
+  CPPUNIT_ASSERT(first_requests > 0);
+  fixture.AdvanceUnheard(Millis(1500));
+  CPPUNIT_ASSERT_EQUAL(first_requests, fixture.plan_requests());
+  fixture.Hear(EntryStatusAck{0, true});
+  fixture.AdvanceUnheard(Millis(50));
+  CPPUNIT_ASSERT(first_requests < fixture.plan_requests());
+}
+
 // Returns a client that is connected and has had no fresh replica for 500 ms,
 // after one that was fresh for up to 1.5 s.
 ClientFixture ClientWithoutCell() {
@@ -440,7 +459,9 @@
                     SubmissionIsSentAfterLongTurns)
               .Then("ends at its deadline", CallEndsAtItsDeadlineAfterLongTurn)
               .Then("is sent again only once what came has been read",
-                    CallIsNotSentAgainBeforeItsAnswerIsRead))
+                    CallIsNotSentAgainBeforeItsAnswerIsRead)
+              .Then("leaves the link free of parts of a plan sent twice",
+                    PlanPartsAreNotAskedForAgainWhileUnread))
       .With(Section("at the end of its process")
                 .Then("fails a call that was sent with an unknown outcome",
                       CallThatWasSentHasUnknownOutcomeAtEnd)
