Leader: expire leases only after reading what has arrived

A leader that had stood still for as long as a lease removed workers and instances whose syncs and heartbeats waited in its queue. Their runs counted as lost and were placed again.

The end of a lease was compared with a clock that goes on while the leader doesn't read. It is now compared with the time until which everything that arrived has been read, which is never later: a worker is given up later than before or at the same time, and no lease that the leader grants is longer. A removal also needs the leader's own lease, so that in a cell of several replicas it follows at least one answer after the long turn; a single replica had no such guard.

Tests under virtual time: turns of 0.2 and 5 s and of two leases in the job graph leader, of two leases in a replica on its own; both new tests failed before.

--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -87,8 +87,10 @@
   ControlCore(ControlOptions options, RestoredLog restored, Time now);
 
   // Processes timeouts and the periodic work of the leader. `wall` is the
-  // wall-clock time recorded in proposed commands.
-  void Tick(Time now, WallMillis wall);
+  // wall-clock time recorded in proposed commands. All messages that had
+  // arrived by `heard_until` have been passed to Receive().
+  void Tick(Time now, WallMillis wall, Time heard_until);
+  void Tick(Time now, WallMillis wall) { Tick(now, wall, now); }
 
   // Handles a message from another process.
   void Receive(Time now,
@@ -290,6 +292,9 @@
   ControlState state_;
   Scheduler scheduler_;
   GraphLeader graphs_;
+  // All messages that had arrived by then have been handled. Leases expire by
+  // this time.
+  Time heard_until_;
   Time next_graph_decision_;
   bool has_proposed_ = false;
   // Log index of the membership last sent to attached processes.
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -100,8 +100,15 @@
   [[nodiscard]] std::int64_t PendingGraphCount(const GraphTable& table,
                                                std::string_view queue) const;
 
-  // Expires leases, stops stuck runs and places ready tasks.
-  void Decide(Time now, WallMillis wall, const GraphTable& table);
+  // Expires leases, stops stuck runs and places ready tasks. All syncs that had
+  // arrived by `heard_until` have been processed; later ones may still wait.
+  void Decide(Time now,
+              WallMillis wall,
+              const GraphTable& table,
+              Time heard_until);
+  void Decide(Time now, WallMillis wall, const GraphTable& table) {
+    Decide(now, wall, table, now);
+  }
 
   // Returns the total time of this leadership that long-running tasks have
   // waited although there was room for them twice over.
@@ -184,7 +191,7 @@
   void StopForUrgent(Time now,
                      const GraphTable& table,
                      std::span<const RunPlacement> placed);
-  void ExpireLeases(Time now, const GraphTable& table);
+  void ExpireLeases(Time now, const GraphTable& table, Time heard_until);
   void StopStuckRuns(Time now, const GraphTable& table);
   // Returns the view of a worker's incarnation. The view of an earlier
   // incarnation is discarded.
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -42,8 +42,9 @@
   graphs_.OnRestored(now);
 }
 
-void ControlCore::Tick(Time now, WallMillis wall) {
-  raft_.Tick(now);
+void ControlCore::Tick(Time now, WallMillis wall, Time heard_until) {
+  heard_until_ = std::max(heard_until_, heard_until);
+  raft_.Tick(now, heard_until_);
   UpdateLeadership(now);
   if (is_leading_ && now >= next_schedule_) {
     next_schedule_ = now + kScheduleInterval;
@@ -65,7 +66,7 @@
   const bool has_ready = !state_.graphs().ready_graphs().empty();
   next_graph_decision_ =
       now + (has_ready ? kGraphInterval : kIdleGraphInterval);
-  graphs_.Decide(now, wall, state_.graphs());
+  graphs_.Decide(now, wall, state_.graphs(), heard_until_);
   CollectGraphOutputs(now, wall);
 }
 
@@ -628,7 +629,7 @@
   if (!raft_.HoldsLease(now)) {
     return;
   }
-  for (RemoveInstance& removal : scheduler_.TakeExpired(now, state_)) {
+  for (RemoveInstance& removal : scheduler_.TakeExpired(heard_until_, state_)) {
     ProposeCommand(now, wall, std::move(removal));
   }
   SchedulerOutputs decided = scheduler_.Decide(now, state_);
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -734,7 +734,9 @@
   }
 }
 
-void GraphLeader::ExpireLeases(Time now, const GraphTable& table) {
+void GraphLeader::ExpireLeases(Time now,
+                               const GraphTable& table,
+                               Time heard_until) {
   for (const auto& [id, worker] : table.workers()) {
     GraphWorkerView& view = views_[id];
     if (view.lease_deadline == Time{}) {
@@ -743,7 +745,7 @@
     }
     const Time lease_end =
         std::max(view.lease_deadline, unknown_leases_.EndOf(worker.info.life));
-    if (lease_end <= now && !view.drop_proposed) {
+    if (lease_end <= heard_until && !view.drop_proposed) {
       view.drop_proposed = true;
       ProposeRemoval(now, worker, {}, "the lease ran out");
     }
@@ -784,9 +786,12 @@
   }
 }
 
-void GraphLeader::Decide(Time now, WallMillis wall, const GraphTable& table) {
+void GraphLeader::Decide(Time now,
+                         WallMillis wall,
+                         const GraphTable& table,
+                         Time heard_until) {
   forecast_.Observe(now, table, out_.events);
-  ExpireLeases(now, table);
+  ExpireLeases(now, table, heard_until);
   StopStuckRuns(now, table);
   if (placement_proposed_at_ &&
       *placement_proposed_at_ + kProposalTimeout > now) {
--- a/tests/support/graph_samples.h
+++ b/tests/support/graph_samples.h
@@ -179,12 +179,10 @@
   }
 
   // Advances the clocks, then runs the leader's periodic decisions.
-  void AdvanceTime(Duration span) {
-    now_ += span;
-    wall_ += ToMillis(span);
-    leader_.Decide(now_, wall_, table_);
-    DrainOutputs();
-  }
+  void AdvanceTime(Duration span) { Advance(span, now_ + span); }
+
+  // The same for a turn in which nothing that arrives is read.
+  void AdvanceUnheard(Duration span) { Advance(span, now_); }
 
   // Returns the runs that the table holds for a worker.
   [[nodiscard]] std::set<RunRef> RunsOn(const std::string& worker) const {
@@ -206,6 +204,13 @@
   [[nodiscard]] Time now() const { return now_; }
 
  private:
+  void Advance(Duration span, Time heard_until) {
+    now_ += span;
+    wall_ += ToMillis(span);
+    leader_.Decide(now_, wall_, table_, heard_until);
+    DrainOutputs();
+  }
+
   // Records the leader's orders and commits its proposals.
   void DrainOutputs() {
     GraphLeaderOutputs outputs = leader_.TakeOutputs();
--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -341,6 +341,49 @@
   CPPUNIT_ASSERT_MESSAGE("this process", relay(options.session) == 1);
 }
 
+// Guards against instances that are removed after a long turn of the leader,
+// while their heartbeats wait in its queue.
+void InstanceWithUnreadHeartbeatsStays() {
+  ControlOptions options;
+  options.raft.self = {"control-0", 1};
+  options.raft.configured_ids = {"control-0"};
+  Time now(std::chrono::seconds(1000));
+  ControlCore core(options, RestoredLog{}, now);
+  const auto tick = [&](Time heard_until) {
+    core.Tick(now, kGraphStart, heard_until);
+    for (const PersistBatch& batch :
+         core.TakeOutputs(now, kGraphStart).persists) {
+      core.OnPersisted(now, batch.seq);
+    }
+  };
+  const auto run = [&](Duration span) {
+    for (const Time until = now + span; now < until;) {
+      now += Millis(10);
+      tick(now);
+    }
+  };
+  run(std::chrono::seconds(4));
+  AgentHello hello;
+  hello.info.id = "w1";
+  hello.info.incarnation = 1;
+  hello.info.role = InstanceRole::kWorker;
+  core.Receive(now, kGraphStart, {"w1", 1}, hello);
+  run(Millis(100));
+  const auto is_known = [&] {
+    return core.state().FindInstance("w1") != nullptr;
+  };
+  CPPUNIT_ASSERT(is_known());
+  const Time heard_until = now;
+  now += (options.lease + options.lease_margin) * 2;
+  for (int i = 0; i < 10; ++i) {
+    now += Millis(10);
+    tick(heard_until);
+  }
+  CPPUNIT_ASSERT(is_known());
+  run(Millis(100));
+  CPPUNIT_ASSERT_MESSAGE("without a heartbeat", !is_known());
+}
+
 // Guards against a graph of another writer that ends each replica that applies
 // it, again after every restart: a step depends on one that does not exist.
 void RefusesInvalidGraph() {
@@ -695,6 +738,9 @@
                       ReplyToAnEndedProcessIsDropped)
                 .Then("takes no relayed reply to its own earlier process",
                       RelayedReplyToAnEndedProcessIsDropped))
+      .With(Section("after a long turn")
+                .Then("keeps an instance whose heartbeats are unread",
+                      InstanceWithUnreadHeartbeatsStays))
       .With(Section("with large entries")
                 .Then("takes a snapshot by the size of the log",
                       LargeEntriesMakeSnapshotDue)
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -157,6 +157,30 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, fixture.RunsOn("w2").begin()->run);
 }
 
+// Guards against the loss of every run of a cell whose leader has stood still:
+// the syncs of its workers wait in its queue.
+void UnreadWorkerKeepsItsRuns() {
+  const GraphLeaderOptions options;
+  const Duration lease = options.lease + options.lease_margin;
+  for (const Duration turn : {Millis(200), Millis(5000), lease * 2}) {
+    LeaderHarness fixture;
+    fixture.Join(SampleWorker("w1"));
+    fixture.Join(SampleWorker("w2"));
+    fixture.Commit(SampleGraph("g", {SampleStep(1)}));
+    fixture.AdvanceTime(kTimeStep);
+    const std::set<RunRef> runs = fixture.RunsOn("w1");
+    fixture.AdvanceUnheard(turn);
+    CPPUNIT_ASSERT(fixture.table().workers().contains("w1"));
+    fixture.Sync(SyncWithPlacedRuns(fixture, SampleWorker("w1")));
+    fixture.AdvanceTime(kTimeStep);
+    CPPUNIT_ASSERT(fixture.table().workers().contains("w1"));
+    CPPUNIT_ASSERT(runs == fixture.RunsOn("w1"));
+    // What has been read holds no sync of the other one.
+    CPPUNIT_ASSERT_EQUAL(turn < lease,
+                         fixture.table().workers().contains("w2"));
+  }
+}
+
 // Returns the last sync of an agent whose worker has left, with its ended runs.
 WorkerSync FinalSync(const std::string& worker, std::vector<EndedRun> ended) {
   WorkerSync sync;
@@ -579,6 +603,8 @@
       .With(Section("a worker")
                 .Then("that is silent keeps its runs until its lease expires",
                       SilentWorkerIsReplacedOnlyAfterItsLease)
+                .Then("keeps its runs while its syncs are unread",
+                      UnreadWorkerKeepsItsRuns)
                 .Then("that left has its reported ends counted",
                       EndsOfLeavingWorkerAreCounted)
                 .Then("that left has its ends beyond one log entry counted",
