Leader: call a run stuck only after reading what has arrived

After a turn of more than 1.6 s the leader stopped runs that made progress, kept their tasks off their workers and suspected these: it had handled three lists without progress at once, and the lists that showed it waited in its queue.

The time without progress ended on a clock that goes on while the leader doesn't read. It now ends by the time until which everything that arrived has been read.

The new test, a turn of 4 s of virtual time, failed before.

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -192,7 +192,7 @@
                      const GraphTable& table,
                      std::span<const RunPlacement> placed);
   void ExpireLeases(Time now, const GraphTable& table, Time heard_until);
-  void StopStuckRuns(Time now, const GraphTable& table);
+  void StopStuckRuns(Time now, const GraphTable& table, Time heard_until);
   // Returns the view of a worker's incarnation. The view of an earlier
   // incarnation is discarded.
   [[nodiscard]] GraphWorkerView& ViewFor(const WorkerIncarnation& incarnation);
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -752,7 +752,9 @@
   }
 }
 
-void GraphLeader::StopStuckRuns(Time now, const GraphTable& table) {
+void GraphLeader::StopStuckRuns(Time now,
+                                const GraphTable& table,
+                                Time heard_until) {
   for (auto& [id, view] : views_) {
     const GraphWorker* worker = table.FindWorker(view.life);
     if (worker == nullptr || !view.reachable) {
@@ -768,7 +770,7 @@
       const Duration stall_timeout =
           step.long_running ? kLongRunningStallTimeout : kStallTimeout;
       if (step.best_effort || step.gang ||
-          now - seen.progressed_at < stall_timeout ||
+          heard_until - seen.progressed_at < stall_timeout ||
           seen.lists_without_progress < kMinStalledLists ||
           !view.stop_sent_at.try_emplace(run, now).second) {
         continue;
@@ -792,7 +794,7 @@
                          Time heard_until) {
   forecast_.Observe(now, table, out_.events);
   ExpireLeases(now, table, heard_until);
-  StopStuckRuns(now, table);
+  StopStuckRuns(now, table, heard_until);
   if (placement_proposed_at_ &&
       *placement_proposed_at_ + kProposalTimeout > now) {
     return;
--- a/tests/unit/graph_leader_test.cc
+++ b/tests/unit/graph_leader_test.cc
@@ -323,6 +323,32 @@
   CPPUNIT_ASSERT(was_stopped);
 }
 
+// Guards against runs that are stopped, and workers that are suspected, after a
+// long turn of the leader: the lists that show the progress wait in its queue.
+void RunWithUnreadListsIsNotStuck() {
+  LeaderHarness fixture;
+  fixture.Join(SampleWorker("w1"));
+  fixture.Commit(SampleGraph("g", {SampleStep(1)}));
+  fixture.AdvanceTime(kTimeStep);
+  std::uint64_t lists = 0;
+  const auto list = [&](int percent) {
+    WorkerSync sync = SyncWithPlacedRuns(fixture, SampleWorker("w1"));
+    sync.running[0].percent = percent;
+    sync.lists = ++lists;
+    fixture.Sync(std::move(sync));
+  };
+  // Lists that had waited are handled in one turn.
+  for (int i = 0; i < 10; ++i) {
+    list(40);
+  }
+  fixture.AdvanceUnheard(Millis(4000));
+  list(60);
+  fixture.AdvanceTime(kTimeStep);
+  for (const WorkerOrders& orders : fixture.TakeOrders()) {
+    CPPUNIT_ASSERT(orders.stops.empty());
+  }
+}
+
 void RunWithoutNewListsIsNotStuck() {
   LeaderHarness fixture;
   fixture.Join(SampleWorker("w1"));
@@ -621,6 +647,8 @@
                 .Then("gets no start beyond its capacity after a late sync",
                       LateSyncRestoresNoCapacity)
                 .Then("must stop a run without progress", StuckRunIsStopped)
+                .Then("whose run lists are unread has no stuck runs",
+                      RunWithUnreadListsIsNotStuck)
                 .Then("without new run lists has no stuck runs",
                       RunWithoutNewListsIsNotStuck)
                 .Then("that fails different graphs is suspected",
