Main loops of gateways and agents: tell until when they have read

The cell client and the cell link judge a silence by the time until which everything that arrived has been read, and the loops passed the present. Marks now go through the network thread and the ring of inputs, one each 100 ms, and the loops pass the time of the last one that came back. A mark that a full ring has dropped is replaced after a second.

--- a/include/banyan/process/gateway_process.h
+++ b/include/banyan/process/gateway_process.h
@@ -17,6 +17,7 @@
 #include "banyan/net/peer_network.h"
 #include "banyan/process/control_process.h"
 #include "banyan/process/pending.h"
+#include "banyan/process/read_marks.h"
 #include "banyan/settings/settings.h"
 
 namespace banyan {
@@ -78,7 +79,8 @@
   struct EndInput {
     Time deadline;
   };
-  using Input = std::variant<PeerEvent, CallInput, SeedsInput, EndInput>;
+  using Input =
+      std::variant<PeerEvent, CallInput, SeedsInput, EndInput, ReadMark>;
 
   HttpReply ServeQueues(const HttpCall& call);
   HttpReply ServeOperators(const HttpCall& call);
@@ -101,6 +103,8 @@
   CellSettings settings_;
   GatewayApis apis_;
   CellClient client_;
+  // Used by the core thread only.
+  ReadMarks read_marks_{MonotonicClock::now()};
   BoundedRing<Input> inputs_;
   PendingResponses<CommandResult> pending_;
   Metrics metrics_;
--- a/include/banyan/process/worker_agent_process.h
+++ b/include/banyan/process/worker_agent_process.h
@@ -19,6 +19,7 @@
 #include "banyan/metrics/metrics.h"
 #include "banyan/net/http.h"
 #include "banyan/net/peer_network.h"
+#include "banyan/process/read_marks.h"
 #include "banyan/settings/settings.h"
 
 namespace banyan {
@@ -78,8 +79,8 @@
   struct SeedsInput {
     std::vector<std::string> seeds;
   };
-  using Input =
-      std::variant<PeerEvent, RunCallReply, WorkerMessage, SeedsInput>;
+  using Input = std::
+      variant<PeerEvent, RunCallReply, WorkerMessage, SeedsInput, ReadMark>;
 
   HttpReply Serve(const HttpCall& call);
   void RunCore();
@@ -92,6 +93,8 @@
   WorkerProtocol protocol_;
   WorkerAgent agent_;
   CellLink link_;
+  // Used by the core thread only.
+  ReadMarks read_marks_{MonotonicClock::now()};
   BoundedRing<Input> inputs_;
   // List calls block at the worker, so a dedicated thread makes them.
   BoundedRing<RunCall> list_calls_;
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -249,10 +249,14 @@
     }
     const Time now = MonotonicClock::now();
     turn.EndPart(now, "inputs");
-    client_.Tick(now);
+    client_.Tick(now, read_marks_.heard_until());
     ApplyOutputs(client_.TakeOutputs());
     ShareReplica(client_.IsFresh(now));
     LogSwitch(client_.link());
+    read_marks_.Tick(now, [this](ReadMark mark) {
+      network_.AfterReading(
+          [this, mark] { PushOrLog(inputs_, mark, kRingName); });
+    });
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {client_.link().current()});
@@ -287,6 +291,10 @@
     client_.EndBy(end->deadline);
     return;
   }
+  if (const auto* mark = std::get_if<ReadMark>(&input)) {
+    read_marks_.OnMark(*mark);
+    return;
+  }
   const auto& event = std::get<PeerEvent>(input);
   switch (event.kind) {
     case PeerEvent::Kind::kUp: {
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -123,10 +123,13 @@
     agent_.Tick(now);
     ApplyOutputs(now, agent_.TakeOutputs());
     const std::string previous_replica = link_.current();
-    if (link_.Tick(now, now)) {
+    if (link_.Tick(now, read_marks_.heard_until())) {
       network_.Disconnect(previous_replica);
     }
     LogSwitch(link_);
+    read_marks_.Tick(now, [this](ReadMark mark) {
+      network_.AfterReading([this, mark] { Push(mark); });
+    });
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {link_.current()});
@@ -149,6 +152,8 @@
     }
   } else if (const auto* seeds = std::get_if<SeedsInput>(&input)) {
     link_.AddSeeds(seeds->seeds);
+  } else if (const auto* mark = std::get_if<ReadMark>(&input)) {
+    read_marks_.OnMark(*mark);
   } else {
     const auto& event = std::get<PeerEvent>(input);
     if (event.kind == PeerEvent::Kind::kUp) {
