--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "banyan/base/random.h"
+#include "banyan/process/dialled_addresses.h"
 #include "banyan/process/operator_api.h"
 #include "banyan/process/push_or_log.h"
 #include "src/consensus/data_files.h"
@@ -367,7 +368,9 @@
 void ControlProcess::RunCore() {
   Time next_maintenance = MonotonicClock::now();
   while (!must_end_) {
-    const Time wait_deadline = MonotonicClock::now() + kTickInterval;
+    const Time wait_start = MonotonicClock::now();
+    const Time wait_deadline =
+        core_->HasMoreToApply() ? wait_start : wait_start + kTickInterval;
     std::vector<Input> batch = inputs_.PopAll(wait_deadline);
     turn_.Begin(MonotonicClock::now(), wait_deadline, batch.size(),
                 ThreadCpuTime());
@@ -405,21 +408,9 @@
   if (settings_.seeds.empty()) {
     return dialled_addresses_;
   }
-  std::set<std::string> addresses(settings_.seeds.begin(),
-                                  settings_.seeds.end());
-  const Membership& membership = core_->raft().log().membership();
-  if (!core_->raft().leader().empty()) {
-    // Seeds only serve to find the cell and may be out of date. Once a leader
-    // is known, the membership replaces them.
-    addresses.clear();
-  }
-  for (const auto* group : {&membership.voters, &membership.learners}) {
-    for (const MemberId& member : *group) {
-      addresses.insert(member.id);
-    }
-  }
-  addresses.erase(settings_.id);
-  return addresses;
+  const RaftCore& raft = core_->raft();
+  return AddressesToDial(
+      {settings_.id, raft.leader(), settings_.seeds, raft.log().membership()});
 }
 
 void ControlProcess::HandleInput(Time now, Input input) {
@@ -472,7 +463,7 @@
   }
   HttpReply reply = AnswerQuery(*core_, query.path, now);
   reply.fields.push_back(
-      {"Banyan-Fresh", core_->raft().IsFresh(now) ? "true" : "false"});
+      {"Banyan-Fresh", core_->IsFresh(now) ? "true" : "false"});
   pending_.Resolve(query.ticket, std::move(reply));
 }
 
