--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -87,9 +87,8 @@
   ControlCore(ControlOptions options, RestoredLog restored, Time now);
 
   // Processes timeouts and the periodic work of the leader. `wall` is the
-  // wall-clock time recorded in proposed commands.
-  // All messages that had arrived by `heard_until` have been passed to
-  // Receive().
+  // wall-clock time recorded in proposed commands. All messages that had
+  // arrived by `heard_until` have been passed to Receive().
   void Tick(Time now, WallMillis wall, Time heard_until);
   void Tick(Time now, WallMillis wall) { Tick(now, wall, now); }
 
@@ -138,12 +137,12 @@
   }
 
   // Whether the state is as recent as the last contact with the leader; see
-  // RaftCore::IsFresh(). False after a TakeOutputs() that has left entries to
-  // apply, and while committed entries from disk are not applied.
+  // RaftCore::IsFresh(). False while committed entries from disk are not
+  // applied, and if two TakeOutputs() in a row have left entries to apply.
   [[nodiscard]] bool IsFresh(Time now) const {
     const bool is_restoring =
         HasMoreToApply() && applied_index_ < restored_index_;
-    return !is_behind_ && !is_restoring && raft_.IsFresh(now);
+    return parts_left_ < 2 && !is_restoring && raft_.IsFresh(now);
   }
 
   [[nodiscard]] const RaftCore& raft() const noexcept { return raft_; }
@@ -309,6 +308,9 @@
   ControlState state_;
   Scheduler scheduler_;
   GraphLeader graphs_;
+  // All messages that had arrived by then have been handled. Leases expire by
+  // this time.
+  Time heard_until_;
   Time next_graph_decision_;
   bool has_proposed_ = false;
   // Log index of the membership last sent to attached processes.
@@ -328,8 +330,8 @@
   // was last sent. A long log may hold many changes, of which only the last one
   // is sent, after all parts of the log.
   bool has_restored_plan_ = false;
-  // Whether the last TakeOutputs() left committed entries to apply.
-  bool is_behind_ = false;
+  // How many TakeOutputs() in a row have left committed entries to apply.
+  std::uint64_t parts_left_ = 0;
   std::map<std::string, AttachedProcess> attached_;
   PlanSender plan_sender_;
   PlanWatch plan_watch_;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -734,7 +734,9 @@
   }
 }
 
-void GraphLeader::ExpireLeases(Time now, const GraphTable& table) {
+void GraphLeader::ExpireLeases(Time now,
+                               const GraphTable& table,
+                               Time heard_until) {
   for (const auto& [id, worker] : table.workers()) {
     GraphWorkerView& view = views_[id];
     if (view.lease_deadline == Time{}) {
@@ -743,14 +745,16 @@
     }
     const Time lease_end =
         std::max(view.lease_deadline, unknown_leases_.EndOf(worker.info.life));
-    if (lease_end <= now && !view.drop_proposed) {
+    if (lease_end <= heard_until && !view.drop_proposed) {
       view.drop_proposed = true;
       ProposeRemoval(now, worker, {}, "the lease ran out");
     }
   }
 }
 
-void GraphLeader::StopStuckRuns(Time now, const GraphTable& table) {
+void GraphLeader::StopStuckRuns(Time now,
+                                const GraphTable& table,
+                                Time heard_until) {
   for (auto& [id, view] : views_) {
     const GraphWorker* worker = table.FindWorker(view.life);
     if (worker == nullptr || !view.reachable) {
@@ -766,7 +770,7 @@
       const Duration stall_timeout =
           step.long_running ? kLongRunningStallTimeout : kStallTimeout;
       if (step.best_effort || step.gang ||
-          now - seen.progressed_at < stall_timeout ||
+          heard_until - seen.progressed_at < stall_timeout ||
           seen.lists_without_progress < kMinStalledLists ||
           !view.stop_sent_at.try_emplace(run, now).second) {
         continue;
@@ -784,10 +788,13 @@
   }
 }
 
-void GraphLeader::Decide(Time now, WallMillis wall, const GraphTable& table) {
+void GraphLeader::Decide(Time now,
+                         WallMillis wall,
+                         const GraphTable& table,
+                         Time heard_until) {
   forecast_.Observe(now, table, out_.events);
-  ExpireLeases(now, table);
-  StopStuckRuns(now, table);
+  ExpireLeases(now, table, heard_until);
+  StopStuckRuns(now, table, heard_until);
   if (placement_proposed_at_ &&
       *placement_proposed_at_ + kProposalTimeout > now) {
     return;
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -1,6 +1,5 @@
 #include "banyan/process/control_process.h"
 
-#include <algorithm>
 #include <cstdlib>
 #include <utility>
 #include <vector>
@@ -22,10 +21,8 @@
 // Most inputs that the core thread handles in a turn. Further ones wait, so
 // that heartbeats go out meanwhile.
 constexpr std::size_t kMaxInputsPerTurn = 256;
-// Interval between two read marks.
+// Shortest time between two read marks.
 constexpr Duration kReadMarkInterval = Millis(20);
-// A read mark that isn't back after this time counts as dropped by a full ring.
-constexpr Duration kReadMarkTimeout = std::chrono::seconds(1);
 // Interval at which connections are checked and re-established. Also how often
 // idle disk threads check whether to stop.
 constexpr Duration kMaintenanceInterval = Millis(100);
@@ -111,7 +108,8 @@
       api_(std::move(api)),
       inputs_(kRingCapacity),
       persist_ring_(kDiskRingCapacity),
-      compaction_ring_(kSnapshotRingCapacity) {}
+      compaction_ring_(kSnapshotRingCapacity),
+      read_marks_(MonotonicClock::now(), kReadMarkInterval) {}
 
 std::string_view ControlProcess::KindOf(const Input& input) {
   if (const auto* event = std::get_if<PeerEvent>(&input)) {
@@ -375,7 +373,6 @@
 
 void ControlProcess::RunCore() {
   Time next_maintenance = MonotonicClock::now();
-  heard_until_ = next_maintenance;
   while (!must_end_) {
     const Time wait_start = MonotonicClock::now();
     const Time wait_deadline =
@@ -391,13 +388,15 @@
     }
     const Time now = MonotonicClock::now();
     turn_.EndPart(now, "inputs");
-    core_->Tick(now, WallNow(), heard_until_);
+    core_->Tick(now, WallNow(), read_marks_.heard_until());
     turn_.EndPart(MonotonicClock::now(), "tick");
     ControlOutputs outputs = core_->TakeOutputs(now, WallNow());
     turn_.EndPart(MonotonicClock::now(), "apply");
     ApplyOutputs(std::move(outputs));
     turn_.EndPart(MonotonicClock::now(), "send");
-    SendReadMark();
+    read_marks_.Tick(MonotonicClock::now(), [this](ReadMark mark) {
+      network_->AfterReading([this, mark] { Push(mark); });
+    });
     must_stay_ = !is_leave_handled_ || core_->raft().MustStay(now);
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
@@ -407,16 +406,6 @@
   }
 }
 
-void ControlProcess::SendReadMark() {
-  const Time now = MonotonicClock::now();
-  if (now < next_read_mark_ || now < read_mark_deadline_) {
-    return;
-  }
-  next_read_mark_ = now + kReadMarkInterval;
-  read_mark_deadline_ = now + kReadMarkTimeout;
-  network_->AfterReading([this, now] { Push(ReadMark{now}); });
-}
-
 void ControlProcess::EndTurn() {
   if (const auto event = turn_.End(MonotonicClock::now(), ThreadCpuTime())) {
     WriteEvent(*event);
@@ -465,8 +454,7 @@
   } else if (const auto* query = std::get_if<ApiQuery>(&input)) {
     AnswerApiQuery(now, *query);
   } else if (const auto* mark = std::get_if<ReadMark>(&input)) {
-    heard_until_ = std::max(heard_until_, mark->at);
-    read_mark_deadline_ = Time{};
+    read_marks_.OnMark(*mark);
   } else {
     core_->Leave(now);
     is_leave_handled_ = true;
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -19,6 +19,8 @@
 constexpr const char* kRingName = "gateway";
 // Longest wait of the core thread for input.
 constexpr Duration kTickInterval = Millis(20);
+// Shortest time between two read marks.
+constexpr Duration kReadMarkInterval = Millis(100);
 // Interval at which connections are checked and re-established.
 constexpr Duration kMaintenanceInterval = Millis(100);
 // Time that a stopping process continues to serve. The load balancer checks
@@ -56,6 +58,7 @@
       client_(settings_.seeds,
               NewIncarnation(),
               apis_.queues ? PlanDelivery::kParts : PlanDelivery::kNone),
+      read_marks_(MonotonicClock::now(), kReadMarkInterval),
       inputs_(kRingCapacity),
       network_(settings_.id, NewIncarnation(), [this](PeerEvent&& event) {
         PushOrLog(inputs_, std::move(event), kRingName);
@@ -249,10 +252,14 @@
     }
     const Time now = MonotonicClock::now();
     turn.EndPart(now, "inputs");
-    client_.Tick(now);
+    client_.Tick(now, read_marks_.heard_until());
     ApplyOutputs(client_.TakeOutputs());
     ShareReplica(client_.IsFresh(now));
     LogSwitch(client_.link());
+    read_marks_.Tick(now, [this](ReadMark mark) {
+      network_.AfterReading(
+          [this, mark] { PushOrLog(inputs_, mark, kRingName); });
+    });
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {client_.link().current()});
@@ -287,6 +294,10 @@
     client_.EndBy(end->deadline);
     return;
   }
+  if (const auto* mark = std::get_if<ReadMark>(&input)) {
+    read_marks_.OnMark(*mark);
+    return;
+  }
   const auto& event = std::get<PeerEvent>(input);
   switch (event.kind) {
     case PeerEvent::Kind::kUp: {
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kRingCapacity = 8192;
 // Longest wait of the core thread for input.
 constexpr Duration kTickInterval = Millis(25);
+// Shortest time between two read marks.
+constexpr Duration kReadMarkInterval = Millis(100);
 // Interval at which connections are checked and re-established.
 constexpr Duration kMaintenanceInterval = Millis(100);
 // Interval at which an idle call thread checks whether to stop.
@@ -30,6 +32,7 @@
       protocol_(std::move(protocol)),
       agent_(settings_.max_worker_lease),
       link_(settings_.seeds, NewIncarnation()),
+      read_marks_(MonotonicClock::now(), kReadMarkInterval),
       inputs_(kRingCapacity),
       list_calls_(kRingCapacity),
       order_calls_(kRingCapacity),
@@ -123,10 +126,13 @@
     agent_.Tick(now);
     ApplyOutputs(now, agent_.TakeOutputs());
     const std::string previous_replica = link_.current();
-    if (link_.Tick(now)) {
+    if (link_.Tick(now, read_marks_.heard_until())) {
       network_.Disconnect(previous_replica);
     }
     LogSwitch(link_);
+    read_marks_.Tick(now, [this](ReadMark mark) {
+      network_.AfterReading([this, mark] { Push(mark); });
+    });
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {link_.current()});
@@ -149,6 +155,8 @@
     }
   } else if (const auto* seeds = std::get_if<SeedsInput>(&input)) {
     link_.AddSeeds(seeds->seeds);
+  } else if (const auto* mark = std::get_if<ReadMark>(&input)) {
+    read_marks_.OnMark(*mark);
   } else {
     const auto& event = std::get<PeerEvent>(input);
     if (event.kind == PeerEvent::Kind::kUp) {
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -1,5 +1,6 @@
 #include "banyan/graph/cell_client.h"
 
+#include <optional>
 #include <set>
 
 #include "tests/unit/story.h"
@@ -38,6 +39,20 @@
     }
   }
 
+  // Advances by a turn in which the process handles nothing that arrives.
+  void AdvanceUnheard(Duration span) {
+    const Time heard_until = now_;
+    now_ += span;
+    client_.Tick(now_, heard_until);
+    Collect();
+  }
+
+  // Advances within a turn.
+  void Spend(Duration span) { now_ += span; }
+
+  // Handles what arrived during such a turn.
+  void Hear(const Message& message) { client_.Receive(now_, message); }
+
   // Answers every unanswered request.
   void ReplyAll(ErrorKind error, bool ok = false) {
     for (const std::uint64_t seq : std::exchange(requests_, {})) {
@@ -50,13 +65,15 @@
     Collect();
   }
 
-  void set_auto_fresh(bool fresh) { auto_fresh_ = fresh; }
+  void set_auto_fresh(std::optional<bool> fresh) { auto_fresh_ = fresh; }
   void DropRequests() { requests_.clear(); }
   [[nodiscard]] CellClient& client() { return client_; }
+  [[nodiscard]] Time now() const { return now_; }
   [[nodiscard]] const std::vector<CellAnswer>& answers() const {
     return answers_;
   }
   [[nodiscard]] std::size_t requests() const { return requests_.size(); }
+  [[nodiscard]] std::size_t plan_requests() const { return plan_requests_; }
 
  private:
   void Collect() {
@@ -66,6 +83,8 @@
         requests_.push_back(command->seq);
       } else if (const auto* query = std::get_if<CellQuery>(&message)) {
         requests_.push_back(query->seq);
+      } else if (std::holds_alternative<PlanRequest>(message)) {
+        ++plan_requests_;
       }
     }
     for (CellAnswer& answer : outputs.answers) {
@@ -77,6 +96,7 @@
   CellClient client_;
   std::optional<bool> auto_fresh_;
   std::vector<std::uint64_t> requests_;
+  std::size_t plan_requests_ = 0;
   std::vector<CellAnswer> answers_;
 };
 
@@ -98,6 +118,74 @@
   CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
 }
 
+// Returns a client that is connected and has just sent its status.
+ClientFixture ClientThatAwaitsAnswer() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(500));
+  fixture.set_auto_fresh(std::nullopt);
+  fixture.Advance(Millis(100));
+  return fixture;
+}
+
+// Guards against a process that leaves its replica after a long turn, although
+// the answer waits in its queue.
+void StaysWithReplicaWhoseAnswerIsUnread() {
+  for (const Duration turn : {Millis(200), Millis(1000), Millis(5000)}) {
+    ClientFixture fixture = ClientThatAwaitsAnswer();
+    const std::string first = fixture.client().link().current();
+    fixture.AdvanceUnheard(turn);
+    CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+    fixture.Hear(EntryStatusAck{0, true});
+    fixture.set_auto_fresh(true);
+    fixture.Advance(Millis(1000));
+    CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+  }
+}
+
+// Guards against a replica that is left because the connection to it came up
+// during a long turn.
+void StaysWithReplicaWhoseConnectionIsUnread() {
+  ClientFixture fixture;
+  const std::string first = fixture.client().link().current();
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+}
+
+// Guards against a wait for an answer that begins before the status has left
+// the process.
+void AnswerIsDueOnceTheStatusIsSent() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(450));
+  fixture.set_auto_fresh(std::nullopt);
+  const std::string first = fixture.client().link().current();
+  // The turn that sends the status ends; the next one comes 3 s later.
+  fixture.AdvanceUnheard(Millis(100));
+  fixture.AdvanceUnheard(Millis(3000));
+  fixture.Advance(Millis(750));
+  CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+  fixture.Advance(Millis(100));
+  CPPUNIT_ASSERT(first != fixture.client().link().current());
+}
+
+// Guards against a replica that is kept because the process is slow, though it
+// has read all that arrived.
+void LeavesSilentReplicaAfterLongTurns() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  const std::string first = fixture.client().link().current();
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(first, fixture.client().link().current());
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT(first != fixture.client().link().current());
+}
+
 void RefusalIsDefiniteWhenNothingWasAccepted() {
   ClientFixture fixture;
   fixture.Connect();
@@ -193,6 +281,69 @@
   CPPUNIT_ASSERT(fixture.answers().at(0).result.error == ErrorKind::kNoQuorum);
 }
 
+// Guards against calls that fail as unreachable after a long turn, although the
+// confirmation of a live leader and their answers wait in the queue.
+void CallWaitsForUnreadConfirmation() {
+  for (const Duration turn : {Millis(1600), Millis(2500), Millis(5000)}) {
+    ClientFixture fixture = ClientThatAwaitsAnswer();
+    fixture.Open(CellQuery{0, CellQueryKind::kGraph, "g"}, Millis(9000));
+    fixture.AdvanceUnheard(turn);
+    CPPUNIT_ASSERT(fixture.answers().empty());
+    CPPUNIT_ASSERT(!fixture.client().IsFresh(fixture.now()));
+    fixture.Hear(EntryStatusAck{0, true});
+    fixture.ReplyAll(ErrorKind::kNotFound);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+    CPPUNIT_ASSERT(fixture.answers()[0].result.error == ErrorKind::kNotFound);
+  }
+}
+
+// Guards against submissions that are refused after long turns, although the
+// cell can decide.
+void SubmissionIsSentAfterLongTurns() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  fixture.AdvanceUnheard(Millis(1600));
+  // The next turn handles the submission first, and the confirmation later.
+  fixture.Spend(Millis(600));
+  fixture.Open(Command(SubmitGraph{"g", {}}), Millis(3000));
+  CPPUNIT_ASSERT(fixture.answers().empty());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+}
+
+// Guards against a call that outlasts its caller because the process is slow.
+void CallEndsAtItsDeadlineAfterLongTurn() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  fixture.Open(CellQuery{0, CellQueryKind::kGraph, "g"}, Millis(900));
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+}
+
+// Guards against requests that are all sent again after a long turn, while
+// their answers wait in the queue.
+void CallIsNotSentAgainBeforeItsAnswerIsRead() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  fixture.Open(CellQuery{0, CellQueryKind::kGraph, "g"}, Millis(9000));
+  fixture.AdvanceUnheard(Millis(1000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.requests());
+}
+
+// Guards against parts of a plan that cross a thin link twice because the
+// process read them late.
+void PlanPartsAreNotAskedForAgainWhileUnread() {
+  ClientFixture fixture = ClientThatAwaitsAnswer();
+  fixture.Hear(PlanOffer{1});
+  fixture.Advance(Millis(50));
+  const std::size_t first_requests = fixture.plan_requests();
+  CPPUNIT_ASSERT(first_requests > 0);
+  fixture.AdvanceUnheard(Millis(1500));
+  CPPUNIT_ASSERT_EQUAL(first_requests, fixture.plan_requests());
+  fixture.Hear(EntryStatusAck{0, true});
+  fixture.AdvanceUnheard(Millis(50));
+  CPPUNIT_ASSERT(first_requests < fixture.plan_requests());
+}
+
 // Returns a client that is connected and has had no fresh replica for 500 ms,
 // after one that was fresh for up to 1.5 s.
 ClientFixture ClientWithoutCell() {
@@ -275,6 +426,15 @@
                       StaysWithReplicaWithLeader)
                 .Then("may be any member that a replica reported",
                       UsesReportedMembers))
+      .With(Section("after a long turn, its replica")
+                .Then("is kept if its answer is unread",
+                      StaysWithReplicaWhoseAnswerIsUnread)
+                .Then("is kept if its connection is unread",
+                      StaysWithReplicaWhoseConnectionIsUnread)
+                .Then("has the whole time for an answer once it is asked",
+                      AnswerIsDueOnceTheStatusIsSent)
+                .Then("is left if it was silent all the same",
+                      LeavesSilentReplicaAfterLongTurns))
       .With(Section("a call")
                 .Then("that has expired is never sent", ExpiredCallIsNotSent)
                 .Then("that no replica accepted is refused definitely",
@@ -291,6 +451,17 @@
                 .Then("sends a query", QueryIsSentWithoutCell)
                 .Then("reports an unknown outcome for what was sent",
                       SentSubmissionHasUnknownOutcomeWithoutCell))
+      .With(
+          Section("after a long turn, a call")
+              .Then("waits for a confirmation that is unread",
+                    CallWaitsForUnreadConfirmation)
+              .Then("that submits a job is sent",
+                    SubmissionIsSentAfterLongTurns)
+              .Then("ends at its deadline", CallEndsAtItsDeadlineAfterLongTurn)
+              .Then("is sent again only once what came has been read",
+                    CallIsNotSentAgainBeforeItsAnswerIsRead)
+              .Then("leaves the link free of parts of a plan sent twice",
+                    PlanPartsAreNotAskedForAgainWhileUnread))
       .With(Section("at the end of its process")
                 .Then("fails a call that was sent with an unknown outcome",
                       CallThatWasSentHasUnknownOutcomeAtEnd)
