Network: encode messages without the lock that readers need

While the core thread encoded a plan for a peer, the network thread could read no frame, heartbeats among them.

--- a/src/net/peer_network.cc
+++ b/src/net/peer_network.cc
@@ -100,10 +100,15 @@
 }
 
 void PeerNetwork::SendOn(ConnectionId connection, const Message& message) {
-  std::string frame;
+  std::uint64_t incarnation = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    incarnation = incarnation_;
+  }
+  // Without the lock, which the network thread needs for each frame it reads.
+  std::string frame = Encode(Envelope{{id_, incarnation}, message});
   {
     const std::lock_guard lock(mutex_);
-    frame = Encode(Envelope{{id_, incarnation_}, message});
     sent_bytes_ += frame.size();
   }
   transport_.Send(connection, std::move(frame));
