--- a/src/process/turn_monitor.cc
+++ b/src/process/turn_monitor.cc
@@ -52,22 +52,24 @@
   if (took_ < kLongTurn && began_late_ < kLongTurn) {
     return std::nullopt;
   }
-  Event event(EventId::kTurnLong);
-  std::move(event)
-      .With("loop", loop_)
-      .With("took_ms", ToMillis(took_))
-      .With("late_ms", ToMillis(began_late_))
-      .With("inputs", inputs_);
+  Event event = Event(EventId::kTurnLong)
+                    .With("loop", loop_)
+                    .With("took_ms", ToMillis(took_))
+                    .With("late_ms", ToMillis(began_late_))
+                    .With("inputs", inputs_);
+  const auto add = [&event](std::string_view key, Duration value) {
+    event = Event(std::move(event)).With(key, ToMillis(value));
+  };
   if (cpu && cpu_at_begin_) {
-    std::move(event).With("cpu_ms", ToMillis(*cpu - *cpu_at_begin_));
+    add("cpu_ms", *cpu - *cpu_at_begin_);
   }
   for (const Part& part : parts_) {
-    std::move(event).With(std::string(part.name) + "_ms", ToMillis(part.took));
+    add(std::string(part.name) + "_ms", part.took);
   }
   if (!slowest_input_.name.empty()) {
-    std::move(event)
-        .With("slowest_input", slowest_input_.name)
-        .With("slowest_input_ms", ToMillis(slowest_input_.took));
+    event = Event(std::move(event))
+                .With("slowest_input", slowest_input_.name)
+                .With("slowest_input_ms", ToMillis(slowest_input_.took));
   }
   return event;
 }
