--- a/tests/support/cell_world.cc
+++ b/tests/support/cell_world.cc
@@ -573,7 +573,8 @@
   }
   // It may have been elected by the input; others may lead before it ends.
   NoteRole(replica);
-  Turn& turn = replica.turn.emplace();
+  replica.turn = Turn{};
+  Turn& turn = *replica.turn;
   turn.ends_at = now_ + span;
   turn.heard_until = now_;
   turn.is_ticked = is_ticked;
