Logs: tell a replica outside its cell from a member without a leader

A replica refuses with the same words whether it waits for its admission or is a member that knows no leader, so that the users' three records of refused reads can't tell a successor that never found the cell from a cell without a leader. Nothing logs which seeds a process has, or which of them a replica reaches.

The refusal names the wait for admission. process-started and settings-reloaded name the seeds. Replicas log peer-up and peer-down for members and seeds.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -101,6 +101,11 @@
   [[nodiscard]] bool HasMembership() const noexcept {
     return !log_.membership().voters.empty();
   }
+  // Whether the latest membership in the log has this replica, as a voter or
+  // learner.
+  [[nodiscard]] bool IsMember() const noexcept {
+    return IsSelfVoter() || IsLearner(log_.membership(), options_.self);
+  }
   // The number of voters in the latest membership.
   [[nodiscard]] std::size_t voter_count() const noexcept {
     return log_.membership().voters.size();
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -144,6 +144,8 @@
   std::atomic<bool> must_stay_{true};
   // Used by the core thread only.
   bool is_leave_handled_ = false;
+  // The addresses that the network was last told to keep connections to.
+  std::set<std::string> maintained_addresses_;
   TurnMonitor turn_{"control-core"};
   ReadMarks read_marks_;
   std::atomic<bool> must_end_{false};
--- a/include/banyan/process/program.h
+++ b/include/banyan/process/program.h
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <iostream>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -72,11 +73,28 @@
   const char* description;
 };
 
+// Joins addresses with commas.
+[[nodiscard]] std::string JoinAddresses(std::span<const std::string> addresses);
+
+// Returns the seeds in the settings, joined with commas; empty for settings
+// without seeds.
+template <typename Settings>
+[[nodiscard]] std::string SeedsOf(const Settings& settings) {
+  if constexpr (requires { settings.seeds; }) {
+    return JoinAddresses(settings.seeds);
+  }
+  return "";
+}
+
 // Logs an event of the process lifecycle, such as its start.
-void LogLifecycleEvent(EventId event_id, const ProgramInfo& info);
+void LogLifecycleEvent(EventId event_id,
+                       const ProgramInfo& info,
+                       const std::string& seeds = "");
 
 // Logs a reload of the settings. `error` is null if they were valid.
-void LogReload(const ProgramInfo& info, const Reason* error);
+void LogReload(const ProgramInfo& info,
+               const Reason* error,
+               const std::string& seeds);
 
 // Runs a daemon: parses its command line and settings, starts it, waits for
 // signals and stops it gracefully. Returns the exit code.
@@ -109,14 +127,15 @@
     StopJsonLog();
     return 1;
   }
-  LogLifecycleEvent(EventId::kProcessStarted, info);
+  LogLifecycleEvent(EventId::kProcessStarted, info, SeedsOf(*settings));
   while (signals.Wait()) {
     if constexpr (requires { process.Reload(*settings); }) {
       auto changed = load(args->settings_path, reason);
       if (changed) {
         process.Reload(*changed);
       }
-      LogReload(info, changed ? nullptr : &reason);
+      LogReload(info, changed ? nullptr : &reason,
+                changed ? SeedsOf(*changed) : "");
     }
   }
   LogLifecycleEvent(EventId::kProcessStopping, info);
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -246,12 +246,13 @@
   const bool is_relayed = origin.replica != options_.raft.self.id;
   const auto* query = std::get_if<CellQuery>(&message);
   if (raft_.leader().empty() || is_relayed) {
+    const std::string text = raft_.IsMember()
+                                 ? "no leader is known at present"
+                                 : "the replica waits for its admission";
     if (request != nullptr) {
-      ReplyError(origin, request->seq, ErrorKind::kNotLeader,
-                 "no leader is known at present");
+      ReplyError(origin, request->seq, ErrorKind::kNotLeader, text);
     } else if (query != nullptr) {
-      ReplyError(origin, query->seq, ErrorKind::kNotLeader,
-                 "no leader is known at present");
+      ReplyError(origin, query->seq, ErrorKind::kNotLeader, text);
     }
     return;
   }
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -8,7 +8,7 @@
 
 constexpr auto kCatalogue = std::to_array<EventRow>({
     {EventId::kProcessStarted, "process-started",
-     "A process started; the event includes its version."},
+     "A process started: its version and, if it has any, its seeds."},
     {EventId::kProcessStopping, "process-stopping",
      "A planned stop began; work in flight is being finished."},
     {EventId::kProcessStopped, "process-stopped",
@@ -16,10 +16,13 @@
     {EventId::kProcessCutShort, "process-cut-short",
      "The process exits at its drain deadline with work still in flight."},
     {EventId::kSettingsReloaded, "settings-reloaded",
-     "The settings file was reloaded, or was found to be invalid."},
-    {EventId::kPeerUp, "peer-up", "A connection to another process is ready."},
+     "The settings file was reloaded, with its seeds, or was found to be "
+     "invalid."},
+    {EventId::kPeerUp, "peer-up",
+     "A connection to another process is ready. A replica logs only those to "
+     "members and seeds."},
     {EventId::kPeerDown, "peer-down",
-     "A connection to another process was lost."},
+     "A connection to another process was lost; as peer-up."},
     {EventId::kPeerMessageRefused, "peer-message-refused",
      "A frame could not be decoded; the connection was closed."},
     {EventId::kRingFull, "ring-full",
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -406,7 +406,8 @@
     must_stay_ = !is_leave_handled_ || core_->raft().MustStay(now);
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
-      network_->Maintain(now, DialledAddresses());
+      maintained_addresses_ = DialledAddresses();
+      network_->Maintain(now, maintained_addresses_);
     }
     EndTurn();
   }
@@ -433,7 +434,14 @@
   if (auto* event = std::get_if<PeerEvent>(&input)) {
     if (event->kind == PeerEvent::Kind::kMessage) {
       core_->Receive(now, WallNow(), event->sender, event->message);
-    } else if (event->kind == PeerEvent::Kind::kDown) {
+      return;
+    }
+    const bool is_up = event->kind == PeerEvent::Kind::kUp;
+    if (maintained_addresses_.contains(event->sender.id)) {
+      WriteEvent(Event(is_up ? EventId::kPeerUp : EventId::kPeerDown)
+                     .With("peer", event->sender.id));
+    }
+    if (!is_up) {
       core_->OnPeerDisconnected(now, event->sender.id);
     }
   } else if (const auto* persisted = std::get_if<Persisted>(&input)) {
--- a/src/process/program.cc
+++ b/src/process/program.cc
@@ -63,14 +63,31 @@
   return kSettingsExitCode;
 }
 
-void LogLifecycleEvent(EventId event_id, const ProgramInfo& info) {
-  WriteEvent(
-      Event(event_id).With("program", info.name).With("version", kVersion));
+std::string JoinAddresses(std::span<const std::string> addresses) {
+  std::string text;
+  for (const std::string& address : addresses) {
+    text += (text.empty() ? "" : ",") + address;
+  }
+  return text;
+}
+
+void LogLifecycleEvent(EventId event_id,
+                       const ProgramInfo& info,
+                       const std::string& seeds) {
+  Event event(event_id);
+  std::move(event).With("program", info.name).With("version", kVersion);
+  if (!seeds.empty()) {
+    std::move(event).With("seeds", seeds);
+  }
+  WriteEvent(event);
 }
 
-void LogReload(const ProgramInfo& info, const Reason* error) {
+void LogReload(const ProgramInfo& info,
+               const Reason* error,
+               const std::string& seeds) {
   WriteEvent(Event(EventId::kSettingsReloaded)
                  .With("program", info.name)
+                 .With("seeds", seeds)
                  .With("fault", error == nullptr ? "" : ToString(*error)));
 }
 
