Seeds: relays and replicas lead those that look for their cell

Cause: seeds are the addresses of any three processes that serve operators. On the large site ten of fifteen are relays, which listened for nobody, and members dial members only. A successor whose seeds are relays, or relays and its dead predecessor, is never admitted. The cell votes its predecessor out, has four voters, and the next two lost disks take its majority for good. Entries, agents and relays that lose their power reach nobody either.

Now relays listen at the address that seeds name, say that they are no replica, and name those that they know. Replicas keep connections to their seeds and tell them the voters; relays tell theirs as well, so that relays that name only each other learn of the cell. Replicas outside the cell ask who was named to them. The links of entries, agents and relays follow what is named, give every address its turn, and keep a replica that has answered. What was sent to a relay counts as not sent.

Nothing of it decides about votes or membership: addresses only tell whom to ask.

--- a/include/banyan/consensus/raft_core.h
+++ b/include/banyan/consensus/raft_core.h
@@ -15,6 +15,7 @@
 
 #include "banyan/base/random.h"
 #include "banyan/consensus/catch_up_rounds.h"
+#include "banyan/consensus/cell_contacts.h"
 #include "banyan/consensus/contact.h"
 #include "banyan/consensus/membership_plan.h"
 #include "banyan/consensus/membership_watch.h"
@@ -101,6 +102,11 @@
   [[nodiscard]] bool HasMembership() const noexcept {
     return !log_.membership().voters.empty();
   }
+  // Where this replica looks for its cell.
+  [[nodiscard]] CellContacts& contacts() noexcept { return contacts_; }
+  [[nodiscard]] const CellContacts& contacts() const noexcept {
+    return contacts_;
+  }
   // Whether the latest membership in the log has this replica, as a voter or
   // learner.
   [[nodiscard]] bool IsMember() const noexcept {
@@ -299,9 +305,7 @@
   Time heard_until_;
   RaftRole role_ = RaftRole::kFollower;
   std::string leader_;
-  // The replica that last addressed an earlier incarnation of this one; empty
-  // if there is none.
-  std::string contact_;
+  CellContacts contacts_;
   std::uint64_t commit_index_ = 0;
   // Last committed index that was returned in the outputs.
   std::uint64_t emitted_index_ = 0;
--- a/include/banyan/control/control_core.h
+++ b/include/banyan/control/control_core.h
@@ -123,6 +123,11 @@
              CellQueryKind kind,
              const std::string& key);
 
+  // Replaces the seeds at which this replica looks for its cell.
+  void SetSeeds(std::vector<std::string> seeds) {
+    raft_.contacts().SetSeeds(std::move(seeds));
+  }
+
   // Starts a planned shutdown: transfers the leadership to another replica.
   void Leave(Time now);
 
--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -60,6 +60,14 @@
   void OnUp(Time now, const std::string& id);
   void OnDown(Time now, const std::string& id);
   void Receive(Time now, const Message& message);
+  // Processes seeds that have changed.
+  void OnSeeds(Time now, const std::vector<std::string>& seeds);
+  // Processes replicas that a process has named; `from` is empty if that
+  // process has connected to this one. What was sent to the selected process
+  // counts as not sent if it is no replica.
+  void OnReferral(Time now,
+                  const std::string& from,
+                  const CellReferral& referral);
 
   // Retries calls, fails expired ones and sends heartbeats. All that had
   // arrived at the process by `heard_until` has been handled; what arrived
@@ -91,12 +99,17 @@
     std::set<std::uint64_t> pending;
     // Whether the outcome of an earlier request is unknown.
     bool is_uncertain = false;
-    // Whether any request was sent, answered or not.
-    bool was_sent = false;
+    // The sequence number of the first request, answered or not; 0 if none was
+    // sent.
+    std::uint64_t first_seq = 0;
     std::string last_error_text;
   };
 
   void Send(Time now, std::uint64_t ticket, Call& call);
+  // Leaves a replica that the link no longer selects.
+  void Leave(const std::string& replica);
+  // Drops the requests of this connection, whose other end was no replica.
+  void RetractRequests(Time now);
   void OnCommandReply(Time now, const CommandReply& reply);
   void FailCall(std::uint64_t ticket, const Call& call);
   // Whether no replica with a live leader has been known for long enough that
@@ -110,6 +123,8 @@
   // The ticket of each request, by sequence number.
   std::map<std::uint64_t, std::uint64_t> sends_;
   std::uint64_t next_seq_ = 1;
+  // The first sequence number of this connection.
+  std::uint64_t connection_seq_ = 1;
   PlanDelivery delivery_;
   PlanReceiver plans_;
   // All that had arrived by then has been handled. Calls are given up and sent
--- a/include/banyan/graph/cell_link.h
+++ b/include/banyan/graph/cell_link.h
@@ -10,6 +10,7 @@
 
 #include "banyan/base/answer_wait.h"
 #include "banyan/base/time.h"
+#include "banyan/wire/message.h"
 
 namespace banyan {
 
@@ -32,10 +33,32 @@
   [[nodiscard]] const std::string& current() const noexcept { return current_; }
   [[nodiscard]] bool connected() const noexcept { return is_connected_; }
 
-  // Adds seeds and keeps the known ones.
-  void AddSeeds(const std::vector<std::string>& seeds);
+  // Puts seeds before the known ones. Selects one that was not known if the
+  // selected replica has not answered. Returns whether it did; the caller must
+  // then close the previous connection.
+  [[nodiscard]] bool AddSeeds(Time now, const std::vector<std::string>& seeds);
   // Replaces the known members of the cell.
   void SetMembers(const std::vector<std::string>& members);
+  // Returns the replicas that are known best: the members or, before any have
+  // been told, those that other processes have named.
+  [[nodiscard]] const std::vector<std::string>& known_replicas()
+      const noexcept {
+    return members_.empty() ? referred_ : members_;
+  }
+  // Returns whether a process that names replicas says that it is none, since
+  // it is the selected one and has answered nothing.
+  [[nodiscard]] bool IsRefusal(const std::string& from) const {
+    return is_connected_ && from == current_ && !has_answered_ && !is_stale_;
+  }
+  // Notes replicas that a process has named; `from` is empty if that process
+  // has connected to this one. Selects another address if the selected process
+  // refuses, or has not answered and is not among the named ones. One that
+  // refuses and names none is left later, unless it names some by then. Returns
+  // whether another one was selected; the caller must then close the previous
+  // connection.
+  [[nodiscard]] bool OnReferral(Time now,
+                                const std::string& from,
+                                const CellReferral& referral);
 
   // Process network events about the replica with this id.
   void OnUp(Time now, const std::string& id);
@@ -62,15 +85,28 @@
   }
 
  private:
+  // Selects the next address.
   void Switch(Time now, std::string_view reason);
+  // Selects an address.
+  void Select(Time now, std::string_view reason, const std::string& next);
+  // Puts addresses at the front of a list of known ones. Returns those that
+  // were not known at all.
+  std::vector<std::string> Note(const std::vector<std::string>& addresses,
+                                std::vector<std::string>& list);
+  // Returns all known addresses in the order in which they get their turn.
+  [[nodiscard]] std::vector<std::string> Candidates() const;
 
   std::vector<std::string> seeds_;
+  // Replicas that other processes have named, the latest first.
+  std::vector<std::string> referred_;
   std::vector<std::string> members_;
   std::uint64_t position_ = 0;
   std::string current_;
   bool is_connected_ = false;
   bool is_awaiting_answer_ = false;
   bool is_stale_ = false;
+  // Whether the selected replica has answered on this connection.
+  bool has_answered_ = false;
   // The wait for the answer or connection.
   AnswerWait wait_;
   // When it began; parts that arrive don't change it.
--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <thread>
 #include <variant>
+#include <vector>
 
 #include "banyan/base/bounded_ring.h"
 #include "banyan/consensus/raft_storage.h"
@@ -19,6 +20,7 @@
 #include "banyan/metrics/metrics.h"
 #include "banyan/net/http.h"
 #include "banyan/net/peer_network.h"
+#include "banyan/process/member_announcer.h"
 #include "banyan/process/program.h"
 #include "banyan/process/read_marks.h"
 #include "banyan/process/turn_monitor.h"
@@ -57,6 +59,9 @@
   // returns false and sets `reason`.
   [[nodiscard]] bool Start(Reason& reason);
 
+  // Replaces the seeds.
+  void SetSeeds(std::vector<std::string> seeds);
+
   // Transfers leadership to another replica, then stops. Returns whether the
   // transfer finished and all calls were answered before the drain deadline.
   bool Stop();
@@ -85,6 +90,9 @@
   };
   // Requests a graceful shutdown.
   struct LeaveInput {};
+  struct SeedsInput {
+    std::vector<std::string> seeds;
+  };
   using Input = std::variant<PeerEvent,
                              CellInput,
                              Persisted,
@@ -92,6 +100,7 @@
                              ApiCommand,
                              ApiQuery,
                              LeaveInput,
+                             SeedsInput,
                              ReadMark>;
 
   // Names the kind of an input in the log.
@@ -114,6 +123,9 @@
       std::string_view write_kind,
       const std::function<bool(Reason& reason)>& write);
   [[nodiscard]] std::set<std::string> DialledAddresses() const;
+  // Opens and closes connections, and tells the seeds who the members are.
+  void MaintainConnections(Time now);
+  void HandlePeerEvent(Time now, const PeerEvent& event);
   void HandleInput(Time now, Input input);
   void AnswerApiQuery(Time now, const ApiQuery& query);
   void ApplyOutputs(ControlOutputs outputs);
@@ -146,6 +158,7 @@
   bool is_leave_handled_ = false;
   // The addresses that the network was last told to keep connections to.
   std::set<std::string> maintained_addresses_;
+  MemberAnnouncer announcer_;
   TurnMonitor turn_{"control-core"};
   ReadMarks read_marks_;
   std::atomic<bool> must_end_{false};
--- a/include/banyan/process/gateway_process.h
+++ b/include/banyan/process/gateway_process.h
@@ -6,12 +6,14 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <variant>
 
 #include "banyan/base/bounded_ring.h"
 #include "banyan/graph/cell_client.h"
+#include "banyan/graph/cell_directory.h"
 #include "banyan/metrics/metrics.h"
 #include "banyan/net/http.h"
 #include "banyan/net/peer_network.h"
@@ -46,7 +48,8 @@
 };
 
 // A stateless front end of the control cell. Serves callers of job graphs or,
-// on an instance without a disk, the operator API.
+// on an instance without a disk, the operator API. One that serves operators
+// may be a seed of other processes, and tells them where the replicas are.
 class GatewayProcess {
  public:
   GatewayProcess(CellSettings settings, GatewayApis apis);
@@ -63,7 +66,7 @@
   // Returns whether all calls were answered before the drain deadline.
   bool Stop();
 
-  // Adds the seed addresses of reloaded settings; other settings are ignored.
+  // Takes over the seeds of reloaded settings; other settings are ignored.
   void Reload(const CellSettings& settings);
 
  private:
@@ -75,12 +78,20 @@
   struct SeedsInput {
     std::vector<std::string> seeds;
   };
+  // From a process that looks for the cell.
+  struct DirectoryInput {
+    PeerEvent event;
+  };
   // Requests that every call is answered by the deadline.
   struct EndInput {
     Time deadline;
   };
-  using Input =
-      std::variant<PeerEvent, CallInput, SeedsInput, EndInput, ReadMark>;
+  using Input = std::variant<PeerEvent,
+                             CallInput,
+                             SeedsInput,
+                             DirectoryInput,
+                             EndInput,
+                             ReadMark>;
 
   HttpReply ServeQueues(const HttpCall& call);
   HttpReply ServeOperators(const HttpCall& call);
@@ -98,6 +109,12 @@
   // Tells the threads of the servers which replica the core has selected.
   void ShareReplica(bool is_fresh);
   void HandleInput(Time now, Input input);
+  void HandleDirectoryEvent(Time now, const PeerEvent& event);
+  // Tells the processes that look for the cell, and the seeds, which replicas
+  // are known.
+  void ServeDirectory();
+  // Starts to listen for them. Returns false if the address can't be bound.
+  [[nodiscard]] bool StartDirectory(Reason& reason);
   void ApplyOutputs(CellClientOutputs outputs);
 
   CellSettings settings_;
@@ -109,6 +126,13 @@
   PendingResponses<CommandResult> pending_;
   Metrics metrics_;
   PeerNetwork network_;
+  CellDirectory directory_;
+  // Connections of the processes that look for the cell; null if this process
+  // is nobody's seed.
+  std::unique_ptr<PeerNetwork> directory_network_;
+  // The other seeds, which may be asked for the cell as well. Used by the core
+  // thread once it runs.
+  std::set<std::string> told_seeds_;
   HttpServer front_;
   HttpServer ready_;
   HttpServer control_;
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -524,6 +524,13 @@
   std::vector<std::string> addresses;
 };
 
+// Names replicas to a process that looks for the cell. Sent by a relay to those
+// that connect to it, and by a replica to its seeds. May be out of date.
+struct CellReferral {
+  static constexpr const char* kType = "cell-referral";
+  std::vector<std::string> addresses;
+};
+
 }  // namespace banyan
 
 #endif  // BANYAN_WIRE_GRAPH_H_
--- a/include/banyan/wire/message.h
+++ b/include/banyan/wire/message.h
@@ -397,7 +397,8 @@
                              PlanOffer,
                              PlanRequest,
                              PlanPart,
-                             CellMembers>;
+                             CellMembers,
+                             CellReferral>;
 
 // Identifies the sender of a message.
 struct Sender {
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -41,6 +41,7 @@
       random_(options_.seed ^ options_.self.incarnation),
       health_(options_.self, options_.timings, now),
       heard_until_(now),
+      contacts_(options_.configured_ids),
       next_join_request_(now) {
   commit_index_ = log_.snapshot().last_index;
   emitted_index_ = commit_index_;
@@ -278,16 +279,8 @@
   for (const auto& [id, peer] : join_requests_) {
     request.seen.push_back(peer.first);
   }
-  // The configured replicas may have been replaced since, and the members that
-  // this replica knows may have been, too.
-  std::set<std::string> contacts(options_.configured_ids.begin(),
-                                 options_.configured_ids.end());
-  for (const MemberId& voter : log_.membership().voters) {
-    contacts.insert(voter.id);
-  }
-  contacts.insert(contact_);
-  contacts.erase(options_.self.id);
-  contacts.erase("");
+  const std::set<std::string> contacts =
+      contacts_.All(log_.membership(), options_.self.id);
   for (const std::string& id : contacts) {
     out_.messages.push_back({id, request});
   }
@@ -1126,10 +1119,13 @@
         if constexpr (requires { body.target; }) {
           if (body.target != options_.self.incarnation) {
             // The sender still has this replica's lost data folder as a member.
-            contact_ = from.id;
+            contacts_.OnMisaddressed(from.id);
             return;
           }
         }
+        if constexpr (std::is_same_v<T, CellReferral>) {
+          contacts_.OnReferral(from.id, body);
+        }
         if constexpr (kIsRaftMessage) {
           Handle(now, member, body);
         }
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -51,13 +51,15 @@
 
 bool CellClient::IsUnsentSubmission(const Call& call) {
   const auto* command = std::get_if<Command>(&call.body);
-  return !call.was_sent && command != nullptr &&
+  return call.first_seq == 0 && command != nullptr &&
          std::holds_alternative<SubmitGraph>(*command);
 }
 
 void CellClient::Send(Time now, std::uint64_t ticket, Call& call) {
-  call.was_sent = true;
   const std::uint64_t seq = next_seq_++;
+  if (call.first_seq == 0) {
+    call.first_seq = seq;
+  }
   sends_[seq] = ticket;
   call.pending.insert(seq);
   call.retry_at = now + kNoAnswerRetryDelay;
@@ -81,6 +83,7 @@
   // An offer of the replica before may have come after it was left.
   plans_.OnDisconnected();
   confirmed_replica_.clear();
+  connection_seq_ = next_seq_;
   next_status_at_ = now;
   for (auto& [ticket, call] : calls_) {
     if (now < std::min(call.deadline, end_)) {
@@ -91,6 +94,7 @@
 
 void CellClient::OnDown(Time now, const std::string& id) {
   if (id == link_.current()) {
+    connection_seq_ = next_seq_;
     plans_.OnDisconnected();
     confirmed_replica_.clear();
   }
@@ -126,6 +130,51 @@
     }
   } else if (const auto* members = std::get_if<CellMembers>(&message)) {
     link_.SetMembers(members->addresses);
+  } else if (const auto* referral = std::get_if<CellReferral>(&message)) {
+    OnReferral(now, link_.current(), *referral);
+  }
+}
+
+void CellClient::OnReferral(Time now,
+                            const std::string& from,
+                            const CellReferral& referral) {
+  const std::string previous = link_.current();
+  if (link_.IsRefusal(from)) {
+    RetractRequests(now);
+  }
+  if (link_.OnReferral(now, from, referral)) {
+    Leave(previous);
+  }
+}
+
+void CellClient::OnSeeds(Time now, const std::vector<std::string>& seeds) {
+  const std::string previous = link_.current();
+  if (link_.AddSeeds(now, seeds)) {
+    Leave(previous);
+  }
+}
+
+void CellClient::Leave(const std::string& replica) {
+  out_.drop = replica;
+  connection_seq_ = next_seq_;
+  plans_.OnDisconnected();
+  confirmed_replica_.clear();
+}
+
+void CellClient::RetractRequests(Time now) {
+  for (auto it = sends_.lower_bound(connection_seq_); it != sends_.end();) {
+    const auto [seq, ticket] = *it;
+    it = sends_.erase(it);
+    const auto found = calls_.find(ticket);
+    if (found == calls_.end()) {
+      continue;
+    }
+    Call& call = found->second;
+    call.pending.erase(seq);
+    call.retry_at = now;
+    if (call.first_seq >= connection_seq_) {
+      call.first_seq = 0;
+    }
   }
 }
 
@@ -221,9 +270,7 @@
   plans_.Tick(now, heard_until_);
   const std::string previous = link_.current();
   if (link_.Tick(now, heard_until_)) {
-    out_.drop = previous;
-    plans_.OnDisconnected();
-    confirmed_replica_.clear();
+    Leave(previous);
   }
 }
 
--- a/src/graph/cell_link.cc
+++ b/src/graph/cell_link.cc
@@ -10,11 +10,20 @@
 // the round trip including a disk write on a slow machine.
 constexpr Duration kAnswerTimeout = Millis(800);
 
+// Most seeds, and most replicas that other processes have named, that are
+// known.
+constexpr std::size_t kMaxKnown = 16;
+
+bool Contains(const std::vector<std::string>& list,
+              const std::string& address) {
+  return std::find(list.begin(), list.end(), address) != list.end();
+}
+
 // Appends the addresses that the list does not contain.
 void AddMissing(const std::vector<std::string>& addresses,
                 std::vector<std::string>& list) {
   for (const std::string& address : addresses) {
-    if (std::find(list.begin(), list.end(), address) == list.end()) {
+    if (!Contains(list, address)) {
       list.push_back(address);
     }
   }
@@ -29,17 +38,94 @@
   }
 }
 
-void CellLink::AddSeeds(const std::vector<std::string>& seeds) {
-  AddMissing(seeds, seeds_);
+bool CellLink::AddSeeds(Time now, const std::vector<std::string>& seeds) {
+  const std::vector<std::string> unknown = Note(seeds, seeds_);
+  if (has_answered_ || unknown.empty()) {
+    return false;
+  }
+  Select(now, "new seeds", unknown[position_ % unknown.size()]);
+  return true;
 }
 
 void CellLink::SetMembers(const std::vector<std::string>& members) {
   members_ = members;
 }
 
+std::vector<std::string> CellLink::Candidates() const {
+  // Each group in turn, in case all addresses of another one are gone.
+  std::vector<std::string> candidates;
+  const std::size_t most =
+      std::max({members_.size(), referred_.size(), seeds_.size()});
+  for (std::size_t i = 0; i < most; ++i) {
+    for (const auto* group : {&members_, &referred_, &seeds_}) {
+      if (i < group->size()) {
+        AddMissing({(*group)[i]}, candidates);
+      }
+    }
+  }
+  return candidates;
+}
+
+std::vector<std::string> CellLink::Note(
+    const std::vector<std::string>& addresses,
+    std::vector<std::string>& list) {
+  const std::vector<std::string> known = Candidates();
+  std::vector<std::string> unknown;
+  for (const std::string& address : addresses) {
+    if (unknown.size() < kMaxKnown && !Contains(known, address) &&
+        !Contains(unknown, address) && address != current_) {
+      unknown.push_back(address);
+    }
+  }
+  // Known addresses keep their places, so that each gets its turn.
+  list.insert(list.begin(), unknown.begin(), unknown.end());
+  list.resize(std::min(list.size(), kMaxKnown));
+  return unknown;
+}
+
+bool CellLink::OnReferral(Time now,
+                          const std::string& from,
+                          const CellReferral& referral) {
+  const bool is_refusal = IsRefusal(from);
+  if (referral.addresses.empty()) {
+    is_connected_ = is_connected_ && !is_refusal;
+    return false;
+  }
+  std::vector<std::string> choice = Note(referral.addresses, referred_);
+  if (is_refusal && choice.empty()) {
+    // All that it names is known, so that the next one is due: to go back to
+    // what it names would leave out the others.
+    const std::vector<std::string> candidates = Candidates();
+    if (candidates == std::vector<std::string>{current_}) {
+      return false;
+    }
+    Switch(now, "referred");
+    return true;
+  }
+  if (!is_refusal &&
+      (has_answered_ || Contains(referral.addresses, current_))) {
+    return false;
+  }
+  if (choice.empty()) {
+    choice = referral.addresses;
+    ++position_;
+  }
+  Select(now, "referred", choice[position_ % choice.size()]);
+  return true;
+}
+
+void CellLink::Select(Time now,
+                      std::string_view reason,
+                      const std::string& next) {
+  Switch(now, reason);
+  current_ = next;
+  switch_->to = current_;
+}
+
 void CellLink::OnUp(Time now, const std::string& id) {
   if (id == current_) {
     is_connected_ = true;
+    has_answered_ = false;
     is_awaiting_answer_ = false;
     is_stale_ = false;
     waiting_since_ = now;
@@ -62,6 +148,7 @@
 }
 
 void CellLink::OnAnswer() {
+  has_answered_ = true;
   is_awaiting_answer_ = false;
   is_stale_ = false;
 }
@@ -90,11 +177,9 @@
 }
 
 void CellLink::Switch(Time now, std::string_view reason) {
-  // Seeds that are not members come after the members, in case all known
-  // members are gone.
-  std::vector<std::string> candidates = members_;
-  AddMissing(seeds_, candidates);
+  const std::vector<std::string> candidates = Candidates();
   is_connected_ = false;
+  has_answered_ = false;
   is_awaiting_answer_ = false;
   is_stale_ = false;
   switch_ = ReplicaSwitch{current_, "", reason, now - waiting_since_};
--- a/src/process/control_process.cc
+++ b/src/process/control_process.cc
@@ -136,6 +136,10 @@
   Stop();
 }
 
+void ControlProcess::SetSeeds(std::vector<std::string> seeds) {
+  Push(SeedsInput{std::move(seeds)});
+}
+
 void ControlProcess::Push(Input input) {
   PushOrLog(inputs_, std::move(input), "control-core");
 }
@@ -406,8 +410,7 @@
     must_stay_ = !is_leave_handled_ || core_->raft().MustStay(now);
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
-      maintained_addresses_ = DialledAddresses();
-      network_->Maintain(now, maintained_addresses_);
+      MaintainConnections(now);
     }
     EndTurn();
   }
@@ -427,23 +430,46 @@
   }
   const RaftCore& raft = core_->raft();
   return AddressesToDial(
-      {settings_.id, raft.leader(), settings_.seeds, raft.log().membership()});
+      {settings_.id, raft.leader(), raft.contacts(), raft.log().membership()});
 }
 
-void ControlProcess::HandleInput(Time now, Input input) {
-  if (auto* event = std::get_if<PeerEvent>(&input)) {
-    if (event->kind == PeerEvent::Kind::kMessage) {
-      core_->Receive(now, WallNow(), event->sender, event->message);
+void ControlProcess::MaintainConnections(Time now) {
+  maintained_addresses_ = DialledAddresses();
+  network_->Maintain(now, maintained_addresses_);
+  const RaftCore& raft = core_->raft();
+  for (const Outbound& outbound :
+       announcer_.Announce(raft.log().membership(), raft.contacts().seeds())) {
+    network_->Send(outbound.to, outbound.message);
+  }
+}
+
+void ControlProcess::HandlePeerEvent(Time now, const PeerEvent& event) {
+  const std::string& peer = event.sender.id;
+  switch (event.kind) {
+    case PeerEvent::Kind::kMessage: {
+      core_->Receive(now, WallNow(), event.sender, event.message);
       return;
     }
-    const bool is_up = event->kind == PeerEvent::Kind::kUp;
-    if (maintained_addresses_.contains(event->sender.id)) {
-      WriteEvent(Event(is_up ? EventId::kPeerUp : EventId::kPeerDown)
-                     .With("peer", event->sender.id));
+    case PeerEvent::Kind::kUp: {
+      announcer_.OnUp(peer);
+      break;
     }
-    if (!is_up) {
-      core_->OnPeerDisconnected(now, event->sender.id);
+    case PeerEvent::Kind::kDown: {
+      announcer_.OnDown(peer);
+      core_->OnPeerDisconnected(now, peer);
+      break;
     }
+  }
+  if (maintained_addresses_.contains(peer)) {
+    const bool is_up = event.kind == PeerEvent::Kind::kUp;
+    WriteEvent(Event(is_up ? EventId::kPeerUp : EventId::kPeerDown)
+                   .With("peer", peer));
+  }
+}
+
+void ControlProcess::HandleInput(Time now, Input input) {
+  if (auto* event = std::get_if<PeerEvent>(&input)) {
+    HandlePeerEvent(now, *event);
   } else if (const auto* persisted = std::get_if<Persisted>(&input)) {
     core_->OnPersisted(now, persisted->seq);
   } else if (auto* compacted = std::get_if<Compacted>(&input)) {
@@ -469,6 +495,8 @@
     AnswerApiQuery(now, *query);
   } else if (const auto* mark = std::get_if<ReadMark>(&input)) {
     read_marks_.OnMark(*mark);
+  } else if (auto* seeds = std::get_if<SeedsInput>(&input)) {
+    core_->SetSeeds(std::move(seeds->seeds));
   } else {
     core_->Leave(now);
     is_leave_handled_ = true;
--- a/src/process/dialled_addresses.cc
+++ b/src/process/dialled_addresses.cc
@@ -1,11 +1,14 @@
 #include "banyan/process/dialled_addresses.h"
 
+#include <vector>
+
 namespace banyan {
 
 std::set<std::string> AddressesToDial(const KnownCell& known) {
-  std::set<std::string> addresses;
+  const std::vector<std::string>& seeds = known.contacts.seeds();
+  std::set<std::string> addresses(seeds.begin(), seeds.end());
   if (known.leader.empty()) {
-    addresses.insert(known.seeds.begin(), known.seeds.end());
+    addresses.merge(known.contacts.All(known.membership, known.self));
   } else {
     addresses.insert(known.leader);
   }
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -40,6 +40,13 @@
 constexpr Duration kPlanVersionTimeout = Millis(900);
 constexpr int kReadyThreads = 4;
 
+// Returns the seeds without the process itself, which may be one of them.
+std::vector<std::string> OtherSeeds(std::vector<std::string> seeds,
+                                    const std::string& self) {
+  std::erase(seeds, self);
+  return seeds;
+}
+
 }  // namespace
 
 HttpReply ReplyForUnknownQueue(const CellCallFunction& call_cell,
@@ -57,7 +64,7 @@
 GatewayProcess::GatewayProcess(CellSettings settings, GatewayApis apis)
     : settings_(std::move(settings)),
       apis_(std::move(apis)),
-      client_(settings_.seeds,
+      client_(OtherSeeds(settings_.seeds, settings_.listen),
               NewIncarnation(),
               apis_.queues ? PlanDelivery::kParts : PlanDelivery::kNone),
       read_marks_(MonotonicClock::now(), kReadMarks),
@@ -70,7 +77,31 @@
   Stop();
 }
 
+bool GatewayProcess::StartDirectory(Reason& reason) {
+  if (settings_.control_address.empty() || settings_.listen.empty()) {
+    return true;
+  }
+  // Its id is its address, by which seeds are known.
+  directory_network_ = std::make_unique<PeerNetwork>(
+      settings_.listen, NewIncarnation(), [this](PeerEvent&& event) {
+        PushOrLog(inputs_, DirectoryInput{std::move(event)}, kRingName);
+      });
+  if (!directory_network_->Listen(settings_.listen)) {
+    reason = {ErrorKind::kInternal, "can't listen on " + settings_.listen, {}};
+    return false;
+  }
+  directory_network_->set_symmetric();
+  const std::vector<std::string> seeds =
+      OtherSeeds(settings_.seeds, settings_.listen);
+  told_seeds_ = {seeds.begin(), seeds.end()};
+  directory_network_->Start();
+  return true;
+}
+
 bool GatewayProcess::Start(Reason& reason) {
+  if (!StartDirectory(reason)) {
+    return false;
+  }
   network_.Start();
   core_thread_ = std::thread([this] { RunCore(); });
   const int threads = static_cast<int>(settings_.threads);
@@ -123,6 +154,9 @@
   must_end_ = true;
   core_thread_.join();
   network_.Stop();
+  if (directory_network_) {
+    directory_network_->Stop();
+  }
   return was_clean;
 }
 
@@ -143,7 +177,8 @@
 }
 
 void GatewayProcess::Reload(const CellSettings& settings) {
-  PushOrLog(inputs_, SeedsInput{settings.seeds}, kRingName);
+  PushOrLog(inputs_, SeedsInput{OtherSeeds(settings.seeds, settings_.listen)},
+            kRingName);
 }
 
 std::shared_ptr<const ServicePlan> GatewayProcess::plan() const {
@@ -256,6 +291,7 @@
     turn.EndPart(now, "inputs");
     client_.Tick(now, read_marks_.heard_until());
     ApplyOutputs(client_.TakeOutputs());
+    ServeDirectory();
     ShareReplica(client_.IsFresh(now));
     LogSwitch(client_.link());
     read_marks_.Tick(now, [this](ReadMark mark) {
@@ -265,6 +301,9 @@
     if (now >= next_maintenance) {
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {client_.link().current()});
+      if (directory_network_) {
+        directory_network_->Maintain(now, told_seeds_);
+      }
     }
     if (const auto event = turn.End(MonotonicClock::now(), ThreadCpuTime())) {
       WriteEvent(*event);
@@ -289,7 +328,12 @@
     return;
   }
   if (const auto* seeds = std::get_if<SeedsInput>(&input)) {
-    client_.link().AddSeeds(seeds->seeds);
+    client_.OnSeeds(now, seeds->seeds);
+    told_seeds_ = {seeds->seeds.begin(), seeds->seeds.end()};
+    return;
+  }
+  if (const auto* input_for_directory = std::get_if<DirectoryInput>(&input)) {
+    HandleDirectoryEvent(now, input_for_directory->event);
     return;
   }
   if (const auto* end = std::get_if<EndInput>(&input)) {
@@ -315,9 +359,11 @@
     case PeerEvent::Kind::kMessage: {
       // Answers to calls count whichever replica they are from; what else a
       // former replica has sent is about that one.
-      const bool is_current = client_.link().connected() &&
-                              event.sender.id == client_.link().current();
-      if (is_current || std::holds_alternative<CommandReply>(event.message)) {
+      const bool is_current = event.sender.id == client_.link().current();
+      const bool is_referral =
+          std::holds_alternative<CellReferral>(event.message);
+      if ((is_current && (client_.link().connected() || is_referral)) ||
+          std::holds_alternative<CommandReply>(event.message)) {
         client_.Receive(now, event.message);
       }
       return;
@@ -325,6 +371,36 @@
   }
 }
 
+void GatewayProcess::HandleDirectoryEvent(Time now, const PeerEvent& event) {
+  switch (event.kind) {
+    case PeerEvent::Kind::kUp: {
+      directory_.OnUp(event.sender.id);
+      return;
+    }
+    case PeerEvent::Kind::kDown: {
+      directory_.OnDown(event.sender.id);
+      return;
+    }
+    case PeerEvent::Kind::kMessage: {
+      if (const auto* referral = std::get_if<CellReferral>(&event.message)) {
+        // Who connects to this process may be the selected replica as well.
+        client_.OnReferral(now, "", *referral);
+      }
+      return;
+    }
+  }
+}
+
+void GatewayProcess::ServeDirectory() {
+  if (!directory_network_) {
+    return;
+  }
+  directory_.SetReplicas(client_.link().known_replicas());
+  for (const Outbound& outbound : directory_.TakeMessages()) {
+    directory_network_->Send(outbound.to, outbound.message);
+  }
+}
+
 void GatewayProcess::ApplyOutputs(CellClientOutputs outputs) {
   WriteEvents(outputs.events);
   if (outputs.plan) {
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -156,7 +156,10 @@
       agent_.OnLeave(now, message->leaving);
     }
   } else if (const auto* seeds = std::get_if<SeedsInput>(&input)) {
-    link_.AddSeeds(seeds->seeds);
+    const std::string previous_replica = link_.current();
+    if (link_.AddSeeds(now, seeds->seeds)) {
+      network_.Disconnect(previous_replica);
+    }
   } else if (const auto* mark = std::get_if<ReadMark>(&input)) {
     read_marks_.OnMark(*mark);
   } else {
@@ -173,6 +176,13 @@
       }
     } else if (const auto* members = std::get_if<CellMembers>(&event.message)) {
       link_.SetMembers(members->addresses);
+    } else if (const auto* referral =
+                   std::get_if<CellReferral>(&event.message)) {
+      // What a process that was left has sent is outdated.
+      if (event.sender.id == link_.current() &&
+          link_.OnReferral(now, event.sender.id, *referral)) {
+        network_.Disconnect(event.sender.id);
+      }
     }
   }
 }
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -305,6 +305,7 @@
                                    offset,
                                    bytes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellMembers, addresses)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellReferral, addresses)
 
 }  // namespace banyan
 
--- a/tests/support/small_cell.cc
+++ b/tests/support/small_cell.cc
@@ -78,6 +78,11 @@
   return replicas_.size() - 1;
 }
 
+void SmallCell::SetSeeds(std::size_t position,
+                         const std::vector<std::string>& seeds) {
+  replicas_[position].process->SetSeeds(seeds);
+}
+
 double SmallCell::Metric(std::size_t position, const std::string& name) const {
   HttpClient client(replicas_[position].api);
   HttpCall call;
--- a/tests/support/small_cell.h
+++ b/tests/support/small_cell.h
@@ -29,6 +29,9 @@
   // position.
   std::size_t AddReplica(const std::vector<std::string>& seeds);
 
+  // Gives a replica that runs other seeds.
+  void SetSeeds(std::size_t position, const std::vector<std::string>& seeds);
+
   // Returns the address at which other processes reach a replica.
   [[nodiscard]] const std::string& Address(std::size_t position) const {
     return replicas_[position].address;
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -1,7 +1,11 @@
 #include "banyan/graph/cell_client.h"
 
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/unit/story.h"
 
@@ -414,6 +418,218 @@
   CPPUNIT_ASSERT(selected.contains("10.0.0.9:7"));
 }
 
+// --- Which process a link selects ---
+
+constexpr Time kLinkStart{std::chrono::seconds(50)};
+// Longer than a link waits for a connection or an answer.
+constexpr Duration kLongWait = Millis(900);
+
+using Addresses = std::vector<std::string>;
+
+// What the processes of a site that are no replicas name, by their addresses.
+// Nothing listens at any other one.
+using Site = std::map<std::string, Addresses>;
+
+// Returns what a link selects in so many changes.
+Addresses Selections(CellLink& link, const Site& site, std::size_t changes) {
+  Addresses selected;
+  Time now = kLinkStart;
+  for (std::size_t i = 0; i < changes; ++i) {
+    const std::string current = link.current();
+    selected.push_back(current);
+    now += kLongWait;
+    if (const auto found = site.find(current); found != site.end()) {
+      link.OnUp(now, current);
+      if (link.OnReferral(now, current, {found->second})) {
+        continue;
+      }
+      link.OnSent(now);
+    }
+    // A wait begins with the first turn after what it waits for.
+    while (!link.Tick(now, now)) {
+      now += kLongWait;
+    }
+  }
+  return selected;
+}
+
+std::set<std::string> Distinct(const Addresses& addresses) {
+  return {addresses.begin(), addresses.end()};
+}
+
+void FollowsReferralOfSelectedProcess() {
+  CellLink link({"relay"}, 0);
+  link.OnUp(kLinkStart, "relay");
+  CPPUNIT_ASSERT(link.OnReferral(kLinkStart, "relay", {{"a", "b"}}));
+  CPPUNIT_ASSERT(link.current() == "a" || link.current() == "b");
+  CPPUNIT_ASSERT(!link.connected());
+}
+
+// Guards against processes that leave a replica that serves them, because
+// others are named, by that replica itself or as members of its cell.
+void KeepsReplicaThatHasAnswered() {
+  CellLink link({"a"}, 0);
+  link.OnUp(kLinkStart, "a");
+  link.OnAnswer();
+  CPPUNIT_ASSERT(!link.OnReferral(kLinkStart, "relay", {{"b", "c"}}));
+  CPPUNIT_ASSERT(!link.OnReferral(kLinkStart, "a", {{"b", "c"}}));
+  CPPUNIT_ASSERT(!link.AddSeeds(kLinkStart, {"d"}));
+  link.SetMembers({"b", "c"});
+  CPPUNIT_ASSERT_EQUAL(std::string("a"), link.current());
+  CPPUNIT_ASSERT(link.connected());
+}
+
+void LeavesUnheardProcessForNamedOne() {
+  CellLink link({"dead"}, 0);
+  CPPUNIT_ASSERT(link.OnReferral(kLinkStart, "", {{"a"}}));
+  CPPUNIT_ASSERT_EQUAL(std::string("a"), link.current());
+  CPPUNIT_ASSERT_MESSAGE("is among the named ones",
+                         !link.OnReferral(kLinkStart, "", {{"b", "a"}}));
+}
+
+// Guards against a process that goes back and forth between a relay and the
+// dead replicas that it names, and never tries its other seeds.
+void EveryAddressGetsItsTurn() {
+  const Site site = {{"relay-1", {"dead-1", "dead-2", "dead-3"}},
+                     {"relay-2", {"dead-2", "a"}},
+                     {"relay-3", {"relay-1", "relay-2"}}};
+  constexpr std::size_t kChanges = 16;
+  for (std::uint64_t seed = 0; seed < kChanges; ++seed) {
+    CellLink link({"relay-1", "relay-2", "relay-3", "dead-4"}, seed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8},
+                         Distinct(Selections(link, site, kChanges)).size());
+  }
+}
+
+// Guards against a process that connects to the same relay without an end, or
+// is stuck there, because that relay names itself.
+void OwnNameIsNotFollowed() {
+  CellLink alone({"relay"}, 0);
+  alone.OnUp(kLinkStart, "relay");
+  CPPUNIT_ASSERT(!alone.OnReferral(kLinkStart, "relay", {{"relay"}}));
+  CPPUNIT_ASSERT(alone.connected());
+  for (std::uint64_t seed = 0; seed < 4; ++seed) {
+    CellLink link({"relay"}, seed);
+    link.OnUp(kLinkStart, "relay");
+    CPPUNIT_ASSERT(link.OnReferral(kLinkStart, "relay", {{"relay", "a"}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), link.current());
+  }
+}
+
+void NewSeedsAreUsedAtOnce() {
+  CellLink link({"dead-1", "dead-2"}, 0);
+  CPPUNIT_ASSERT(link.AddSeeds(kLinkStart, {"a"}));
+  CPPUNIT_ASSERT_EQUAL(std::string("a"), link.current());
+  const auto selected = Distinct(Selections(link, {}, 4));
+  CPPUNIT_ASSERT_MESSAGE(
+      "known ones are kept",
+      selected.contains("dead-1") && selected.contains("dead-2"));
+  CellLink empty({}, 0);
+  CPPUNIT_ASSERT(empty.AddSeeds(kLinkStart, {"a"}));
+  CPPUNIT_ASSERT_EQUAL(std::string("a"), empty.current());
+}
+
+// Guards against a connection in progress that is given up since the settings
+// were read again.
+void KnownSeedsChangeNothing() {
+  CellLink link({"relay", "dead"}, 0);
+  link.OnUp(kLinkStart, "relay");
+  CPPUNIT_ASSERT(link.OnReferral(kLinkStart, "relay", {{"a"}}));
+  CPPUNIT_ASSERT(!link.AddSeeds(kLinkStart, {"dead", "relay"}));
+  CPPUNIT_ASSERT_EQUAL(std::string("a"), link.current());
+}
+
+void KnownSeedsAreBounded() {
+  constexpr std::size_t kMaxSeeds = 16;
+  CellLink link({"first"}, 0);
+  for (std::size_t i = 0; i < 2 * kMaxSeeds; ++i) {
+    static_cast<void>(link.AddSeeds(kLinkStart, {"seed-" + std::to_string(i)}));
+  }
+  const auto selected = Distinct(Selections(link, {}, 2 * kMaxSeeds));
+  CPPUNIT_ASSERT_EQUAL(kMaxSeeds, selected.size());
+  CPPUNIT_ASSERT(selected.contains("seed-31"));
+}
+
+// --- What becomes of requests to a process that is no replica ---
+
+// Guards against submissions that are reported as unknown, so that nobody may
+// send them again, although they went to a relay only.
+void SubmissionAtRelayCountsAsNotSent() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.Open(Command(SubmitGraph{"g", {}}), Millis(3000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+  fixture.client().OnReferral(fixture.now(), fixture.client().link().current(),
+                              {{"10.0.0.9:7"}});
+  fixture.Advance(Millis(600));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+  CPPUNIT_ASSERT(fixture.answers()[0].result.error == ErrorKind::kNoQuorum);
+}
+
+// Guards against submissions that are reported as unknown, although they went
+// to a relay that knows no replica.
+void NothingIsSentToRelayThatKnowsNone() {
+  ClientFixture fixture;
+  fixture.Connect();
+  const std::string relay = fixture.client().link().current();
+  fixture.client().Receive(fixture.now(), CellReferral{});
+  CPPUNIT_ASSERT_EQUAL(relay, fixture.client().link().current());
+  fixture.Open(Command(SubmitGraph{"g", {}}), Millis(3000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.requests());
+  fixture.client().Receive(fixture.now(), CellReferral{{"10.0.0.9:7"}});
+  CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:7"),
+                       fixture.client().link().current());
+  fixture.Connect();
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests());
+}
+
+// Guards against "not run" for a submission that a replica may have accepted
+// before a relay was asked.
+void SubmissionAtReplicaBeforeRelayIsUnknown() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.set_auto_fresh(true);
+  fixture.Advance(Millis(100));
+  fixture.Open(Command(SubmitGraph{"g", {}}), Millis(3000));
+  fixture.set_auto_fresh(std::nullopt);
+  fixture.client().OnDown(fixture.now(), fixture.client().link().current());
+  fixture.Connect();
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.requests());
+  fixture.client().OnReferral(fixture.now(), fixture.client().link().current(),
+                              {{"10.0.0.9:7"}});
+  fixture.Advance(Millis(3000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+  CPPUNIT_ASSERT(fixture.answers()[0].result.error ==
+                 ErrorKind::kUnknownOutcome);
+}
+
+// Guards against "not run" for a submission that the selected replica may have
+// accepted, because this replica announces the members of its cell.
+void SubmissionAtReplicaThatAnnouncesIsUnknown() {
+  for (const bool has_answered : {true, false}) {
+    ClientFixture fixture;
+    fixture.Connect();
+    if (has_answered) {
+      fixture.set_auto_fresh(true);
+      fixture.Advance(Millis(100));
+      fixture.set_auto_fresh(std::nullopt);
+    }
+    const std::string replica = fixture.client().link().current();
+    fixture.Open(Command(SubmitGraph{"g", {}}), Millis(3000));
+    // An announcement comes on a connection that the replica has made.
+    fixture.client().OnReferral(fixture.now(), has_answered ? replica : "",
+                                {{"10.0.0.9:7"}});
+    CPPUNIT_ASSERT(!has_answered ||
+                   fixture.client().link().current() == replica);
+    fixture.Advance(Millis(3000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.answers().size());
+    CPPUNIT_ASSERT(fixture.answers()[0].result.error ==
+                   ErrorKind::kUnknownOutcome);
+  }
+}
+
 }  // namespace
 
 Section CellClientStory() {
@@ -426,6 +642,29 @@
                       StaysWithReplicaWithLeader)
                 .Then("may be any member that a replica reported",
                       UsesReportedMembers))
+      .With(
+          Section("the process that its link selects")
+              .Then("is named by the relay that it asked",
+                    FollowsReferralOfSelectedProcess)
+              .Then("is kept once it has answered", KeepsReplicaThatHasAnswered)
+              .Then("is left for a named one before that",
+                    LeavesUnheardProcessForNamedOne)
+              .Then("is any seed and any named one in turn",
+                    EveryAddressGetsItsTurn)
+              .Then("is another one if a relay names itself",
+                    OwnNameIsNotFollowed)
+              .Then("is a new seed at once while nothing answers",
+                    NewSeedsAreUsedAtOnce)
+              .Then("is the same after the same seeds", KnownSeedsChangeNothing)
+              .Then("is one of 16 seeds at most", KnownSeedsAreBounded))
+      .With(Section("a submission to a process that names replicas")
+                .Then("counts as not sent", SubmissionAtRelayCountsAsNotSent)
+                .Then("waits while that process names none",
+                      NothingIsSentToRelayThatKnowsNone)
+                .Then("stays unknown if a replica got it before",
+                      SubmissionAtReplicaBeforeRelayIsUnknown)
+                .Then("stays unknown if that process is a replica",
+                      SubmissionAtReplicaThatAnnouncesIsUnknown))
       .With(Section("after a long turn, its replica")
                 .Then("is kept if its answer is unread",
                       StaysWithReplicaWhoseAnswerIsUnread)
--- a/tests/unit/decoder_fuzz_test.cc
+++ b/tests/unit/decoder_fuzz_test.cc
@@ -452,6 +452,7 @@
           PlanOffer{2, 1},
           PlanRequest{2, 0, 4096},
           PlanPart{2, 9, 7, 0, "some part"},
+          CellReferral{{"10.0.0.1:7", "10.0.0.2:7"}},
           CellQuery{}};
 }
 
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -70,6 +70,7 @@
       .With(StorageStory())
       .With(PowerLossStory())
       .With(ConsensusStory())
+      .With(CellContactsStory())
       .With(CellWorldStory())
       .With(LongTurnStory())
       .With(MembershipPlanStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -68,6 +68,7 @@
 Section StorageStory();
 Section PowerLossStory();
 Section ConsensusStory();
+Section CellContactsStory();
 Section CellWorldStory();
 Section MembershipPlanStory();
 Section MembershipWatchStory();
