Consensus: a newcomer forgets a leader that is silent

A replica without a membership never forgot the leader whose message it had heard once. It then dials only that one and its seeds: if the leader is gone before the newcomer's admission is committed, it reaches no other replica that was named to it, and no member dials it.

It now forgets the leader after its election timeout, as members do.

--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -265,6 +265,9 @@
 }
 
 void RaftCore::TickNonMember(Time now) {
+  if (heard_until_ >= election_deadline_) {
+    leader_.clear();
+  }
   RequestAdmission(now);
   BootstrapIfAllEmpty(now);
 }
--- a/tests/unit/consensus_test.cc
+++ b/tests/unit/consensus_test.cc
@@ -790,6 +790,25 @@
   CPPUNIT_ASSERT(has_asked);
 }
 
+// Guards against a newcomer that for ever follows a leader that is gone, and
+// asks none of the other replicas that were named to it.
+void NewcomerForgetsSilentLeader() {
+  RaftOptions options;
+  options.self = {"c4", 1};
+  options.configured_ids = {"relay"};
+  options.may_bootstrap = false;
+  RaftCore newcomer(options, RestoredLog{}, kStart);
+  AppendRequest append;
+  append.target = 1;
+  append.term = 5;
+  append.prev_index = 9;
+  append.prev_term = 5;
+  newcomer.Receive(kStart, {"c0", 1}, append);
+  CPPUNIT_ASSERT_EQUAL(std::string("c0"), newcomer.leader());
+  newcomer.Tick(kStart + options.timings.election_timeout * 2);
+  CPPUNIT_ASSERT_EQUAL(std::string(), newcomer.leader());
+}
+
 void MembershipChangesAreNamed() {
   ThreeReplicaCell cell;
   cell.Run(seconds(4));
@@ -1106,6 +1125,8 @@
                     IsolatedLeaderLosesItsLease)
               .Then("a replica that lost its disk asks whoever addresses it",
                     WipedReplicaAsksWhoeverAddressesIt)
+              .Then("a newcomer forgets a leader that is silent",
+                    NewcomerForgetsSilentLeader)
               .Then("a reconnected replica does not force an election",
                     ReconnectedReplicaDoesNotForceElection)
               .Then("a slow disk write does not delay the acknowledgement of a "
