Simulation of a cell: seeds that name relays

The world drew seeds among running replicas only, and delivered messages between replicas that no connection joins, so that no seed of it could show a successor that finds nobody. With relays, messages go over connections that are dialled, and seeds of newcomers, successors and returning replicas name relays and replicas that have left within 3 s.

--- a/tests/support/cell_world.cc
+++ b/tests/support/cell_world.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "banyan/process/dialled_addresses.h"
 #include "banyan/wire/codec.h"
 
 namespace banyan {
@@ -40,7 +41,16 @@
 // Longest time from a start to a long turn that follows it.
 constexpr Duration kTurnAfterStart = Millis(300);
 constexpr std::uint64_t kTurnSalt = 0x7475726e;
+constexpr std::uint64_t kRelaySalt = 0x72656c61;
 constexpr std::uint64_t kPercent = 100;
+// How far the operator's list of processes lags behind.
+constexpr Duration kSeedLag = seconds(3);
+constexpr Duration kMaintenanceInterval = Millis(100);
+// How long a replica leaves it to the other one to dial; how long a dial hangs
+// to which nobody answers, and when it comes again if there is no listener.
+constexpr Duration kSymmetricDialDelay = Millis(700);
+constexpr Duration kDialTimeout = seconds(3);
+constexpr Duration kRedialInterval = Millis(300);
 
 std::uint64_t Mix(std::uint64_t digest, std::uint64_t value) {
   return Random(digest ^ (value * 0x9e3779b97f4a7c15ULL)).Next();
@@ -53,6 +63,13 @@
   return Mix(digest, std::hash<std::string>{}(entry.data));
 }
 
+// When a replica dials another one that it has not dialled before `from`.
+Time EarliestDialTime(const std::string& dialler,
+                      const std::string& dialled,
+                      Time from) {
+  return dialled < dialler ? from + kSymmetricDialDelay : from;
+}
+
 bool Contains(const std::vector<std::string>& ids, const std::string& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -68,6 +85,7 @@
       load_(load),
       random_(seed),
       turn_random_(seed ^ kTurnSalt),
+      relay_random_(seed ^ kRelaySalt),
       now_(kStart),
       disturbed_at_(kStart) {}
 
@@ -123,6 +141,7 @@
   for (std::size_t i = 0; i < kSeeds; ++i) {
     seeds.push_back("r" + std::to_string(i + 1));
   }
+  StartRelays(seeds);
   for (std::size_t i = 0; i < kSeeds; ++i) {
     Start(seeds, "");
   }
@@ -208,6 +227,9 @@
   replica.holds_outputs = false;
   replica.hindered_until = now_;
   replica.led_term = 0;
+  replica.announcer = MemberAnnouncer();
+  replica.dial_at.clear();
+  replica.next_maintenance = now_;
   RaftOptions options;
   options.self = {replica.id, replica.disk->incarnation()};
   options.configured_ids = replica.seeds;
@@ -235,6 +257,9 @@
   replica.waiting.clear();
   replica.turn.reset();
   replica.inputs.clear();
+  Disconnect([&](const std::string& dialler, const std::string& dialled) {
+    return dialler == id || dialled == id;
+  });
   NoteDisturbance(id + " is down");
 }
 
@@ -270,6 +295,7 @@
   Kill(id);
   Record(id + " is gone for good");
   replicas_.at(id).is_departed = true;
+  replicas_.at(id).departed_at = now_;
 }
 
 void CellWorld::Freeze(const std::string& id, bool keeps_messages) {
@@ -277,6 +303,7 @@
   replica.is_frozen = true;
   replica.frozen_at = now_;
   replica.keeps_messages = keeps_messages;
+  ResetRelayConnections(replica);
   NoteDisturbance(id + " freezes");
 }
 
@@ -304,6 +331,7 @@
   Replica& replica = replicas_.at(id);
   replica.cut = kind;
   replica.keeps_messages = keeps_messages;
+  ResetRelayConnections(replica);
   NoteDisturbance(id + (kind == CutKind::kBoth       ? " is cut off"
                         : kind == CutKind::kIncoming ? " hears nothing"
                                                      : " isn't heard"));
@@ -355,6 +383,7 @@
   if (!replica.is_frozen && !replica.turn) {
     replica.core->Tick(now_);
     Flush(replica);
+    MaintainConnections(replica);
   }
 }
 
@@ -451,7 +480,8 @@
 
 void CellWorld::Send(Replica& from, Outbound outbound) {
   const auto found = replicas_.find(outbound.to);
-  if (found == replicas_.end() || found->second.core == nullptr) {
+  if (found == replicas_.end() || found->second.core == nullptr ||
+      (!relays_.empty() && !AreConnected(from.id, outbound.to))) {
     return;
   }
   Time& arrival = from.last_arrival[outbound.to];
@@ -511,6 +541,250 @@
   }
 }
 
+// --- Relays ---
+
+void CellWorld::StartRelays(const std::vector<std::string>& seeds) {
+  for (int i = 0; i < load_.relays; ++i) {
+    const std::string id = "relay" + std::to_string(i + 1);
+    Relay& relay = relays_[id];
+    relay.id = id;
+    relay.seeds = seeds;
+    StartRelay(relay);
+  }
+  if (!relays_.empty()) {
+    TickRelays();
+  }
+}
+
+void CellWorld::StartRelay(Relay& relay) {
+  relay.link.emplace(relay.seeds, relay_random_.Next());
+}
+
+void CellWorld::StopRelay(Relay& relay) {
+  DisconnectRelayLink(relay);
+  relay.link.reset();
+  Disconnect([&](const std::string& /*dialler*/, const std::string& dialled) {
+    return dialled == relay.id;
+  });
+  relay.directory = CellDirectory();
+}
+
+bool CellWorld::IsRelayUp(const std::string& id) const {
+  const auto found = relays_.find(id);
+  return found != relays_.end() && found->second.link.has_value();
+}
+
+void CellWorld::TickRelays() {
+  After(kTickInterval, [this] { TickRelays(); });
+  for (auto& [id, relay] : relays_) {
+    if (relay.link) {
+      MaintainRelayLink(relay);
+      relay.directory.SetReplicas(relay.link->known_replicas());
+      TellPeers(relay);
+    }
+  }
+}
+
+void CellWorld::DisconnectRelayLink(Relay& relay) {
+  const auto other = relays_.find(relay.connected_to);
+  if (other != relays_.end()) {
+    other->second.directory.OnDown(relay.id);
+  }
+  relay.connected_to.clear();
+}
+
+void CellWorld::MaintainRelayLink(Relay& relay) {
+  CellLink& link = *relay.link;
+  static_cast<void>(link.Tick(now_, now_));
+  if (relay.connected_to != link.current()) {
+    DisconnectRelayLink(relay);
+  }
+  const auto found = replicas_.find(link.current());
+  const bool is_replica = found != replicas_.end();
+  const bool is_healthy = is_replica && found->second.IsHealthy();
+  if (relay.connected_to.empty()) {
+    if (!is_healthy && !IsRelayUp(link.current())) {
+      return;
+    }
+    relay.connected_to = link.current();
+    relay.connected_life = is_healthy ? found->second.life : 0;
+    if (!is_replica) {
+      relays_.at(relay.connected_to).directory.OnUp(relay.id);
+    }
+    link.OnUp(now_, relay.connected_to);
+  }
+  const bool is_there = is_replica
+                            ? found->second.core != nullptr &&
+                                  found->second.life == relay.connected_life
+                            : IsRelayUp(relay.connected_to);
+  if (!is_there) {
+    const std::string lost = relay.connected_to;
+    DisconnectRelayLink(relay);
+    link.OnDown(now_, lost);
+    return;
+  }
+  link.OnSent(now_);
+  if (!is_healthy) {
+    return;
+  }
+  std::vector<std::string> members;
+  for (const MemberId& voter : found->second.core->log().membership().voters) {
+    members.push_back(voter.id);
+  }
+  // A replica outside its cell has nothing to answer with.
+  if (!members.empty()) {
+    link.OnAnswer();
+    link.SetMembers(members);
+  }
+}
+
+void CellWorld::TellPeers(Relay& relay) {
+  for (Outbound& outbound : relay.directory.TakeMessages()) {
+    const auto replica = replicas_.find(outbound.to);
+    const Duration delay =
+        kMinDelay + Duration(static_cast<std::int64_t>(
+                        relay_random_.NextBelow(static_cast<std::uint64_t>(
+                            (load_.max_delay - kMinDelay).count()))));
+    if (replica == replicas_.end()) {
+      After(delay, [this, from = relay.id, outbound] {
+        Relay& other = relays_.at(outbound.to);
+        if (other.connected_to == from) {
+          static_cast<void>(other.link->OnReferral(
+              now_, from, std::get<CellReferral>(outbound.message)));
+        }
+      });
+      continue;
+    }
+    After(delay,
+          [this, from = relay.id, life = replica->second.life, outbound] {
+            Replica& receiver = replicas_.at(outbound.to);
+            if (receiver.life != life || !AreConnected(from, outbound.to)) {
+              return;
+            }
+            const auto receive = [this, from, outbound] {
+              replicas_.at(outbound.to)
+                  .core->Receive(now_, Sender{from, 0}, outbound.message);
+              Flush(replicas_.at(outbound.to));
+            };
+            if (receiver.cut) {
+              receiver.held.emplace_back([this, outbound, life, receive] {
+                if (replicas_.at(outbound.to).life == life) {
+                  RunAwake(replicas_.at(outbound.to), receive);
+                }
+              });
+              return;
+            }
+            RunAwake(receiver, receive);
+          });
+  }
+}
+
+bool CellWorld::CanDial(const Replica& from, const std::string& to) const {
+  if (from.cut) {
+    return false;
+  }
+  const auto found = replicas_.find(to);
+  return found != replicas_.end() ? found->second.IsHealthy() : IsRelayUp(to);
+}
+
+bool CellWorld::AreConnected(const std::string& a, const std::string& b) const {
+  return connections_.contains({a, b}) || connections_.contains({b, a});
+}
+
+void CellWorld::NoteConnection(const std::string& id,
+                               const std::string& peer,
+                               bool is_up) {
+  if (const auto relay = relays_.find(id); relay != relays_.end()) {
+    CellDirectory& directory = relay->second.directory;
+    is_up ? directory.OnUp(peer) : directory.OnDown(peer);
+    return;
+  }
+  MemberAnnouncer& announcer = replicas_.at(id).announcer;
+  is_up ? announcer.OnUp(peer) : announcer.OnDown(peer);
+}
+
+void CellWorld::Disconnect(
+    const std::function<bool(const std::string& dialler,
+                             const std::string& dialled)>& ends) {
+  for (auto i = connections_.begin(); i != connections_.end();) {
+    const auto [dialler, dialled] = *i;
+    if (!ends(dialler, dialled)) {
+      ++i;
+      continue;
+    }
+    i = connections_.erase(i);
+    replicas_.at(dialler).dial_at[dialled] =
+        EarliestDialTime(dialler, dialled, now_ + kRedialInterval);
+    NoteConnection(dialler, dialled, false);
+    NoteConnection(dialled, dialler, false);
+  }
+}
+
+void CellWorld::ResetRelayConnections(const Replica& replica) {
+  if (!replica.keeps_messages) {
+    Disconnect([&](const std::string& dialler, const std::string& dialled) {
+      return dialler == replica.id && relays_.contains(dialled);
+    });
+  }
+}
+
+void CellWorld::MaintainConnections(Replica& replica) {
+  if (relays_.empty() || now_ < replica.next_maintenance) {
+    return;
+  }
+  replica.next_maintenance = now_ + kMaintenanceInterval;
+  const RaftCore& raft = *replica.core;
+  const std::set<std::string> addresses = AddressesToDial(
+      {replica.id, raft.leader(), raft.contacts(), raft.log().membership()});
+  Disconnect([&](const std::string& dialler, const std::string& dialled) {
+    return dialler == replica.id && !addresses.contains(dialled);
+  });
+  std::erase_if(replica.dial_at, [&](const auto& item) {
+    return !addresses.contains(item.first);
+  });
+  for (const std::string& address : addresses) {
+    if (AreConnected(replica.id, address)) {
+      continue;
+    }
+    Time& dial_at =
+        replica.dial_at
+            .try_emplace(address, EarliestDialTime(replica.id, address, now_))
+            .first->second;
+    if (dial_at > now_) {
+      continue;
+    }
+    // A machine that runs refuses at once if its process doesn't listen.
+    const auto found = replicas_.find(address);
+    const bool is_refused =
+        !replica.cut &&
+        (found == replicas_.end()
+             ? !IsRelayUp(address)
+             : found->second.core == nullptr && !found->second.is_departed);
+    dial_at = is_refused ? EarliestDialTime(replica.id, address,
+                                            now_ + kRedialInterval)
+                         : now_ + kDialTimeout;
+    if (CanDial(replica, address)) {
+      connections_.emplace(replica.id, address);
+      NoteConnection(replica.id, address, true);
+      NoteConnection(address, replica.id, true);
+    }
+  }
+  for (const Outbound& outbound : replica.announcer.Announce(
+           raft.log().membership(), raft.contacts().seeds())) {
+    if (!relays_.contains(outbound.to)) {
+      Send(replica, outbound);
+    } else if (!replica.cut) {
+      After(kMinDelay, [this, from = replica.id, outbound] {
+        Relay& relay = relays_.at(outbound.to);
+        if (relay.link && AreConnected(from, outbound.to)) {
+          static_cast<void>(relay.link->OnReferral(
+              now_, "", std::get<CellReferral>(outbound.message)));
+        }
+      });
+    }
+  }
+}
+
 // --- Long turns ---
 
 bool CellWorld::MayTakeTurns() const {
@@ -1049,8 +1323,21 @@
   ++result_.events;
   Record("power loss");
   Duration last{0};
+  const std::vector<std::string> seeds =
+      relays_.empty() ? std::vector<std::string>() : DrawSeeds("");
+  for (auto& [id, relay] : relays_) {
+    StopRelay(relay);
+    relay.seeds = seeds;
+    After(Millis(100) +
+              Duration(static_cast<std::int64_t>(relay_random_.NextBelow(
+                  static_cast<std::uint64_t>(Duration(seconds(3)).count())))),
+          [this, id = id] { StartRelay(relays_.at(id)); });
+  }
   for (const std::string& id : Running()) {
     Kill(id);
+    if (!seeds.empty()) {
+      replicas_.at(id).seeds = seeds;
+    }
     const Duration down = Between(Millis(100), seconds(3));
     last = std::max(last, down);
     After(down, [this, id] { Restart(id); });
@@ -1061,7 +1348,18 @@
 
 std::vector<std::string> CellWorld::DrawSeeds(const std::string& except) {
   std::vector<std::string> ids = Running();
-  std::erase(ids, except);
+  if (relays_.empty()) {
+    std::erase(ids, except);
+  }
+  for (const auto& [id, relay] : relays_) {
+    ids.push_back(id);
+  }
+  for (const auto& [id, replica] : replicas_) {
+    if (!relays_.empty() && replica.is_departed &&
+        now_ < replica.departed_at + kSeedLag) {
+      ids.push_back(id);
+    }
+  }
   std::vector<std::string> seeds;
   while (!ids.empty() && seeds.size() < kSeeds) {
     const std::size_t pick = random_.NextBelow(ids.size());
@@ -1072,6 +1370,10 @@
 }
 
 void CellWorld::RenewSeeds(Replica& replica) {
+  if (!relays_.empty()) {
+    replica.seeds = DrawSeeds("");
+    return;
+  }
   const auto remaining = std::count_if(
       replica.seeds.begin(), replica.seeds.end(), [&](const std::string& id) {
         return id != replica.id && !replicas_.at(id).is_departed;
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -8,10 +8,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "banyan/base/random.h"
 #include "banyan/consensus/raft_core.h"
+#include "banyan/graph/cell_directory.h"
+#include "banyan/graph/cell_link.h"
+#include "banyan/process/member_announcer.h"
 #include "tests/support/virtual_machines.h"
 
 namespace banyan {
@@ -75,6 +79,9 @@
   // Whether the replicas keep an odd number of voters. The last replica of an
   // even cell then stays a learner.
   bool odd_voters = false;
+  // Number of relays. With any, messages take the connections that processes
+  // dial, and seeds name replicas and relays.
+  int relays = 0;
   // Long turns, once the cell has formed and until the calm time at the end.
   std::optional<LongTurns> turns = std::nullopt;
 };
@@ -131,6 +138,13 @@
 //   were acknowledged by leaders of earlier terms;
 // - no term has two leaders, and no two replicas hold a lease.
 //
+// Relays have no disk and no vote. Each has a connection to one process, from
+// which it learns the voters, and names them to those that dial it. Seeds are
+// drawn among all relays, the replicas that run and those that were lost for
+// good within the lag of the operator's list. A newcomer and a replica without
+// its disk draw their own. When all lose their power, the relays lose what they
+// knew, and all processes start with the same seeds, drawn then.
+//
 // With long turns, a replica is busy while its turns, one after the other
 // within kLeastPause, have taken more than kLongestBusy: a check of the quorum
 // less a heartbeat interval and the delays. A place counts as lost for it only
@@ -264,6 +278,13 @@
     // When it was last down, frozen or cut off.
     Time hindered_until;
     Time frozen_at;
+    // When it was lost for good.
+    Time departed_at;
+    // Tells its seeds the voters, if there are relays.
+    MemberAnnouncer announcer;
+    // When it may dial each address.
+    std::map<std::string, Time> dial_at;
+    Time next_maintenance;
     // The latest term in which it was seen to lead.
     std::uint64_t led_term = 0;
 
@@ -272,6 +293,20 @@
     }
   };
 
+  // A process that answers for the cell and is no replica.
+  struct Relay {
+    std::string id;
+    // The seeds with which it starts next.
+    std::vector<std::string> seeds;
+    CellDirectory directory;
+    // Empty while it is down.
+    std::optional<CellLink> link;
+    // The process to which its link is connected; empty if there is none.
+    std::string connected_to;
+    // Which life of that replica.
+    std::uint64_t connected_life = 0;
+  };
+
   // A place of the cell.
   struct Place {
     std::string id;
@@ -327,6 +362,32 @@
   // Carries out what a step of a core has brought about.
   void CarryOut(Replica& replica, RaftOutputs out);
 
+  // --- Relays ---
+  void StartRelays(const std::vector<std::string>& seeds);
+  void StartRelay(Relay& relay);
+  // Takes away what a relay knows, with its connections.
+  void StopRelay(Relay& relay);
+  void TickRelays();
+  // Connects the link of a relay, or notes that its connection has ended.
+  void MaintainRelayLink(Relay& relay);
+  void DisconnectRelayLink(Relay& relay);
+  void TellPeers(Relay& relay);
+  [[nodiscard]] bool IsRelayUp(const std::string& id) const;
+  // Dials what a replica has to be connected to, closes the other connections
+  // that it has dialled and tells its seeds the voters.
+  void MaintainConnections(Replica& replica);
+  [[nodiscard]] bool CanDial(const Replica& from, const std::string& to) const;
+  [[nodiscard]] bool AreConnected(const std::string& a,
+                                  const std::string& b) const;
+  // Notes at one end of a connection that it is there or has ended.
+  void NoteConnection(const std::string& id,
+                      const std::string& peer,
+                      bool is_up);
+  void Disconnect(const std::function<bool(const std::string& dialler,
+                                           const std::string& dialled)>& ends);
+  // Ends connections between a replica and relays whose messages are lost.
+  void ResetRelayConnections(const Replica& replica);
+
   // --- Long turns ---
   [[nodiscard]] bool MayTakeTurns() const;
   // Plans the next long turn of a replica.
@@ -409,12 +470,16 @@
   Random random_;
   // Apart, so that the same seed plays the same events.
   Random turn_random_;
+  Random relay_random_;
   bool are_turns_over_ = false;
   Time now_;
   std::uint64_t next_order_ = 0;
   // A heap by time.
   std::vector<Action> actions_;
   std::map<std::string, Replica> replicas_;
+  std::map<std::string, Relay> relays_;
+  // Who has dialled whom.
+  std::set<std::pair<std::string, std::string>> connections_;
   std::vector<Place> places_;
   std::vector<PlannedStop> planned_stops_;
   int next_number_ = 1;
--- a/tests/unit/cell_world_test.cc
+++ b/tests/unit/cell_world_test.cc
@@ -279,6 +279,27 @@
   return section;
 }
 
+// The series that a cell goes through whose seeds name relays. Guards against
+// replicas that never find their cell, since relays don't tell where it is.
+Section RelayStory(int size) {
+  const std::string name =
+      "a cell of " + std::to_string(size) + " whose seeds name relays";
+  const auto series = [size](const CellEvents& events) {
+    return [size, events] {
+      Play({.size = size,
+            .losses = LossesOf(size),
+            .load = {.relays = 2 * size},
+            .events = events});
+    };
+  };
+  Section section(name);
+  section
+      .Then(name + " bears losses of disks and replacements",
+            series(kLossesOfDisks))
+      .Then(name + " bears everything together", series(kEverything));
+  return section;
+}
+
 // Turns of the replicas' loops that take up to 5 s.
 constexpr CellLoad kLongTurns{.turns = LongTurns{}};
 
@@ -541,6 +562,7 @@
     section.With(LoadStory(size));
     section.With(SlowDiskStory(size));
     section.With(BusyStory(size));
+    section.With(RelayStory(size));
   }
   return section;
 }
