Test: attached processes are told of new voters

Entries and agents that stay connected while the members are replaced must not keep the list of their start.

--- a/tests/unit/control_core_test.cc
+++ b/tests/unit/control_core_test.cc
@@ -778,6 +778,51 @@
   CPPUNIT_ASSERT(!IsEnding(table.graphs().at("g")));
 }
 
+// Sends an entry of a membership to a follower, and returns which members it
+// tells the process "entry" of.
+std::vector<CellMembers> MembersToldAfter(ControlCore& core,
+                                          Time now,
+                                          std::uint64_t index,
+                                          const Membership& membership) {
+  AppendRequest append;
+  append.target = 1;
+  append.term = 1;
+  append.prev_index = index - 1;
+  append.prev_term = append.prev_index == 0 ? 0 : 1;
+  append.entries.push_back(
+      {1, index, EntryKind::kMembership, Encode(membership)});
+  core.Receive(now, kGraphStart, {"control-1", 2}, append);
+  std::vector<CellMembers> told;
+  for (const Outbound& outbound : core.TakeOutputs(now, kGraphStart).messages) {
+    const auto* members = std::get_if<CellMembers>(&outbound.message);
+    if (members != nullptr && outbound.to == "entry") {
+      told.push_back(*members);
+    }
+  }
+  return told;
+}
+
+// Guards against entries and agents that know the members of their start only,
+// all of which may have been replaced since.
+void AttachedProcessIsToldOfNewVoters() {
+  ControlOptions options;
+  options.raft.self = {"control-0", 1};
+  options.raft.configured_ids = {"control-0", "control-1", "control-2"};
+  const Time now(std::chrono::seconds(1000));
+  ControlCore core(options, RestoredLog{}, now);
+  core.Receive(now, kGraphStart, {"entry", 1}, EntryStatus{});
+  Membership membership{{{"control-0", 1}, {"control-1", 2}, {"control-2", 3}},
+                        {}};
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       MembersToldAfter(core, now, 1, membership).size());
+  membership.voters[2] = {"control-3", 4};
+  const auto told = MembersToldAfter(core, now, 2, membership);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
+  CPPUNIT_ASSERT(
+      told[0].addresses ==
+      std::vector<std::string>({"control-0", "control-1", "control-3"}));
+}
+
 }  // namespace
 
 Section ControlCoreStory() {
@@ -798,6 +843,9 @@
                       ReplyToAnEndedProcessIsDropped)
                 .Then("takes no relayed reply to its own earlier process",
                       RelayedReplyToAnEndedProcessIsDropped))
+      .With(Section("when the voters change")
+                .Then("tells the processes that are attached",
+                      AttachedProcessIsToldOfNewVoters))
       .With(Section("after a long turn")
                 .Then("keeps an instance whose heartbeats are unread",
                       InstanceWithUnreadHeartbeatsStays))
