--- a/include/banyan/process/program.h
+++ b/include/banyan/process/program.h
@@ -1,7 +1,9 @@
 #ifndef BANYAN_PROCESS_PROGRAM_H_
 #define BANYAN_PROCESS_PROGRAM_H_
 
+#include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <iostream>
 #include <optional>
 #include <span>
@@ -9,6 +11,7 @@
 #include <utility>
 
 #include "banyan/base/error_kind.h"
+#include "banyan/base/time.h"
 #include "banyan/events/event.h"
 #include "banyan/events/json_log.h"
 #include "banyan/graph/cell_link.h"
@@ -58,15 +61,23 @@
 // signal mask.
 class SignalWaiter {
  public:
+  enum class Result : std::uint8_t { kReload, kStop, kTimeout };
+
   SignalWaiter();
-  // Waits for one of the signals. Returns true for SIGHUP, which requests a
-  // reload of the settings, and false for a request to stop.
-  [[nodiscard]] bool Wait();
+  // Waits for one of the signals, at most for `timeout`. SIGHUP requests a
+  // reload of the settings.
+  [[nodiscard]] Result Wait(Duration timeout);
 
  private:
   sigset_t signals_{};
 };
 
+// Interval at which a daemon checks whether its settings file has changed.
+inline constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
+
+// Returns the content of a file; empty if it can't be read.
+[[nodiscard]] std::string ReadText(const std::string& path);
+
 // Name and description of a daemon, for its usage text and log.
 struct ProgramInfo {
   const char* name;
@@ -99,7 +110,8 @@
 // Runs a daemon: parses its command line and settings, starts it, waits for
 // signals and stops it gracefully. Returns the exit code.
 // Process needs Start(Reason&) and Stop(), which returns whether all work was
-// finished. With a Reload(const Settings&) it also reloads on SIGHUP.
+// finished. With a Reload(const Settings&) it also reloads on SIGHUP, and when
+// the content of the file has changed.
 template <typename Process, typename Settings>
 int RunProgram(int argc,
                char** argv,
@@ -111,6 +123,8 @@
     return exit_code;
   }
   Reason reason;
+  std::string text = ReadText(args->settings_path);
+  std::string refused_text;
   auto settings = load(args->settings_path, reason);
   if (!settings) {
     return ReportBadSettings(reason);
@@ -128,14 +142,26 @@
     return 1;
   }
   LogLifecycleEvent(EventId::kProcessStarted, info, SeedsOf(*settings));
-  while (signals.Wait()) {
+  for (auto signal = signals.Wait(kSettingsCheckInterval);
+       signal != SignalWaiter::Result::kStop;
+       signal = signals.Wait(kSettingsCheckInterval)) {
     if constexpr (requires { process.Reload(*settings); }) {
-      auto changed = load(args->settings_path, reason);
+      const std::string new_text = ReadText(args->settings_path);
+      const bool is_timeout = signal == SignalWaiter::Result::kTimeout;
+      if (is_timeout && new_text == text) {
+        continue;
+      }
+      const auto changed = load(args->settings_path, reason);
       if (changed) {
+        text = new_text;
         process.Reload(*changed);
       }
-      LogReload(info, changed ? nullptr : &reason,
-                changed ? SeedsOf(*changed) : "");
+      if (changed || !is_timeout || new_text != refused_text) {
+        LogReload(info, changed ? nullptr : &reason,
+                  changed ? SeedsOf(*changed) : "");
+      }
+      // It may have been read while it was written, and is read again.
+      refused_text = changed ? "" : new_text;
     }
   }
   LogLifecycleEvent(EventId::kProcessStopping, info);
--- a/src/process/program.cc
+++ b/src/process/program.cc
@@ -3,9 +3,14 @@
 #include <glog/logging.h>
 #include <tclap/CmdLine.h>
 
+#include <cerrno>
 #include <cstdlib>
+#include <ctime>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <iterator>
+#include <thread>
 #include <utility>
 
 #include "banyan/events/json_log.h"
@@ -140,10 +145,26 @@
   static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
 }
 
-bool SignalWaiter::Wait() {
-  int signal = 0;
-  sigwait(&signals_, &signal);
-  return signal == SIGHUP;
+SignalWaiter::Result SignalWaiter::Wait(Duration timeout) {
+  const auto whole = std::chrono::duration_cast<std::chrono::seconds>(timeout);
+  timespec limit{};
+  limit.tv_sec = static_cast<std::time_t>(whole.count());
+  limit.tv_nsec = static_cast<long>(
+      std::chrono::duration_cast<std::chrono::nanoseconds>(timeout - whole)
+          .count());
+  const int signal = sigtimedwait(&signals_, nullptr, &limit);
+  if (signal < 0 && errno != EAGAIN && errno != EINTR) {
+    std::this_thread::sleep_for(timeout);
+  }
+  if (signal < 0) {
+    return Result::kTimeout;
+  }
+  return signal == SIGHUP ? Result::kReload : Result::kStop;
+}
+
+std::string ReadText(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
 }
 
 }  // namespace banyan
--- a/tests/fakes/serve.h
+++ b/tests/fakes/serve.h
@@ -19,7 +19,7 @@
     std::cerr << ToString(reason) << "\n";
     return 1;
   }
-  while (stop.Wait()) {
+  while (stop.Wait(std::chrono::seconds(1)) != SignalWaiter::Result::kStop) {
   }
   server.Stop();
   return 0;
--- a/tests/soak/platform_cluster.cc
+++ b/tests/soak/platform_cluster.cc
@@ -424,6 +424,12 @@
   });
 }
 
+bool PlatformCluster::IsReady(int entry) const {
+  return Call(readies_[static_cast<std::size_t>(entry)], "GET", "/ready", "",
+              kOperatorTimeout)
+             .status == 200;
+}
+
 HttpReply PlatformCluster::CallQueue(int entry,
                                      const std::string& method,
                                      const std::string& id,
--- a/tests/soak/platform_cluster.h
+++ b/tests/soak/platform_cluster.h
@@ -99,6 +99,13 @@
   // Returns how often replicas have refused their logs.
   [[nodiscard]] int CountRefusedLogs() const;
 
+  // Returns the path of the settings file of a process.
+  [[nodiscard]] const std::string& SettingsPath(const std::string& name) const {
+    return processes_.at(name).settings_path;
+  }
+  // Returns whether an entry says that it is ready.
+  [[nodiscard]] bool IsReady(int entry) const;
+
   // Makes a call on a job at an entry; status 0 without an answer.
   [[nodiscard]] HttpReply CallQueue(int entry,
                                     const std::string& method,
--- a/tests/unit/process_test.cc
+++ b/tests/unit/process_test.cc
@@ -5,11 +5,14 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <filesystem>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <thread>
 
 #include "banyan/audit/audit.h"
+#include "tests/soak/platform_cluster.h"
 #include "tests/support/cluster.h"
 #include "tests/support/load.h"
 #include "tests/unit/story.h"
@@ -353,6 +356,85 @@
   CPPUNIT_ASSERT_EQUAL(0, cluster.StopAll(kStopTimeout));
 }
 
+// Required of a process whose settings name a replica.
+constexpr Duration kContactTimeout = seconds(3);
+// Longer than a process takes to notice that its settings file has changed.
+constexpr Duration kNoticeTime = Millis(2500);
+
+// A cell with one entry, whose settings file is rewritten without a signal.
+class RewrittenSettings {
+ public:
+  explicit RewrittenSettings(const std::string& folder)
+      : cluster_(Paths().binaries, Paths().scratch + "/" + folder, Shape()),
+        path_(cluster_.SettingsPath("entry-0")) {
+    CPPUNIT_ASSERT(cluster_.Start(kStartTimeout));
+    std::ifstream file(path_);
+    good_.assign(std::istreambuf_iterator<char>(file), {});
+    // Nothing listens there.
+    const std::size_t begin = good_.find("seeds: [");
+    const std::size_t end = good_.find(']', begin);
+    dead_ = good_.substr(0, begin) + "seeds: [\"127.77.0.9:8166\"" +
+            good_.substr(end);
+    cluster_.Kill("entry-0");
+  }
+
+  // Starts the entry with settings whose seeds are dead.
+  void StartWithDeadSeeds() {
+    Write(dead_);
+    cluster_.StartOne("entry-0");
+    CPPUNIT_ASSERT(!BecomesReady(kNoticeTime));
+  }
+
+  void Write(const std::string& text) const {
+    std::ofstream(path_, std::ios::trunc) << text;
+  }
+  void Remove() const { std::filesystem::remove(path_); }
+  [[nodiscard]] bool BecomesReady(Duration timeout) const {
+    return Cluster::WaitUntil(timeout, [&] { return cluster_.IsReady(0); });
+  }
+  // The settings that name the replicas.
+  [[nodiscard]] const std::string& good() const { return good_; }
+
+ private:
+  static PlatformShape Shape() {
+    PlatformShape shape;
+    shape.entries = 1;
+    shape.workers = 0;
+    return shape;
+  }
+
+  PlatformCluster cluster_;
+  std::string path_;
+  std::string good_;
+  std::string dead_;
+};
+
+// Guards against processes that keep the seeds of their start, since the
+// platform has sent them no signal with the next ones.
+void ChangedSettingsAreTakenOver() {
+  RewrittenSettings settings("settings-changed");
+  settings.StartWithDeadSeeds();
+  settings.Write(settings.good());
+  CPPUNIT_ASSERT(settings.BecomesReady(kContactTimeout));
+}
+
+// Guards against settings that are never read because a process has looked at
+// the file while it was written, and against an end of the process then.
+void SettingsAreReadOnceTheyAreWhole() {
+  RewrittenSettings settings("settings-torn");
+  settings.StartWithDeadSeeds();
+  settings.Write(settings.good().substr(0, settings.good().size() / 4));
+  CPPUNIT_ASSERT(!settings.BecomesReady(kNoticeTime));
+  settings.Remove();
+  CPPUNIT_ASSERT(!settings.BecomesReady(kNoticeTime));
+  settings.Write(settings.good());
+  CPPUNIT_ASSERT(settings.BecomesReady(kContactTimeout));
+  settings.Write("");
+  std::this_thread::sleep_for(kNoticeTime);
+  CPPUNIT_ASSERT_MESSAGE("the old settings are kept",
+                         settings.BecomesReady(Millis(500)));
+}
+
 }  // namespace
 
 Section ProcessStory() {
@@ -374,6 +456,10 @@
       .With(Section("behind relays")
                 .Then("survive a silent network partition of one replica",
                       SurvivesSilentPartition))
+      .With(Section("whose settings file changes without a signal")
+                .Then("take it over", ChangedSettingsAreTakenOver)
+                .Then("keep the settings before until it is whole",
+                      SettingsAreReadOnceTheyAreWhole))
       .With(Section("given malformed input")
                 .Then("answer with a typed error and keep serving",
                       SurvivesMalformedInput));
