Links: try all new seeds before any former one

Addresses that are new go to the front in an order of the process's own, and the first one is selected, so that all of them get their turn first. The story "is each new seed before any former one" fails before.

--- a/include/banyan/graph/cell_link.h
+++ b/include/banyan/graph/cell_link.h
@@ -90,7 +90,7 @@
   // Selects an address.
   void Select(Time now, std::string_view reason, const std::string& next);
   // Puts addresses at the front of a list of known ones. Returns those that
-  // were not known at all.
+  // were not known at all, in the order in which they get their turn.
   std::vector<std::string> Note(const std::vector<std::string>& addresses,
                                 std::vector<std::string>& list);
   // Returns all known addresses in the order in which they get their turn.
--- a/src/graph/cell_link.cc
+++ b/src/graph/cell_link.cc
@@ -43,7 +43,7 @@
   if (has_answered_ || unknown.empty()) {
     return false;
   }
-  Select(now, "new seeds", unknown[position_ % unknown.size()]);
+  Select(now, "new seeds", unknown.front());
   return true;
 }
 
@@ -77,6 +77,13 @@
       unknown.push_back(address);
     }
   }
+  // Processes that are told the same addresses begin with different ones.
+  if (!unknown.empty()) {
+    std::rotate(unknown.begin(),
+                unknown.begin() +
+                    static_cast<std::ptrdiff_t>(position_ % unknown.size()),
+                unknown.end());
+  }
   // Known addresses keep their places, so that each gets its turn.
   list.insert(list.begin(), unknown.begin(), unknown.end());
   list.resize(std::min(list.size(), kMaxKnown));
@@ -91,7 +98,7 @@
     is_connected_ = is_connected_ && !is_refusal;
     return false;
   }
-  std::vector<std::string> choice = Note(referral.addresses, referred_);
+  const std::vector<std::string> choice = Note(referral.addresses, referred_);
   if (is_refusal && choice.empty()) {
     // All that it names is known, so that the next one is due: to go back to
     // what it names would leave out the others.
@@ -107,10 +114,12 @@
     return false;
   }
   if (choice.empty()) {
-    choice = referral.addresses;
     ++position_;
+    Select(now, "referred",
+           referral.addresses[position_ % referral.addresses.size()]);
+    return true;
   }
-  Select(now, "referred", choice[position_ % choice.size()]);
+  Select(now, "referred", choice.front());
   return true;
 }
 
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -529,6 +529,19 @@
   CPPUNIT_ASSERT_EQUAL(std::string("a"), empty.current());
 }
 
+// Guards against a process that tries seeds that it has known for long before
+// it has tried all new ones.
+void AllNewSeedsComeFirst() {
+  const Addresses old = {"old-1", "old-2", "old-3", "old-4", "old-5", "old-6"};
+  const Addresses fresh = {"new-1", "new-2", "new-3"};
+  for (std::uint64_t seed = 0; seed < old.size(); ++seed) {
+    CellLink link(old, seed);
+    CPPUNIT_ASSERT(link.AddSeeds(kLinkStart, fresh));
+    CPPUNIT_ASSERT(Distinct(fresh) ==
+                   Distinct(Selections(link, {}, fresh.size())));
+  }
+}
+
 // Guards against a connection in progress that is given up since the settings
 // were read again.
 void KnownSeedsChangeNothing() {
@@ -655,6 +668,8 @@
                     OwnNameIsNotFollowed)
               .Then("is a new seed at once while nothing answers",
                     NewSeedsAreUsedAtOnce)
+              .Then("is each new seed before any former one",
+                    AllNewSeedsComeFirst)
               .Then("is the same after the same seeds", KnownSeedsChangeNothing)
               .Then("is one of 16 seeds at most", KnownSeedsAreBounded))
       .With(Section("a submission to a process that names replicas")
