Soak: seeds of replicas without their disk may be relays

Without relays seeds and histories are as before. A replica keeps its address here, at which the members dial it, so that this alone would not have shown the fault.

--- a/tests/soak/platform_cluster.cc
+++ b/tests/soak/platform_cluster.cc
@@ -293,7 +293,19 @@
   }
 }
 
-void PlatformCluster::EmptyDisk(const std::string& name) {
+std::string PlatformCluster::DrawSeeds(Random& random) const {
+  constexpr std::size_t kSeeds = 3;
+  std::vector<std::string> controls = controls_;
+  std::string seeds;
+  for (std::size_t i = 0; i < kSeeds; ++i) {
+    const std::size_t pick = random.NextBelow(controls.size());
+    seeds += (i == 0 ? "\"" : ", \"") + controls[pick] + "\"";
+    controls.erase(controls.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+  return seeds;
+}
+
+void PlatformCluster::EmptyDisk(const std::string& name, Random& random) {
   const Process& process = processes_.at(name);
   std::filesystem::remove_all(process.data_folder);
   std::filesystem::remove_all(process.data_folder + ".unsynced");
@@ -303,8 +315,13 @@
   const std::string bootstrap = "bootstrap: true";
   if (const auto at = settings.find(bootstrap); at != std::string::npos) {
     settings.replace(at, bootstrap.size(), "bootstrap: false");
-    std::ofstream(process.settings_path) << settings;
   }
+  if (shape_.relays > 0) {
+    const std::size_t begin = settings.find("seeds: [");
+    settings.replace(begin, settings.find(']', begin) - begin,
+                     "seeds: [" + DrawSeeds(random));
+  }
+  std::ofstream(process.settings_path) << settings;
 }
 
 void PlatformCluster::ThrottleReplicas() {
--- a/tests/soak/platform_cluster.h
+++ b/tests/soak/platform_cluster.h
@@ -83,8 +83,9 @@
   void Kill(const std::string& name);
   void Signal(const std::string& name, int signal);
   // Empties the data folder of a replica that does not run. From now on it
-  // starts like a machine that is new to the cell.
-  void EmptyDisk(const std::string& name);
+  // starts like a machine that is new to the cell; where there are relays, its
+  // seeds are drawn among all that serve operators.
+  void EmptyDisk(const std::string& name, Random& random);
   // Stops and continues the replicas in turn until the cluster goes, so that
   // each has only a share of a processor.
   void ThrottleReplicas();
@@ -144,6 +145,8 @@
                   int index,
                   const std::string& ip,
                   const std::string& settings);
+  // Draws the addresses of three that serve operators.
+  [[nodiscard]] std::string DrawSeeds(Random& random) const;
   void AddThinLink(const std::string& name, int machine);
   [[nodiscard]] bool InstallPlan(Time deadline) const;
   void RunThrottle();
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -267,7 +267,7 @@
   }
 
   void EmptyDisk(const std::string& name) {
-    cluster_.EmptyDisk(name);
+    cluster_.EmptyDisk(name, random_);
     ++lost_disks_;
   }
 
