--- a/src/process/program.cc
+++ b/src/process/program.cc
@@ -79,12 +79,9 @@
 void LogLifecycleEvent(EventId event_id,
                        const ProgramInfo& info,
                        const std::string& seeds) {
-  Event event(event_id);
-  std::move(event).With("program", info.name).With("version", kVersion);
-  if (!seeds.empty()) {
-    std::move(event).With("seeds", seeds);
-  }
-  WriteEvent(event);
+  const Event event =
+      Event(event_id).With("program", info.name).With("version", kVersion);
+  WriteEvent(seeds.empty() ? event : Event(event).With("seeds", seeds));
 }
 
 void LogReload(const ProgramInfo& info,
