Gateways: an entry asks the replica of its own machine

A gateway leaves its own address out of its seeds. An entry listens for nobody, and its settings name the address at which the replica beside it listens: an entry whose seeds name that replica didn't ask it, and one with no other seed asked nobody and never served.

Only a gateway that listens at its address leaves it out now. Seeds that are read again and are empty no longer make a relay close its connections to the ones before.

"lead an entry to the replica beside it" failed before (not ready within 3 s) and passes.

--- a/include/banyan/process/gateway_process.h
+++ b/include/banyan/process/gateway_process.h
@@ -132,7 +132,7 @@
   std::unique_ptr<PeerNetwork> directory_network_;
   // The other seeds, which may be asked for the cell as well. Used by the core
   // thread once it runs.
-  std::set<std::string> told_seeds_;
+  std::set<std::string> other_seeds_;
   HttpServer front_;
   HttpServer ready_;
   HttpServer control_;
--- a/src/process/gateway_process.cc
+++ b/src/process/gateway_process.cc
@@ -40,10 +40,18 @@
 constexpr Duration kPlanVersionTimeout = Millis(900);
 constexpr int kReadyThreads = 4;
 
+// Returns whether a process with these settings listens for those that look for
+// the cell. The address of one that doesn't may be that of a replica.
+bool IsDirectory(const CellSettings& settings) {
+  return !settings.control_address.empty() && !settings.listen.empty();
+}
+
 // Returns the seeds without the process itself, which may be one of them.
 std::vector<std::string> OtherSeeds(std::vector<std::string> seeds,
-                                    const std::string& self) {
-  std::erase(seeds, self);
+                                    const CellSettings& own) {
+  if (IsDirectory(own)) {
+    std::erase(seeds, own.listen);
+  }
   return seeds;
 }
 
@@ -64,7 +72,7 @@
 GatewayProcess::GatewayProcess(CellSettings settings, GatewayApis apis)
     : settings_(std::move(settings)),
       apis_(std::move(apis)),
-      client_(OtherSeeds(settings_.seeds, settings_.listen),
+      client_(OtherSeeds(settings_.seeds, settings_),
               NewIncarnation(),
               apis_.queues ? PlanDelivery::kParts : PlanDelivery::kNone),
       read_marks_(MonotonicClock::now(), kReadMarks),
@@ -78,7 +86,7 @@
 }
 
 bool GatewayProcess::StartDirectory(Reason& reason) {
-  if (settings_.control_address.empty() || settings_.listen.empty()) {
+  if (!IsDirectory(settings_)) {
     return true;
   }
   // Its id is its address, by which seeds are known.
@@ -91,9 +99,8 @@
     return false;
   }
   directory_network_->set_symmetric();
-  const std::vector<std::string> seeds =
-      OtherSeeds(settings_.seeds, settings_.listen);
-  told_seeds_ = {seeds.begin(), seeds.end()};
+  const std::vector<std::string> seeds = OtherSeeds(settings_.seeds, settings_);
+  other_seeds_ = {seeds.begin(), seeds.end()};
   directory_network_->Start();
   return true;
 }
@@ -177,7 +184,7 @@
 }
 
 void GatewayProcess::Reload(const CellSettings& settings) {
-  PushOrLog(inputs_, SeedsInput{OtherSeeds(settings.seeds, settings_.listen)},
+  PushOrLog(inputs_, SeedsInput{OtherSeeds(settings.seeds, settings_)},
             kRingName);
 }
 
@@ -302,7 +309,7 @@
       next_maintenance = now + kMaintenanceInterval;
       network_.Maintain(now, {client_.link().current()});
       if (directory_network_) {
-        directory_network_->Maintain(now, told_seeds_);
+        directory_network_->Maintain(now, other_seeds_);
       }
     }
     if (const auto event = turn.End(MonotonicClock::now(), ThreadCpuTime())) {
@@ -329,11 +336,13 @@
   }
   if (const auto* seeds = std::get_if<SeedsInput>(&input)) {
     client_.OnSeeds(now, seeds->seeds);
-    told_seeds_ = {seeds->seeds.begin(), seeds->seeds.end()};
+    if (!seeds->seeds.empty()) {
+      other_seeds_ = {seeds->seeds.begin(), seeds->seeds.end()};
+    }
     return;
   }
-  if (const auto* input_for_directory = std::get_if<DirectoryInput>(&input)) {
-    HandleDirectoryEvent(now, input_for_directory->event);
+  if (const auto* directory_input = std::get_if<DirectoryInput>(&input)) {
+    HandleDirectoryEvent(now, directory_input->event);
     return;
   }
   if (const auto* end = std::get_if<EndInput>(&input)) {
--- a/tests/unit/seeds_test.cc
+++ b/tests/unit/seeds_test.cc
@@ -68,6 +68,16 @@
   CPPUNIT_ASSERT(IsReady(second, kContact));
 }
 
+// Guards against an entry that never asks the replica of its own machine, whose
+// address its settings name as well.
+void EntryBesideAReplica() {
+  SmallCell cell(Folder());
+  CellSettings settings = RelaySettings(cell.Address(0), {cell.Address(0)});
+  settings.control_address.clear();
+  const auto entry = StartRelay(settings);
+  CPPUNIT_ASSERT(IsReady(settings, kContact));
+}
+
 // Guards against replicas that keep the addresses of their start, all of which
 // may be gone by the time that they look for the cell.
 void SuccessorThatIsGivenOtherSeeds(bool is_relay) {
@@ -195,6 +205,9 @@
           .Then("make those relays serve that name each other only",
                 RelaysThatKnowEachOther)
           .Then("leave a relay with its replica", RelayWhoseReplicaKnowsIt));
+  story.With(
+      Section("that name the machine itself")
+          .Then("lead an entry to the replica beside it", EntryBesideAReplica));
   story.With(Section("that replace dead ones")
                  .Then("lead a successor to its cell by a replica",
                        SuccessorThatIsGivenAReplica)
