Links: seeds and named replicas are kept though they are known as members

A link noted only addresses that it knew in no way. A seed that was a member when the settings were corrected was not taken as a seed, and was forgotten once other members were told; a relay whose replicas were named to it while they were its seeds named none to others, so that nobody got past it.

Addresses go to each list that lacks them now; only those that were not known at all get their turn at once, as before.

Two stories failed before and pass: "is a seed though other members are told" and "is told to others though it is a seed".

--- a/include/banyan/graph/cell_link.h
+++ b/include/banyan/graph/cell_link.h
@@ -45,8 +45,8 @@
       const noexcept {
     return members_.empty() ? referred_ : members_;
   }
-  // Returns whether a process that names replicas says that it is none, since
-  // it is the selected one and has answered nothing.
+  // Returns whether a referral from this process means that it is no replica:
+  // it is the selected one and has not answered on this connection.
   [[nodiscard]] bool IsRefusal(const std::string& from) const {
     return is_connected_ && from == current_ && !has_answered_ && !is_stale_;
   }
@@ -89,15 +89,16 @@
   void Switch(Time now, std::string_view reason);
   // Selects an address.
   void Select(Time now, std::string_view reason, const std::string& next);
-  // Puts addresses at the front of a list of known ones. Returns those that
-  // were not known at all, in the order in which they get their turn.
+  // Puts addresses that a list lacks at its front. Returns those that were not
+  // known at all, in the order in which they get their turn.
   std::vector<std::string> Note(const std::vector<std::string>& addresses,
                                 std::vector<std::string>& list);
   // Returns all known addresses in the order in which they get their turn.
   [[nodiscard]] std::vector<std::string> Candidates() const;
 
   std::vector<std::string> seeds_;
-  // Replicas that other processes have named, the latest first.
+  // Replicas that other processes have named. Those that were not known come
+  // first, as with the seeds.
   std::vector<std::string> referred_;
   std::vector<std::string> members_;
   std::uint64_t position_ = 0;
--- a/src/graph/cell_link.cc
+++ b/src/graph/cell_link.cc
@@ -69,25 +69,28 @@
 std::vector<std::string> CellLink::Note(
     const std::vector<std::string>& addresses,
     std::vector<std::string>& list) {
-  const std::vector<std::string> known = Candidates();
-  std::vector<std::string> unknown;
+  std::vector<std::string> added;
   for (const std::string& address : addresses) {
-    if (unknown.size() < kMaxKnown && !Contains(known, address) &&
-        !Contains(unknown, address) && address != current_) {
-      unknown.push_back(address);
+    if (added.size() < kMaxKnown && !Contains(list, address) &&
+        !Contains(added, address)) {
+      added.push_back(address);
     }
   }
   // Processes that are told the same addresses begin with different ones.
-  if (!unknown.empty()) {
-    std::rotate(unknown.begin(),
-                unknown.begin() +
-                    static_cast<std::ptrdiff_t>(position_ % unknown.size()),
-                unknown.end());
-  }
-  // Known addresses keep their places, so that each gets its turn.
-  list.insert(list.begin(), unknown.begin(), unknown.end());
+  if (!added.empty()) {
+    std::rotate(
+        added.begin(),
+        added.begin() + static_cast<std::ptrdiff_t>(position_ % added.size()),
+        added.end());
+  }
+  const std::vector<std::string> known = Candidates();
+  // Listed addresses keep their places, so that each gets its turn.
+  list.insert(list.begin(), added.begin(), added.end());
   list.resize(std::min(list.size(), kMaxKnown));
-  return unknown;
+  std::erase_if(added, [&](const std::string& address) {
+    return address == current_ || Contains(known, address);
+  });
+  return added;
 }
 
 bool CellLink::OnReferral(Time now,
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -552,6 +552,26 @@
   CPPUNIT_ASSERT_EQUAL(std::string("a"), link.current());
 }
 
+// Guards against corrected seeds that are forgotten since they were members,
+// when others are told as the members.
+void SeedsOutlastMembers() {
+  CellLink link({"old-1", "old-2"}, 0);
+  link.SetMembers({"a", "b"});
+  CPPUNIT_ASSERT(!link.AddSeeds(kLinkStart, {"a", "b"}));
+  link.SetMembers({"old-1", "old-2"});
+  const auto selected = Distinct(Selections(link, {}, 4));
+  CPPUNIT_ASSERT(selected.contains("a") && selected.contains("b"));
+}
+
+// Guards against a relay that knows replicas and names none, since they are its
+// seeds.
+void NamedSeedsAreKnownReplicas() {
+  CellLink link({"a", "b"}, 0);
+  CPPUNIT_ASSERT(!link.OnReferral(kLinkStart, "", {{"a", "b"}}));
+  CPPUNIT_ASSERT((std::set<std::string>{"a", "b"}) ==
+                 Distinct(link.known_replicas()));
+}
+
 void KnownSeedsAreBounded() {
   constexpr std::size_t kMaxSeeds = 16;
   CellLink link({"first"}, 0);
@@ -671,6 +691,10 @@
               .Then("is each new seed before any former one",
                     AllNewSeedsComeFirst)
               .Then("is the same after the same seeds", KnownSeedsChangeNothing)
+              .Then("is a seed though other members are told",
+                    SeedsOutlastMembers)
+              .Then("is told to others though it is a seed",
+                    NamedSeedsAreKnownReplicas)
               .Then("is one of 16 seeds at most", KnownSeedsAreBounded))
       .With(Section("a submission to a process that names replicas")
                 .Then("counts as not sent", SubmissionAtRelayCountsAsNotSent)
