Clients: requests to a relay are not passed on in the same turn

What is sent to a process that turns out to be no replica counts as not sent. A request of the very turn in which the process said so was still among the outputs, and went to the next address in the name of a call that counted it as not sent: sent there once more, it could be reported as refused although the first one was accepted.

Requests that have not left the process are dropped with the connection.

--- a/include/banyan/graph/cell_client.h
+++ b/include/banyan/graph/cell_client.h
@@ -106,8 +106,8 @@
   };
 
   void Send(Time now, std::uint64_t ticket, Call& call);
-  // Leaves a replica that the link no longer selects.
-  void Leave(const std::string& replica);
+  // Closes the connection to a replica that the link no longer selects.
+  void DropReplica(const std::string& replica);
   // Drops the requests of this connection, whose other end was no replica.
   void RetractRequests(Time now);
   void OnCommandReply(Time now, const CommandReply& reply);
--- a/src/graph/cell_client.cc
+++ b/src/graph/cell_client.cc
@@ -143,18 +143,18 @@
     RetractRequests(now);
   }
   if (link_.OnReferral(now, from, referral)) {
-    Leave(previous);
+    DropReplica(previous);
   }
 }
 
 void CellClient::OnSeeds(Time now, const std::vector<std::string>& seeds) {
   const std::string previous = link_.current();
   if (link_.AddSeeds(now, seeds)) {
-    Leave(previous);
+    DropReplica(previous);
   }
 }
 
-void CellClient::Leave(const std::string& replica) {
+void CellClient::DropReplica(const std::string& replica) {
   out_.drop = replica;
   connection_seq_ = next_seq_;
   plans_.OnDisconnected();
@@ -162,6 +162,8 @@
 }
 
 void CellClient::RetractRequests(Time now) {
+  // Requests of this turn have not left the process yet.
+  out_.to_control.clear();
   for (auto it = sends_.lower_bound(connection_seq_); it != sends_.end();) {
     const auto [seq, ticket] = *it;
     it = sends_.erase(it);
@@ -270,7 +272,7 @@
   plans_.Tick(now, heard_until_);
   const std::string previous = link_.current();
   if (link_.Tick(now, heard_until_)) {
-    Leave(previous);
+    DropReplica(previous);
   }
 }
 
--- a/tests/unit/cell_client_test.cc
+++ b/tests/unit/cell_client_test.cc
@@ -599,6 +599,18 @@
   CPPUNIT_ASSERT(fixture.answers()[0].result.error == ErrorKind::kNoQuorum);
 }
 
+// Guards against requests of the turn in which a process says that it is no
+// replica, which go to the next one in its name.
+void RequestOfTheSameTurnIsRetracted() {
+  ClientFixture fixture;
+  fixture.Connect();
+  fixture.client().Open(fixture.now(), 1, Command(SubmitGraph{"g", {}}),
+                        fixture.now() + Millis(3000));
+  fixture.Hear(CellReferral{{"10.0.0.9:7"}});
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.requests());
+}
+
 // Guards against submissions that are reported as unknown, although they went
 // to a relay that knows no replica.
 void NothingIsSentToRelayThatKnowsNone() {
@@ -698,6 +710,8 @@
               .Then("is one of 16 seeds at most", KnownSeedsAreBounded))
       .With(Section("a submission to a process that names replicas")
                 .Then("counts as not sent", SubmissionAtRelayCountsAsNotSent)
+                .Then("is not sent to the next one in the same turn",
+                      RequestOfTheSameTurnIsRetracted)
                 .Then("waits while that process names none",
                       NothingIsSentToRelayThatKnowsNone)
                 .Then("stays unknown if a replica got it before",
