Gangs: all members of a run start from one checkpoint

Cause: the table kept a checkpoint for each task. Members that survive a crash report theirs as they end, while the one on the worker that is lost has what the last list showed, or nothing. The next run was started with these values, and a gang whose members carry different ones can't begin.

Now the step keeps the newest checkpoint that the log has from any member: a later run comes before an earlier one, and the end of a run before a list of it. A member that has saved nothing reports what it was started from, which doesn't count. The entry that places a run gives this value to all members and fixes it, so that a start that is repeated, also by the next leader, carries what the other members carry although one of them has ended since.

--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -11,6 +11,7 @@
 
 #include "banyan/events/event.h"
 #include "banyan/graph/crash_record.h"
+#include "banyan/graph/gang_checkpoint.h"
 #include "banyan/wire/command.h"
 #include "banyan/wire/graph.h"
 
@@ -44,6 +45,7 @@
   std::int64_t failures = 0;
   WorkerIncarnation worker;
   // The latest checkpoint committed to the log; empty to start from scratch.
+  // For a member of a gang the one that its latest run was placed with.
   std::string checkpoint;
   CrashRecord crashes;
   TaskCopy copy;
@@ -64,6 +66,8 @@
   // Failed runs of a gang; a run counts once, however many members fail.
   std::int64_t gang_failures = 0;
   std::int64_t last_failed_run = 0;
+  // Of a gang.
+  GangCheckpoint checkpoint;
   std::vector<TaskProgress> tasks;
 
   [[nodiscard]] bool is_done() const noexcept {
@@ -209,6 +213,11 @@
   [[nodiscard]] GraphWorker* MutableWorker(
       const WorkerIncarnation& incarnation);
   [[nodiscard]] TaskProgress* MutableTask(const TaskRef& task);
+  [[nodiscard]] StepProgress& MutableStep(const TaskRef& task);
+  // Records what a current run has saved. `is_final` says that it has ended.
+  void SaveCheckpoint(const RunRef& run,
+                      const std::string& checkpoint,
+                      bool is_final);
   void MarkReadySteps(Graph& graph, std::size_t occurrence);
   void SetPhase(const std::string& id,
                 Graph& graph,
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -18,6 +18,16 @@
   applied.result.text = std::move(text);
 }
 
+// Returns what the members of a gang's run are started from. It is the same for
+// a member that is placed after another one of the run.
+std::string CheckpointOfRun(const StepProgress& gang, std::int64_t run) {
+  const auto placed =
+      std::find_if(gang.tasks.begin(), gang.tasks.end(),
+                   [&](const TaskProgress& task) { return task.run == run; });
+  return placed == gang.tasks.end() ? gang.checkpoint.value
+                                    : placed->checkpoint;
+}
+
 }  // namespace
 
 bool IsDone(const OccurrenceProgress& steps) {
@@ -71,6 +81,12 @@
   return &graph->occurrences[occurrence][step].tasks[index];
 }
 
+StepProgress& GraphTable::MutableStep(const TaskRef& task) {
+  return graphs_.at(task.graph)
+      .occurrences.at(static_cast<std::size_t>(task.occurrence))
+      .at(static_cast<std::size_t>(task.step));
+}
+
 bool GraphTable::IsCurrent(const RunRef& run,
                            const WorkerIncarnation& incarnation) const {
   const TaskProgress* task = FindTask(run.task);
@@ -365,9 +381,7 @@
     }
     const std::string& id = row.run.task.graph;
     MarkBegun(id, graphs_.at(id));
-    if (!row.checkpoint.empty()) {
-      MutableTask(row.run.task)->checkpoint = row.checkpoint;
-    }
+    SaveCheckpoint(row.run, row.checkpoint, false);
   }
   EndIncarnation(*worker, command.cause, now, applied);
   workers_.erase(command.life.id);
@@ -404,6 +418,10 @@
     }
     const std::string& id = placement.run.task.graph;
     Graph& graph = graphs_.at(id);
+    if (FindStep(placement.run.task)->gang) {
+      task->checkpoint =
+          CheckpointOfRun(MutableStep(placement.run.task), placement.run.run);
+    }
     task->run = placement.run.run;
     task->worker = placement.worker;
     SetPhase(id, graph, *task, TaskPhase::kRunning);
@@ -558,9 +576,7 @@
     return;
   }
   TaskProgress& task = *MutableTask(row.run.task);
-  if (!row.checkpoint.empty()) {
-    task.checkpoint = row.checkpoint;
-  }
+  SaveCheckpoint(row.run, row.checkpoint, true);
   graph->second.changed_at = now;
   const bool is_copy = task.has_copy() && row.run.run == task.copy.run;
   if (row.reason == RunEndReason::kDone && !step.long_running) {
@@ -588,6 +604,23 @@
   }
 }
 
+void GraphTable::SaveCheckpoint(const RunRef& run,
+                                const std::string& checkpoint,
+                                bool is_final) {
+  if (checkpoint.empty()) {
+    return;
+  }
+  TaskProgress& task = *MutableTask(run.task);
+  if (!FindStep(run.task)->gang) {
+    task.checkpoint = checkpoint;
+    return;
+  }
+  // A member that has saved nothing reports what it was started from.
+  if (checkpoint != task.checkpoint) {
+    MutableStep(run.task).checkpoint.Update({checkpoint, run.run, is_final});
+  }
+}
+
 void GraphTable::FinishTask(const std::string& id,
                             Graph& graph,
                             const TaskRef& ref,
@@ -628,8 +661,7 @@
   const auto index = static_cast<std::size_t>(run.task.step);
   std::int64_t failures = ++task.failures;
   if (graph.spec.steps[index].gang) {
-    StepProgress& step =
-        graph.occurrences[static_cast<std::size_t>(run.task.occurrence)][index];
+    StepProgress& step = MutableStep(run.task);
     if (run.run > step.last_failed_run) {
       step.last_failed_run = run.run;
       ++step.gang_failures;
--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -3,6 +3,7 @@
 
 // JSON serialization of the graph table for snapshots.
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "banyan/graph/graph_table.h"
@@ -47,11 +48,42 @@
   }
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StepProgress,
-                                   done,
-                                   gang_failures,
-                                   last_failed_run,
-                                   tasks)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GangCheckpoint, value, run, is_final)
+inline void to_json(nlohmann::json& json, const StepProgress& step) {
+  json = {{"done", step.done},
+          {"gang_failures", step.gang_failures},
+          {"last_failed_run", step.last_failed_run},
+          {"tasks", step.tasks}};
+  if (!step.checkpoint.value.empty()) {
+    json["checkpoint"] = step.checkpoint;
+  }
+}
+inline void from_json(const nlohmann::json& json, StepProgress& step) {
+  json.at("done").get_to(step.done);
+  json.at("gang_failures").get_to(step.gang_failures);
+  json.at("last_failed_run").get_to(step.last_failed_run);
+  json.at("tasks").get_to(step.tasks);
+  if (json.contains("checkpoint")) {
+    json.at("checkpoint").get_to(step.checkpoint);
+  }
+}
+// Gives each gang of an earlier version's snapshot, in which each member has a
+// checkpoint of its own, one of these. That of any member will do.
+inline void RestoreGangCheckpoints(Graph& graph) {
+  for (OccurrenceProgress& steps : graph.occurrences) {
+    const std::size_t count = std::min(steps.size(), graph.spec.steps.size());
+    for (std::size_t s = 0; s < count; ++s) {
+      const std::vector<TaskProgress>& tasks = steps[s].tasks;
+      const auto saved = std::find_if(
+          tasks.begin(), tasks.end(),
+          [](const auto& task) { return !task.checkpoint.empty(); });
+      if (graph.spec.steps[s].gang && steps[s].checkpoint.value.empty() &&
+          saved != tasks.end()) {
+        steps[s].checkpoint.value = saved->checkpoint;
+      }
+    }
+  }
+}
 inline void to_json(nlohmann::json& json, const Graph& graph) {
   json = {{"spec", graph.spec},
           {"queue", graph.queue},
@@ -77,6 +109,7 @@
   json.at("order").get_to(graph.order);
   json.at("submitted_at").get_to(graph.submitted_at);
   json.at("changed_at").get_to(graph.changed_at);
+  RestoreGangCheckpoints(graph);
   graph.failure = json.value("failure", "");
   // Absent in snapshots of earlier versions.
   graph.has_begun = json.value("begun", graph.state != GraphState::kQueued);
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -85,6 +85,7 @@
       .With(AgentStory())
       .With(GraphPlacementStory())
       .With(GraphTableStory())
+      .With(GangCheckpointStory())
       .With(GraphLeaderStory())
       .With(WorkerAgentStory())
       .With(IncarnationFenceStory())
--- a/tests/unit/story.h
+++ b/tests/unit/story.h
@@ -102,6 +102,7 @@
 Section CellClientStory();
 Section HttpClientStory();
 Section HttpServerStory();
+Section GangCheckpointStory();
 Section GatewayProcessStory();
 Section LateCallStory();
 Section PlatformCodecStory();
