--- a/tests/unit/gang_checkpoint_test.cc
+++ b/tests/unit/gang_checkpoint_test.cc
@@ -129,22 +129,32 @@
       text, count, std::count(carried.begin(), carried.end(), checkpoint));
 }
 
+// Returns what each member is started from.
+std::vector<std::string> CarriedIn(const GraphTable& table) {
+  std::vector<std::string> carried;
+  for (std::int64_t i = 0; i < kMembers; ++i) {
+    carried.push_back(table.FindTask({"g", 0, 0, i})->checkpoint);
+  }
+  return carried;
+}
+
+// Places a member of the second run, each on its own worker.
+void PlaceMember(GraphTable& table, std::int64_t index) {
+  const RunPlacement placement{RunOf("g", 0, index, 2),
+                               {"w" + std::to_string(index + 2), 1}};
+  CPPUNIT_ASSERT_EQUAL(
+      std::size_t{1},
+      table.Apply(PlaceRuns{{placement}}, kGraphStart).placed.size());
+}
+
 // Returns what the members carry in the next run of a table that was restored.
 std::vector<std::string> CarriedAfterRestore(const nlohmann::json& snapshot) {
   GraphTable table;
   GraphTableCodec::FromJson(snapshot, table);
-  PlaceRuns place;
   for (std::int64_t i = 0; i < kMembers; ++i) {
-    place.runs.push_back(
-        {RunOf("g", 0, i, 2), {"w" + std::to_string(i + 2), 1}});
+    PlaceMember(table, i);
   }
-  CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(kMembers),
-                       table.Apply(place, kGraphStart).placed.size());
-  std::vector<std::string> carried;
-  for (std::int64_t i = 0; i < kMembers; ++i) {
-    carried.push_back(table.FindTask({"g", 0, 0, i})->checkpoint);
-  }
-  return carried;
+  return CarriedIn(table);
 }
 
 // Returns a snapshot with all workers and the gang ready to be placed again.
@@ -220,6 +230,20 @@
   AssertAllCarry("third", gang.TakeCarried(3));
 }
 
+// Guards against members of one run with different checkpoints: one is placed
+// after another one has ended.
+void MemberThatIsPlacedLaterCarriesTheSame() {
+  GraphTable table;
+  GraphTableCodec::FromJson(SnapshotBeforeNextRun(), table);
+  PlaceMember(table, 0);
+  const EndedRun end{9, RunOf("g", 0, 0, 2), RunEndReason::kGangMemberEnded,
+                     "third"};
+  table.Apply(EndRuns{{"w2", 1}, {end}}, kGraphStart);
+  PlaceMember(table, 1);
+  PlaceMember(table, 2);
+  AssertAllCarry("second", CarriedIn(table));
+}
+
 // Guards against a replica that starts the members with other checkpoints,
 // since it restored a snapshot instead of applying the log.
 void SnapshotKeepsTheCheckpoint() {
@@ -252,7 +276,9 @@
                 .Then("don't go back to the one of the run before",
                       KeepsACheckpointOverThatOfTheStart)
                 .Then("carry the same one when a start is repeated",
-                      RepeatedStartsCarryTheSame))
+                      RepeatedStartsCarryTheSame)
+                .Then("carry the same one when a member is placed later",
+                      MemberThatIsPlacedLaterCarriesTheSame))
       .With(Section("a snapshot of a gang")
                 .Then("keeps the checkpoint", SnapshotKeepsTheCheckpoint)
                 .Then("of an earlier build gives one checkpoint",
