Job graphs: count what the next incarnation has done for an earlier one

A start without an answer is carried out by the worker's next incarnation before it refuses such calls, and ends as done there. The removal of the earlier incarnation made its tasks ready again; the end was then ignored, as the run was not placed on the incarnation that listed it, and acknowledged all the same.

Such an end is now committed for the earlier incarnation, under number 0, before that is removed: the agent adds it to the last report of the earlier one, and the leader proposes it before it admits an incarnation that has yet to be admitted, which waits for the next report. Nothing is ready in between, and a lost end of the log loses the removal first. If the earlier one was removed before, since its lease ran out, the end counts as long as its task waits.

A replica of an earlier build ignores an end of the last kind, and may run the task again while it leads.

--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -136,6 +136,10 @@
   [[nodiscard]] static bool HasOther(const GraphTable& table,
                                      const std::string& agent,
                                      const WorkerIncarnation& incarnation);
+  // Proposes the ends as done that an incarnation lists of runs placed on an
+  // earlier one. Returns whether there are any; that one must not be removed
+  // before they are committed.
+  bool ProposeInheritedEnds(const GraphTable& table, const WorkerSync& sync);
   // Proposes the ended runs of a worker's incarnation that has ended and what
   // is known of its crash, then its removal.
   void OnLeave(Time now,
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -193,6 +193,11 @@
   // this worker.
   [[nodiscard]] bool IsCurrent(const RunRef& run,
                                const WorkerIncarnation& incarnation) const;
+  // Returns whether the run is the last one of a task that waits to be placed
+  // again, and was placed on another incarnation of this worker: a call to that
+  // one may have started it on this one.
+  [[nodiscard]] bool IsInherited(const RunRef& run,
+                                 const WorkerIncarnation& incarnation) const;
   // Returns whether another run of the task may be started beside its active
   // one.
   [[nodiscard]] bool MayCopy(const TaskRef& task) const;
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -168,6 +168,10 @@
   void SendStarts(Time now);
   void SendStops(Time now);
   void SendSync(Time now);
+  // Adds to the final state of an earlier incarnation of the worker the ends as
+  // done that this one lists: until the leader has admitted it, its runs are
+  // those of calls to earlier ones.
+  void AddInheritedEnds(WorkerSync& final_sync) const;
   // Returns this incarnation's state under the next sequence number.
   [[nodiscard]] WorkerSync MakeSync();
   [[nodiscard]] RunCall MakeCall(RunCallOp op, const RunRef& run) const;
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -166,7 +166,8 @@
 
 // One entry in a worker's list of ended runs.
 struct EndedRun {
-  // Position in the list of this incarnation, from 1; 0 for a refused start.
+  // Position in the list of this incarnation, from 1; 0 for a refused start and
+  // for an end that the list of the next incarnation has.
   std::int64_t number = 0;
   RunRef run;
   RunEndReason reason = RunEndReason::kWorkerLost;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -42,6 +42,13 @@
 // Maximum number of ended runs in one log entry.
 constexpr std::size_t kMaxEndsPerEntry = 500;
 
+// Returns whether the log lacks the reported end of a run of the worker. What
+// its list doesn't number counts only for a run that the table has.
+bool IsUncommitted(const GraphWorker& worker, const EndedRun& row) {
+  return row.number == 0 ? worker.runs.contains(row.run)
+                         : row.number > worker.noted;
+}
+
 }  // namespace
 
 void GraphLeader::Reset(Time now,
@@ -311,7 +318,7 @@
   // the remaining runs ready to be placed again.
   EndRuns ends{worker.info.life, {}};
   for (const EndedRun& row : sync.ended) {
-    if (row.number <= worker.noted) {
+    if (!IsUncommitted(worker, row)) {
       continue;
     }
     ends.rows.push_back(row);
@@ -341,15 +348,8 @@
     if (ends.rows.size() >= kMaxEndsPerEntry) {
       break;
     }
-    if (row.number == 0) {
-      // A refused start, which is ignored unless the table has the run.
-      if (worker.runs.contains(row.run)) {
-        ends.rows.push_back(row);
-      }
-      continue;
-    }
-    if (row.number > worker.noted &&
-        (is_due || row.number > view.proposed_end)) {
+    if (IsUncommitted(worker, row) &&
+        (row.number == 0 || is_due || row.number > view.proposed_end)) {
       ends.rows.push_back(row);
       last = std::max(last, row.number);
     }
--- a/src/graph/graph_leader_admission.cc
+++ b/src/graph/graph_leader_admission.cc
@@ -21,6 +21,26 @@
       });
 }
 
+bool GraphLeader::ProposeInheritedEnds(const GraphTable& table,
+                                       const WorkerSync& sync) {
+  const auto earlier = table.workers().find(sync.info.life.id);
+  if (earlier == table.workers().end()) {
+    return false;
+  }
+  EndRuns ends{earlier->second.info.life, {}};
+  for (const EndedRun& row : sync.ended) {
+    if (row.reason == RunEndReason::kDone &&
+        earlier->second.runs.contains(row.run)) {
+      ends.rows.push_back({0, row.run, row.reason, row.checkpoint});
+    }
+  }
+  if (ends.rows.empty()) {
+    return false;
+  }
+  out_.proposals.emplace_back(std::move(ends));
+  return true;
+}
+
 void GraphLeader::ProposeAdmission(Time now,
                                    const GraphTable& table,
                                    const std::string& agent,
@@ -55,6 +75,9 @@
     return;
   }
   if (known == nullptr) {
+    if (ProposeInheritedEnds(table, sync)) {
+      return;
+    }
     for (const auto& [id, other] : table.workers()) {
       if (other.agent == agent &&
           other.info.life.started_at_ms < info.life.started_at_ms) {
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -98,6 +98,15 @@
           task->copy.worker == incarnation);
 }
 
+bool GraphTable::IsInherited(const RunRef& run,
+                             const WorkerIncarnation& incarnation) const {
+  const TaskProgress* task = FindTask(run.task);
+  return task != nullptr && task->phase == TaskPhase::kReady &&
+         task->run == run.run && task->last_run() == run.run &&
+         task->worker.id == incarnation.id && task->worker != incarnation &&
+         !FindStep(run.task)->long_running;
+}
+
 bool GraphTable::MayCopy(const TaskRef& ref) const {
   const TaskProgress* task = FindTask(ref);
   if (task == nullptr || task->phase != TaskPhase::kRunning ||
@@ -549,7 +558,10 @@
                         WallMillis now,
                         GraphApplyResult& applied) {
   const auto graph = graphs_.find(row.run.task.graph);
-  if (worker.runs.erase(row.run) == 0) {
+  const bool is_placed = worker.runs.erase(row.run) > 0;
+  const bool is_inherited = !is_placed && row.reason == RunEndReason::kDone &&
+                            IsInherited(row.run, worker.info.life);
+  if (!is_placed && !is_inherited) {
     applied.events.push_back(
         RunEvent(EventId::kRunEndIgnored, row.run, worker.info.life.id)
             .With("occurrence", row.run.task.occurrence)
@@ -561,17 +573,24 @@
     return;
   }
   const StepSpec& step = *FindStep(row.run.task);
-  worker.committed -= ReservedResources(step);
-  worker.fill_cpu_millis -= step.best_effort ? step.needs.cpu_millis : 0;
+  if (is_placed) {
+    worker.committed -= ReservedResources(step);
+    worker.fill_cpu_millis -= step.best_effort ? step.needs.cpu_millis : 0;
+  }
   applied.events.push_back(
       RunEvent(EventId::kRunEnded, row.run, worker.info.life.id)
           .With("occurrence", row.run.task.occurrence)
           .With("number", row.number)
           .With("ending", ToString(row.reason)));
-  // Only what a worker has started is numbered in its list.
-  if (row.number != 0) {
+  // A refused start has no number, and has not begun.
+  if (row.number != 0 || row.reason == RunEndReason::kDone) {
     MarkBegun(graph->first, graph->second);
   }
+  if (is_inherited) {
+    graph->second.changed_at = now;
+    FinishTask(graph->first, graph->second, row.run.task, now, applied);
+    return;
+  }
   if (!IsCurrent(row.run, worker.info.life)) {
     return;
   }
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -678,6 +678,7 @@
   // Once the leader knows of this incarnation, or that the earlier one is gone,
   // it places the runs of the earlier one elsewhere.
   for (WorkerSync sync : final_syncs_) {
+    AddInheritedEnds(sync);
     sync.gone = !must_settle_stops_ && (!is_unfenced_ || has_left_);
     if (!sync.gone && sync.ended.empty()) {
       continue;
--- a/src/graph/worker_agent_successor.cc
+++ b/src/graph/worker_agent_successor.cc
@@ -66,6 +66,20 @@
   return std::nullopt;
 }
 
+void WorkerAgent::AddInheritedEnds(WorkerSync& final_sync) const {
+  if (final_sync.info.life.id != info_->life.id) {
+    return;
+  }
+  std::vector<EndedRun> ended;
+  for (const auto& [number, row] : ended_) {
+    if (row.reason == RunEndReason::kDone) {
+      ended.push_back({0, row.run, row.reason, row.checkpoint});
+    }
+  }
+  // The first end of a run counts, and one as done has to.
+  final_sync.ended.insert(final_sync.ended.begin(), ended.begin(), ended.end());
+}
+
 bool WorkerAgent::TryReplace(Time now) {
   if (!successor_) {
     return false;
--- a/tests/unit/incarnation_fence_test.cc
+++ b/tests/unit/incarnation_fence_test.cc
@@ -177,6 +177,83 @@
   const bool is_acknowledged = fixture.table().workers().at("w1").noted == 1;
   fixture.AdvanceTime(Millis(100));
   CPPUNIT_ASSERT(!is_acknowledged || fixture.RunsOn("w1").empty());
+  fixture.Sync(sync);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
+                       fixture.table().workers().at("w1").noted);
+  CPPUNIT_ASSERT(fixture.table().FindGraph("g1")->state ==
+                 GraphState::kCompleted);
+}
+
+// Guards against a second run elsewhere in the time between the removal of the
+// earlier incarnation and the next report of the one that has done the task.
+void DoneEndOfInheritedStartIsCommittedBeforeRemoval() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 3));
+  fixture.Commit(SampleGraph("g1", {SampleStep(1)}));
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w1").contains(RunOf("g1", 0, 0)));
+  fixture.Join(SampleWorker("w2"));
+  WorkerSync sync;
+  sync.info = SampleWorker("w1", 8);
+  sync.lists = 1;
+  sync.ended = {{1, RunOf("g1", 0, 0), RunEndReason::kDone, ""}};
+  fixture.Sync(sync);
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w2").empty());
+  CPPUNIT_ASSERT(fixture.table().FindGraph("g1")->state ==
+                 GraphState::kCompleted);
+}
+
+// Guards against the same if the agent reports the earlier incarnation as gone,
+// with what the next one lists.
+void DoneEndOfInheritedStartCountsBesideDeparture() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 3));
+  fixture.Commit(SampleGraph("g1", {SampleStep(1), SampleStep(1)}));
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w1").contains(RunOf("g1", 0, 0)));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
+                       fixture.table().PendingGraphCount("quick"));
+  WorkerSync gone;
+  gone.info = SampleWorker("w1", 3);
+  gone.gone = true;
+  gone.ended = {{0, RunOf("g1", 0, 0), RunEndReason::kDone, ""}};
+  fixture.Relay(gone);
+  CPPUNIT_ASSERT(fixture.table().workers().empty());
+  CPPUNIT_ASSERT(fixture.table().FindTask(RunOf("g1", 0, 0).task)->phase ==
+                 TaskPhase::kDone);
+  CPPUNIT_ASSERT(fixture.table().FindTask(RunOf("g1", 1, 0).task)->phase ==
+                 TaskPhase::kReady);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE("a run of the graph has ended", std::int64_t{0},
+                               fixture.table().PendingGraphCount("quick"));
+}
+
+// Guards against the same if the lease of the earlier incarnation ran out
+// before the next one was reached, and the task has waited for a worker since
+// then.
+void DoneEndOfInheritedStartCountsAfterRemoval() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 3));
+  fixture.Commit(SampleGraph("g1", {SampleStep(1)}));
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w1").contains(RunOf("g1", 0, 0)));
+  for (int i = 0; i < 120; ++i) {
+    fixture.AdvanceTime(Millis(100));
+  }
+  CPPUNIT_ASSERT(fixture.table().workers().empty());
+  WorkerSync sync;
+  sync.info = SampleWorker("w1", 8);
+  sync.lists = 1;
+  sync.ended = {{1, RunOf("g1", 0, 0), RunEndReason::kDone, ""}};
+  for (int i = 0; i < 2; ++i) {
+    fixture.Sync(sync);
+  }
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
+                       fixture.table().workers().at("w1").noted);
+  CPPUNIT_ASSERT(fixture.RunsOn("w1").empty());
+  CPPUNIT_ASSERT(fixture.table().FindGraph("g1")->state ==
+                 GraphState::kCompleted);
 }
 
 // Guards against tasks that wait longer for a worker that went silent: one that
@@ -311,6 +388,12 @@
                 .Then("unless they were carried out before, whose done ends "
                       "count",
                       DoneEndOfInheritedStartCounts)
+                .Then("before the earlier one is removed",
+                      DoneEndOfInheritedStartIsCommittedBeforeRemoval)
+                .Then("also if the earlier one is gone by then",
+                      DoneEndOfInheritedStartCountsBesideDeparture)
+                .Then("also if its lease ran out before",
+                      DoneEndOfInheritedStartCountsAfterRemoval)
                 .Then("unless its agent is of an earlier version",
                       EarlierAgentsAreAdmittedAtOnce))
       .With(Section("may have given it the longest lease")
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -653,6 +653,29 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.TakeSyncs().size());
 }
 
+// Guards against starting a task again that was done: its start got no answer,
+// and the next incarnation has carried it out before it was fenced.
+void EndsOfNextIncarnationAreReportedWithTheEarlierOne() {
+  AgentFixture fixture;
+  fixture.Grant(StartOrder(SampleRun()));
+  fixture.Answer(RunCallOp::kStart, SampleRun(), false);
+  fixture.ReplyToList({}, {{5, RunOf("g", 0, 1), RunEndReason::kDone, ""}});
+  fixture.Restart(8);
+  fixture.ReplyToList({}, {{1, SampleRun(), RunEndReason::kDone, ""}});
+  static_cast<void>(fixture.TakeSyncs());
+  fixture.Fence(1);
+  const std::vector<WorkerSync> syncs = fixture.TakeSyncs();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, syncs.size());
+  CPPUNIT_ASSERT(syncs[0].gone && syncs[0].info.life.started_at_ms == 1);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, syncs[0].ended.size());
+  CPPUNIT_ASSERT(syncs[0].ended[0].run == SampleRun());
+  CPPUNIT_ASSERT(syncs[0].ended[0].reason == RunEndReason::kDone);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE("it is not in the list of this incarnation",
+                               std::int64_t{0}, syncs[0].ended[0].number);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, syncs[0].ended[1].number);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, syncs[1].ended[0].number);
+}
+
 // Guards against starting a task again that was done: a list shows at most
 // 500 ends, and the run that is to be stopped ended after these.
 void EndBeyondFullListIsNoRefusal() {
@@ -1285,6 +1308,8 @@
                       OvertakenListIsNoSilence)
                 .Then("leaves its earlier ends to be committed",
                       EndsOfEarlierIncarnationAreReported)
+                .Then("leaves what it has done for earlier calls, too",
+                      EndsOfNextIncarnationAreReportedWithTheEarlierOne)
                 .Then("ends its earlier incarnation also by leaving at once",
                       EarlierIncarnationIsGoneIfTheNextOneHasLeft)
                 .Then("leaves its earlier ends before the starts are fenced",
