Placement: reserve no worker that is at its limit for a suspect

A long-running task that may crash its workers could wait for ever beside workers with room: the worker reserved for it ran as many tasks of its step as the step allows, since the reservation looked at label and room alone. The log shows the others as `shared`.

The new test fails before and passes with it.

--- a/include/banyan/graph/graph_placement.h
+++ b/include/banyan/graph/graph_placement.h
@@ -202,7 +202,14 @@
   // those that can, one with room and the fewest runs. It gets other runs only
   // if no other worker of its pool does. An overdue suspect takes a worker that
   // is suspected of failing its runs, too.
-  void ReserveWorker(const Graph& graph, const StepSpec& step, bool is_overdue);
+  void ReserveWorker(const Graph& graph,
+                     const StepSpec& step,
+                     const StepDistribution& distribution,
+                     bool is_overdue);
+  // Whether a worker runs as many tasks of a step as the step allows.
+  [[nodiscard]] static bool IsAtLimit(const StepSpec& step,
+                                      const StepDistribution& distribution,
+                                      const WorkerInfo& info);
   // Whether a long-running task has been ready for so long that it must be
   // placed on any worker that can run it. Starts its wait if it is new.
   [[nodiscard]] bool IsOverdue(const TaskRef& ref, const StepSpec& step);
--- a/src/graph/graph_placement.cc
+++ b/src/graph/graph_placement.cc
@@ -204,38 +204,48 @@
       continue;
     }
     const bool is_overdue = IsOverdue(ref, step);
+    StepDistribution distribution = DistributionOf(
+        graph.occurrences[static_cast<std::size_t>(ref.occurrence)]
+                         [static_cast<std::size_t>(ref.step)]);
     // The members of a gang are placed together.
     if (step.gang) {
-      ReserveWorker(graph, step, is_overdue);
+      ReserveWorker(graph, step, distribution, is_overdue);
       continue;
     }
     const Isolation isolation = IsolationOf(ref, task);
     is_relaxed_ = isolation == Isolation::kReservedWorker;
     if (is_relaxed_) {
-      ReserveWorker(graph, step, is_overdue);
+      ReserveWorker(graph, step, distribution, is_overdue);
     }
-    StepDistribution distribution = DistributionOf(
-        graph.occurrences[static_cast<std::size_t>(ref.occurrence)]
-                         [static_cast<std::size_t>(ref.step)]);
     if (auto placed = PlaceTask(graph, ref, step, task.last_run() + 1,
                                 isolation, is_overdue, distribution)) {
       MarkTrials({&*placed, 1});
       long_running_since_.erase(ref);
       placements.push_back(*std::move(placed));
     } else {
-      ReserveWorker(graph, step, is_overdue);
+      ReserveWorker(graph, step, distribution, is_overdue);
     }
   }
 }
 
+bool GraphPlacement::IsAtLimit(const StepSpec& step,
+                               const StepDistribution& distribution,
+                               const WorkerInfo& info) {
+  const auto count = distribution.tasks.find(info.life.id);
+  return step.per_worker_limit > 0 && count != distribution.tasks.end() &&
+         count->second >= step.per_worker_limit;
+}
+
 void GraphPlacement::ReserveWorker(const Graph& graph,
                                    const StepSpec& step,
+                                   const StepDistribution& distribution,
                                    bool is_overdue) {
   const auto is_suitable = [&](const CandidateWorker& candidate) {
     const bool is_accessible =
         is_overdue || candidate.access == WorkerAccess::kOpen ||
         (candidate.access != WorkerAccess::kQuarantine && !step.long_running);
     return is_accessible && HasLabel(candidate.worker->info, step) &&
+           !IsAtLimit(step, distribution, candidate.worker->info) &&
            Fits(ReservedResources(step), candidate.usable);
   };
   const auto preference = [&](const CandidateWorker& candidate) {
@@ -522,9 +532,7 @@
   if (!HasLabel(info, step)) {
     return {Exclusion::kLabel};
   }
-  const auto count = request.distribution.tasks.find(info.life.id);
-  if (step.per_worker_limit > 0 && count != request.distribution.tasks.end() &&
-      count->second >= step.per_worker_limit) {
+  if (IsAtLimit(step, request.distribution, info)) {
     return {Exclusion::kTaskLimit};
   }
   if (candidate.has_trial) {
--- a/tests/unit/long_running_test.cc
+++ b/tests/unit/long_running_test.cc
@@ -211,6 +211,29 @@
   CPPUNIT_ASSERT(pool.IsRunning("a"));
 }
 
+// Guards against a suspect of a crash for which a worker is reserved that runs
+// as many tasks of its step as the step allows.
+void SuspectOfACrashIsNotKeptForAWorkerAtItsLimit() {
+  WorkerInfo labelled = SampleWorker("w1");
+  labelled.labels.emplace_back("x");
+  Pool pool({labelled, SampleWorker("w2")});
+  StepSpec limited = LongRunningStep(2);
+  limited.per_worker_limit = 1;
+  StepSpec beside = LongRunningStep(2);
+  beside.required_label = "x";
+  pool.leader.Commit(SampleGraph("a", {limited}));
+  pool.leader.Commit(SampleGraph("b", {beside}));
+  pool.Pass(std::chrono::seconds(1));
+  const std::int64_t index = pool.WorkerOf("a") == "w1" ? 0 : 1;
+  const RunRef run = pool.RunOfTask("a", index);
+  CPPUNIT_ASSERT_EQUAL(std::string("w1"), pool.WorkerOf("a", index));
+  pool.leader.Commit(
+      RecordCrashes{SampleWorker("w1").life, {{run, CrashEvidence::kAtStart}}});
+  pool.End(run, RunEndReason::kStopped);
+  pool.Pass(kRestartLimit);
+  CPPUNIT_ASSERT(pool.IsRunning("a", index));
+}
+
 // Guards against a sound worker that is closed by tasks that always fail.
 void WorkerIsNotClosedByTasksThatAlwaysFail() {
   Pool pool({SampleWorker("w1")});
@@ -440,6 +463,8 @@
                       SuspectOfACrashIsNotKeptForASuspectedWorker)
                 .Then("is not kept for a worker that is too small",
                       SuspectOfACrashIsNotKeptForASmallWorker)
+                .Then("is not kept for a worker at its limit",
+                      SuspectOfACrashIsNotKeptForAWorkerAtItsLimit)
                 .Then("has no overdue task beside its trial",
                       OverdueTaskDoesNotJoinATrial)
                 .Then("is placed with its gang", GangOfSuspectsIsPlacedWhole))
