--- a/include/banyan/process/control_process.h
+++ b/include/banyan/process/control_process.h
@@ -90,6 +90,7 @@
   };
   // Requests a graceful shutdown.
   struct LeaveInput {};
+  // Replaces the seeds.
   struct SeedsInput {
     std::vector<std::string> seeds;
   };
