Job graphs: leave an end unacknowledged if its task has run again

A start without an answer is carried out by the worker's next incarnation. If the task is placed again before that incarnation is reached, as the lease of the earlier one ran out or it had refused the run, the end doesn't count; the incarnation was admitted and the end acknowledged all the same. The rule excuses the second start only if the end is never taken note of while the lease lasts in which the run ended.

An incarnation that is not known is now admitted once each end as done that it lists is that of the last run of its task and committed, or once its agent reports that no lease can be left: the longest one, counted from the fence. The earlier incarnation is removed at once as before. What still counts is committed before the admission, also if the earlier incarnation is no longer in the table; a task that is done is not placed again, so no later entry overtakes the check.

"Also if its lease ran out before" takes one report more, since the admission follows the commit; its checks stand.

--- a/include/banyan/events/event.h
+++ b/include/banyan/events/event.h
@@ -101,6 +101,7 @@
   kWorkerFenced = 1355,
   kCallUnconfirmed = 1356,
   kLeaseConfirmed = 1357,
+  kAdmissionDelayed = 1358,
   kCopyPlaced = 1360,
   kCopyWon = 1361,
   kCopyDropped = 1362,
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -137,9 +137,16 @@
                                      const std::string& agent,
                                      const WorkerIncarnation& incarnation);
   // Proposes the ends as done that an incarnation lists of runs placed on an
-  // earlier one. Returns whether there are any; that one must not be removed
-  // before they are committed.
+  // earlier one, as far as they count. Returns whether there are any; the
+  // earlier one must not be removed, nor this one be admitted, before they are
+  // committed.
   bool ProposeInheritedEnds(const GraphTable& table, const WorkerSync& sync);
+  // Returns whether an incarnation that is not known must not be admitted
+  // before its lease has run out. After its admission all its ends are
+  // acknowledged, and an end as done must not be acknowledged within the lease
+  // in which the run has ended if its task was or may be placed again.
+  [[nodiscard]] bool MustOutlastLease(const GraphTable& table,
+                                      const WorkerSync& sync);
   // Proposes the ended runs of a worker's incarnation that has ended and what
   // is known of its crash, then its removal.
   void OnLeave(Time now,
@@ -230,6 +237,8 @@
   RunTimeObserver run_times_;
   // Workers that stopped answering, with the time of the report of it.
   std::vector<std::pair<WorkerIncarnation, Time>> losses_;
+  // Incarnations that wait for their admission until their lease has run out.
+  std::set<WorkerIncarnation> delayed_;
   // When the pending batch of placements was proposed; empty if none is.
   std::optional<Time> placement_proposed_at_;
   GraphLeaderOutputs out_;
--- a/include/banyan/graph/graph_table.h
+++ b/include/banyan/graph/graph_table.h
@@ -99,6 +99,9 @@
   WallMillis changed_at = 0;
   // Why the graph has failed; empty if it has not.
   std::string failure;
+  // Of a final graph, the last runs of the tasks that were placed more than
+  // once.
+  std::set<RunRef> repeated;
 };
 
 // A worker's current incarnation with the runs placed on it.
@@ -147,6 +150,8 @@
   // a copy, are suspects or could exceed their attempts, of steps that may not
   // be copied, and on the worker of the first run.
   GraphApplyResult Apply(const PlaceCopies& command, WallMillis now);
+  // An incarnation that has yet to be admitted can only have done runs of an
+  // earlier one.
   GraphApplyResult Apply(const EndRuns& command, WallMillis now);
   GraphApplyResult Apply(const RecordCrashes& command, WallMillis now);
 
@@ -198,6 +203,9 @@
   // one may have started it on this one.
   [[nodiscard]] bool IsInherited(const RunRef& run,
                                  const WorkerIncarnation& incarnation) const;
+  // Returns whether the run is the last one of its task, which is not placed
+  // again. False if the graph is unknown.
+  [[nodiscard]] bool IsFinalRun(const RunRef& run) const;
   // Returns whether another run of the task may be started beside its active
   // one.
   [[nodiscard]] bool MayCopy(const TaskRef& task) const;
@@ -232,6 +240,12 @@
               const EndedRun& row,
               WallMillis now,
               GraphApplyResult& applied);
+  // Completes the task of a run that was placed on another incarnation of the
+  // worker, if that still counts. Returns whether it does.
+  bool FinishInherited(const WorkerIncarnation& incarnation,
+                       const EndedRun& row,
+                       WallMillis now,
+                       GraphApplyResult& applied);
   // Records the placement of a run that its task's progress names already.
   void AddRun(const RunPlacement& placement,
               GraphWorker& worker,
--- a/include/banyan/graph/unknown_leases.h
+++ b/include/banyan/graph/unknown_leases.h
@@ -38,6 +38,10 @@
   // admitted again has refused calls to earlier ones all along.
   void OnAdmitted(Time now, const WorkerIncarnation& incarnation);
 
+  // Returns whether the incarnation has been admitted since the table was
+  // restored, as far as this replica remembers.
+  [[nodiscard]] bool WasAdmitted(const WorkerIncarnation& incarnation) const;
+
   // Returns when such leases of an admitted incarnation have run out.
   [[nodiscard]] Time EndOf(const WorkerIncarnation& incarnation) const;
 
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -140,6 +140,13 @@
   // Logs what connects a run to the crash of the worker.
   void LogCrash(const RunCrash& crash);
   void OnRunList(Time now, const RunCallReply& reply);
+  // Returns whether the ends in the last run list must not be listed again
+  // before they are committed. A listed end may count as acknowledged, and the
+  // leader has yet to decide whether those of calls to earlier incarnations may
+  // be.
+  [[nodiscard]] bool AwaitsCommit() const noexcept;
+  // Returns when all leases that the worker may hold have run out.
+  [[nodiscard]] Time LeaseEnd() const noexcept;
   // Returns the highest number that a new end in a run list may have.
   [[nodiscard]] std::int64_t MaxEndNumber(const RunCallReply& reply) const;
   // Logs that rows of a run list were left out or read in part.
@@ -205,11 +212,17 @@
   // only once calls to earlier ones are refused.
   bool is_admitted_ = false;
   bool must_fence_ = false;
+  // Whether calls to earlier incarnations are refused, and the leader has yet
+  // to admit this one.
+  bool awaits_admission_ = false;
   // Whether calls to earlier incarnations under the same id may still be
   // carried out, so that these must not be reported as gone.
   bool is_unfenced_ = false;
   Time lease_deadline_;
   std::int64_t last_committed_end_ = 0;
+  // Number of the last end as done that was listed between the fence and the
+  // admission; 0 if there was none.
+  std::int64_t inherited_end_ = 0;
 
   bool is_reachable_ = false;
   bool is_list_in_flight_ = false;
--- a/include/banyan/wire/graph.h
+++ b/include/banyan/wire/graph.h
@@ -167,7 +167,7 @@
 // One entry in a worker's list of ended runs.
 struct EndedRun {
   // Position in the list of this incarnation, from 1; 0 for a refused start and
-  // for an end that the list of the next incarnation has.
+  // for an end that an incarnation lists which has yet to be admitted.
   std::int64_t number = 0;
   RunRef run;
   RunEndReason reason = RunEndReason::kWorkerLost;
@@ -393,6 +393,9 @@
   // Highest fencing token of a call that the incarnation has answered; empty
   // from agents of earlier versions.
   std::optional<std::uint64_t> answered_token;
+  // Whether the incarnation may hold a lease, also one that its agent doesn't
+  // know of; empty from agents of earlier versions.
+  std::optional<bool> may_hold_lease;
 };
 
 // A run to start.
--- a/src/events/event.cc
+++ b/src/events/event.cc
@@ -222,6 +222,9 @@
     {EventId::kLeaseConfirmed, "lease-confirmed",
      "A worker answers its first list call after a silence; with the end of "
      "the lease that the call carried and the worker's clock in the answer."},
+    {EventId::kAdmissionDelayed, "admission-delayed",
+     "A worker's incarnation has done a run whose task was placed again; it is "
+     "admitted, and that end acknowledged, only once its lease has run out."},
     {EventId::kCopyPlaced, "copy-placed",
      "Placement decision: a second run of a speculative task, on another "
      "worker, with the cause."},
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -63,6 +63,7 @@
   speculation_ = Speculation(options_.scheduling);
   placement_proposed_at_.reset();
   losses_.clear();
+  delayed_.clear();
   run_times_ = RunTimeObserver();
   out_ = GraphLeaderOutputs{};
   for (const auto& [id, worker] : table.workers()) {
--- a/src/graph/graph_leader_admission.cc
+++ b/src/graph/graph_leader_admission.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "banyan/graph/graph_leader.h"
+#include "banyan/graph/run_event.h"
 
 namespace banyan {
 
@@ -8,6 +9,7 @@
   if (applied.admitted) {
     unknown_leases_.OnAdmitted(now, *applied.admitted);
     numbers_.OnAdmitted(*applied.admitted);
+    delayed_.erase(*applied.admitted);
   }
 }
 
@@ -23,21 +25,56 @@
 
 bool GraphLeader::ProposeInheritedEnds(const GraphTable& table,
                                        const WorkerSync& sync) {
-  const auto earlier = table.workers().find(sync.info.life.id);
-  if (earlier == table.workers().end()) {
-    return false;
-  }
-  EndRuns ends{earlier->second.info.life, {}};
+  const WorkerIncarnation& incarnation = sync.info.life;
+  const auto earlier = table.workers().find(incarnation.id);
+  EndRuns of_earlier;
+  EndRuns of_removed{incarnation, {}};
   for (const EndedRun& row : sync.ended) {
-    if (row.reason == RunEndReason::kDone &&
+    if (row.reason != RunEndReason::kDone) {
+      continue;
+    }
+    const EndedRun end{0, row.run, row.reason, row.checkpoint};
+    if (earlier != table.workers().end() &&
         earlier->second.runs.contains(row.run)) {
-      ends.rows.push_back({0, row.run, row.reason, row.checkpoint});
+      of_earlier.worker = earlier->second.info.life;
+      of_earlier.rows.push_back(end);
+    } else if (table.IsInherited(row.run, incarnation)) {
+      of_removed.rows.push_back(end);
     }
   }
-  if (ends.rows.empty()) {
+  const bool has_any = !of_earlier.rows.empty() || !of_removed.rows.empty();
+  for (EndRuns* ends : {&of_earlier, &of_removed}) {
+    if (!ends->rows.empty()) {
+      out_.proposals.emplace_back(std::move(*ends));
+    }
+  }
+  return has_any;
+}
+
+bool GraphLeader::MustOutlastLease(const GraphTable& table,
+                                   const WorkerSync& sync) {
+  const WorkerIncarnation& incarnation = sync.info.life;
+  // One that was admitted before was removed since its lease had run out, or
+  // since it no longer answered after it had announced its shutdown.
+  const bool has_lapsed =
+      unknown_leases_.WasAdmitted(incarnation) && !sync.info.draining;
+  if (!sync.may_hold_lease.value_or(false) || has_lapsed) {
+    return false;
+  }
+  const auto repeated = std::find_if(
+      sync.ended.begin(), sync.ended.end(), [&](const EndedRun& row) {
+        return row.reason == RunEndReason::kDone && !table.IsFinalRun(row.run);
+      });
+  if (repeated == sync.ended.end()) {
     return false;
   }
-  out_.proposals.emplace_back(std::move(ends));
+  if (delayed_.insert(incarnation).second) {
+    out_.events.push_back(
+        RunEvent(EventId::kAdmissionDelayed, repeated->run, incarnation.id)
+            .With("occurrence", repeated->run.task.occurrence)
+            .With("born", incarnation.started_at_ms)
+            .With("number", repeated->number));
+  }
   return true;
 }
 
@@ -85,6 +122,9 @@
         ProposeRemoval(now, other, {}, "a later life came");
       }
     }
+    if (MustOutlastLease(table, sync)) {
+      return;
+    }
     ViewFor(info.life).drop_proposed = false;
   }
   view.admission_proposed_at = now;
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -28,6 +28,34 @@
                                     : placed->checkpoint;
 }
 
+Event EndEvent(const EndedRun& row, const std::string& worker) {
+  return RunEvent(EventId::kRunEnded, row.run, worker)
+      .With("occurrence", row.run.task.occurrence)
+      .With("number", row.number)
+      .With("ending", ToString(row.reason));
+}
+
+// Returns the last runs of the graph's tasks that were placed more than once.
+std::set<RunRef> RepeatedRuns(const std::string& id, const Graph& graph) {
+  std::set<RunRef> repeated;
+  TaskRef ref{id, 0, 0, 0};
+  for (const OccurrenceProgress& steps : graph.occurrences) {
+    ref.step = 0;
+    for (const StepProgress& step : steps) {
+      ref.index = 0;
+      for (const TaskProgress& task : step.tasks) {
+        if (task.last_run() > 1) {
+          repeated.insert({ref, task.last_run()});
+        }
+        ++ref.index;
+      }
+      ++ref.step;
+    }
+    ++ref.occurrence;
+  }
+  return repeated;
+}
+
 }  // namespace
 
 bool IsDone(const OccurrenceProgress& steps) {
@@ -107,6 +135,22 @@
          !FindStep(run.task)->long_running;
 }
 
+bool GraphTable::IsFinalRun(const RunRef& run) const {
+  const Graph* graph = FindGraph(run.task.graph);
+  if (graph == nullptr) {
+    return false;
+  }
+  if (!IsFinal(graph->state)) {
+    const TaskProgress* task = FindTask(run.task);
+    return task != nullptr && task->phase == TaskPhase::kDone &&
+           task->last_run() == run.run;
+  }
+  const auto last = graph->repeated.lower_bound({run.task, 0});
+  const bool is_repeated =
+      last != graph->repeated.end() && last->task == run.task;
+  return run.run == (is_repeated ? last->run : 1);
+}
+
 bool GraphTable::MayCopy(const TaskRef& ref) const {
   const TaskProgress* task = FindTask(ref);
   if (task == nullptr || task->phase != TaskPhase::kRunning ||
@@ -473,7 +517,12 @@
   GraphApplyResult applied;
   GraphWorker* worker = MutableWorker(command.worker);
   if (worker == nullptr) {
-    Refuse(applied, ErrorKind::kStale, "another life is known");
+    for (const EndedRun& row : command.rows) {
+      applied.result.ok |= FinishInherited(command.worker, row, now, applied);
+    }
+    if (!applied.result.ok) {
+      Refuse(applied, ErrorKind::kStale, "another life is known");
+    }
     return applied;
   }
   applied.result.ok = true;
@@ -558,39 +607,27 @@
                         WallMillis now,
                         GraphApplyResult& applied) {
   const auto graph = graphs_.find(row.run.task.graph);
-  const bool is_placed = worker.runs.erase(row.run) > 0;
-  const bool is_inherited = !is_placed && row.reason == RunEndReason::kDone &&
-                            IsInherited(row.run, worker.info.life);
-  if (!is_placed && !is_inherited) {
-    applied.events.push_back(
-        RunEvent(EventId::kRunEndIgnored, row.run, worker.info.life.id)
-            .With("occurrence", row.run.task.occurrence)
-            .With("number", row.number)
-            .With("ending", ToString(row.reason)));
+  if (worker.runs.erase(row.run) == 0) {
+    if (!FinishInherited(worker.info.life, row, now, applied)) {
+      applied.events.push_back(
+          RunEvent(EventId::kRunEndIgnored, row.run, worker.info.life.id)
+              .With("occurrence", row.run.task.occurrence)
+              .With("number", row.number)
+              .With("ending", ToString(row.reason)));
+    }
     return;
   }
   if (graph == graphs_.end()) {
     return;
   }
   const StepSpec& step = *FindStep(row.run.task);
-  if (is_placed) {
-    worker.committed -= ReservedResources(step);
-    worker.fill_cpu_millis -= step.best_effort ? step.needs.cpu_millis : 0;
-  }
-  applied.events.push_back(
-      RunEvent(EventId::kRunEnded, row.run, worker.info.life.id)
-          .With("occurrence", row.run.task.occurrence)
-          .With("number", row.number)
-          .With("ending", ToString(row.reason)));
+  worker.committed -= ReservedResources(step);
+  worker.fill_cpu_millis -= step.best_effort ? step.needs.cpu_millis : 0;
+  applied.events.push_back(EndEvent(row, worker.info.life.id));
   // A refused start has no number, and has not begun.
   if (row.number != 0 || row.reason == RunEndReason::kDone) {
     MarkBegun(graph->first, graph->second);
   }
-  if (is_inherited) {
-    graph->second.changed_at = now;
-    FinishTask(graph->first, graph->second, row.run.task, now, applied);
-    return;
-  }
   if (!IsCurrent(row.run, worker.info.life)) {
     return;
   }
@@ -623,6 +660,21 @@
   }
 }
 
+bool GraphTable::FinishInherited(const WorkerIncarnation& incarnation,
+                                 const EndedRun& row,
+                                 WallMillis now,
+                                 GraphApplyResult& applied) {
+  if (row.reason != RunEndReason::kDone || !IsInherited(row.run, incarnation)) {
+    return false;
+  }
+  const auto graph = graphs_.find(row.run.task.graph);
+  applied.events.push_back(EndEvent(row, incarnation.id));
+  MarkBegun(graph->first, graph->second);
+  graph->second.changed_at = now;
+  FinishTask(graph->first, graph->second, row.run.task, now, applied);
+  return true;
+}
+
 void GraphTable::SaveCheckpoint(const RunRef& run,
                                 const std::string& checkpoint,
                                 bool is_final) {
@@ -719,6 +771,7 @@
   graph.state = state;
   graph.changed_at = now;
   graph.ready = 0;
+  graph.repeated = RepeatedRuns(id, graph);
   graph.occurrences.clear();
   graph.spec.payload.clear();
   ready_graphs_.erase(id);
--- a/src/graph/graph_table_codec.h
+++ b/src/graph/graph_table_codec.h
@@ -99,6 +99,9 @@
   if (graph.state == GraphState::kRunning && !graph.has_begun) {
     json["begun"] = false;
   }
+  if (!graph.repeated.empty()) {
+    json["repeated"] = graph.repeated;
+  }
 }
 inline void from_json(const nlohmann::json& json, Graph& graph) {
   json.at("spec").get_to(graph.spec);
@@ -111,8 +114,9 @@
   json.at("changed_at").get_to(graph.changed_at);
   RestoreGangCheckpoints(graph);
   graph.failure = json.value("failure", "");
-  // Absent in snapshots of earlier versions.
+  // Both are absent in snapshots of earlier versions.
   graph.has_begun = json.value("begun", graph.state != GraphState::kQueued);
+  graph.repeated = json.value("repeated", std::set<RunRef>{});
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GraphWorker,
                                    info,
--- a/src/graph/unknown_leases.cc
+++ b/src/graph/unknown_leases.cc
@@ -25,11 +25,14 @@
   }
 }
 
-Time UnknownLeases::EndOf(const WorkerIncarnation& incarnation) const {
+bool UnknownLeases::WasAdmitted(const WorkerIncarnation& incarnation) const {
   const auto found = ends_.find(incarnation.id);
-  return found == ends_.end() || found->second.first != incarnation
-             ? restored_end_
-             : found->second.second;
+  return found != ends_.end() && found->second.first == incarnation;
+}
+
+Time UnknownLeases::EndOf(const WorkerIncarnation& incarnation) const {
+  return WasAdmitted(incarnation) ? ends_.at(incarnation.id).second
+                                  : restored_end_;
 }
 
 }  // namespace banyan
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -211,6 +211,7 @@
     // admitted this incarnation.
     final_syncs_.clear();
     is_admitted_ = true;
+    awaits_admission_ = false;
     must_fence_ = false;
     is_unfenced_ = false;
   } else if (orders.must_fence && fence_.answered() < fence_.token()) {
@@ -277,6 +278,7 @@
 
 void WorkerAgent::OnFenced(Time now, const RunCallReply& reply) {
   is_unfenced_ = false;
+  awaits_admission_ = !is_admitted_;
   unknown_lease_end_ = reply.received_at + OnSlowClock(max_lease_);
   for (const RunStatus& row : reply.running) {
     if (!pending_stops_.contains(row.run)) {
@@ -356,7 +358,8 @@
 }
 
 void WorkerAgent::RequestRunList(Time now) {
-  if (!info_ || has_left_ || is_list_in_flight_ || next_list_at_ > now) {
+  if (!info_ || has_left_ || is_list_in_flight_ || next_list_at_ > now ||
+      AwaitsCommit()) {
     return;
   }
   RunCall call = MakeCall(RunCallOp::kListRuns, RunRef{});
@@ -545,6 +548,11 @@
   if (is_newly_fenced) {
     OnFenced(now, reply);
   }
+  for (const auto& [number, row] : ended_) {
+    if (awaits_admission_ && row.reason == RunEndReason::kDone) {
+      inherited_end_ = number;
+    }
+  }
   const bool has_synced = SetReachable(now, true, "it answered");
   next_list_at_ = ended_.empty() ? now : now + kEndCommitWait;
   if (departure_) {
@@ -689,6 +697,7 @@
     return;
   }
   WorkerSync sync = MakeSync();
+  sync.may_hold_lease = LeaseEnd() > now;
   sent_syncs_.emplace_back(sync.seq, now);
   if (sent_syncs_.size() > kMaxTrackedSyncs) {
     sent_syncs_.pop_front();
--- a/src/graph/worker_agent_successor.cc
+++ b/src/graph/worker_agent_successor.cc
@@ -58,14 +58,22 @@
   if (has_left_) {
     return "it has left";
   }
-  const Time lease_end =
-      std::max(lease_deadline_ + MaxClockLag(max_lease_), unknown_lease_end_);
-  if (!is_reachable_ && lease_end <= now) {
+  if (!is_reachable_ && LeaseEnd() <= now) {
     return "its lease has run out";
   }
   return std::nullopt;
 }
 
+Time WorkerAgent::LeaseEnd() const noexcept {
+  return std::max(lease_deadline_ + MaxClockLag(max_lease_),
+                  unknown_lease_end_);
+}
+
+bool WorkerAgent::AwaitsCommit() const noexcept {
+  return inherited_end_ > last_committed_end_ && !must_fence_ &&
+         !must_settle_stops_;
+}
+
 void WorkerAgent::AddInheritedEnds(WorkerSync& final_sync) const {
   if (final_sync.info.life.id != info_->life.id) {
     return;
--- a/src/wire/graph_json.h
+++ b/src/wire/graph_json.h
@@ -238,6 +238,9 @@
   if (sync.answered_token) {
     json["answered_token"] = *sync.answered_token;
   }
+  if (sync.may_hold_lease) {
+    json["may_hold_lease"] = *sync.may_hold_lease;
+  }
 }
 inline void from_json(const nlohmann::json& json, WorkerSync& sync) {
   json.at("seq").get_to(sync.seq);
@@ -253,6 +256,9 @@
   if (json.contains("answered_token")) {
     sync.answered_token = json.at("answered_token").get<std::uint64_t>();
   }
+  if (json.contains("may_hold_lease")) {
+    sync.may_hold_lease = json.at("may_hold_lease").get<bool>();
+  }
 }
 inline void to_json(nlohmann::json& json, const WorkerOrders& orders) {
   json = {{"seq", orders.seq},
--- a/tests/unit/graph_table_test.cc
+++ b/tests/unit/graph_table_test.cc
@@ -317,6 +317,32 @@
   CPPUNIT_ASSERT(!table.ready_graphs().contains("g1"));
 }
 
+// Guards against an earlier run that is taken for the last one of its task once
+// the graph is final, also after a restart of the replica.
+void FinalGraphKnowsTheLastRunsOfItsTasks() {
+  GraphTable table = TableWithTwoWorkers();
+  table.Apply(SampleGraph("g", {SampleStep(2)}), kGraphStart);
+  Place(table, RunOf("g", 0, 0), "w1");
+  Place(table, RunOf("g", 0, 1), "w1");
+  CPPUNIT_ASSERT(!table.IsFinalRun(RunOf("g", 0, 0)));
+  End(table, RunOf("g", 0, 0), "w1", 1, RunEndReason::kDone);
+  End(table, RunOf("g", 0, 1), "w1", 2, RunEndReason::kStopped);
+  CPPUNIT_ASSERT(table.IsFinalRun(RunOf("g", 0, 0)));
+  CPPUNIT_ASSERT_MESSAGE("its task is placed again",
+                         !table.IsFinalRun(RunOf("g", 0, 1)));
+  Place(table, RunOf("g", 0, 1, 2), "w2");
+  End(table, RunOf("g", 0, 1, 2), "w2", 1, RunEndReason::kDone);
+  CPPUNIT_ASSERT(table.FindGraph("g")->state == GraphState::kCompleted);
+  GraphTable copy;
+  GraphTableCodec::FromJson(GraphTableCodec::ToJson(table), copy);
+  for (const GraphTable* each : {&table, &copy}) {
+    CPPUNIT_ASSERT(each->IsFinalRun(RunOf("g", 0, 0)));
+    CPPUNIT_ASSERT(!each->IsFinalRun(RunOf("g", 0, 1)));
+    CPPUNIT_ASSERT(each->IsFinalRun(RunOf("g", 0, 1, 2)));
+    CPPUNIT_ASSERT(!each->IsFinalRun(RunOf("unknown", 0, 0)));
+  }
+}
+
 void LongRunningTaskIsAlwaysRestarted() {
   GraphTable table = TableWithTwoWorkers();
   StepSpec step = SampleStep(1);
@@ -387,6 +413,8 @@
               .Then("may use the id of the oldest of too many early "
                     "cancellations",
                     EarlyCancellationsAreBounded)
+              .Then("knows the last runs of its tasks when it is final",
+                    FinalGraphKnowsTheLastRunsOfItsTasks)
               .Then("restarts a long-running task whatever its end reason",
                     LongRunningTaskIsAlwaysRestarted))
       .With(Section("a gang")
--- a/tests/unit/incarnation_fence_test.cc
+++ b/tests/unit/incarnation_fence_test.cc
@@ -245,7 +245,7 @@
   sync.info = SampleWorker("w1", 8);
   sync.lists = 1;
   sync.ended = {{1, RunOf("g1", 0, 0), RunEndReason::kDone, ""}};
-  for (int i = 0; i < 2; ++i) {
+  for (int i = 0; i < 3; ++i) {
     fixture.Sync(sync);
   }
   fixture.AdvanceTime(Millis(100));
@@ -256,6 +256,111 @@
                  GraphState::kCompleted);
 }
 
+// Returns the report of the next incarnation of `w1`, which has done a run that
+// an earlier one was sent.
+WorkerSync SyncWithInheritedEnd(const RunRef& run, bool may_hold_lease) {
+  WorkerSync sync;
+  sync.info = SampleWorker("w1", 8);
+  sync.lists = 1;
+  sync.ended = {{1, run, RunEndReason::kDone, ""}};
+  sync.may_hold_lease = may_hold_lease;
+  return sync;
+}
+
+// Guards against acknowledging an end as done of a task that was started again
+// meanwhile: its worker was out of reach, and the lease of the earlier
+// incarnation ran out before the end was listed.
+void DoneEndOfRepeatedTaskOutlastsLease() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 3));
+  fixture.Commit(SampleGraph("g1", {SampleStep(1)}));
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w1").contains(RunOf("g1", 0, 0)));
+  for (int i = 0; i < 120; ++i) {
+    fixture.AdvanceTime(Millis(100));
+  }
+  fixture.Join(SampleWorker("w2"));
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w2").contains(RunOf("g1", 0, 0, 2)));
+  for (int i = 0; i < 12; ++i) {
+    fixture.Sync(SyncWithInheritedEnd(RunOf("g1", 0, 0), true));
+    fixture.AdvanceTime(Millis(500));
+  }
+  CPPUNIT_ASSERT(!fixture.table().workers().contains("w1"));
+  for (int i = 0; i < 2; ++i) {
+    fixture.Sync(SyncWithInheritedEnd(RunOf("g1", 0, 0), false));
+  }
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
+                       fixture.table().workers().at("w1").noted);
+  CPPUNIT_ASSERT_MESSAGE("the second run goes on",
+                         fixture.RunsOn("w2").contains(RunOf("g1", 0, 0, 2)));
+}
+
+// Guards against the same if the earlier incarnation had confirmed that the run
+// will not start there, which the next one doesn't know.
+void DoneEndOfRefusedRunOutlastsLease() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 3));
+  fixture.Commit(SampleGraph("g1", {SampleStep(1)}));
+  fixture.AdvanceTime(Millis(100));
+  fixture.Join(SampleWorker("w2"));
+  WorkerSync refusal;
+  refusal.info = SampleWorker("w1", 3);
+  refusal.ended = {{0, RunOf("g1", 0, 0), RunEndReason::kRefused, ""}};
+  fixture.Sync(refusal);
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w2").contains(RunOf("g1", 0, 0, 2)));
+  for (int i = 0; i < 3; ++i) {
+    fixture.Sync(SyncWithInheritedEnd(RunOf("g1", 0, 0), true));
+  }
+  CPPUNIT_ASSERT_MESSAGE("neither incarnation is in service",
+                         !fixture.table().workers().contains("w1"));
+  for (int i = 0; i < 2; ++i) {
+    fixture.Sync(SyncWithInheritedEnd(RunOf("g1", 0, 0), false));
+  }
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1},
+                       fixture.table().workers().at("w1").noted);
+}
+
+// Guards against the same by an order of entries in the log: the task is placed
+// again after the leader has seen its end and before that is committed.
+void DoneEndIsCommittedBeforeAdmission() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 3));
+  fixture.Commit(SampleGraph("g1", {SampleStep(1)}));
+  fixture.AdvanceTime(Millis(100));
+  for (int i = 0; i < 120; ++i) {
+    fixture.AdvanceTime(Millis(100));
+  }
+  CPPUNIT_ASSERT(fixture.table().workers().empty());
+  const WorkerSync sync = SyncWithInheritedEnd(RunOf("g1", 0, 0), true);
+  fixture.Sync(sync);
+  CPPUNIT_ASSERT(fixture.table().FindGraph("g1")->state ==
+                 GraphState::kCompleted);
+  CPPUNIT_ASSERT_MESSAGE("it is admitted with a later report",
+                         fixture.table().workers().empty());
+  fixture.Sync(sync);
+  CPPUNIT_ASSERT_MESSAGE("and doesn't wait for the end of its lease",
+                         fixture.table().workers().contains("w1"));
+}
+
+// Guards against workers that are out of service for a lease without need: one
+// that was cut off for longer than its lease has its own ends to report.
+void ReadmissionDoesNotOutlastLease() {
+  LeaderHarness fixture(kLongLeases);
+  fixture.Join(SampleWorker("w1", 8));
+  fixture.Commit(SampleGraph("g1", {SampleStep(1)}));
+  fixture.AdvanceTime(Millis(100));
+  for (int i = 0; i < 120; ++i) {
+    fixture.AdvanceTime(Millis(100));
+  }
+  fixture.Join(SampleWorker("w2"));
+  fixture.AdvanceTime(Millis(100));
+  CPPUNIT_ASSERT(fixture.RunsOn("w2").contains(RunOf("g1", 0, 0, 2)));
+  fixture.Sync(SyncWithInheritedEnd(RunOf("g1", 0, 0), true));
+  CPPUNIT_ASSERT(fixture.table().workers().contains("w1"));
+}
+
 // Guards against tasks that wait longer for a worker that went silent: one that
 // is admitted again has refused calls to earlier incarnations all the time.
 void LeaseOfReadmittedWorkerIsTheGrantedOne() {
@@ -394,6 +499,16 @@
                       DoneEndOfInheritedStartCountsBesideDeparture)
                 .Then("also if its lease ran out before",
                       DoneEndOfInheritedStartCountsAfterRemoval)
+                .Then("before this one is admitted",
+                      DoneEndIsCommittedBeforeAdmission)
+                .Then("or isn't acknowledged within the lease, once the task "
+                      "was started again",
+                      DoneEndOfRepeatedTaskOutlastsLease)
+                .Then("also if the earlier one had refused the run",
+                      DoneEndOfRefusedRunOutlastsLease)
+                .Then("unless it was admitted before, and its lease has run "
+                      "out",
+                      ReadmissionDoesNotOutlastLease)
                 .Then("unless its agent is of an earlier version",
                       EarlierAgentsAreAdmittedAtOnce))
       .With(Section("may have given it the longest lease")
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -676,6 +676,37 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, syncs[1].ended[0].number);
 }
 
+// Guards against an end that counts as acknowledged since it was listed, though
+// the leader has yet to decide whether it may be.
+void EndsAreNotListedAgainBeforeTheAdmission() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.ReplyToList({}, {});
+  fixture.Restart(8);
+  fixture.ReplyToList({}, {{1, SampleRun(), RunEndReason::kDone, ""}});
+  static_cast<void>(fixture.TakeCalls(RunCallOp::kListRuns));
+  fixture.Fence(1);
+  CPPUNIT_ASSERT_MESSAGE("the leader's number is told to the worker",
+                         !fixture.TakeCalls(RunCallOp::kListRuns).empty());
+  CPPUNIT_ASSERT(*fixture.last_sync().may_hold_lease);
+  fixture.Advance(Millis(6000));
+  fixture.Advance(Millis(500));
+  CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kListRuns).empty());
+  CPPUNIT_ASSERT(*fixture.last_sync().may_hold_lease);
+  // 10 s on a clock that is 2% slow.
+  fixture.Advance(Millis(3800));
+  CPPUNIT_ASSERT(!*fixture.last_sync().may_hold_lease);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.last_sync().ended.size());
+  fixture.Grant();
+  CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kListRuns).empty());
+  WorkerOrders orders;
+  orders.noted = 1;
+  fixture.Grant(orders);
+  const auto lists = fixture.TakeCalls(RunCallOp::kListRuns);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lists.size());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, lists[0].last_committed_end);
+}
+
 // Guards against starting a task again that was done: a list shows at most
 // 500 ends, and the run that is to be stopped ended after these.
 void EndBeyondFullListIsNoRefusal() {
@@ -1310,6 +1341,8 @@
                       EndsOfEarlierIncarnationAreReported)
                 .Then("leaves what it has done for earlier calls, too",
                       EndsOfNextIncarnationAreReportedWithTheEarlierOne)
+                .Then("lists these only once until they are committed",
+                      EndsAreNotListedAgainBeforeTheAdmission)
                 .Then("ends its earlier incarnation also by leaving at once",
                       EarlierIncarnationIsGoneIfTheNextOneHasLeft)
                 .Then("leaves its earlier ends before the starts are fenced",
