Agents: keep orders that can't be sent yet where they can be withdrawn

An agent makes four calls to its worker in parallel and handed all others to a queue at once. Each call without an answer holds one of the four for 500 ms, so that a start was sent up to seconds after its run was ordered to stop, behind which the stop waited as well; it was also sent to an incarnation that its agent already knew to have ended.

The agent now counts the calls in flight and makes no more than four; stops go first, then starts in the order of their commands. A start that has not been sent is withdrawn by a stop, and carries the lease and the token of its sending.

The tests of the waiting starts fail with the former condition ("behind others without an answer can be withdrawn", "is not overtaken by later commands").

--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -21,6 +21,10 @@
 
 namespace banyan {
 
+// Number of calls other than list calls that are made to a worker in parallel.
+// An order beyond them waits at the agent, where it can be withdrawn.
+inline constexpr int kMaxParallelOrders = 4;
+
 // Effects that the caller must carry out for the agent.
 struct WorkerAgentOutputs {
   std::vector<RunCall> calls;
@@ -172,6 +176,9 @@
   // Returns whether that has changed, and so was reported.
   bool SetReachable(Time now, bool reachable, const std::string& why);
   void RequestRunList(Time now);
+  // Returns the starts that can be sent now, in the order in which they were
+  // ordered, and fences those that have waited for too long.
+  [[nodiscard]] std::vector<RunRef> DueStarts(Time now);
   void SendStarts(Time now);
   void SendStops(Time now);
   void SendSync(Time now);
@@ -182,6 +189,8 @@
   // Returns this incarnation's state under the next sequence number.
   [[nodiscard]] WorkerSync MakeSync();
   [[nodiscard]] RunCall MakeCall(RunCallOp op, const RunRef& run) const;
+  // Makes an order, which counts as in flight until its reply.
+  void SendOrder(RunCall call);
   [[nodiscard]] std::optional<std::int64_t> LeaseOnWorkerClock() const;
   [[nodiscard]] bool IsListed(const RunRef& run) const;
 
@@ -224,6 +233,10 @@
   // admission; 0 if there was none.
   std::int64_t inherited_end_ = 0;
 
+  // Calls other than list calls without a reply, also those to earlier
+  // incarnations.
+  int orders_in_flight_ = 0;
+
   bool is_reachable_ = false;
   bool is_list_in_flight_ = false;
   Time next_list_at_;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -256,10 +256,10 @@
   for (const RunThrottle& throttle : orders.paces) {
     RunCall call = MakeCall(RunCallOp::kThrottle, throttle.run);
     call.percent = throttle.percent;
-    out_.calls.push_back(std::move(call));
+    SendOrder(std::move(call));
   }
-  SendStarts(now);
   SendStops(now);
+  SendStarts(now);
   RequestRunList(now);
   return is_answer;
 }
@@ -314,11 +314,13 @@
   next_sync_at_ = now;
 }
 
-void WorkerAgent::SendStarts(Time now) {
-  // A start to an incarnation that may have ended could reach the next one.
-  if (has_left_ || successor_) {
-    return;
-  }
+void WorkerAgent::SendOrder(RunCall call) {
+  ++orders_in_flight_;
+  out_.calls.push_back(std::move(call));
+}
+
+std::vector<RunRef> WorkerAgent::DueStarts(Time now) {
+  std::vector<RunRef> due;
   std::vector<RunRef> expired;
   for (auto& [run, pending_start] : pending_starts_) {
     if (pending_start.is_in_flight || pending_start.retry_at > now) {
@@ -336,23 +338,46 @@
       }
       continue;
     }
+    due.push_back(run);
+  }
+  for (const RunRef& run : expired) {
+    FenceRun(now, run, "no lease or no answer");
+  }
+  std::stable_sort(due.begin(), due.end(),
+                   [&](const RunRef& a, const RunRef& b) {
+                     return pending_starts_.at(a).ordered_at <
+                            pending_starts_.at(b).ordered_at;
+                   });
+  return due;
+}
+
+void WorkerAgent::SendStarts(Time now) {
+  // A start to an incarnation that may have ended could reach the next one.
+  if (has_left_ || successor_) {
+    return;
+  }
+  for (const RunRef& run : DueStarts(now)) {
+    if (orders_in_flight_ >= kMaxParallelOrders) {
+      return;
+    }
+    PendingStart& pending_start = pending_starts_.at(run);
     RunCall call = MakeCall(RunCallOp::kStart, run);
     call.payload = pending_start.start.payload;
     call.checkpoint = pending_start.start.checkpoint;
     pending_start.is_in_flight = true;
-    out_.calls.push_back(std::move(call));
-  }
-  for (const RunRef& run : expired) {
-    FenceRun(now, run, "no lease or no answer");
+    SendOrder(std::move(call));
   }
 }
 
 void WorkerAgent::SendStops(Time now) {
   for (auto& [run, pending_stop] : pending_stops_) {
+    if (orders_in_flight_ >= kMaxParallelOrders) {
+      return;
+    }
     if (!pending_stop.is_in_flight && !pending_stop.confirmed_at &&
         pending_stop.retry_at <= now) {
       pending_stop.is_in_flight = true;
-      out_.calls.push_back(MakeCall(RunCallOp::kStop, run));
+      SendOrder(MakeCall(RunCallOp::kStop, run));
     }
   }
 }
@@ -391,6 +416,9 @@
   if (std::optional<Event> event = UnconfirmedCallEvent(reply)) {
     out_.events.push_back(*std::move(event));
   }
+  if (reply.op != RunCallOp::kListRuns) {
+    orders_in_flight_ = std::max(0, orders_in_flight_ - 1);
+  }
   if (!info_ || reply.incarnation != info_->life) {
     return;
   }
@@ -417,8 +445,8 @@
     case RunCallOp::kIdentify:
       break;
   }
-  SendStarts(now);
   SendStops(now);
+  SendStarts(now);
   RequestRunList(now);
 }
 
@@ -602,7 +630,7 @@
     if (pending_start.start.percent < kFullPercent) {
       RunCall call = MakeCall(RunCallOp::kThrottle, reply.run);
       call.percent = pending_start.start.percent;
-      out_.calls.push_back(std::move(call));
+      SendOrder(std::move(call));
     }
     pending_starts_.erase(found);
     return;
@@ -716,8 +744,8 @@
   if (!TryReplace(now)) {
     AskWorker(now);
   }
-  SendStarts(now);
   SendStops(now);
+  SendStarts(now);
   RequestRunList(now);
   bool has_survivor = false;
   for (auto& [run, trial] : trials_) {
--- a/src/graph/worker_agent_successor.cc
+++ b/src/graph/worker_agent_successor.cc
@@ -45,7 +45,7 @@
   RunCall call = MakeCall(RunCallOp::kIdentify, RunRef{});
   call.lease_until_ms.reset();
   call.last_committed_end = 0;
-  out_.calls.push_back(std::move(call));
+  SendOrder(std::move(call));
 }
 
 std::optional<std::string_view> WorkerAgent::EvidenceOfEnd(
@@ -210,6 +210,7 @@
   next.final_syncs_ = std::move(final_syncs_);
   next.fence_ = fence_;
   next.fence_.BeginIncarnation();
+  next.orders_in_flight_ = orders_in_flight_;
   next.next_seq_ = next_seq_;
   next.out_ = std::move(out_);
   return next;
--- a/src/process/worker_agent_process.cc
+++ b/src/process/worker_agent_process.cc
@@ -20,8 +20,6 @@
 constexpr Duration kMaintenanceInterval = Millis(100);
 // Interval at which an idle call thread checks whether to stop.
 constexpr Duration kStopCheckInterval = std::chrono::seconds(1);
-// Largest number of orders sent to the worker in parallel.
-constexpr int kOrderThreads = 4;
 constexpr int kServerThreads = 8;
 // Largest accepted report of a worker.
 constexpr std::int64_t kMaxReportBytes = 4 << 20;
@@ -54,7 +52,7 @@
   network_.Start();
   core_thread_ = std::thread([this] { RunCore(); });
   call_threads_.emplace_back([this] { RunCalls(list_calls_); });
-  for (int i = 0; i < kOrderThreads; ++i) {
+  for (int i = 0; i < kMaxParallelOrders; ++i) {
     call_threads_.emplace_back([this] { RunCalls(order_calls_); });
   }
   const auto serve = [this](const HttpCall& call) { return Serve(call); };
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -254,6 +254,73 @@
   CPPUNIT_ASSERT_EQUAL(std::string("saved"), starts[0].checkpoint);
 }
 
+// Guards against a start that reaches the worker seconds after its run was
+// stopped: calls without an answer hold back those behind them.
+void StartBehindOthersIsWithdrawn() {
+  AgentFixture fixture;
+  WorkerOrders orders;
+  for (std::int64_t i = 0; i < kMaxParallelOrders + 2; ++i) {
+    orders.starts.push_back({RunOf("g", 0, i), "payload", ""});
+  }
+  fixture.Grant(orders);
+  CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(kMaxParallelOrders),
+                       fixture.TakeCalls(RunCallOp::kStart).size());
+  WorkerOrders stop;
+  stop.stops = {RunOf("g", 0, kMaxParallelOrders)};
+  fixture.Grant(stop);
+  CPPUNIT_ASSERT_MESSAGE("a stop waits as well",
+                         fixture.TakeCalls(RunCallOp::kStop).empty());
+  fixture.Answer(RunCallOp::kStart, RunOf("g", 0, 0), true);
+  const std::vector<RunCall> stops = fixture.TakeCalls(RunCallOp::kStop);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+  CPPUNIT_ASSERT(stops[0].run == RunOf("g", 0, kMaxParallelOrders));
+  fixture.Answer(RunCallOp::kStart, RunOf("g", 0, 1), true);
+  const std::vector<RunCall> starts = fixture.TakeCalls(RunCallOp::kStart);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+  CPPUNIT_ASSERT(starts[0].run == RunOf("g", 0, kMaxParallelOrders + 1));
+}
+
+// Guards against a start that later ones overtake again and again.
+void StartsAreSentInTheOrderOfTheirCommands() {
+  AgentFixture fixture;
+  WorkerOrders first;
+  for (std::int64_t i = 0; i < kMaxParallelOrders; ++i) {
+    first.starts.push_back({RunOf("m", 0, i), "payload", ""});
+  }
+  fixture.Grant(first);
+  fixture.Grant(StartOrder(RunOf("z", 0, 0)));
+  fixture.Advance(Millis(50));
+  fixture.Grant(StartOrder(RunOf("a", 0, 0)));
+  static_cast<void>(fixture.TakeCalls(RunCallOp::kStart));
+  fixture.Answer(RunCallOp::kStart, RunOf("m", 0, 0), true);
+  const std::vector<RunCall> starts = fixture.TakeCalls(RunCallOp::kStart);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+  CPPUNIT_ASSERT(starts[0].run == RunOf("z", 0, 0));
+}
+
+// Guards against a worker that gets no orders any more after its restart: the
+// calls to its earlier incarnation end as well.
+void CallsToEarlierIncarnationMakeRoomWhenTheyEnd() {
+  AgentFixture fixture;
+  WorkerOrders orders;
+  for (std::int64_t i = 0; i < kMaxParallelOrders; ++i) {
+    orders.starts.push_back({RunOf("g", 0, i), "payload", ""});
+  }
+  fixture.Grant(orders);
+  fixture.ReplyToList({}, {});
+  fixture.Restart(8);
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT(fixture.TakeCalls(RunCallOp::kStop).empty());
+  fixture.Follow(1);
+  for (std::int64_t i = 0; i < kMaxParallelOrders; ++i) {
+    fixture.Answer(RunCallOp::kStart, RunOf("g", 0, i), false);
+  }
+  fixture.Follow(8);
+  fixture.Advance(Millis(50));
+  CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(kMaxParallelOrders),
+                       fixture.TakeCalls(RunCallOp::kStop).size());
+}
+
 void NoStartWithoutLease() {
   AgentFixture fixture;
   fixture.Grant(StartOrder(SampleRun()), 0);
@@ -1234,6 +1301,10 @@
       .With(Section("a start")
                 .Then("carries the lease on the worker's clock",
                       StartCarriesLease)
+                .Then("behind others without an answer can be withdrawn",
+                      StartBehindOthersIsWithdrawn)
+                .Then("is not overtaken by later commands",
+                      StartsAreSentInTheOrderOfTheirCommands)
                 .Then("is not sent without a lease", NoStartWithoutLease)
                 .Then("without an answer is retried", UnansweredStartIsRetried)
                 .Then("without an answer is not repeated to a silent worker",
@@ -1341,6 +1412,8 @@
                       EndsOfEarlierIncarnationAreReported)
                 .Then("leaves what it has done for earlier calls, too",
                       EndsOfNextIncarnationAreReportedWithTheEarlierOne)
+                .Then("gets orders once the calls to the earlier one end",
+                      CallsToEarlierIncarnationMakeRoomWhenTheyEnd)
                 .Then("lists these only once until they are committed",
                       EndsAreNotListedAgainBeforeTheAdmission)
                 .Then("ends its earlier incarnation also by leaving at once",
