--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -28,6 +28,7 @@
                                     : placed->checkpoint;
 }
 
+// Returns the event of a run that has ended on a worker.
 Event EndEvent(const EndedRun& row, const std::string& worker) {
   return RunEvent(EventId::kRunEnded, row.run, worker)
       .With("occurrence", row.run.task.occurrence)
