Agents: acknowledge ends only until a list call with it is answered

Each list call repeated the number up to which ends are acknowledged. Calls name a worker by its id alone and may be carried out late, and each incarnation numbers its ends anew. A list call of an earlier incarnation that was under way at the crash made the next one forget the ends of starts that it had carried out late, before any list had shown them.

An answer to a call with the acknowledgement shows that the worker has forgotten these ends, so later calls leave it out. What remains is a call that carries it for the first time as the worker crashes.

The new test fails without the change: the second list call carries 5 in place of 0 (mutant acknowledgement-repeated, built by hand).

--- a/include/banyan/graph/run_call.h
+++ b/include/banyan/graph/run_call.h
@@ -54,7 +54,8 @@
   // End of the same lease on the agent's clock.
   Time lease_deadline;
   std::uint64_t fencing_token = 0;
-  // Ended runs up to this number need not be listed again.
+  // Ended runs up to this number need not be listed again; 0 if the call
+  // acknowledges none.
   std::int64_t last_committed_end = 0;
   // Long polling: how long a list waits for a run to end, in milliseconds.
   std::int64_t wait_ms = 0;
--- a/include/banyan/graph/worker_agent.h
+++ b/include/banyan/graph/worker_agent.h
@@ -229,6 +229,10 @@
   bool is_unfenced_ = false;
   Time lease_deadline_;
   std::int64_t last_committed_end_ = 0;
+  // Last end that a list call has acknowledged and the worker has answered.
+  // Later calls leave it out: the worker's next incarnation, which numbers its
+  // ends anew, may carry them out.
+  std::int64_t acknowledged_end_ = 0;
   // Number of the last end as done that was listed between the fence and the
   // admission; 0 if there was none.
   std::int64_t inherited_end_ = 0;
--- a/src/graph/worker_agent.cc
+++ b/src/graph/worker_agent.cc
@@ -185,7 +185,6 @@
   call.incarnation = info_->life;
   call.run = run;
   call.fencing_token = fence_.token();
-  call.last_committed_end = last_committed_end_;
   call.lease_until_ms = LeaseOnWorkerClock();
   call.lease_deadline = lease_deadline_;
   return call;
@@ -391,7 +390,8 @@
   // The worker may have been replaced by its next incarnation.
   if (!is_reachable_) {
     call.lease_until_ms.reset();
-    call.last_committed_end = 0;
+  } else if (acknowledged_end_ < last_committed_end_) {
+    call.last_committed_end = last_committed_end_;
   }
   const bool is_waiting_for_log = !ended_.empty();
   if (!is_waiting_for_log && is_reachable_ && !departure_) {
@@ -524,6 +524,7 @@
   }
   ++list_count_;
   listed_at_ = now;
+  acknowledged_end_ = std::max(acknowledged_end_, reply.last_committed_end);
   is_denied_ = false;
   crash_observer_.OnList(reply);
   running_.clear();
--- a/src/graph/worker_agent_successor.cc
+++ b/src/graph/worker_agent_successor.cc
@@ -44,7 +44,6 @@
   successor_->is_asking = true;
   RunCall call = MakeCall(RunCallOp::kIdentify, RunRef{});
   call.lease_until_ms.reset();
-  call.last_committed_end = 0;
   SendOrder(std::move(call));
 }
 
--- a/tests/unit/worker_agent_test.cc
+++ b/tests/unit/worker_agent_test.cc
@@ -149,6 +149,7 @@
     reply.sent_at = now_;
     reply.running = std::move(running);
     reply.ended = std::move(ended);
+    reply.last_committed_end = last_acknowledgement_;
     Reply(std::move(reply));
   }
 
@@ -216,6 +217,9 @@
   void Collect() {
     WorkerAgentOutputs outputs = agent_.TakeOutputs();
     for (RunCall& call : outputs.calls) {
+      if (call.op == RunCallOp::kListRuns) {
+        last_acknowledgement_ = call.last_committed_end;
+      }
       calls_.push_back(std::move(call));
     }
     for (Message& message : outputs.to_control) {
@@ -228,6 +232,8 @@
   Time now_ = Time(std::chrono::seconds(100));
   std::int64_t started_at_ms_ = 0;
   std::vector<RunCall> calls_;
+  // Of the last list call.
+  std::int64_t last_acknowledgement_ = 0;
   WorkerSync last_sync_;
   std::vector<WorkerSync> syncs_;
 };
@@ -1202,6 +1208,33 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, answered[0].last_committed_end);
 }
 
+// Guards against running a task again that was done: a list call that its
+// worker left without an answer is carried out by the next incarnation, which
+// forgets ends that no list has shown.
+void ConfirmedAcknowledgementIsNotRepeated() {
+  AgentFixture fixture;
+  fixture.Grant();
+  fixture.ReplyToList({}, {{5, SampleRun(), RunEndReason::kDone, ""}});
+  static_cast<void>(fixture.TakeCalls(RunCallOp::kListRuns));
+  WorkerOrders orders;
+  orders.noted = 5;
+  fixture.Grant(orders);
+  const auto first = fixture.TakeCalls(RunCallOp::kListRuns);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, first[0].last_committed_end);
+  fixture.ReplyToList({}, {});
+  const auto second = fixture.TakeCalls(RunCallOp::kListRuns);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, second[0].last_committed_end);
+  CPPUNIT_ASSERT(second[0].lease_until_ms.has_value());
+  fixture.ReplyToList({}, {{6, RunOf("g", 0, 1), RunEndReason::kDone, ""}});
+  orders.noted = 6;
+  fixture.Grant(orders);
+  const auto third = fixture.TakeCalls(RunCallOp::kListRuns);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, third.size());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{6}, third[0].last_committed_end);
+}
+
 // Guards against calls to an earlier incarnation that the next one carries out.
 void CallsToNextIncarnationHaveHigherToken() {
   AgentFixture fixture;
@@ -1402,6 +1435,8 @@
                       FenceIsRepeatedAtNextIncarnation)
                 .Then("gets nothing by calls of the time it didn't answer",
                       CallToSilentWorkerGrantsNothing)
+                .Then("has no end acknowledged by calls after the first answer",
+                      ConfirmedAcknowledgementIsNotRepeated)
                 .Then("gets calls with a higher token",
                       CallsToNextIncarnationHaveHigherToken)
                 .Then("stops what earlier calls have started",
