Job graphs: keep jobs whose tasks were at work as their workers crashed

The longer a task runs, the sooner it meets five.

A task was given up after five crashes of any evidence. Crashes while it was at work no longer count towards giving it up; the second one still makes it start apart. They clear the task of crashes at its start before, as for long-running tasks. A crash that no agent has seen counts as unclear for a suspect that isn't known to have survived its start, so that a task that crashes its workers while agents restart gets five starts, as before.

--- a/include/banyan/graph/crash_record.h
+++ b/include/banyan/graph/crash_record.h
@@ -38,22 +38,26 @@
   // Whether the next run of the task must be kept away from other tasks until
   // its worker has survived the start.
   [[nodiscard]] bool is_suspect() const noexcept {
-    return at_start + unclear > 0 || crashes >= kSuspectCrashes;
+    return has_start_evidence() || crashes >= kSuspectCrashes;
+  }
+
+  // Whether a crash may have been caused by the start of the task.
+  [[nodiscard]] bool has_start_evidence() const noexcept {
+    return at_start + unclear > 0;
   }
 
   // Whether the task must not be started again. Two crashes suffice if the task
   // started alone at the second one, as a suspect does, or at the first one and
-  // among others at the second.
+  // among others at the second. Crashes while it was at work don't count:
+  // workers crash for other reasons, too.
   [[nodiscard]] bool is_given_up() const noexcept {
     return is_trial_failed || (alone > 0 && at_start >= kMaxCrashesIfAlone) ||
-           at_start + unclear >= kMaxStartingCrashes || crashes >= kMaxCrashes;
+           at_start + unclear >= kMaxStartingCrashes;
   }
 
   static constexpr std::int64_t kSuspectCrashes = 2;
   static constexpr std::int64_t kMaxCrashesIfAlone = 2;
   static constexpr std::int64_t kMaxStartingCrashes = 3;
-  // At most two starts may follow the third crash of a worker under a task.
-  static constexpr std::int64_t kMaxCrashes = 5;
 };
 
 }  // namespace banyan
--- a/include/banyan/graph/graph_leader.h
+++ b/include/banyan/graph/graph_leader.h
@@ -156,7 +156,8 @@
   // Proposes to count a worker's crash for the tasks connected to it.
   void ProposeCrashes(const GraphTable& table, const WorkerSync& sync);
   // Proposes to count a crash of which the agent knows nothing, since it has
-  // restarted, too: all runs count as at work, which bounds their crashes.
+  // restarted, too: runs count as at work, but for those of suspects that are
+  // not known to have survived their start.
   void ProposeUnseenCrash(const GraphTable& table, const GraphWorker& worker);
   // Whether other workers were lost together with this one, or whether this
   // leader can't tell.
--- a/src/graph/crash_record.cc
+++ b/src/graph/crash_record.cc
@@ -8,7 +8,7 @@
   ++crashes;
   switch (crash.evidence) {
     case CrashEvidence::kAlone:
-      is_trial_failed = is_trial_failed || at_start + unclear > 0;
+      is_trial_failed = is_trial_failed || has_start_evidence();
       ++alone;
       ++at_start;
       break;
--- a/src/graph/graph_leader.cc
+++ b/src/graph/graph_leader.cc
@@ -264,12 +264,15 @@
     if (task == nullptr || crash.run.run <= task->crashes.last_run) {
       continue;
     }
+    const CrashRecord& known = task->crashes;
     const bool is_at_work = crash.evidence == CrashEvidence::kAtWork;
     const bool clears =
-        is_at_work && table.FindStep(crash.run.task)->long_running;
-    if (clears ? task->crashes.crashes == 0
-               : is_at_work && (has_common_cause || has_starting ||
-                                !table.IsCurrent(crash.run, sync.info.life))) {
+        is_at_work && (known.has_start_evidence() ||
+                       table.FindStep(crash.run.task)->long_running);
+    if (clears ? known.crashes == 0
+               : is_at_work &&
+                     (has_common_cause || has_starting || known.is_suspect() ||
+                      !table.IsCurrent(crash.run, sync.info.life))) {
       continue;
     }
     if (has_common_cause && !is_at_work) {
@@ -286,17 +289,24 @@
                                      const GraphWorker& worker) {
   const WorkerIncarnation& incarnation = worker.info.life;
   const auto view = views_.find(incarnation.id);
-  const bool is_reported = view != views_.end() &&
-                           view->second.life == incarnation &&
-                           view->second.drop_proposed;
+  const bool is_viewed =
+      view != views_.end() && view->second.life == incarnation;
+  const bool is_reported = is_viewed && view->second.drop_proposed;
   if (is_reported || worker.info.draining) {
     return;
   }
   RecordCrashes record{incarnation, {}};
   for (const RunRef& run : worker.runs) {
-    if (table.IsCurrent(run, incarnation) &&
-        !table.FindStep(run.task)->long_running) {
+    if (!table.IsCurrent(run, incarnation) ||
+        table.FindStep(run.task)->long_running) {
+      continue;
+    }
+    const bool is_suspect = table.FindTask(run.task)->crashes.is_suspect();
+    if (!is_suspect) {
       record.rows.push_back({run, CrashEvidence::kAtWork});
+    } else if (!is_viewed ||
+               !view->second.HasSurvived(run, view->second.reported_at)) {
+      record.rows.push_back({run, CrashEvidence::kUnclear});
     }
   }
   if (!record.rows.empty()) {
--- a/src/graph/graph_table.cc
+++ b/src/graph/graph_table.cc
@@ -560,8 +560,9 @@
   if (is_counted || crash.run.run > task->last_run()) {
     return;
   }
-  // A long-running task that got to work was not to blame for earlier crashes.
-  if (crash.evidence == CrashEvidence::kAtWork && FindStep(ref)->long_running) {
+  // A task that got to work was not to blame for earlier crashes at its start.
+  if (crash.evidence == CrashEvidence::kAtWork &&
+      (task->crashes.has_start_evidence() || FindStep(ref)->long_running)) {
     task->crashes = CrashRecord{};
     task->crashes.last_run = crash.run.run;
     suspects_.erase(ref);
